Set up the modules, the typed messages and the ownership of workers

Messages of the loop, between entry instances and towards the platform are protobuf, so that one definition serves the wire, the recorded traces and the library.

A worker is the arbiter of its own lease: ownership needs neither the table service nor a vote.

--- /dev/null
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/package-info.java
@@ -0,0 +1,5 @@
+/** The command line. */
+@NullMarked
+package org.hemlockpick.pgm;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/package-info.java
@@ -0,0 +1,5 @@
+/** The peer link. */
+@NullMarked
+package org.hemlockpick.transport;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/errors/ResultCode.java
@@ -0,0 +1,118 @@
+package org.hemlockpick.errors;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * Lists the numbered results of every call to an entry instance.
+ *
+ * <p>The numbers are part of the wire format and never change meaning. {@code docs/RESULT-CODES.md}
+ * holds the same table for callers and operators.
+ */
+public enum ResultCode {
+  /** The work ran and its answer is complete. */
+  DONE(0, Effect.RAN, 200, "done"),
+
+  /** The call could not be understood. */
+  BAD_REQUEST(100, Effect.NOT_RUN, 400, "the call is malformed"),
+  /** The customer is unknown or its key is wrong. */
+  NOT_AUTHENTICATED(101, Effect.NOT_RUN, 401, "unknown customer or wrong key"),
+  /** The contract of the customer does not name this service. */
+  UNKNOWN_SERVICE(102, Effect.NOT_RUN, 404, "the contract does not name this service"),
+  /** The deadline had passed before the work was sent to a backend server. */
+  DEADLINE_PASSED(103, Effect.NOT_RUN, 504, "the deadline passed before the work was sent"),
+  /** The body exceeds the size that is accepted. */
+  TOO_LARGE(104, Effect.NOT_RUN, 413, "the body is too large"),
+  /** A non-idempotent request carries no idempotency key. */
+  KEY_REQUIRED(105, Effect.NOT_RUN, 400, "a non-idempotent request needs an idempotency key"),
+
+  /** The customer has used up what its contract grants at this entry instance. */
+  OVER_LIMIT(110, Effect.NOT_RUN, 429, "the limit of the contract is reached"),
+  /** All slots are taken and the wait would exceed the deadline. */
+  OVERLOADED(111, Effect.NOT_RUN, 503, "all slots are taken"),
+  /** The entry instance is in its planned stop. */
+  STOPPING(112, Effect.NOT_RUN, 503, "this entry instance is stopping"),
+  /** The entry instance has not learned the contracts in force yet. */
+  NOT_READY(113, Effect.NOT_RUN, 503, "this entry instance is starting"),
+  /** The table service does not answer and the call needs it. */
+  STORE_UNREACHABLE(114, Effect.NOT_RUN, 503, "the table service does not answer"),
+  /** No worker can be reached. */
+  NO_WORKER(115, Effect.NOT_RUN, 503, "no worker can take the work"),
+
+  /** The work ran at the backend server and failed there. */
+  FAILED(200, Effect.RAN, 502, "the work ran and failed"),
+  /** The work was sent, but whether it ran is not known. */
+  OUTCOME_UNKNOWN(201, Effect.UNKNOWN, 504, "whether the work ran is not known"),
+  /** A request with the same idempotency key was started before and has no recorded answer yet. */
+  IN_PROGRESS(202, Effect.UNKNOWN, 409, "a request with this idempotency key is in progress"),
+
+  /** No such job of this customer. */
+  UNKNOWN_JOB(300, Effect.NOT_RUN, 404, "the customer has no such job"),
+  /** The job asks for more than any worker could ever give. */
+  JOB_NEVER_FITS(301, Effect.NOT_RUN, 422, "no worker could ever run a task of this job"),
+
+  /** The contract has faults; the detail names each with its line and key. */
+  CONTRACT_INVALID(310, Effect.NOT_RUN, 422, "the contract is not valid"),
+  /** Another change was accepted since the version that this one was based on. */
+  CONTRACT_CONFLICT(311, Effect.NOT_RUN, 409, "the contract was changed by another operator"),
+
+  /** The entry instance met an error of its own. */
+  INTERNAL(900, Effect.UNKNOWN, 500, "internal error");
+
+  /** Tells what a result says about the work. */
+  public enum Effect {
+    /** The work ran to its end. */
+    RAN,
+    /** The work did not run and never will under this call. */
+    NOT_RUN,
+    /** The work may have run, may be running or may run yet. */
+    UNKNOWN
+  }
+
+  private static final Map<Integer, ResultCode> BY_NUMBER =
+      Arrays.stream(values()).collect(Collectors.toMap(ResultCode::number, Function.identity()));
+
+  private final int number;
+  private final Effect effect;
+  private final int httpStatus;
+  private final String text;
+
+  ResultCode(int number, Effect effect, int httpStatus, String text) {
+    this.number = number;
+    this.effect = effect;
+    this.httpStatus = httpStatus;
+    this.text = text;
+  }
+
+  /**
+   * Returns the code with a number.
+   *
+   * @param number number from the wire
+   * @return the code, or {@link #INTERNAL} when this version does not know the number
+   */
+  public static ResultCode of(int number) {
+    return BY_NUMBER.getOrDefault(number, INTERNAL);
+  }
+
+  /** Returns the number used on the wire. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns what this result says about the work. */
+  public Effect effect() {
+    return effect;
+  }
+
+  /** Returns the HTTP status that goes with this result. */
+  public int httpStatus() {
+    return httpStatus;
+  }
+
+  /** Returns a short description in English for messages. */
+  public String text() {
+    return text;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/membership/MembershipSystem.java
@@ -0,0 +1,80 @@
+package org.hemlockpick.internal.membership;
+
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.proto.Heartbeat;
+import org.hemlockpick.proto.PeerMessage;
+
+/** Sends heartbeats and keeps track of which entry instances are alive. */
+public final class MembershipSystem implements LoopSystem {
+  /** How many times longer the heartbeat interval is towards other availability zones. */
+  static final int REMOTE_INTERVALS = 4;
+
+  private final InstanceSettings settings;
+  private final Outbox outbox;
+  private final PeerTable peers;
+  private final HeartbeatSource source;
+  private long nextHeartbeat = Long.MIN_VALUE;
+  private int beats;
+
+  /** Creates the system; the first heartbeat goes out in the first tick. */
+  public MembershipSystem(
+      InstanceSettings settings, Outbox outbox, PeerTable peers, HeartbeatSource source) {
+    this.settings = settings;
+    this.outbox = outbox;
+    this.peers = peers;
+    this.source = source;
+  }
+
+  /**
+   * Notes that a peer was heard of.
+   *
+   * @return false when the message is to be dropped: its sender is not in the roster, was replaced
+   *     by a newer incarnation, or meant another receiver
+   */
+  public boolean on(PeerMessage message) {
+    Peer peer = peers.find(message.getFrom());
+    if (peer == null || !message.getTo().equals(settings.name())) {
+      return false;
+    }
+    long now = outbox.now();
+    boolean wasAlive = peers.isAlive(peer, now);
+    if (!peer.hear(message.getIncarnation(), now, wasAlive)) {
+      return false;
+    }
+    if (!wasAlive) {
+      outbox.event("peer-alive", peer.name(), "incarnation " + peer.incarnation());
+    }
+    if (message.hasHeartbeat()) {
+      peer.take(message.getHeartbeat());
+    }
+    return true;
+  }
+
+  @Override
+  public void run(long now) {
+    if (now < nextHeartbeat) {
+      return;
+    }
+    nextHeartbeat = now + settings.timing().heartbeat().toMillis();
+    sendHeartbeats(beats % REMOTE_INTERVALS == 0);
+    beats++;
+  }
+
+  /** Sends a heartbeat to every peer at once, without waiting for the interval. */
+  public void sendNow() {
+    sendHeartbeats(true);
+  }
+
+  private void sendHeartbeats(boolean remoteToo) {
+    Heartbeat local = source.heartbeat(true);
+    Heartbeat remote = source.heartbeat(false);
+    for (Peer peer : peers.all()) {
+      boolean inZone = peer.zone().equals(settings.zone());
+      if (inZone || remoteToo) {
+        outbox.send(peer.name(), PeerMessage.newBuilder().setHeartbeat(inZone ? local : remote));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Attempt.java
@@ -0,0 +1,11 @@
+package org.hemlockpick.internal.ownership;
+
+/**
+ * Names one sending of a request to a worker. Sequence numbers are never reused within an
+ * incarnation.
+ *
+ * @param epoch epoch of the lease under which it was sent
+ * @param sequence number of the attempt
+ * @param sentAt time of sending in milliseconds on the loop's clock
+ */
+public record Attempt(long epoch, long sequence, long sentAt) {}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/FenceSource.java
@@ -0,0 +1,10 @@
+package org.hemlockpick.internal.ownership;
+
+import java.util.List;
+
+/** Names the open attempts whose fate at the worker is in doubt. */
+public interface FenceSource {
+
+  /** Returns the attempts to ask the worker about with the next lease call. */
+  List<Attempt> doubtful(Worker worker, long now);
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
@@ -0,0 +1,304 @@
+package org.hemlockpick.internal.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.WorkerCalls;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.lib.Timing;
+import org.hemlockpick.proto.CallFate;
+import org.hemlockpick.proto.FencedRequest;
+import org.hemlockpick.proto.LeaseCall;
+import org.hemlockpick.proto.LeaseReply;
+import org.hemlockpick.proto.OwnedWorker;
+import org.hemlockpick.proto.RequestFate;
+import org.hemlockpick.proto.RunningRequest;
+import org.hemlockpick.proto.WorkerCall;
+import org.hemlockpick.proto.WorkerReply;
+import org.hemlockpick.util.Rendezvous;
+
+/**
+ * Acquires, renews and hands over the leases of workers.
+ *
+ * <p>The worker is the arbiter of its own lease: a lease is good for a bounded time, a new holder
+ * gets a higher epoch, and the worker refuses work under any other epoch. Neither the table service
+ * nor another entry instance is needed. Which entry instance asks for which worker follows from
+ * rendezvous hashing over the live entry instances of the availability zone.
+ */
+public final class OwnershipSystem implements LoopSystem {
+  private static final long RETRY_MILLIS = 300;
+  private static final long UNCLAIMED_WAIT_MILLIS = 5_000;
+  private static final long HANDOVER_SETTLE_MILLIS = 5_000;
+  private static final long RELEASE_DRAIN_MILLIS = 2_000;
+
+  private final InstanceSettings settings;
+  private final Timing timing;
+  private final Outbox outbox;
+  private final WorkerCalls calls;
+  private final PeerTable peers;
+  private final WorkerTable workers;
+  private final List<LeaseListener> listeners = new ArrayList<>();
+  private final List<FenceSource> fences = new ArrayList<>();
+  private final List<RecordedTasks> recorded = new ArrayList<>();
+  private long lastSequence;
+  private boolean stopping;
+
+  /** Creates the system; it holds no lease yet. */
+  public OwnershipSystem(
+      InstanceSettings settings,
+      Outbox outbox,
+      WorkerCalls calls,
+      PeerTable peers,
+      WorkerTable workers) {
+    this.settings = settings;
+    this.timing = settings.timing();
+    this.outbox = outbox;
+    this.calls = calls;
+    this.peers = peers;
+    this.workers = workers;
+  }
+
+  /** Adds a listener; listeners are called in the order in which they were added. */
+  public void addListener(LeaseListener listener) {
+    listeners.add(listener);
+  }
+
+  /** Adds a source of attempts to ask workers about. */
+  public void addFences(FenceSource source) {
+    fences.add(source);
+  }
+
+  /** Adds a source of finished attempts that workers may forget. */
+  public void addRecordedTasks(RecordedTasks source) {
+    recorded.add(source);
+  }
+
+  /** Returns a sequence number for an attempt; never reused within this incarnation. */
+  public long nextSequence() {
+    return ++lastSequence;
+  }
+
+  /** Makes the next lease call to a worker go out at once. */
+  public void renewSoon(Worker worker) {
+    worker.hasLeaseCallAt(outbox.now());
+  }
+
+  /** Stops awaiting the answer to an attempt; its slot stays occupied until proved free. */
+  public void abandon(String worker, long sequence) {
+    Worker found = workers.find(worker);
+    if (found != null) {
+      found.abandon(sequence);
+    }
+  }
+
+  /** Hands all workers over and asks for no more. */
+  public void stop() {
+    stopping = true;
+  }
+
+  /** Tells whether this entry instance holds no lease. */
+  public boolean holdsNothing(long now) {
+    return workers.held(now).isEmpty();
+  }
+
+  /** Returns the workers to name in heartbeats. */
+  public List<OwnedWorker> owned(long now) {
+    return workers.held(now).stream()
+        .map(
+            worker ->
+                OwnedWorker.newBuilder()
+                    .setWorker(worker.name())
+                    .setEpoch(worker.epoch())
+                    .setFreeSlots(worker.freeSlots(now))
+                    .build())
+        .toList();
+  }
+
+  @Override
+  public void run(long now) {
+    for (Worker gone : workers.removeGone(now, 2 * timing.leaseTtl().toMillis())) {
+      outbox.event("worker-gone", gone.name(), "not listed and silent");
+      listeners.forEach(listener -> listener.gone(gone));
+    }
+    List<Peer> alive = peers.aliveInZone(now);
+    Set<String> claimed = claimedByPeers(alive);
+    for (Worker worker : List.copyOf(workers.all())) {
+      runWorker(worker, alive, claimed, now);
+    }
+  }
+
+  private void runWorker(Worker worker, List<Peer> alive, Set<String> claimed, long now) {
+    if (worker.epoch() != 0 && !worker.isHeld(now)) {
+      lose(worker, "lease lapsed");
+    }
+    if (worker.epoch() == 0) {
+      if (worker.isLeaseCallDue(now) && shouldAcquire(worker, alive, claimed, now)) {
+        sendLeaseCall(worker, false, now);
+      }
+      return;
+    }
+    if (!worker.isReleasing() && shouldHandOver(worker, alive, now)) {
+      worker.beginRelease(now);
+      worker.hasLeaseCallAt(now);
+    }
+    if (worker.isLeaseCallDue(now)) {
+      sendLeaseCall(worker, worker.isReleasing() && isDrained(worker, now), now);
+    }
+  }
+
+  private boolean shouldAcquire(
+      Worker worker, List<Peer> alive, Set<String> claimed, long now) {
+    if (stopping || claimed.contains(worker.name()) || !worker.isListed()) {
+      return false;
+    }
+    int rank = ranking(worker, alive).indexOf(settings.name());
+    return now - worker.unclaimedSince(now) >= rank * UNCLAIMED_WAIT_MILLIS;
+  }
+
+  private boolean shouldHandOver(Worker worker, List<Peer> alive, long now) {
+    if (stopping) {
+      return true;
+    }
+    String preferred = ranking(worker, alive).get(0);
+    Peer peer = peers.find(preferred);
+    return peer != null && now - peer.aliveSince() >= HANDOVER_SETTLE_MILLIS;
+  }
+
+  private List<String> ranking(Worker worker, List<Peer> alive) {
+    List<String> candidates = new ArrayList<>();
+    candidates.add(settings.name());
+    for (Peer peer : alive) {
+      if (peer.heartbeat().getReady() && !peer.heartbeat().getLeaving()) {
+        candidates.add(peer.name());
+      }
+    }
+    return Rendezvous.rank(worker.name(), candidates);
+  }
+
+  private Set<String> claimedByPeers(List<Peer> alive) {
+    Set<String> claimed =
+        alive.stream()
+            .flatMap(peer -> peer.heartbeat().getWorkersList().stream())
+            .map(OwnedWorker::getWorker)
+            .collect(Collectors.toSet());
+    long now = outbox.now();
+    workers.all().forEach(worker -> worker.noteClaimed(claimed.contains(worker.name()), now));
+    return claimed;
+  }
+
+  private boolean isDrained(Worker worker, long now) {
+    return worker.openAttempts().isEmpty() || now - worker.releasingSince() >= RELEASE_DRAIN_MILLIS;
+  }
+
+  private void sendLeaseCall(Worker worker, boolean release, long now) {
+    LeaseCall.Builder lease =
+        LeaseCall.newBuilder()
+            .setOwner(settings.name())
+            .setIncarnation(outbox.incarnation())
+            .setEpoch(worker.epoch())
+            .setTtlMillis((int) timing.leaseTtl().toMillis())
+            .setRelease(release)
+            .setSettledBelow(worker.settledBelow(lastSequence + 1));
+    for (Attempt attempt : attemptsToFence(worker, now)) {
+      lease.addFenceRequests(
+          RunningRequest.newBuilder()
+              .setEpoch(attempt.epoch())
+              .setSequence(attempt.sequence()));
+    }
+    recorded.forEach(source -> lease.addAllRecordedTasks(source.recorded(worker)));
+    WorkerCall.Builder call =
+        WorkerCall.newBuilder()
+            .setWorker(worker.name())
+            .setAddress(worker.address())
+            .setTimeoutMillis((int) timing.workerTimeout().toMillis())
+            .setFreshConnection(worker.needsFreshConnection())
+            .setLease(lease);
+    worker.beginLeaseCall();
+    long epoch = worker.epoch();
+    calls.send(call, reply -> onReply(worker, epoch, release, now, reply));
+  }
+
+  private List<Attempt> attemptsToFence(Worker worker, long now) {
+    List<Attempt> attempts = new ArrayList<>(worker.abandonedAttempts());
+    fences.forEach(source -> attempts.addAll(source.doubtful(worker, now)));
+    return attempts;
+  }
+
+  private void onReply(
+      Worker worker, long epoch, boolean release, long sentAt, WorkerReply reply) {
+    long now = outbox.now();
+    if (reply.getFate() != CallFate.ANSWERED || !reply.hasLease()) {
+      onNoAnswer(worker, epoch, release, now);
+      return;
+    }
+    worker.answered(now);
+    LeaseReply lease = reply.getLease();
+    if (release) {
+      worker.endLeaseCall(now + timing.leaseTtl().toMillis());
+      lose(worker, "released");
+      return;
+    }
+    if (!lease.getGranted()) {
+      worker.endLeaseCall(now + Math.max(RETRY_MILLIS, lease.getRemainingMillis()));
+      if (epoch != 0 && worker.epoch() == epoch) {
+        lose(worker, "held by " + lease.getHolder());
+      }
+      return;
+    }
+    if (epoch != worker.epoch()) {
+      worker.endLeaseCall(now);
+      return;
+    }
+    worker.endLeaseCall(sentAt + timing.leaseRenewal().toMillis());
+    take(worker, lease, sentAt + timing.usableLeaseMillis());
+  }
+
+  private void onNoAnswer(Worker worker, long epoch, boolean release, long now) {
+    worker.distrustConnections();
+    outbox.resetWorker(worker.name());
+    worker.endLeaseCall(now + (epoch == 0 ? RETRY_MILLIS : 0));
+    if (release && worker.epoch() == epoch) {
+      lose(worker, "release not answered");
+    }
+  }
+
+  private void take(Worker worker, LeaseReply lease, long usableUntil) {
+    String formerBoot = worker.boot();
+    boolean restarted = worker.noteBoot(lease.getBoot());
+    boolean newEpoch = worker.epoch() != lease.getEpoch();
+    worker.grant(lease, usableUntil);
+    worker.clearSuperseded(lease.getRunningRequestsList());
+    if (restarted) {
+      outbox.event("worker-restarted", worker.name(), worker.boot());
+      listeners.forEach(listener -> listener.restarted(worker, formerBoot));
+    }
+    if (newEpoch) {
+      outbox.event("lease-granted", worker.name(), "epoch " + worker.epoch());
+      listeners.forEach(listener -> listener.granted(worker));
+    }
+    for (FencedRequest fenced : lease.getFencedList()) {
+      listeners.forEach(listener -> listener.fenced(worker, fenced));
+      settleAbandoned(worker, fenced);
+    }
+    listeners.forEach(listener -> listener.reported(worker));
+  }
+
+  private static void settleAbandoned(Worker worker, FencedRequest fenced) {
+    boolean over =
+        fenced.getFate() == RequestFate.NEVER_SEEN || fenced.getFate() == RequestFate.FINISHED;
+    if (over && worker.isAbandoned(fenced.getSequence())) {
+      worker.settle(fenced.getSequence());
+    }
+  }
+
+  private void lose(Worker worker, String reason) {
+    outbox.event("lease-lost", worker.name(), "epoch " + worker.epoch() + ": " + reason);
+    worker.drop();
+    listeners.forEach(listener -> listener.lost(worker));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
@@ -0,0 +1,303 @@
+package org.hemlockpick.internal.ownership;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hemlockpick.proto.Capacity;
+import org.hemlockpick.proto.LeaseReply;
+import org.hemlockpick.proto.RunningRequest;
+import org.hemlockpick.proto.TaskRef;
+import org.hemlockpick.proto.TaskStatus;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds what this entry instance knows of one worker of its availability zone: the lease, what
+ * occupies its slots, and the newest report.
+ */
+public final class Worker {
+  private final String name;
+  private String address;
+  private String rack;
+  private boolean listed = true;
+  private boolean listedLeaving;
+  private long absentSince;
+  private long lastContact = Long.MIN_VALUE;
+
+  private long epoch;
+  private long usableUntil;
+  private String boot = "";
+  private Capacity capacity = Capacity.getDefaultInstance();
+  private boolean reportedLeaving;
+  private boolean releasing;
+  private long releasingSince;
+
+  private long unclaimedSince = -1;
+  private boolean leaseCallOpen;
+  private long nextLeaseCall;
+  private boolean freshConnection;
+
+  private final Set<Long> ownEpochs = new LinkedHashSet<>();
+  private final TreeMap<Long, Attempt> open = new TreeMap<>();
+  private final TreeMap<Long, Attempt> abandoned = new TreeMap<>();
+  private final Set<RunningRequest> foreign = new LinkedHashSet<>();
+  private Map<TaskRef, TaskStatus> tasks = Map.of();
+
+  Worker(String name, String address, String rack) {
+    this.name = name;
+    this.address = address;
+    this.rack = rack;
+  }
+
+  /** Returns the name of the worker. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the address as the instance list gives it. */
+  public String address() {
+    return address;
+  }
+
+  /** Returns the rack; empty when the instance list names none. */
+  public String rack() {
+    return rack;
+  }
+
+  /** Returns the epoch of the lease that this entry instance holds; 0 when it holds none. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** Returns the name of the worker's present start; empty before the first lease. */
+  public String boot() {
+    return boot;
+  }
+
+  /** Returns what the worker can hold; all zero before the first lease. */
+  public Capacity capacity() {
+    return capacity;
+  }
+
+  /** Tells whether the instance list or the worker itself says that it is leaving. */
+  public boolean isLeaving() {
+    return listedLeaving || reportedLeaving || !listed;
+  }
+
+  /** Tells whether this entry instance holds the lease and may rely on it now. */
+  public boolean isHeld(long now) {
+    return epoch != 0 && now < usableUntil;
+  }
+
+  /** Tells whether new work may be sent to the worker now. */
+  public boolean accepts(long now) {
+    return isHeld(now) && !releasing && !isLeaving();
+  }
+
+  /** Returns the statuses of tasks in the newest report, by attempt. */
+  public Map<TaskRef, TaskStatus> tasks() {
+    return tasks;
+  }
+
+  /** Returns how many slots may be occupied, counting all that is not proved to be over. */
+  public int slotsUsed() {
+    return open.size() + abandoned.size() + foreign.size();
+  }
+
+  /** Returns how many requests may be sent now without exceeding the slots or connections. */
+  public int freeSlots(long now) {
+    if (!accepts(now)) {
+      return 0;
+    }
+    int limit = Math.min(capacity.getSlots(), capacity.getConnections() - RESERVED_CONNECTIONS);
+    return Math.max(0, limit - slotsUsed());
+  }
+
+  /** Connections left for lease calls and batch calls of the owner and of those who ask for it. */
+  static final int RESERVED_CONNECTIONS = 8;
+
+  /** Returns the attempts whose answers are awaited, oldest first. */
+  public Collection<Attempt> openAttempts() {
+    return Collections.unmodifiableCollection(open.values());
+  }
+
+  /** Notes that a request was sent; it occupies a slot until it is settled. */
+  public void open(Attempt attempt) {
+    open.put(attempt.sequence(), attempt);
+  }
+
+  /** Notes that an attempt is over: answered, refused or never sent. */
+  public void settle(long sequence) {
+    open.remove(sequence);
+    abandoned.remove(sequence);
+  }
+
+  /** Notes that an answer is not awaited any more; the slot stays occupied until proved free. */
+  public void abandon(long sequence) {
+    Attempt attempt = open.remove(sequence);
+    if (attempt != null) {
+      abandoned.put(sequence, attempt);
+    }
+  }
+
+  /** Makes the next call use a new connection. */
+  public void distrustConnections() {
+    freshConnection = true;
+  }
+
+  /** Tells whether the open connections are not to be trusted. */
+  public boolean needsFreshConnection() {
+    return freshConnection;
+  }
+
+  boolean isReleasing() {
+    return releasing;
+  }
+
+  long releasingSince() {
+    return releasingSince;
+  }
+
+  boolean isAbandoned(long sequence) {
+    return abandoned.containsKey(sequence);
+  }
+
+  Collection<Attempt> abandonedAttempts() {
+    return Collections.unmodifiableCollection(abandoned.values());
+  }
+
+  long settledBelow(long nextSequence) {
+    long lowest = nextSequence;
+    if (!open.isEmpty()) {
+      lowest = Math.min(lowest, open.firstKey());
+    }
+    if (!abandoned.isEmpty()) {
+      lowest = Math.min(lowest, abandoned.firstKey());
+    }
+    return lowest;
+  }
+
+  void list(String address, String rack, boolean leaving) {
+    this.address = address;
+    this.rack = rack;
+    listed = true;
+    listedLeaving = leaving;
+  }
+
+  void unlist(long now) {
+    if (listed) {
+      listed = false;
+      absentSince = now;
+    }
+  }
+
+  boolean isListed() {
+    return listed;
+  }
+
+  long absentSince() {
+    return absentSince;
+  }
+
+  long lastContact() {
+    return lastContact;
+  }
+
+  boolean isLeaseCallDue(long now) {
+    return !leaseCallOpen && now >= nextLeaseCall;
+  }
+
+  void noteClaimed(boolean claimed, long now) {
+    if (claimed || epoch != 0) {
+      unclaimedSince = -1;
+    } else if (unclaimedSince < 0) {
+      unclaimedSince = now;
+    }
+  }
+
+  long unclaimedSince(long now) {
+    return unclaimedSince < 0 ? now : unclaimedSince;
+  }
+
+  void beginLeaseCall() {
+    leaseCallOpen = true;
+  }
+
+  void endLeaseCall(long nextLeaseCall) {
+    leaseCallOpen = false;
+    this.nextLeaseCall = nextLeaseCall;
+  }
+
+  void hasLeaseCallAt(long time) {
+    nextLeaseCall = Math.min(nextLeaseCall, time);
+  }
+
+  void answered(long now) {
+    lastContact = now;
+    freshConnection = false;
+  }
+
+  void beginRelease(long now) {
+    releasing = true;
+    releasingSince = now;
+  }
+
+  void drop() {
+    epoch = 0;
+    usableUntil = 0;
+    releasing = false;
+  }
+
+  /** Takes a granted lease and the report that comes with it. */
+  void grant(LeaseReply reply, long usableUntil) {
+    if (epoch != reply.getEpoch()) {
+      epoch = reply.getEpoch();
+      ownEpochs.add(epoch);
+    }
+    this.usableUntil = Math.max(this.usableUntil, usableUntil);
+    capacity = reply.getCapacity();
+    reportedLeaving = reply.getLeaving();
+    foreign.clear();
+    reply.getRunningRequestsList().stream()
+        .filter(running -> !ownEpochs.contains(running.getEpoch()))
+        .forEach(foreign::add);
+    tasks = new LinkedHashMap<>();
+    for (TaskStatus status : reply.getTasksList()) {
+      tasks.put(status.getTask(), status);
+    }
+  }
+
+  /** Forgets everything that ran in the worker's former start. Returns false when it is the same. */
+  boolean noteBoot(String reported) {
+    if (reported.equals(boot)) {
+      return false;
+    }
+    boolean first = boot.isEmpty();
+    boot = reported;
+    if (first) {
+      return false;
+    }
+    abandoned.clear();
+    foreign.clear();
+    return true;
+  }
+
+  /** Drops abandoned attempts of former leases that the worker no longer runs. */
+  void clearSuperseded(List<RunningRequest> running) {
+    abandoned
+        .values()
+        .removeIf(
+            attempt ->
+                attempt.epoch() != epoch
+                    && running.stream().noneMatch(r -> r.getSequence() == attempt.sequence()
+                        && r.getEpoch() == attempt.epoch()));
+  }
+
+  @Nullable Attempt findOpen(long sequence) {
+    return open.get(sequence);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/WorkerTable.java
@@ -0,0 +1,88 @@
+package org.hemlockpick.internal.ownership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.proto.InstanceList;
+import org.hemlockpick.proto.InstanceRole;
+import org.hemlockpick.proto.ListedInstance;
+import org.jspecify.annotations.Nullable;
+
+/** Holds the workers of this availability zone. */
+public final class WorkerTable {
+  /** How long the instance list may lag behind the start of an instance, in milliseconds. */
+  static final long LIST_LAG_MILLIS = 60_000;
+
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final InstanceSettings settings;
+  private long firstListAt = Long.MAX_VALUE;
+
+  /** Creates an empty table. */
+  public WorkerTable(InstanceSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Returns all workers in the order in which they were first listed. */
+  public Collection<Worker> all() {
+    return Collections.unmodifiableCollection(workers.values());
+  }
+
+  /** Returns the worker with this name, or null when the table has none. */
+  public @Nullable Worker find(String name) {
+    return workers.get(name);
+  }
+
+  /** Returns the workers whose lease this entry instance holds now. */
+  public List<Worker> held(long now) {
+    return workers.values().stream().filter(worker -> worker.isHeld(now)).toList();
+  }
+
+  /**
+   * Tells whether a worker is proved to run nothing any more: it was listed and is not any longer,
+   * or the list has not shown it for longer than the list lags.
+   */
+  public boolean isGone(String name, long now) {
+    return !workers.containsKey(name) && now - firstListAt >= LIST_LAG_MILLIS;
+  }
+
+  /** Takes a new instance list, which is whole. */
+  public void take(InstanceList list, long now) {
+    firstListAt = Math.min(firstListAt, now);
+    Set<String> present = new HashSet<>();
+    for (ListedInstance listed : list.getInstancesList()) {
+      if (listed.getRole() == InstanceRole.WORKER && listed.getZone().equals(settings.zone())) {
+        present.add(listed.getName());
+        workers
+            .computeIfAbsent(
+                listed.getName(),
+                name -> new Worker(name, listed.getAddress(), listed.getRack()))
+            .list(listed.getAddress(), listed.getRack(), listed.getLeaving());
+      }
+    }
+    for (Worker worker : workers.values()) {
+      if (!present.contains(worker.name())) {
+        worker.unlist(now);
+      }
+    }
+  }
+
+  /** Removes and returns the workers that are proved to be gone. */
+  List<Worker> removeGone(long now, long silenceMillis) {
+    List<Worker> gone = new ArrayList<>();
+    for (Worker worker : workers.values()) {
+      boolean unlisted = !worker.isListed() && now - worker.absentSince() >= silenceMillis;
+      boolean silent = worker.lastContact() < now - silenceMillis;
+      if (unlisted && silent && !worker.isHeld(now)) {
+        gone.add(worker);
+      }
+    }
+    gone.forEach(worker -> workers.remove(worker.name()));
+    return gone;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/package-info.java
@@ -0,0 +1,5 @@
+/** Leases on workers: who may send work to a worker. */
+@NullMarked
+package org.hemlockpick.internal.ownership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/lib/InstanceSettings.java
@@ -0,0 +1,39 @@
+package org.hemlockpick.lib;
+
+import java.util.List;
+
+/**
+ * Holds what one entry instance knows about itself and its peers from its settings.
+ *
+ * @param name name of this entry instance; one of the roster
+ * @param zone availability zone of this entry instance
+ * @param roster all entry instances of all availability zones, this one included
+ * @param timing intervals and time limits
+ */
+public record InstanceSettings(String name, String zone, List<Seat> roster, Timing timing) {
+
+  /**
+   * Checks that this entry instance has a seat in the roster.
+   *
+   * @throws IllegalArgumentException if the roster does not hold the name with this zone
+   */
+  public InstanceSettings {
+    roster = List.copyOf(roster);
+    if (!roster.contains(new Seat(name, zone))) {
+      throw new IllegalArgumentException("the roster has no seat " + name + " in zone " + zone);
+    }
+  }
+
+  /** Returns the names of the other entry instances of this availability zone, in roster order. */
+  public List<String> zonePeers() {
+    return roster.stream()
+        .filter(seat -> seat.zone().equals(zone) && !seat.name().equals(name))
+        .map(Seat::name)
+        .toList();
+  }
+
+  /** Returns the names of all other entry instances, in roster order. */
+  public List<String> peers() {
+    return roster.stream().map(Seat::name).filter(peer -> !peer.equals(name)).toList();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/lib/package-info.java
@@ -0,0 +1,5 @@
+/** Public interface of the library: one entry instance as a loop that turns inputs into outputs. */
+@NullMarked
+package org.hemlockpick.lib;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/util/package-info.java
@@ -0,0 +1,5 @@
+/** Small helpers without state. */
+@NullMarked
+package org.hemlockpick.util;
+
+import org.jspecify.annotations.NullMarked;
