--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerModel.java
@@ -0,0 +1,353 @@
+package org.hemlockpick.standin;
+
+import com.google.protobuf.ByteString;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.hemlockpick.proto.Capacity;
+import org.hemlockpick.proto.FencedRequest;
+import org.hemlockpick.proto.LeaseCall;
+import org.hemlockpick.proto.LeaseReply;
+import org.hemlockpick.proto.RequestCall;
+import org.hemlockpick.proto.RequestFate;
+import org.hemlockpick.proto.RequestReply;
+import org.hemlockpick.proto.RequestResult;
+import org.hemlockpick.proto.Resources;
+import org.hemlockpick.proto.RunningRequest;
+import org.hemlockpick.proto.TaskPhase;
+import org.hemlockpick.proto.TaskRef;
+import org.hemlockpick.proto.TaskReply;
+import org.hemlockpick.proto.TaskStartCall;
+import org.hemlockpick.proto.TaskStatus;
+import org.hemlockpick.proto.TaskStopCall;
+import org.hemlockpick.proto.TaskThrottleCall;
+
+/**
+ * Models a worker: the lease, the running requests and the tasks, without sockets or threads.
+ *
+ * <p>The lease is the worker's own: it is granted for a bounded time, every new holder gets a
+ * higher epoch, and work under any other epoch is refused. Running work outlives the lease; tasks
+ * are stopped when nobody has held the lease for {@link #ORPHAN_MILLIS}.
+ */
+public final class WorkerModel {
+  /** How long tasks go on without any holder of the lease, in milliseconds. */
+  public static final long ORPHAN_MILLIS = 120_000;
+
+  private final String name;
+  private final Capacity capacity;
+  private final InstantSource clock;
+  private final String boot;
+
+  private long epoch;
+  private String owner = "";
+  private long incarnation;
+  private long leaseUntil;
+  private boolean leaving;
+
+  private long tenureStart;
+  private long settledBelow;
+  private final TreeSet<Long> finished = new TreeSet<>();
+  private final TreeSet<Long> fenced = new TreeSet<>();
+  private final Map<RunningRequest, RequestCall> running = new LinkedHashMap<>();
+  private final Map<TaskRef, TaskStatus> tasks = new LinkedHashMap<>();
+  private final Map<TaskRef, Integer> throttles = new LinkedHashMap<>();
+
+  /**
+   * Creates a worker that has just started.
+   *
+   * @param name name of the worker
+   * @param capacity what it can hold
+   * @param clock source of time
+   * @param boot name of this start; differs from that of every other start
+   * @param firstEpoch number below all epochs of this start and above those of earlier starts
+   */
+  public WorkerModel(
+      String name, Capacity capacity, InstantSource clock, String boot, long firstEpoch) {
+    this.name = name;
+    this.capacity = capacity;
+    this.clock = clock;
+    this.boot = boot;
+    this.epoch = firstEpoch;
+    this.tenureStart = firstEpoch + 1;
+  }
+
+  /** Returns the name of the worker. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the name of this start. */
+  public String boot() {
+    return boot;
+  }
+
+  /** Makes the worker refuse new work. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /** Tells whether the worker refuses new work. */
+  public boolean isLeaving() {
+    return leaving;
+  }
+
+  /** Returns the requests that run now. */
+  public Map<RunningRequest, RequestCall> running() {
+    return Collections.unmodifiableMap(running);
+  }
+
+  /** Returns the statuses of all tasks that are remembered. */
+  public Collection<TaskStatus> tasks() {
+    return Collections.unmodifiableCollection(tasks.values());
+  }
+
+  /** Returns the share of its processors that a task may use, in percent. */
+  public int throttle(TaskRef task) {
+    return throttles.getOrDefault(task, 100);
+  }
+
+  /** Grants, renews or releases the lease and reports what runs. */
+  public LeaseReply lease(LeaseCall call) {
+    stopOrphans();
+    long now = clock.millis();
+    boolean free = owner.isEmpty() || now >= leaseUntil;
+    boolean same = call.getOwner().equals(owner) && call.getIncarnation() == incarnation;
+    if (call.getRelease()) {
+      if (same && call.getEpoch() == epoch) {
+        leaseUntil = now;
+        owner = "";
+      }
+      return report().setHolder(owner).build();
+    }
+    if (call.getEpoch() == 0) {
+      if (!free && !same) {
+        return refusal(now);
+      }
+      if (free || !same) {
+        grantAnew(call);
+      }
+    } else if (!same || call.getEpoch() != epoch || free) {
+      return refusal(now);
+    }
+    leaseUntil = now + call.getTtlMillis();
+    settle(call.getSettledBelow());
+    LeaseReply.Builder reply = report().setGranted(true).setHolder(owner);
+    call.getFenceRequestsList().forEach(request -> reply.addFenced(fence(request)));
+    call.getRecordedTasksList().forEach(this::forget);
+    return reply.build();
+  }
+
+  /**
+   * Offers a request.
+   *
+   * @return the refusal, or empty when the request runs now and {@link #finish} is to follow
+   */
+  public Optional<RequestReply> offer(RequestCall call) {
+    long sequence = call.getSequence();
+    boolean known =
+        sequence < settledBelow || finished.contains(sequence) || fenced.contains(sequence);
+    RunningRequest key = key(call);
+    if (!isCurrent(call.getEpoch()) || known || running.containsKey(key)) {
+      return Optional.of(reply(sequence, RequestResult.REFUSED_STALE));
+    }
+    if (leaving) {
+      return Optional.of(reply(sequence, RequestResult.REFUSED_LEAVING));
+    }
+    if (running.size() >= capacity.getSlots()) {
+      return Optional.of(reply(sequence, RequestResult.REFUSED_FULL));
+    }
+    running.put(key, call);
+    return Optional.empty();
+  }
+
+  /** Ends a running request and returns its answer. */
+  public RequestReply finish(RequestCall call, RequestResult result, ByteString body) {
+    running.remove(key(call));
+    if (call.getEpoch() >= tenureStart) {
+      finished.add(call.getSequence());
+    }
+    return reply(call.getSequence(), result).toBuilder().setBody(body).build();
+  }
+
+  /** Starts a task; a task that was started or stopped before under this attempt stays as it is. */
+  public TaskReply start(TaskStartCall call) {
+    TaskStatus known = tasks.get(call.getTask());
+    boolean current = isCurrent(call.getEpoch()) && call.getBoot().equals(boot);
+    if (!current || (known == null && (leaving || !fits(call.getResources())))) {
+      return TaskReply.getDefaultInstance();
+    }
+    if (known == null) {
+      known =
+          TaskStatus.newBuilder()
+              .setTask(call.getTask())
+              .setPhase(TaskPhase.TASK_RUNNING)
+              .setCheckpoint(call.getCheckpoint())
+              .setKind(call.getKind())
+              .setResources(call.getResources())
+              .build();
+      tasks.put(call.getTask(), known);
+    }
+    return TaskReply.newBuilder().setAccepted(true).setStatus(known).build();
+  }
+
+  /** Checkpoints and stops a task for good; its attempt never runs afterwards. */
+  public TaskReply stop(TaskStopCall call) {
+    if (!isCurrent(call.getEpoch()) || !call.getBoot().equals(boot)) {
+      return TaskReply.getDefaultInstance();
+    }
+    TaskStatus known =
+        tasks.getOrDefault(
+            call.getTask(),
+            TaskStatus.newBuilder()
+                .setTask(call.getTask())
+                .setPhase(TaskPhase.TASK_STOPPED)
+                .build());
+    TaskStatus stopped = known.getPhase() == TaskPhase.TASK_RUNNING ? stopped(known) : known;
+    tasks.put(call.getTask(), stopped);
+    return TaskReply.newBuilder().setAccepted(true).setStatus(stopped).build();
+  }
+
+  /** Limits the processors of a running task. */
+  public TaskReply throttle(TaskThrottleCall call) {
+    TaskStatus known = tasks.get(call.getTask());
+    if (!isCurrent(call.getEpoch()) || !call.getBoot().equals(boot) || known == null) {
+      return TaskReply.getDefaultInstance();
+    }
+    throttles.put(call.getTask(), call.getCpuPercent());
+    return TaskReply.newBuilder().setAccepted(true).setStatus(known).build();
+  }
+
+  /** Ends a running task. */
+  public void finishTask(TaskRef task, TaskPhase phase, ByteString result) {
+    TaskStatus known = tasks.get(task);
+    if (known != null && known.getPhase() == TaskPhase.TASK_RUNNING) {
+      tasks.put(task, known.toBuilder().setPhase(phase).setResult(result).build());
+    }
+  }
+
+  /** Notes the newest checkpoint of a running task. */
+  public void checkpoint(TaskRef task, String checkpoint) {
+    TaskStatus known = tasks.get(task);
+    if (known != null && known.getPhase() == TaskPhase.TASK_RUNNING) {
+      tasks.put(task, known.toBuilder().setCheckpoint(checkpoint).build());
+    }
+  }
+
+  /** Stops the tasks when nobody has held the lease for too long. */
+  public void stopOrphans() {
+    if (clock.millis() < leaseUntil + ORPHAN_MILLIS) {
+      return;
+    }
+    tasks.replaceAll(
+        (task, status) -> status.getPhase() == TaskPhase.TASK_RUNNING ? stopped(status) : status);
+  }
+
+  private void grantAnew(LeaseCall call) {
+    boolean sameTenure = call.getOwner().equals(owner) && call.getIncarnation() == incarnation;
+    epoch++;
+    owner = call.getOwner();
+    incarnation = call.getIncarnation();
+    if (!sameTenure) {
+      tenureStart = epoch;
+      settledBelow = 0;
+      finished.clear();
+      fenced.clear();
+    }
+  }
+
+  private LeaseReply refusal(long now) {
+    return LeaseReply.newBuilder()
+        .setHolder(owner)
+        .setRemainingMillis((int) Math.max(0, leaseUntil - now))
+        .setBoot(boot)
+        .build();
+  }
+
+  private LeaseReply.Builder report() {
+    LeaseReply.Builder report =
+        LeaseReply.newBuilder()
+            .setEpoch(epoch)
+            .setBoot(boot)
+            .setCapacity(capacity)
+            .setLeaving(leaving)
+            .addAllRunningRequests(running.keySet())
+            .addAllTasks(tasks.values());
+    Resources used = used();
+    return report.setCpuMillisUsed(used.getCpuMillis()).setMemoryMbUsed(used.getMemoryMb());
+  }
+
+  private FencedRequest fence(RunningRequest request) {
+    FencedRequest.Builder answer = FencedRequest.newBuilder().setSequence(request.getSequence());
+    if (running.containsKey(request)) {
+      return answer.setFate(RequestFate.IN_PROGRESS).build();
+    }
+    if (request.getEpoch() < tenureStart) {
+      return answer.setFate(RequestFate.REQUEST_FATE_UNSPECIFIED).build();
+    }
+    if (finished.contains(request.getSequence())) {
+      return answer.setFate(RequestFate.FINISHED).build();
+    }
+    fenced.add(request.getSequence());
+    return answer.setFate(RequestFate.NEVER_SEEN).build();
+  }
+
+  private void settle(long below) {
+    settledBelow = Math.max(settledBelow, below);
+    finished.headSet(settledBelow).clear();
+    fenced.headSet(settledBelow).clear();
+  }
+
+  private void forget(TaskRef task) {
+    TaskStatus known = tasks.get(task);
+    if (known != null && known.getPhase() != TaskPhase.TASK_RUNNING) {
+      tasks.remove(task);
+      throttles.remove(task);
+    }
+  }
+
+  private boolean isCurrent(long callEpoch) {
+    return callEpoch == epoch && !owner.isEmpty() && clock.millis() < leaseUntil;
+  }
+
+  private boolean fits(Resources wanted) {
+    Resources used = used();
+    return used.getCpuMillis() + wanted.getCpuMillis() <= capacity.getCpuMillis()
+        && used.getMemoryMb() + wanted.getMemoryMb() <= capacity.getMemoryMb()
+        && used.getAccelerators() + wanted.getAccelerators() <= capacity.getAccelerators();
+  }
+
+  private Resources used() {
+    List<Resources> held = new ArrayList<>();
+    for (TaskStatus status : tasks.values()) {
+      if (status.getPhase() == TaskPhase.TASK_RUNNING) {
+        held.add(status.getResources());
+      }
+    }
+    return Resources.newBuilder()
+        .setCpuMillis(held.stream().mapToInt(Resources::getCpuMillis).sum())
+        .setMemoryMb(held.stream().mapToInt(Resources::getMemoryMb).sum())
+        .setAccelerators(held.stream().mapToInt(Resources::getAccelerators).sum())
+        .build();
+  }
+
+  private static TaskStatus stopped(TaskStatus status) {
+    return status.toBuilder().setPhase(TaskPhase.TASK_STOPPED).build();
+  }
+
+  private static RunningRequest key(RequestCall call) {
+    return RunningRequest.newBuilder()
+        .setEpoch(call.getEpoch())
+        .setSequence(call.getSequence())
+        .build();
+  }
+
+  private static RequestReply reply(long sequence, RequestResult result) {
+    return RequestReply.newBuilder().setSequence(sequence).setResult(result).build();
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
@@ -151,8 +151,7 @@
     }
   }
 
-  private boolean shouldAcquire(
-      Worker worker, List<Peer> alive, Set<String> claimed, long now) {
+  private boolean shouldAcquire(Worker worker, List<Peer> alive, Set<String> claimed, long now) {
     if (stopping || claimed.contains(worker.name()) || !worker.isListed()) {
       return false;
     }
@@ -206,9 +205,7 @@
             .setSettledBelow(worker.settledBelow(lastSequence + 1));
     for (Attempt attempt : attemptsToFence(worker, now)) {
       lease.addFenceRequests(
-          RunningRequest.newBuilder()
-              .setEpoch(attempt.epoch())
-              .setSequence(attempt.sequence()));
+          RunningRequest.newBuilder().setEpoch(attempt.epoch()).setSequence(attempt.sequence()));
     }
     recorded.forEach(source -> lease.addAllRecordedTasks(source.recorded(worker)));
     WorkerCall.Builder call =
@@ -229,8 +226,7 @@
     return attempts;
   }
 
-  private void onReply(
-      Worker worker, long epoch, boolean release, long sentAt, WorkerReply reply) {
+  private void onReply(Worker worker, long epoch, boolean release, long sentAt, WorkerReply reply) {
     long now = outbox.now();
     if (reply.getFate() != CallFate.ANSWERED || !reply.hasLease()) {
       onNoAnswer(worker, epoch, release, now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
@@ -271,7 +271,9 @@
     }
   }
 
-  /** Forgets everything that ran in the worker's former start. Returns false when it is the same. */
+  /**
+   * Forgets everything that ran in the worker's former start. Returns false when it is the same.
+   */
   boolean noteBoot(String reported) {
     if (reported.equals(boot)) {
       return false;
@@ -293,8 +295,11 @@
         .removeIf(
             attempt ->
                 attempt.epoch() != epoch
-                    && running.stream().noneMatch(r -> r.getSequence() == attempt.sequence()
-                        && r.getEpoch() == attempt.epoch()));
+                    && running.stream()
+                        .noneMatch(
+                            r ->
+                                r.getSequence() == attempt.sequence()
+                                    && r.getEpoch() == attempt.epoch()));
   }
 
   @Nullable Attempt findOpen(long sequence) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/WorkerTable.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/WorkerTable.java
@@ -60,8 +60,7 @@
         present.add(listed.getName());
         workers
             .computeIfAbsent(
-                listed.getName(),
-                name -> new Worker(name, listed.getAddress(), listed.getRack()))
+                listed.getName(), name -> new Worker(name, listed.getAddress(), listed.getRack()))
             .list(listed.getAddress(), listed.getRack(), listed.getLeaving());
       }
     }
