Exchange peer messages over TCP

Messages go out on the connection that the sender opened, so each direction has one owner that replaces it when it goes silent. An empty frame is the ping and its answer: it needs no message of its own. A look at the connections after a pause of the process restarts the count, as what arrived meanwhile has not been read yet.

--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/FrameReceiver.java
@@ -0,0 +1,56 @@
+package org.hemlockpick.transport.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import java.util.function.Consumer;
+import org.hemlockpick.proto.PeerMessage;
+import org.jboss.logging.Logger;
+
+/** Hands over the messages of one connection; closes the connection at the first bad frame. */
+final class FrameReceiver extends SimpleChannelInboundHandler<PeerMessage> {
+  private static final Logger log = Logger.getLogger(FrameReceiver.class);
+
+  private final String own;
+  private final boolean answersPings;
+  private final Traffic traffic;
+  private final Consumer<PeerMessage> receiver;
+
+  FrameReceiver(String own, boolean answersPings, Traffic traffic, Consumer<PeerMessage> receiver) {
+    this.own = own;
+    this.answersPings = answersPings;
+    this.traffic = traffic;
+    this.receiver = receiver;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
+    if (message.getTo().isEmpty()) {
+      answerPing(context);
+      return;
+    }
+    if (!message.getTo().equals(own)) {
+      traffic.badFrames.increment();
+      return;
+    }
+    traffic.received.increment();
+    receiver.accept(message);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof DecoderException) {
+      traffic.badFrames.increment();
+      log.warn(Messages.badFrame(context.channel().remoteAddress(), cause));
+    } else {
+      log.debug(Messages.connectionFailed(context.channel().remoteAddress(), cause));
+    }
+    var unused = context.close();
+  }
+
+  private void answerPing(ChannelHandlerContext context) {
+    if (answersPings) {
+      var unused = context.writeAndFlush(PeerMessage.getDefaultInstance());
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/PeerPipeline.java
@@ -0,0 +1,49 @@
+package org.hemlockpick.transport.peer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import java.util.function.Consumer;
+import org.hemlockpick.proto.PeerMessage;
+
+/** Sets up a connection: frames of a length in four bytes and a message. */
+final class PeerPipeline extends ChannelInitializer<Channel> {
+  private static final int LENGTH_BYTES = 4;
+
+  private final String own;
+  private final boolean accepted;
+  private final Traffic traffic;
+  private final Consumer<PeerMessage> receiver;
+  private final Consumer<Channel> opened;
+
+  PeerPipeline(
+      String own,
+      boolean accepted,
+      Traffic traffic,
+      Consumer<PeerMessage> receiver,
+      Consumer<Channel> opened) {
+    this.own = own;
+    this.accepted = accepted;
+    this.traffic = traffic;
+    this.receiver = receiver;
+    this.opened = opened;
+  }
+
+  @Override
+  protected void initChannel(Channel channel) {
+    ChannelPipeline pipeline = channel.pipeline();
+    pipeline.addLast(new ByteCounter(traffic));
+    pipeline.addLast(
+        new LengthFieldBasedFrameDecoder(
+            PeerLink.MAX_FRAME_BYTES + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+    pipeline.addLast(new ProtobufDecoder(PeerMessage.getDefaultInstance()));
+    pipeline.addLast(new ProtobufEncoder());
+    pipeline.addLast(new FrameReceiver(own, accepted, traffic, receiver));
+    opened.accept(channel);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/SilenceWatch.java
@@ -0,0 +1,77 @@
+package org.hemlockpick.transport.peer;
+
+import io.netty.channel.Channel;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hemlockpick.proto.PeerMessage;
+import org.jboss.logging.Logger;
+
+/**
+ * Finds connections on which nothing arrives: pings the quiet ones that this side opened and closes
+ * those that stay silent. Runs on the event loop.
+ */
+final class SilenceWatch {
+  /** Interval between two looks at the connections, in milliseconds. */
+  static final long INTERVAL_MILLIS = 250;
+
+  private static final Logger log = Logger.getLogger(SilenceWatch.class);
+  private static final long PING_AFTER_MILLIS = 700;
+  private static final long MAX_SILENCE_MILLIS = 2_000;
+
+  private final Traffic traffic;
+  private final Map<Channel, Boolean> connections = new HashMap<>();
+  private final Set<Channel> pinged = new HashSet<>();
+  private long lastLookNanos = System.nanoTime();
+
+  SilenceWatch(Traffic traffic) {
+    this.traffic = traffic;
+  }
+
+  void add(Channel channel, boolean pings) {
+    connections.put(channel, pings);
+    var unused = channel.closeFuture().addListener(done -> remove(channel));
+  }
+
+  /** Closes all connections. */
+  void closeAll() {
+    for (Channel channel : Set.copyOf(connections.keySet())) {
+      var unused = channel.close();
+    }
+  }
+
+  void look() {
+    long now = System.nanoTime();
+    boolean paused = TimeUnit.NANOSECONDS.toMillis(now - lastLookNanos) > 3 * INTERVAL_MILLIS;
+    lastLookNanos = now;
+    Map.copyOf(connections).forEach((channel, pings) -> look(channel, pings, now, paused));
+  }
+
+  private void look(Channel channel, boolean pings, long now, boolean paused) {
+    ByteCounter counter = channel.pipeline().get(ByteCounter.class);
+    if (counter == null || !channel.isActive()) {
+      return;
+    }
+    if (paused) {
+      // What arrived during a pause of this process has not been read yet.
+      counter.restart(now);
+    }
+    long silent = counter.silentMillis(now);
+    if (silent >= MAX_SILENCE_MILLIS) {
+      traffic.silences.increment();
+      log.info(Messages.silent(channel.remoteAddress(), silent));
+      var unused = channel.close();
+    } else if (silent < PING_AFTER_MILLIS) {
+      pinged.remove(channel);
+    } else if (pings && pinged.add(channel)) {
+      var unused = channel.writeAndFlush(PeerMessage.getDefaultInstance());
+    }
+  }
+
+  private void remove(Channel channel) {
+    connections.remove(channel);
+    pinged.remove(channel);
+  }
+}
