Call the platform over HTTP

Each destination has its own client on one shared event loop, so that a reset replaces the connections to one worker without touching others. Only a failure to connect proves that nothing was sent; all else that is not a whole answer with status 200 counts as lost. A call that reaches its time limit retires its connections, which may be silent for good.

--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/Answer.java
@@ -0,0 +1,24 @@
+package org.hemlockpick.transport.http;
+
+import org.hemlockpick.proto.CallFate;
+
+/**
+ * What became of a call.
+ *
+ * @param fate ANSWERED only for a whole answer with status 200
+ * @param body body of the answer; empty unless answered
+ * @param clock Lamport clock of the answer; 0 when it has none
+ */
+record Answer(CallFate fate, String body, long clock) {
+  static Answer notSent() {
+    return new Answer(CallFate.NOT_SENT, "", 0);
+  }
+
+  static Answer lost(long clock) {
+    return new Answer(CallFate.LOST, "", clock);
+  }
+
+  boolean isWhole() {
+    return fate == CallFate.ANSWERED;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/Connections.java
@@ -0,0 +1,47 @@
+package org.hemlockpick.transport.http;
+
+import io.micronaut.http.client.HttpClient;
+
+/**
+ * The connections to one destination that were opened since the last reset. Once retired, they take
+ * no new call and are closed when the last call on them has ended.
+ */
+final class Connections {
+  private final HttpClient client;
+  private int inFlight;
+  private boolean retired;
+
+  Connections(HttpClient client) {
+    this.client = client;
+  }
+
+  HttpClient client() {
+    return client;
+  }
+
+  synchronized void begin() {
+    inFlight++;
+  }
+
+  void end() {
+    boolean unused;
+    synchronized (this) {
+      inFlight--;
+      unused = retired && inFlight == 0;
+    }
+    if (unused) {
+      client.close();
+    }
+  }
+
+  void retire() {
+    boolean unused;
+    synchronized (this) {
+      unused = !retired && inFlight == 0;
+      retired = true;
+    }
+    if (unused) {
+      client.close();
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
@@ -0,0 +1,113 @@
+package org.hemlockpick.transport.http;
+
+import io.micronaut.core.convert.ConversionService;
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.HttpClientConfiguration;
+import io.micronaut.http.client.HttpClientConfiguration.ConnectionPoolConfiguration;
+import io.micronaut.http.client.HttpVersionSelection;
+import io.micronaut.http.client.netty.DefaultHttpClient;
+import io.micronaut.http.client.netty.NettyClientCustomizer;
+import io.micronaut.http.codec.MediaTypeCodecRegistry;
+import io.micronaut.http.ssl.SslConfiguration;
+import io.micronaut.websocket.context.WebSocketBeanRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.netty.resolver.DefaultAddressResolverGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+
+/** Holds what the ports to the platform share: one thread and the settings of the HTTP client. */
+public final class HttpTransport implements AutoCloseable {
+  /** Header with the sender's Lamport clock. */
+  public static final String CLOCK_HEADER = "X-Hemlockpick-Clock";
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
+  private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+  private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
+
+  private final ThreadFactory threads = new DefaultThreadFactory("platform-http", true);
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+
+  /** Creates the transport; its thread starts with the first call. */
+  public HttpTransport() {}
+
+  /** Closes all connections and ends the thread; calls in flight may stay without a reply. */
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  /** Creates a client with its own pool of connections on the shared thread. */
+  @SuppressWarnings("deprecation") // The builder takes no event loop group from outside.
+  HttpClient newClient(int maxConnections) {
+    return new DefaultHttpClient(
+        null,
+        null,
+        settings(maxConnections),
+        null,
+        null,
+        null,
+        threads,
+        HttpTransport::refuseTls,
+        MediaTypeCodecRegistry.of(),
+        null,
+        WebSocketBeanRegistry.EMPTY,
+        null,
+        group,
+        NioSocketChannel::new,
+        NioDatagramChannel::new,
+        new NettyClientCustomizer() {},
+        null,
+        ConversionService.SHARED,
+        DefaultAddressResolverGroup.INSTANCE);
+  }
+
+  /** Returns the Lamport clock in the headers; 0 when there is none. */
+  static long clock(HttpHeaders headers) {
+    String text = headers.get(CLOCK_HEADER);
+    if (text == null) {
+      return 0;
+    }
+    try {
+      return Long.parseUnsignedLong(text);
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+
+  private static HttpClientConfiguration settings(int maxConnections) {
+    HttpClientConfiguration settings = new DefaultHttpClientConfiguration();
+    settings.setFollowRedirects(false);
+    settings.setExceptionOnErrorStatus(false);
+    settings.setConnectTimeout(CONNECT_TIMEOUT);
+    // Each call has its own time limit.
+    settings.setReadTimeout(null);
+    settings.setReadIdleTimeout(null);
+    settings.setConnectionPoolIdleTimeout(IDLE_TIMEOUT);
+    settings.setMaxContentLength(MAX_ANSWER_BYTES);
+    ConnectionPoolConfiguration pool = settings.getConnectionPoolConfiguration();
+    pool.setMaxConcurrentHttp1Connections(maxConnections);
+    pool.setMaxPendingConnections(maxConnections);
+    return settings;
+  }
+
+  private static SslContext refuseTls(SslConfiguration settings, HttpVersionSelection version) {
+    throw new UnsupportedOperationException("TLS is not set up");
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/InstanceListPort.java
@@ -0,0 +1,78 @@
+package org.hemlockpick.transport.http;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.InstanceList;
+
+/** Fetches the list of instances at an interval over HTTP and hands over each whole one. */
+public final class InstanceListPort implements AutoCloseable {
+  private static final int MAX_CONNECTIONS = 1;
+  private static final long TIMEOUT_MILLIS = 2_000;
+
+  private final HttpTransport transport;
+  private final Destination destination;
+  private final Duration interval;
+  private final LongSupplier clock;
+  private final Consumer<Input> inputs;
+  private final AtomicBoolean running = new AtomicBoolean();
+
+  /**
+   * Creates a port that does nothing before {@link #start}.
+   *
+   * @param transport what all ports share
+   * @param address host and port of the instance list
+   * @param interval time between the end of a fetch and the next one
+   * @param clock gives the Lamport clock of this entry instance; called on any thread
+   * @param inputs takes the lists; called on any thread, must not block
+   */
+  public InstanceListPort(
+      HttpTransport transport,
+      String address,
+      Duration interval,
+      LongSupplier clock,
+      Consumer<Input> inputs) {
+    this.transport = transport;
+    this.destination = new Destination(transport, address, MAX_CONNECTIONS);
+    this.interval = interval;
+    this.clock = clock;
+    this.inputs = inputs;
+  }
+
+  /** Starts to fetch; does nothing if already started. */
+  public void start() {
+    if (running.compareAndSet(false, true)) {
+      fetch();
+    }
+  }
+
+  /** Ends the fetching. */
+  @Override
+  public void close() {
+    running.set(false);
+    destination.close();
+  }
+
+  private void fetch() {
+    if (running.get()) {
+      destination.get("/v1/instances", clock.getAsLong(), TIMEOUT_MILLIS, this::onAnswer);
+    }
+  }
+
+  private void onAnswer(Answer answer) {
+    var unused = transport.loop().schedule(this::fetch, interval.toMillis(), TimeUnit.MILLISECONDS);
+    if (!answer.isWhole()) {
+      return;
+    }
+    try {
+      InstanceList list = Json.merge(answer.body(), InstanceList.newBuilder()).build();
+      inputs.accept(Input.newBuilder().setClock(answer.clock()).setInstanceList(list).build());
+    } catch (InvalidProtocolBufferException e) {
+      // The next fetch brings a whole list.
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/ObjectStorePort.java
@@ -0,0 +1,63 @@
+package org.hemlockpick.transport.http;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.hemlockpick.proto.BlobCall;
+import org.hemlockpick.proto.BlobReply;
+import org.hemlockpick.proto.Input;
+
+/**
+ * Calls the object store over HTTP. Every call gets exactly one reply and is sent at most once;
+ * whatever is not a whole answer is a reply that is not ok.
+ */
+public final class ObjectStorePort {
+  private static final int MAX_CONNECTIONS = 16;
+
+  private final Destination destination;
+  private final long timeoutMillis;
+  private final Consumer<Input> inputs;
+
+  /**
+   * Creates a port without connections.
+   *
+   * @param transport what all ports share
+   * @param address host and port of the object store
+   * @param timeout time limit of a call
+   * @param inputs takes the replies; called on any thread, must not block
+   */
+  public ObjectStorePort(
+      HttpTransport transport, String address, Duration timeout, Consumer<Input> inputs) {
+    this.destination = new Destination(transport, address, MAX_CONNECTIONS);
+    this.timeoutMillis = timeout.toMillis();
+    this.inputs = inputs;
+  }
+
+  /**
+   * Sends a call; its reply follows as an input.
+   *
+   * @param clock Lamport clock of this entry instance
+   */
+  public void call(BlobCall call, long clock) {
+    Post post = new Post("/v1/calls", call, clock, timeoutMillis);
+    destination.post(post, answer -> inputs.accept(input(call.getCallId(), answer)));
+  }
+
+  private static Input input(long callId, Answer answer) {
+    BlobReply reply = answer.isWhole() ? read(callId, answer.body()) : failure(callId);
+    return Input.newBuilder().setClock(answer.clock()).setBlobReply(reply).build();
+  }
+
+  private static BlobReply read(long callId, String json) {
+    try {
+      BlobReply reply = Json.merge(json, BlobReply.newBuilder()).build();
+      return reply.getCallId() == callId ? reply : failure(callId);
+    } catch (InvalidProtocolBufferException e) {
+      return failure(callId);
+    }
+  }
+
+  private static BlobReply failure(long callId) {
+    return BlobReply.newBuilder().setCallId(callId).build();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/TableServicePort.java
@@ -0,0 +1,64 @@
+package org.hemlockpick.transport.http;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.StoreCall;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.proto.StoreStatus;
+
+/**
+ * Calls the table service over HTTP. Every call gets exactly one reply and is sent at most once;
+ * whatever is not a whole answer is {@link StoreStatus#STORE_UNKNOWN}.
+ */
+public final class TableServicePort {
+  private static final int MAX_CONNECTIONS = 16;
+
+  private final Destination destination;
+  private final long timeoutMillis;
+  private final Consumer<Input> inputs;
+
+  /**
+   * Creates a port without connections.
+   *
+   * @param transport what all ports share
+   * @param address host and port of the table service
+   * @param timeout time limit of a call
+   * @param inputs takes the replies; called on any thread, must not block
+   */
+  public TableServicePort(
+      HttpTransport transport, String address, Duration timeout, Consumer<Input> inputs) {
+    this.destination = new Destination(transport, address, MAX_CONNECTIONS);
+    this.timeoutMillis = timeout.toMillis();
+    this.inputs = inputs;
+  }
+
+  /**
+   * Sends a call; its reply follows as an input.
+   *
+   * @param clock Lamport clock of this entry instance
+   */
+  public void call(StoreCall call, long clock) {
+    Post post = new Post("/v1/calls", call, clock, timeoutMillis);
+    destination.post(post, answer -> inputs.accept(input(call.getCallId(), answer)));
+  }
+
+  private static Input input(long callId, Answer answer) {
+    StoreReply reply = answer.isWhole() ? read(callId, answer.body()) : unknown(callId);
+    return Input.newBuilder().setClock(answer.clock()).setStoreReply(reply).build();
+  }
+
+  private static StoreReply read(long callId, String json) {
+    try {
+      StoreReply reply = Json.merge(json, StoreReply.newBuilder()).build();
+      return reply.getCallId() == callId ? reply : unknown(callId);
+    } catch (InvalidProtocolBufferException e) {
+      return unknown(callId);
+    }
+  }
+
+  private static StoreReply unknown(long callId) {
+    return StoreReply.newBuilder().setCallId(callId).setStatus(StoreStatus.STORE_UNKNOWN).build();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/package-info.java
@@ -0,0 +1,5 @@
+/** Calls over HTTP to the workers, the table service, the object store and the instance list. */
+@NullMarked
+package org.hemlockpick.transport.http;
+
+import org.jspecify.annotations.NullMarked;
