Run stand-ins for the platform over HTTP

All stand-ins of a process share one Micronaut server and are told apart by a path prefix: a context for each of some hundred workers would cost too much memory. The controller needs a property of its own, as other modules on the class path bring controllers too. Faults are set over HTTP, also while a stand-in is down or silent.

--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/CallException.java
@@ -0,0 +1,23 @@
+package org.hemlockpick.standin;
+
+/** Refuses a call; its text goes to the caller. */
+final class CallException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final int status;
+
+  /**
+   * Creates a refusal.
+   *
+   * @param status HTTP status
+   * @param text what is wrong with the call
+   */
+  CallException(int status, String text) {
+    super(text);
+    this.status = status;
+  }
+
+  Reply reply() {
+    return Reply.error(status, String.valueOf(getMessage()));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/Checkpoint.java
@@ -0,0 +1,23 @@
+package org.hemlockpick.standin;
+
+import org.hemlockpick.proto.TaskRef;
+
+/** Names checkpoints: the key of one ends with the progress of the task in milliseconds. */
+final class Checkpoint {
+  private Checkpoint() {}
+
+  static String key(TaskRef task, long progressMillis) {
+    return String.format(
+        "checkpoints/%s/%d/%d/%d",
+        task.getJob(), task.getIndex(), task.getAttempt(), progressMillis);
+  }
+
+  /** Returns the progress that a checkpoint holds, in milliseconds; 0 if there is none. */
+  static long progressMillis(String key) {
+    try {
+      return Long.parseLong(key.substring(key.lastIndexOf('/') + 1));
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/PayloadSource.java
@@ -0,0 +1,10 @@
+package org.hemlockpick.standin;
+
+import com.google.protobuf.ByteString;
+import java.util.concurrent.CompletableFuture;
+
+/** Fetches the payloads of tasks. */
+public interface PayloadSource {
+  /** Fetches the object with a key; empty if there is none; fails if the store does not answer. */
+  CompletableFuture<ByteString> fetch(String key);
+}
--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/Payloads.java
@@ -0,0 +1,33 @@
+package org.hemlockpick.standin;
+
+import com.google.protobuf.ByteString;
+import jakarta.json.Json;
+import jakarta.json.JsonException;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
+import java.io.StringReader;
+import org.jspecify.annotations.Nullable;
+
+/** Reads payloads that may hold instructions for the stand-in. */
+final class Payloads {
+  private Payloads() {}
+
+  /** Returns the payload as a JSON object, or null if it is anything else. */
+  static @Nullable JsonObject object(ByteString payload) {
+    if (payload.isEmpty() || payload.byteAt(0) != '{') {
+      return null;
+    }
+    try (JsonReader reader = Json.createReader(new StringReader(payload.toStringUtf8()))) {
+      return reader.readObject();
+    } catch (JsonException e) {
+      return null;
+    }
+  }
+
+  /** Returns an answer that names the worker and repeats the body. */
+  static ByteString echo(String worker, ByteString body) {
+    JsonObject answer =
+        Json.createObjectBuilder().add("worker", worker).add("echo", body.toStringUtf8()).build();
+    return ByteString.copyFromUtf8(answer.toString());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/RunningTask.java
@@ -0,0 +1,52 @@
+package org.hemlockpick.standin;
+
+import org.hemlockpick.proto.TaskRef;
+import org.jspecify.annotations.Nullable;
+
+/** A task at work on a worker: makes progress once its plan is known. */
+final class RunningTask {
+  private final TaskRef task;
+  private @Nullable TaskPlan plan;
+  private double progressMillis;
+  private long checkpointedMillis;
+
+  RunningTask(TaskRef task, String checkpoint) {
+    this.task = task;
+    this.checkpointedMillis = Checkpoint.progressMillis(checkpoint);
+    this.progressMillis = checkpointedMillis;
+  }
+
+  TaskRef task() {
+    return task;
+  }
+
+  void plan(TaskPlan known) {
+    plan = known;
+  }
+
+  /** Works for a time at a share of full speed. */
+  void work(long millis, int percent) {
+    if (plan != null) {
+      progressMillis += millis * percent / 100.0;
+    }
+  }
+
+  boolean isDone() {
+    return plan != null && progressMillis >= plan.runMillis();
+  }
+
+  boolean fails() {
+    return plan != null && plan.fails();
+  }
+
+  /** Tells whether a checkpoint is due. */
+  boolean isCheckpointDue(long intervalMillis) {
+    return progressMillis - checkpointedMillis >= intervalMillis;
+  }
+
+  /** Takes a checkpoint of the progress so far and returns its key. */
+  String checkpoint() {
+    checkpointedMillis = (long) progressMillis;
+    return Checkpoint.key(task, checkpointedMillis);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/StandInController.java
@@ -0,0 +1,102 @@
+package org.hemlockpick.standin;
+
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Consumes;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Error;
+import io.micronaut.http.annotation.Get;
+import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Produces;
+import io.micronaut.http.server.netty.NettyHttpRequest;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+
+/** Hands HTTP requests to the stand-in under whose prefix they fall. */
+@Controller
+@Consumes(MediaType.ALL)
+@Produces(MediaType.APPLICATION_JSON)
+@Requires(property = StandInController.ENABLED)
+class StandInController {
+  /** Property that tells the stand-ins' server from others on the same class path. */
+  static final String ENABLED = "hemlockpick.standin.enabled";
+
+  private static final String CLOCK_HEADER = "X-Hemlockpick-Clock";
+
+  private final MountTable mounts;
+
+  StandInController(MountTable mounts) {
+    this.mounts = mounts;
+  }
+
+  @Get("/{+path}")
+  CompletableFuture<HttpResponse<String>> get(HttpRequest<?> request) {
+    return handle(request, "");
+  }
+
+  @Post("/{+path}")
+  CompletableFuture<HttpResponse<String>> post(
+      HttpRequest<?> request, @Body byte @Nullable [] body) {
+    return handle(request, body == null ? "" : new String(body, StandardCharsets.UTF_8));
+  }
+
+  @Error(global = true, status = HttpStatus.NOT_FOUND)
+  HttpResponse<String> notFound(HttpRequest<?> request) {
+    String text = Messages.noSuchPath(request.getMethodName(), request.getPath());
+    return response(Reply.error(404, text));
+  }
+
+  @Error(global = true, status = HttpStatus.METHOD_NOT_ALLOWED)
+  HttpResponse<String> wrongMethod() {
+    return response(Reply.error(405, Messages.wrongMethod()));
+  }
+
+  @Error(global = true, status = HttpStatus.REQUEST_ENTITY_TOO_LARGE)
+  HttpResponse<String> tooLarge() {
+    return response(Reply.error(413, Messages.tooLarge()));
+  }
+
+  @Error(global = true, status = HttpStatus.BAD_REQUEST)
+  HttpResponse<String> badRequest() {
+    return response(Reply.error(400, Messages.badRequest()));
+  }
+
+  private CompletableFuture<HttpResponse<String>> handle(HttpRequest<?> request, String body) {
+    String path = request.getPath();
+    String prefix = mounts.prefix(path);
+    FaultGate gate = prefix == null ? null : mounts.get(prefix);
+    if (prefix == null || gate == null) {
+      return CompletableFuture.completedFuture(notFound(request));
+    }
+    Call call = new Call(request.getMethodName(), path.substring(prefix.length()), body);
+    var channel = ((NettyHttpRequest<?>) request).getChannelHandlerContext().channel();
+    return gate.handle(call, clock(request), channel)
+        .thenApply(reply -> response(reply, gate.timeline().next()));
+  }
+
+  private static long clock(HttpRequest<?> request) {
+    try {
+      return Long.parseUnsignedLong(request.getHeaders().get(CLOCK_HEADER, String.class, "0"));
+    } catch (NumberFormatException e) {
+      return 0;
+    }
+  }
+
+  private static HttpResponse<String> response(Reply reply, long clock) {
+    return HttpResponse.<String>status(HttpStatus.valueOf(reply.status()))
+        .header(CLOCK_HEADER, Long.toUnsignedString(clock))
+        .contentType(MediaType.APPLICATION_JSON_TYPE)
+        .body(reply.body());
+  }
+
+  private static HttpResponse<String> response(Reply reply) {
+    return HttpResponse.<String>status(HttpStatus.valueOf(reply.status()))
+        .contentType(MediaType.APPLICATION_JSON_TYPE)
+        .body(reply.body());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/StandInSettings.java
@@ -0,0 +1,155 @@
+package org.hemlockpick.standin;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import org.hemlockpick.proto.Capacity;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlTable;
+
+/**
+ * Settings of a process with stand-ins.
+ *
+ * @param host address to listen at
+ * @param port port to listen at; 0 for any free one
+ * @param roles which stand-ins run in this process
+ * @param list address of the instance list; empty if it runs in this process
+ * @param objects address of the object store; empty if it runs in this process
+ * @param zones names of the availability zones
+ * @param workersPerZone workers in each zone
+ * @param workersPerRack workers in each rack of a zone
+ * @param capacity what each worker can hold
+ * @param serviceTime time that a request takes if its body says nothing else
+ * @param taskTime time that a task takes at full speed if its payload says nothing else
+ * @param checkpointInterval progress between two checkpoints of a task
+ * @param listLag time for which an instance stays on the list after its last heartbeat
+ */
+public record StandInSettings(
+    String host,
+    int port,
+    Set<Role> roles,
+    String list,
+    String objects,
+    List<String> zones,
+    int workersPerZone,
+    int workersPerRack,
+    Capacity capacity,
+    Duration serviceTime,
+    Duration taskTime,
+    Duration checkpointInterval,
+    Duration listLag) {
+
+  /** What a process can run. */
+  public enum Role {
+    TABLE,
+    OBJECTS,
+    LIST,
+    WORKERS
+  }
+
+  /** Returns settings for all stand-ins in one process. */
+  public static StandInSettings all(List<String> zones, int workersPerZone) {
+    return new StandInSettings(
+        "127.0.0.1",
+        0,
+        Set.of(Role.values()),
+        "",
+        "",
+        zones,
+        workersPerZone,
+        8,
+        standardCapacity(),
+        Duration.ofMillis(20),
+        Duration.ofSeconds(10),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(5));
+  }
+
+  /**
+   * Reads settings in TOML. What a file leaves out is as in {@link #all}.
+   *
+   * @throws IOException if the file cannot be read
+   * @throws IllegalArgumentException if it isn't TOML or a value is out of range
+   */
+  public static StandInSettings read(Path file) throws IOException {
+    TomlParseResult toml = Toml.parse(file);
+    if (toml.hasErrors()) {
+      throw new IllegalArgumentException(toml.errors().get(0).toString());
+    }
+    StandInSettings usual = all(List.of("zone-a"), 4);
+    return new StandInSettings(
+        toml.getString("host", usual::host),
+        integer(toml, "port", usual.port(), 65_535),
+        roles(toml, usual.roles()),
+        toml.getString("list", usual::list),
+        toml.getString("objects", usual::objects),
+        strings(toml, "zones", usual.zones()),
+        integer(toml, "workers_per_zone", usual.workersPerZone(), 10_000),
+        Math.max(1, integer(toml, "workers_per_rack", usual.workersPerRack(), 10_000)),
+        capacity(toml.getTableOrEmpty("capacity"), usual.capacity()),
+        millis(toml, "service_millis", usual.serviceTime()),
+        millis(toml, "task_millis", usual.taskTime()),
+        millis(toml, "checkpoint_millis", usual.checkpointInterval()),
+        millis(toml, "list_lag_millis", usual.listLag()));
+  }
+
+  private static Capacity standardCapacity() {
+    return Capacity.newBuilder()
+        .setSlots(8)
+        .setConnections(64)
+        .setCpuMillis(64_000)
+        .setMemoryMb(250_000)
+        .build();
+  }
+
+  private static Capacity capacity(TomlTable toml, Capacity usual) {
+    int most = Integer.MAX_VALUE;
+    return Capacity.newBuilder()
+        .setSlots(integer(toml, "slots", usual.getSlots(), most))
+        .setConnections(integer(toml, "connections", usual.getConnections(), most))
+        .setCpuMillis(integer(toml, "cpu_millis", usual.getCpuMillis(), most))
+        .setMemoryMb(integer(toml, "memory_mb", usual.getMemoryMb(), most))
+        .setAccelerators(integer(toml, "accelerators", usual.getAccelerators(), most))
+        .build();
+  }
+
+  private static Set<Role> roles(TomlTable toml, Set<Role> usual) {
+    if (!toml.contains("roles")) {
+      return usual;
+    }
+    Set<Role> roles = new TreeSet<>();
+    for (String name : strings(toml, "roles", List.of())) {
+      roles.add(Role.valueOf(name.toUpperCase(Locale.ROOT)));
+    }
+    return roles;
+  }
+
+  private static List<String> strings(TomlTable toml, String key, List<String> usual) {
+    TomlArray array = toml.getArray(key);
+    if (array == null) {
+      return usual;
+    }
+    if (!array.toList().stream().allMatch(String.class::isInstance)) {
+      throw new IllegalArgumentException(Messages.badSetting(key));
+    }
+    return array.toList().stream().map(String.class::cast).toList();
+  }
+
+  private static Duration millis(TomlTable toml, String key, Duration usual) {
+    return Duration.ofMillis(integer(toml, key, (int) usual.toMillis(), Integer.MAX_VALUE));
+  }
+
+  private static int integer(TomlTable toml, String key, int usual, int most) {
+    long value = toml.getLong(key, () -> usual);
+    if (value < 0 || value > most) {
+      throw new IllegalArgumentException(Messages.badSetting(key));
+    }
+    return (int) value;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/StandIns.java
@@ -0,0 +1,132 @@
+package org.hemlockpick.standin;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.hemlockpick.proto.InstanceRole;
+import org.hemlockpick.proto.ListedInstance;
+import org.hemlockpick.standin.StandInSettings.Role;
+
+/**
+ * Runs the stand-ins of one process at one port: the table service under {@code /table}, the object
+ * store under {@code /objects}, the instance list under {@code /list} and each worker under {@code
+ * /workers/} and its name.
+ */
+public final class StandIns implements AutoCloseable {
+  /** Prefix of the table service. */
+  public static final String TABLE = "/table";
+
+  /** Prefix of the object store. */
+  public static final String OBJECTS = "/objects";
+
+  /** Prefix of the instance list. */
+  public static final String LIST = "/list";
+
+  private static final String WORKERS = "/workers/";
+
+  private final StandInSettings settings;
+  private final InstantSource time = InstantSource.system();
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(StandIns::thread);
+  private final PlatformClient client = new PlatformClient();
+  private final StandInServer server;
+  private final Map<String, WorkerStandIn> workers = new TreeMap<>();
+  private final List<Registration> registrations = new ArrayList<>();
+
+  /** Starts the stand-ins that the settings name. */
+  public StandIns(StandInSettings settings) {
+    this.settings = settings;
+    this.server = new StandInServer(settings.host(), settings.port());
+    if (settings.roles().contains(Role.TABLE)) {
+      server.mount(TABLE, new TableServiceStandIn("table-service", time));
+    }
+    if (settings.roles().contains(Role.OBJECTS)) {
+      server.mount(OBJECTS, new ObjectStoreStandIn("object-store", time));
+    }
+    if (settings.roles().contains(Role.LIST)) {
+      server.mount(LIST, new InstanceListStandIn("instance-list", settings.listLag(), time));
+    }
+    if (settings.roles().contains(Role.WORKERS)) {
+      settings.zones().forEach(this::startZone);
+    }
+  }
+
+  /** Returns the server, to set faults. */
+  public StandInServer server() {
+    return server;
+  }
+
+  /** Returns the address of the table service. */
+  public String tableAddress() {
+    return server.address(TABLE);
+  }
+
+  /** Returns the address of the object store, here or elsewhere. */
+  public String objectsAddress() {
+    return settings.objects().isEmpty() ? server.address(OBJECTS) : settings.objects();
+  }
+
+  /** Returns the address of the instance list, here or elsewhere. */
+  public String listAddress() {
+    return settings.list().isEmpty() ? server.address(LIST) : settings.list();
+  }
+
+  /** Returns the address of a worker. */
+  public String workerAddress(String worker) {
+    return server.address(WORKERS + worker);
+  }
+
+  /** Returns the workers by name. */
+  public Map<String, WorkerStandIn> workers() {
+    return Map.copyOf(workers);
+  }
+
+  @Override
+  public void close() {
+    registrations.forEach(Registration::close);
+    workers.values().forEach(WorkerStandIn::close);
+    server.close();
+    client.close();
+    executor.shutdownNow();
+  }
+
+  private void startZone(String zone) {
+    for (int i = 0; i < settings.workersPerZone(); i++) {
+      startWorker(zone, i);
+    }
+  }
+
+  private void startWorker(String zone, int number) {
+    String name = zone + "-w" + number;
+    WorkerSettings workerSettings =
+        new WorkerSettings(
+            name,
+            settings.capacity(),
+            settings.serviceTime(),
+            settings.taskTime(),
+            settings.checkpointInterval());
+    PayloadSource payloads = new RemotePayloads(client, objectsAddress());
+    WorkerStandIn worker = new WorkerStandIn(workerSettings, time, executor, payloads);
+    workers.put(name, worker);
+    server.mount(WORKERS + name, worker);
+    ListedInstance instance =
+        ListedInstance.newBuilder()
+            .setName(name)
+            .setZone(zone)
+            .setRole(InstanceRole.WORKER)
+            .setAddress(workerAddress(name))
+            .setRack(zone + "-r" + number / settings.workersPerRack())
+            .build();
+    registrations.add(new Registration(client, listAddress(), instance, worker, executor));
+  }
+
+  private static Thread thread(Runnable work) {
+    Thread thread = new Thread(work, "stand-ins");
+    thread.setDaemon(true);
+    return thread;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/TaskPlan.java
@@ -0,0 +1,24 @@
+package org.hemlockpick.standin;
+
+import com.google.protobuf.ByteString;
+import jakarta.json.JsonObject;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a task does.
+ *
+ * @param runMillis time that it needs at full speed, in milliseconds
+ * @param fails whether it fails at the end
+ */
+record TaskPlan(long runMillis, boolean fails) {
+
+  /** Reads {@code runMillis} and {@code fail} from a payload; what is missing is as usual. */
+  static TaskPlan of(ByteString payload, long usualMillis) {
+    @Nullable JsonObject object = Payloads.object(payload);
+    if (object == null) {
+      return new TaskPlan(usualMillis, false);
+    }
+    long runMillis = object.getInt("runMillis", (int) usualMillis);
+    return new TaskPlan(runMillis, object.getBoolean("fail", false));
+  }
+}
