Give the HTTP client all it needs without a context

Its constructor refuses null for the registries, and it builds a TLS context for each client unless TLS is off, which would also cost time and memory at each reset.

--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
@@ -1,7 +1,12 @@
 package org.hemlockpick.transport.http;
 
+import io.micronaut.buffer.netty.NettyByteBufferFactory;
 import io.micronaut.core.convert.ConversionService;
 import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.bind.DefaultRequestBinderRegistry;
+import io.micronaut.http.bind.RequestBinderRegistry;
+import io.micronaut.http.body.ContextlessMessageBodyHandlerRegistry;
+import io.micronaut.http.body.MessageBodyHandlerRegistry;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
 import io.micronaut.http.client.HttpClientConfiguration;
@@ -11,6 +16,7 @@
 import io.micronaut.http.client.netty.NettyClientCustomizer;
 import io.micronaut.http.codec.MediaTypeCodecRegistry;
 import io.micronaut.http.ssl.SslConfiguration;
+import io.micronaut.runtime.ApplicationConfiguration;
 import io.micronaut.websocket.context.WebSocketBeanRegistry;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -22,6 +28,7 @@
 import io.netty.resolver.DefaultAddressResolverGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 
@@ -39,6 +46,11 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, threads, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
+  private final MessageBodyHandlerRegistry bodies =
+      new ContextlessMessageBodyHandlerRegistry(
+          new ApplicationConfiguration(), NettyByteBufferFactory.DEFAULT);
+  private final RequestBinderRegistry binders =
+      new DefaultRequestBinderRegistry(ConversionService.SHARED);
 
   /** Creates the transport; its thread starts with the first call. */
   public HttpTransport() {}
@@ -61,14 +73,14 @@
         null,
         settings(maxConnections),
         null,
-        null,
-        null,
+        new NoFilters(),
+        List.of(),
         threads,
         HttpTransport::refuseTls,
         MediaTypeCodecRegistry.of(),
-        null,
+        bodies,
         WebSocketBeanRegistry.EMPTY,
-        null,
+        binders,
         group,
         NioSocketChannel::new,
         NioDatagramChannel::new,
@@ -95,6 +107,7 @@
     HttpClientConfiguration settings = new DefaultHttpClientConfiguration();
     settings.setFollowRedirects(false);
     settings.setExceptionOnErrorStatus(false);
+    settings.getSslConfiguration().setEnabled(false);
     settings.setConnectTimeout(CONNECT_TIMEOUT);
     // Each call has its own time limit.
     settings.setReadTimeout(null);
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/NoFilters.java
@@ -0,0 +1,20 @@
+package org.hemlockpick.transport.http;
+
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.client.filter.ClientFilterResolutionContext;
+import io.micronaut.http.filter.GenericHttpFilter;
+import io.micronaut.http.filter.HttpClientFilterResolver;
+import java.util.List;
+
+/** Keeps filters away from the calls: none may repeat or change one. */
+final class NoFilters implements HttpClientFilterResolver<ClientFilterResolutionContext> {
+  @Override
+  public List<FilterEntry> resolveFilterEntries(ClientFilterResolutionContext context) {
+    return List.of();
+  }
+
+  @Override
+  public List<GenericHttpFilter> resolveFilters(HttpRequest<?> request, List<FilterEntry> entries) {
+    return List.of();
+  }
+}
