--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/PeerLink.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/PeerLink.java
@@ -144,9 +144,12 @@
     return traffic.counters();
   }
 
-  /** Closes all connections and ends the thread. */
+  /** Closes all connections and ends the thread; does nothing if already closed. */
   @Override
   public synchronized void close() {
+    if (group.isShuttingDown()) {
+      return;
+    }
     Channel open = server;
     if (open != null) {
       var unused = open.close();
