Tell peers at once when a worker is released

In the trial of a planned stop a worker was without a holder when the stop was complete: its next owner learned of the release with the next heartbeat and then kept the time of its last refused lease call. The release now sends heartbeats at once, and a worker that nobody claims any more is asked for without waiting. Ruled out: the drain before the release, which takes no time once nothing is in flight.

A copy of a request that has run is refused without a result, since 'refused' must mean that it did not run.

--- a/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerModel.java
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerModel.java
@@ -146,14 +146,18 @@
   /**
    * Offers a request.
    *
-   * @return the refusal, or empty when the request runs now and {@link #finish} is to follow
+   * @return the refusal, or empty when the request runs now and {@link #finish} is to follow; a copy
+   *     of a request that has run or runs is refused without a result
    */
   public Optional<RequestReply> offer(RequestCall call) {
     long sequence = call.getSequence();
-    boolean known =
-        sequence < settledBelow || finished.contains(sequence) || fenced.contains(sequence);
     RunningRequest key = key(call);
-    if (!isCurrent(call.getEpoch()) || known || running.containsKey(key)) {
+    boolean mayHaveRun =
+        sequence < settledBelow || finished.contains(sequence) || running.containsKey(key);
+    if (mayHaveRun) {
+      return Optional.of(reply(sequence, RequestResult.REQUEST_RESULT_UNSPECIFIED));
+    }
+    if (!isCurrent(call.getEpoch()) || fenced.contains(sequence)) {
       return Optional.of(reply(sequence, RequestResult.REFUSED_STALE));
     }
     if (leaving) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
@@ -45,6 +45,7 @@
   private final List<LeaseListener> listeners = new ArrayList<>();
   private final List<FenceSource> fences = new ArrayList<>();
   private final List<RecordedTasks> recorded = new ArrayList<>();
+  private Runnable releaseNotice = () -> {};
   private long lastSequence;
   private boolean stopping;
 
@@ -78,6 +79,11 @@
     recorded.add(source);
   }
 
+  /** Sets what tells the peers at once that a worker was released. */
+  public void setReleaseNotice(Runnable releaseNotice) {
+    this.releaseNotice = releaseNotice;
+  }
+
   /** Returns a sequence number for an attempt; never reused within this incarnation. */
   public long nextSequence() {
     return ++lastSequence;
@@ -237,6 +243,7 @@
     if (release) {
       worker.endLeaseCall(now + timing.leaseTtl().toMillis());
       lose(worker, "released");
+      releaseNotice.run();
       return;
     }
     if (!lease.getGranted()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
@@ -216,6 +216,7 @@
       unclaimedSince = -1;
     } else if (unclaimedSince < 0) {
       unclaimedSince = now;
+      hasLeaseCallAt(now);
     }
   }
 
