Read contracts from TOML with all their faults at once

An operator who mends one fault at a time makes a round trip for each, so the parser goes on after a fault and names the line and key of every one. The TOML parser has a list element begin right after the comma before it; faults of elements skip blanks and comments so that the line is right. Durations and sizes carry their unit, read by one parser that settings can share.

--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/contract/FaultList.java
@@ -0,0 +1,58 @@
+package org.hemlockpick.contract;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.tomlj.TomlPosition;
+
+/** Collects the faults of one text. */
+final class FaultList {
+  private final List<ContractFault> faults = new ArrayList<>();
+  private final String file;
+
+  private final List<String> lines;
+
+  FaultList(String file, String text) {
+    this.file = file;
+    lines = text.lines().toList();
+  }
+
+  void add(TomlPosition position, String key, String message) {
+    faults.add(new ContractFault(file, position.line(), position.column(), key, message));
+  }
+
+  /**
+   * Adds a fault of an element of a list.
+   *
+   * @param position end of what stands before the element, where the TOML parser has it begin
+   */
+  void addElement(TomlPosition position, String key, String message) {
+    add(skipBlank(position), key, message);
+  }
+
+  /** Returns the position of the first character that is neither white space nor comment. */
+  private TomlPosition skipBlank(TomlPosition from) {
+    int column = from.column();
+    for (int line = from.line(); line <= lines.size(); line++) {
+      String rest = lines.get(line - 1).substring(column - 1);
+      String blank = rest.substring(0, rest.length() - rest.stripLeading().length());
+      if (!rest.isBlank() && rest.charAt(blank.length()) != '#') {
+        return TomlPosition.positionAt(line, column + blank.length());
+      }
+      column = 1;
+    }
+    return from;
+  }
+
+  boolean isEmpty() {
+    return faults.isEmpty();
+  }
+
+  /** Returns the faults in the order of the text. */
+  Seq<ContractFault> inOrder() {
+    return Vector.ofAll(faults)
+        .sorted(Comparator.comparingInt(ContractFault::line).thenComparing(ContractFault::column));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/contract/TableReader.java
@@ -0,0 +1,195 @@
+package org.hemlockpick.contract;
+
+import io.vavr.control.Validation;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.hemlockpick.errors.ContractMessages;
+import org.hemlockpick.util.Units;
+import org.jspecify.annotations.Nullable;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/** Reads the keys of one table and notes a fault for each that is wrong. */
+final class TableReader {
+  private static final Pattern NAME = Pattern.compile("[a-z0-9-]{1,63}");
+
+  private final FaultList faults;
+  private final TomlTable table;
+  private final TomlPosition position;
+  private final String prefix;
+
+  TableReader(FaultList faults, TomlTable table, TomlPosition position, String prefix) {
+    this.faults = faults;
+    this.table = table;
+    this.position = position;
+    this.prefix = prefix;
+  }
+
+  Set<String> keys() {
+    return table.keySet();
+  }
+
+  boolean has(String key) {
+    return table.contains(List.of(key));
+  }
+
+  void allowOnly(String... known) {
+    Set<String> accepted = Set.of(known);
+    for (String key : table.keySet()) {
+      if (!accepted.contains(key)) {
+        fault(key, ContractMessages.UNKNOWN_KEY);
+      }
+    }
+  }
+
+  /** Returns a reader of a table below this one, or null when it is absent or no table. */
+  @Nullable TableReader table(String key) {
+    Object value = table.get(List.of(key));
+    if (value instanceof TomlTable below) {
+      return new TableReader(faults, below, position(key), path(key) + ".");
+    }
+    if (value != null) {
+      fault(key, ContractMessages.wrongType("a table"));
+    }
+    return null;
+  }
+
+  String name(String key) {
+    String name = string(key);
+    if (name != null && !isName(name)) {
+      fault(key, ContractMessages.BAD_NAME);
+    }
+    return name == null ? "" : name;
+  }
+
+  int integer(String key, int least, int most) {
+    Object value = required(key);
+    if (value == null) {
+      return least;
+    }
+    if (!(value instanceof Long number)) {
+      fault(key, ContractMessages.wrongType("a whole number"));
+      return least;
+    }
+    if (number < least || number > most) {
+      fault(key, ContractMessages.outOfRange(Integer.toString(least), Integer.toString(most)));
+      return least;
+    }
+    return number.intValue();
+  }
+
+  int integer(String key, int least, int most, int absent) {
+    return has(key) ? integer(key, least, most) : absent;
+  }
+
+  boolean flag(String key) {
+    Object value = table.get(List.of(key));
+    if (value != null && !(value instanceof Boolean)) {
+      fault(key, ContractMessages.wrongType("true or false"));
+    }
+    return Boolean.TRUE.equals(value);
+  }
+
+  /** Returns the duration, or null when a fault was noted. */
+  @Nullable Duration duration(String key, String least, String most) {
+    String text = string(key);
+    Duration value = text == null ? null : orFault(key, Units.duration(text));
+    if (value == null) {
+      return null;
+    }
+    boolean tooShort = value.compareTo(Units.duration(least).get()) < 0;
+    if (tooShort || value.compareTo(Units.duration(most).get()) > 0) {
+      fault(key, ContractMessages.outOfRange(least, most));
+      return null;
+    }
+    return value;
+  }
+
+  int bytes(String key, String least, String most, String absent) {
+    String text = has(key) ? string(key) : absent;
+    Long value = text == null ? null : orFault(key, Units.bytes(text));
+    if (value == null) {
+      return 0;
+    }
+    if (value < Units.bytes(least).get() || value > Units.bytes(most).get()) {
+      fault(key, ContractMessages.outOfRange(least, most));
+      return 0;
+    }
+    return value.intValue();
+  }
+
+  List<String> strings(String key, int most) {
+    Object value = required(key);
+    if (value == null) {
+      return List.of();
+    }
+    if (!(value instanceof TomlArray array) || !holdsStrings(array)) {
+      fault(key, ContractMessages.wrongType("a list of strings"));
+      return List.of();
+    }
+    if (array.size() == 0 || array.size() > most) {
+      fault(key, ContractMessages.wrongType("a list of 1 to " + most + " strings"));
+    }
+    List<String> strings = new ArrayList<>();
+    for (int i = 0; i < array.size(); i++) {
+      strings.add(array.getString(i));
+    }
+    return strings;
+  }
+
+  /** Notes a fault of one element of a list. */
+  void elementFault(String key, int index, String message) {
+    TomlArray array = table.getArrayOrEmpty(List.of(key));
+    faults.addElement(array.inputPositionOf(index), path(key), message);
+  }
+
+  void fault(String key, String message) {
+    faults.add(position(key), path(key), message);
+  }
+
+  static boolean isName(String text) {
+    return NAME.matcher(text).matches();
+  }
+
+  private @Nullable String string(String key) {
+    Object value = required(key);
+    if (value == null || value instanceof String) {
+      return (String) value;
+    }
+    fault(key, ContractMessages.wrongType("a string"));
+    return null;
+  }
+
+  private @Nullable Object required(String key) {
+    Object value = table.get(List.of(key));
+    if (value == null) {
+      fault(key, ContractMessages.MISSING);
+    }
+    return value;
+  }
+
+  private static boolean holdsStrings(TomlArray array) {
+    return array.toList().stream().allMatch(String.class::isInstance);
+  }
+
+  private <T> @Nullable T orFault(String key, Validation<String, T> value) {
+    if (value.isInvalid()) {
+      fault(key, value.getError());
+      return null;
+    }
+    return value.get();
+  }
+
+  private String path(String key) {
+    return prefix + key;
+  }
+
+  private TomlPosition position(String key) {
+    TomlPosition found = table.inputPositionOf(List.of(key));
+    return found == null ? position : found;
+  }
+}
