Keep contracts as one log and learn it from store and peers

Each accepted change is the row after the newest one, inserted on absence, so racing operators are put in order by the table service and the later one is checked again. A lost answer is settled by sending the same insert again: the row in its way names its writer.

Records take effect strictly in order, so a version never falls however pushes arrive, and a cut-off zone serves what its peers know.

--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/contract/ContractNode.java
@@ -0,0 +1,148 @@
+package org.hemlockpick.internal.contract;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.membership.MembershipSystem;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.lib.Seat;
+import org.hemlockpick.lib.Timing;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.ContractApply;
+import org.hemlockpick.proto.ContractQuery;
+import org.hemlockpick.proto.ContractView;
+import org.hemlockpick.proto.Event;
+import org.hemlockpick.proto.Heartbeat;
+import org.hemlockpick.proto.Output;
+import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.proto.StoreCall;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.standin.TableModel;
+
+/** Runs the contracts of one entry instance against a table service that can fail. */
+final class ContractNode {
+  /** How the table service treats the calls of this entry instance. */
+  enum Store {
+    ANSWERS,
+    ANSWERS_TRANSACTIONS_ONLY,
+    CARRIES_OUT_WITHOUT_ANSWER,
+    CARRIES_OUT_LATE_WITHOUT_ANSWER,
+    AWAY
+  }
+
+  final ContractTable contracts = new ContractTable();
+  final List<CallerAnswer> answers = new ArrayList<>();
+  final List<Event> events = new ArrayList<>();
+  final ContractSystem system;
+  Store store = Store.ANSWERS;
+
+  private static final long LATE_MILLIS = 3_000;
+
+  private record LateCall(long dueAt, StoreCall call) {}
+
+  private final List<LateCall> late = new ArrayList<>();
+  private final TableModel table;
+  private final Outbox outbox;
+  private final StoreCalls calls;
+  private final MembershipSystem membership;
+  private final List<StoreReply> replies = new ArrayList<>();
+
+  ContractNode(String name, List<Seat> roster, TableModel table, long now) {
+    InstanceSettings settings = new InstanceSettings(name, "kgn-a", roster, Timing.standard());
+    PeerTable peers = new PeerTable(settings);
+    this.table = table;
+    outbox = new Outbox(settings, 1);
+    outbox.begin(now);
+    calls = new StoreCalls(outbox, settings.timing());
+    system = new ContractSystem(settings, outbox, calls, peers, contracts);
+    membership =
+        new MembershipSystem(
+            settings,
+            outbox,
+            peers,
+            withinZone ->
+                Heartbeat.newBuilder()
+                    .setConfigVersion(system.version())
+                    .setReady(system.isReady(outbox.now()))
+                    .build());
+  }
+
+  void apply(String customer, long base, String text) {
+    apply(1, customer, base, text);
+  }
+
+  void apply(long exchange, String customer, long base, String text) {
+    system.on(
+        ContractApply.newBuilder()
+            .setExchange(exchange)
+            .setOperator("operator-" + customer)
+            .setCustomer(customer)
+            .setBaseRevision(base)
+            .setText(text)
+            .build());
+  }
+
+  /** Returns the contracts in force; to be called between ticks. */
+  List<ContractView> inForce() {
+    system.on(ContractQuery.getDefaultInstance());
+    return outbox.drain().get(0).getCallerAnswer().getContractsList();
+  }
+
+  /** Runs one tick and returns the messages to peers. */
+  List<PeerMessage> tick(long now, List<PeerMessage> received) {
+    outbox.begin(now);
+    received.forEach(this::take);
+    List<StoreReply> arrived = List.copyOf(replies);
+    replies.clear();
+    arrived.forEach(calls::on);
+    carryOutLate(now);
+    calls.run(now);
+    membership.run(now);
+    system.run(now);
+    List<PeerMessage> sent = new ArrayList<>();
+    for (Output output : outbox.drain()) {
+      switch (output.getBodyCase()) {
+        case PEER_MESSAGE -> sent.add(output.getPeerMessage());
+        case STORE_CALL -> carryOut(output.getStoreCall());
+        case CALLER_ANSWER -> answers.add(output.getCallerAnswer());
+        case EVENT -> events.add(output.getEvent());
+        default -> throw new AssertionError(output);
+      }
+    }
+    return sent;
+  }
+
+  long events(String kind) {
+    return events.stream().filter(event -> event.getKind().equals(kind)).count();
+  }
+
+  private void take(PeerMessage message) {
+    if (membership.on(message)) {
+      system.on(message);
+    }
+  }
+
+  private void carryOut(StoreCall call) {
+    switch (store) {
+      case ANSWERS -> replies.add(table.handle(call));
+      case ANSWERS_TRANSACTIONS_ONLY -> {
+        if (call.hasTransaction()) {
+          replies.add(table.handle(call));
+        }
+      }
+      case CARRIES_OUT_WITHOUT_ANSWER -> table.handle(call);
+      case CARRIES_OUT_LATE_WITHOUT_ANSWER ->
+          late.add(new LateCall(outbox.now() + LATE_MILLIS, call));
+      case AWAY -> {
+        // Nothing arrives.
+      }
+    }
+  }
+
+  private void carryOutLate(long now) {
+    late.stream().filter(call -> call.dueAt() <= now).forEach(call -> table.handle(call.call()));
+    late.removeIf(call -> call.dueAt() <= now);
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/contract/FaultList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/contract/FaultList.java
@@ -36,7 +36,8 @@
   private TomlPosition skipBlank(TomlPosition from) {
     int column = from.column();
     for (int line = from.line(); line <= lines.size(); line++) {
-      String rest = lines.get(line - 1).substring(column - 1);
+      String text = lines.get(line - 1);
+      String rest = text.substring(Math.min(column - 1, text.length()));
       String blank = rest.substring(0, rest.length() - rest.stripLeading().length());
       if (!rest.isBlank() && rest.charAt(blank.length()) != '#') {
         return TomlPosition.positionAt(line, column + blank.length());
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/contract/Change.java
@@ -0,0 +1,38 @@
+package org.hemlockpick.internal.contract;
+
+import org.hemlockpick.proto.ContractApply;
+
+/** Holds a change that an operator asked for until it is answered. */
+final class Change {
+  private final ContractApply apply;
+  private final String writeId;
+  private final long expiresAt;
+  private long triedVersion;
+
+  Change(ContractApply apply, String writeId, long expiresAt) {
+    this.apply = apply;
+    this.writeId = writeId;
+    this.expiresAt = expiresAt;
+  }
+
+  ContractApply apply() {
+    return apply;
+  }
+
+  String writeId() {
+    return writeId;
+  }
+
+  boolean isExpired(long now) {
+    return now >= expiresAt;
+  }
+
+  /** Returns the newest version that an insert was sent for; 0 when none was sent. */
+  long triedVersion() {
+    return triedVersion;
+  }
+
+  void tried(long version) {
+    triedVersion = version;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/contract/ContractWriter.java
@@ -0,0 +1,221 @@
+package org.hemlockpick.internal.contract;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.hemlockpick.errors.ContractMessages;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.loop.Tables;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.ContractApply;
+import org.hemlockpick.proto.ContractRecord;
+import org.hemlockpick.proto.RowWrite;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.proto.Transaction;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Records the changes of operators, one after another.
+ *
+ * <p>A change is inserted as the row after the newest one, which must be absent, so that of two
+ * racing changes one fails, learns of the other and is checked again. An insert whose answer was
+ * lost is sent again with the same write id: it either applies, or the row in its way tells whose
+ * it is.
+ */
+final class ContractWriter implements LoopSystem {
+  /** Longest text of a contract, in characters. */
+  static final int MAX_TEXT_CHARS = 32 * 1024;
+
+  /** Longest name of an operator, in characters. */
+  static final int MAX_OPERATOR_CHARS = 128;
+
+  /** Most changes that wait at one entry instance. */
+  static final int MAX_CHANGES = 16;
+
+  /** Time limit of a change, in time limits of one store call. */
+  private static final int STORE_TIMEOUTS = 4;
+
+  /** Wait after a store call without an answer, in milliseconds. */
+  private static final long RETRY_MILLIS = 200;
+
+  /** Most changes with an unknown outcome whose write ids are kept. */
+  private static final int MAX_UNRESOLVED = 64;
+
+  private final Deque<Change> changes = new ArrayDeque<>();
+  private final Set<String> unresolved = new LinkedHashSet<>();
+  private final InstanceSettings settings;
+  private final Outbox outbox;
+  private final StoreCalls store;
+  private final ContractLog log;
+  private final LogReader reader;
+  private boolean calling;
+  private long nextCall = Long.MIN_VALUE;
+  private long lastWrite;
+
+  ContractWriter(
+      InstanceSettings settings,
+      Outbox outbox,
+      StoreCalls store,
+      ContractLog log,
+      LogReader reader) {
+    this.settings = settings;
+    this.outbox = outbox;
+    this.store = store;
+    this.log = log;
+    this.reader = reader;
+  }
+
+  /** Takes a change whose text has no faults. */
+  void add(ContractApply apply) {
+    if (changes.size() >= MAX_CHANGES) {
+      long retryAfter = settings.timing().storeTimeout().toMillis();
+      outbox.answer(
+          apply.getExchange(), ResultCode.OVERLOADED, ContractMessages.QUEUE_FULL, retryAfter);
+      return;
+    }
+    String writeId = settings.name() + "-" + outbox.incarnation() + "-" + ++lastWrite;
+    long limit = STORE_TIMEOUTS * settings.timing().storeTimeout().toMillis();
+    changes.add(new Change(apply, writeId, outbox.now() + limit));
+  }
+
+  /** Notes a record that took effect: it may be a change whose answer was lost. */
+  void learned(ContractRecord record) {
+    Change first = changes.peek();
+    if (first != null && first.writeId().equals(record.getWriteId())) {
+      changes.remove();
+      succeed(first, record);
+    } else if (unresolved.remove(record.getWriteId())) {
+      String detail = "revision " + record.getVersion() + ", write " + record.getWriteId();
+      outbox.event("contract-change-resolved", record.getCustomer(), detail);
+    }
+  }
+
+  @Override
+  public void run(long now) {
+    while (!changes.isEmpty() && changes.element().isExpired(now)) {
+      giveUp(changes.remove());
+    }
+    Change first = changes.peek();
+    if (first == null || calling || now < nextCall) {
+      return;
+    }
+    if (isUnsettled(first)) {
+      insert(first);
+    } else {
+      readThenInsert(first);
+    }
+  }
+
+  private void readThenInsert(Change change) {
+    calling = true;
+    reader.readOn(
+        answered -> {
+          calling = false;
+          if (!answered) {
+            pause();
+          } else if (change == changes.peek()) {
+            check(change);
+          }
+        });
+  }
+
+  private void check(Change change) {
+    ContractApply apply = change.apply();
+    ContractRecord newest = log.newest(apply.getCustomer());
+    long revision = newest == null ? 0 : newest.getVersion();
+    if (apply.getBaseRevision() != revision) {
+      refuse(change, ResultCode.CONTRACT_CONFLICT, conflict(apply.getCustomer(), newest));
+    } else if (apply.getText().isEmpty() && (newest == null || newest.getText().isEmpty())) {
+      refuse(change, ResultCode.CONTRACT_INVALID, ContractMessages.NOTHING_TO_WITHDRAW);
+    } else {
+      change.tried(log.version() + 1);
+      insert(change);
+    }
+  }
+
+  private void insert(Change change) {
+    calling = true;
+    ContractRecord record = record(change);
+    store.commit(insertion(record), reply -> onInserted(record, reply));
+  }
+
+  private void onInserted(ContractRecord record, StoreReply reply) {
+    calling = false;
+    switch (reply.getStatus()) {
+      case STORE_OK -> reader.learn(record);
+      case STORE_CONFLICT -> reply.getRowsList().forEach(reader::learn);
+      default -> {
+        // The insert is sent again, unless the log tells its result before.
+      }
+    }
+    if (log.version() < record.getVersion()) {
+      pause();
+    }
+  }
+
+  private void succeed(Change change, ContractRecord record) {
+    outbox.answer(
+        CallerAnswer.newBuilder()
+            .setExchange(change.apply().getExchange())
+            .setCode(ResultCode.DONE.number())
+            .setRevision(record.getVersion()));
+  }
+
+  private void refuse(Change change, ResultCode code, String detail) {
+    changes.remove(change);
+    outbox.answer(change.apply().getExchange(), code, detail, 0);
+  }
+
+  private void giveUp(Change change) {
+    if (!isUnsettled(change)) {
+      refuse(change, ResultCode.STORE_UNREACHABLE, ContractMessages.NOT_WRITTEN);
+      return;
+    }
+    unresolved.add(change.writeId());
+    if (unresolved.size() > MAX_UNRESOLVED) {
+      unresolved.remove(unresolved.iterator().next());
+    }
+    refuse(change, ResultCode.OUTCOME_UNKNOWN, ContractMessages.MAYBE_WRITTEN);
+  }
+
+  /** Tells whether an insert was sent and may still apply: its row is not known yet. */
+  private boolean isUnsettled(Change change) {
+    return change.triedVersion() > log.version();
+  }
+
+  private void pause() {
+    nextCall = outbox.now() + RETRY_MILLIS;
+  }
+
+  private static ContractRecord record(Change change) {
+    ContractApply apply = change.apply();
+    return ContractRecord.newBuilder()
+        .setVersion(change.triedVersion())
+        .setCustomer(apply.getCustomer())
+        .setText(apply.getText())
+        .setOperator(apply.getOperator())
+        .setWriteId(change.writeId())
+        .build();
+  }
+
+  private static Transaction insertion(ContractRecord record) {
+    RowWrite write =
+        RowWrite.newBuilder()
+            .setTable(Tables.CONFIG)
+            .setKey(LogReader.key(record.getVersion()))
+            .setValue(record.toByteString())
+            .build();
+    return Transaction.newBuilder().addWrites(write).build();
+  }
+
+  private static String conflict(String customer, @Nullable ContractRecord newest) {
+    return newest == null
+        ? ContractMessages.conflict(customer, 0, "")
+        : ContractMessages.conflict(customer, newest.getVersion(), newest.getOperator());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/contract/Readiness.java
@@ -0,0 +1,69 @@
+package org.hemlockpick.internal.contract;
+
+import java.util.Optional;
+import org.hemlockpick.errors.ContractMessages;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.lib.Timing;
+
+/**
+ * Decides when a starting entry instance knows the contracts well enough to serve.
+ *
+ * <p>It needs the whole log from the table service or, when that does not answer, what a peer that
+ * is ready knows. In both cases no peer that is alive may know more.
+ */
+final class Readiness implements LoopSystem {
+  private final long startWaitMillis;
+  private final ContractLog log;
+  private final LogReader reader;
+  private final PeerTable peers;
+  private boolean ready;
+
+  Readiness(Timing timing, ContractLog log, LogReader reader, PeerTable peers) {
+    this.startWaitMillis = timing.startWait().toMillis();
+    this.log = log;
+    this.reader = reader;
+    this.peers = peers;
+  }
+
+  boolean isReady() {
+    return ready;
+  }
+
+  @Override
+  public void run(long now) {
+    ready = ready || (peerAhead(now).isEmpty() && hasSource(now));
+  }
+
+  /** Says what is missing; empty when nothing is. */
+  String reason(long now) {
+    if (ready) {
+      return "";
+    }
+    return peerAhead(now)
+        .map(
+            peer ->
+                ContractMessages.behindPeer(
+                    peer.name(), peer.heartbeat().getConfigVersion(), log.version()))
+        .orElseGet(() -> ContractMessages.logNotRead(log.version()));
+  }
+
+  private Optional<Peer> peerAhead(long now) {
+    return peers.alive(now).stream()
+        .filter(peer -> peer.heartbeat().getConfigVersion() > log.version())
+        .findFirst();
+  }
+
+  private boolean hasSource(long now) {
+    return reader.isComplete() || (isCutOff(now) && hasReadyPeer(now));
+  }
+
+  private boolean isCutOff(long now) {
+    return now - reader.answeredAt() >= startWaitMillis;
+  }
+
+  private boolean hasReadyPeer(long now) {
+    return peers.alive(now).stream().anyMatch(peer -> peer.heartbeat().getReady());
+  }
+}
