--- a/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerModel.java
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerModel.java
@@ -146,8 +146,8 @@
   /**
    * Offers a request.
    *
-   * @return the refusal, or empty when the request runs now and {@link #finish} is to follow; a copy
-   *     of a request that has run or runs is refused without a result
+   * @return the refusal, or empty when the request runs now and {@link #finish} is to follow; a
+   *     copy of a request that has run or runs is refused without a result
    */
   public Optional<RequestReply> offer(RequestCall call) {
     long sequence = call.getSequence();
