--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/limit/LimitNode.java
@@ -0,0 +1,125 @@
+package org.hemlockpick.internal.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockpick.internal.contract.ContractSystem;
+import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.membership.MembershipSystem;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.lib.Seat;
+import org.hemlockpick.lib.Timing;
+import org.hemlockpick.proto.ConfigPush;
+import org.hemlockpick.proto.ContractRecord;
+import org.hemlockpick.proto.Heartbeat;
+import org.hemlockpick.proto.LimitKind;
+import org.hemlockpick.proto.Output;
+import org.hemlockpick.proto.PeerMessage;
+
+/** Runs the limits of one entry instance on a clock of its own and counts the units in use. */
+final class LimitNode {
+  static final String CUSTOMER = "blue";
+
+  final LimitSystem limits;
+  int inUse;
+  long now;
+
+  private final ContractSystem contracts;
+  private final Outbox outbox;
+  private final MembershipSystem membership;
+  private long version;
+
+  LimitNode(Seat seat, List<Seat> roster, long incarnation, long now) {
+    InstanceSettings settings =
+        new InstanceSettings(seat.name(), seat.zone(), roster, Timing.standard());
+    PeerTable peers = new PeerTable(settings);
+    ContractTable table = new ContractTable();
+    this.now = now;
+    outbox = new Outbox(settings, incarnation);
+    outbox.begin(now);
+    StoreCalls store = new StoreCalls(outbox, settings.timing());
+    contracts = new ContractSystem(settings, outbox, store, peers, table);
+    membership =
+        new MembershipSystem(settings, outbox, peers, within -> Heartbeat.getDefaultInstance());
+    limits = new LimitSystem(settings, outbox, peers, table);
+  }
+
+  void setLimit(int limit) {
+    ContractRecord record =
+        ContractRecord.newBuilder()
+            .setVersion(++version)
+            .setCustomer(CUSTOMER)
+            .setText(text(limit))
+            .build();
+    ConfigPush.Builder push = ConfigPush.newBuilder().addRecords(record);
+    contracts.on(PeerMessage.newBuilder().setConfigPush(push).build());
+  }
+
+  boolean take() {
+    outbox.begin(now);
+    boolean taken = limits.tryTake(CUSTOMER, LimitKind.REQUESTS_IN_FLIGHT);
+    inUse += taken ? 1 : 0;
+    return taken;
+  }
+
+  void give() {
+    limits.give(CUSTOMER, LimitKind.REQUESTS_IN_FLIGHT);
+    inUse--;
+  }
+
+  int takeAll() {
+    int taken = 0;
+    while (take()) {
+      taken++;
+    }
+    return taken;
+  }
+
+  int takeRate(long now) {
+    outbox.begin(now);
+    int taken = 0;
+    while (limits.tryTakeRate(CUSTOMER)) {
+      taken++;
+    }
+    return taken;
+  }
+
+  void receive(PeerMessage message) {
+    outbox.begin(now);
+    if (membership.on(message)) {
+      limits.on(message);
+    }
+  }
+
+  /** Runs one tick and returns the messages to peers since the last one. */
+  List<PeerMessage> tick(long now) {
+    this.now = now;
+    outbox.begin(now);
+    membership.run(now);
+    limits.run(now);
+    List<PeerMessage> sent = new ArrayList<>();
+    for (Output output : outbox.drain()) {
+      if (output.hasPeerMessage()) {
+        sent.add(output.getPeerMessage());
+      }
+    }
+    return sent;
+  }
+
+  private static String text(int limit) {
+    return """
+        customer = "%s"
+        [keys]
+        sha256 = ["%s"]
+        [requests]
+        in-flight = %d
+        per-second = %d
+        [services.s]
+        timeout = "1 s"
+        target = "1 s"
+        """
+        .formatted(CUSTOMER, "0".repeat(64), limit, limit);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/limit/LimitSystemTest.java
@@ -0,0 +1,241 @@
+package org.hemlockpick.internal.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Predicate;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.hemlockpick.lib.Seat;
+import org.hemlockpick.proto.PeerMessage;
+import org.junit.jupiter.api.Test;
+
+class LimitSystemTest {
+  private static final long TICK_MILLIS = 50;
+  private static final int STEPS = 4_500;
+  private static final int UNCHANGED_STEPS = 3_000;
+  private static final int BUSY_STEPS = 500;
+  private static final int MOST_DELIVERIES = 8;
+  private static final List<Seat> ROSTER =
+      List.of(
+          new Seat("a", "kgn-a"),
+          new Seat("b", "kgn-a"),
+          new Seat("c", "kgn-b"),
+          new Seat("d", "kgn-b"));
+
+  private final List<LimitNode> nodes = new ArrayList<>();
+  private List<PeerMessage> wire = new ArrayList<>();
+  private Predicate<PeerMessage> delivered = message -> true;
+  private long now;
+
+  @Test
+  void sharesAddUpToTheLimitAlsoWithARemainder() {
+    for (int limit = 1; limit <= 9; limit++) {
+      List<LimitNode> fresh = nodes(ROSTER.size(), limit);
+      assertEquals(limit, fresh.stream().mapToInt(LimitNode::takeAll).sum());
+    }
+  }
+
+  @Test
+  void lendsTheWholeLimitToTheOnlyBusyInstance() {
+    start(300);
+    runWithDemandAt(nodes.get(0), 60_000);
+    assertEquals(300, nodes.get(0).inUse);
+  }
+
+  @Test
+  void reachesASingleUnitThatAnotherSeatHolds() {
+    start(1);
+    runWithDemandAt(nodes.get(0), 20_000);
+    assertEquals(1, nodes.get(0).inUse);
+  }
+
+  @Test
+  void givesUnitsBackOnceTheyAreDueAndFree() {
+    start(40);
+    LimitNode a = nodes.get(0);
+    LimitNode b = nodes.get(1);
+    runWithDemandAt(a, 60_000);
+    assertEquals(40, a.inUse);
+    assertEquals(0, b.takeAll());
+    while (a.inUse > 0) {
+      a.give();
+    }
+    run(20_000);
+    assertEquals(10, b.takeAll());
+    assertEquals(10, a.takeAll());
+  }
+
+  @Test
+  void recoversALoanWhoseMessagesWereLost() {
+    start(40);
+    delivered = message -> !message.hasLoan() && !message.hasLoanReturn();
+    runWithDemandAt(nodes.get(0), 10_000);
+    assertEquals(10, nodes.get(0).inUse);
+    delivered = message -> true;
+    run(30_000);
+    assertEquals(40, nodes.stream().mapToInt(LimitNode::takeAll).sum() + 10);
+  }
+
+  @Test
+  void staysWithinALoweredLimitOnceTheUnitsInUseAreGiven() {
+    start(40);
+    LimitNode a = nodes.get(0);
+    runWithDemandAt(a, 60_000);
+    nodes.forEach(node -> node.setLimit(8));
+    assertFalse(a.take());
+    while (a.inUse > 0) {
+      a.give();
+    }
+    run(20_000);
+    assertEquals(8, nodes.stream().mapToInt(LimitNode::takeAll).sum());
+  }
+
+  @Test
+  void callsInLoansAboveALoweredShareFromABusyBorrower() {
+    start(40);
+    LimitNode a = nodes.get(0);
+    runWithDemandAt(a, 60_000);
+    nodes.forEach(node -> node.setLimit(8));
+    for (int i = 0; i < 400; i++) {
+      if (a.inUse > 0) {
+        a.give();
+      }
+      runWithDemandAt(a, TICK_MILLIS);
+    }
+    assertEquals(8, a.inUse + nodes.stream().mapToInt(LimitNode::takeAll).sum());
+  }
+
+  @Test
+  void takesBackWhatItLentOnceTheBorrowerIsReplaced() {
+    start(40);
+    runWithDemandAt(nodes.get(0), 60_000);
+    LimitNode successor = new LimitNode(ROSTER.get(0), ROSTER, 2, now);
+    successor.setLimit(40);
+    nodes.set(0, successor);
+    run(10_000);
+    assertEquals(40, nodes.stream().mapToInt(LimitNode::takeAll).sum());
+  }
+
+  @Test
+  void dropsWhatItBorrowedOnceTheLenderIsReplaced() {
+    start(40);
+    LimitNode a = nodes.get(0);
+    runWithDemandAt(a, 60_000);
+    for (int seat = 1; seat < ROSTER.size(); seat++) {
+      LimitNode successor = new LimitNode(ROSTER.get(seat), ROSTER, 2, now);
+      successor.setLimit(40);
+      nodes.set(seat, successor);
+    }
+    run(10_000);
+    assertFalse(a.take());
+    while (a.inUse > 0) {
+      a.give();
+    }
+    assertEquals(40, nodes.stream().mapToInt(LimitNode::takeAll).sum());
+  }
+
+  @Test
+  void acceptsTheShareOfTheRateWithABurstOfOneSecond() {
+    LimitNode node = nodes(1, 40).get(0);
+    assertEquals(10, node.takeRate(0));
+    assertEquals(5, node.takeRate(500));
+    assertEquals(10, node.takeRate(60_000));
+    assertEquals(0, node.takeRate(60_000));
+  }
+
+  @Test
+  void acceptsARateBelowOneASecondAndSeat() {
+    LimitNode node = nodes(1, 1).get(0);
+    assertEquals(1, node.takeRate(0));
+    assertEquals(0, node.takeRate(3_900));
+    assertEquals(1, node.takeRate(4_100));
+  }
+
+  @Property(tries = 200, seed = "20261204")
+  void neverExceedsTheLimitHoweverMessagesAndClocksBehave(
+      @ForAll long seed, @ForAll @IntRange(min = 1, max = 40) int limit) {
+    Random random = new Random(seed);
+    List<LimitNode> all = nodes(ROSTER.size(), limit);
+    List<LimitNode> unchanged = new ArrayList<>(all);
+    int lowered = random.nextInt(limit) + 1;
+    List<PeerMessage> sent = new ArrayList<>();
+    int lent = 0;
+    for (int step = 0; step < STEPS; step++) {
+      if (step >= UNCHANGED_STEPS && random.nextInt(100) == 0 && !unchanged.isEmpty()) {
+        unchanged.remove(random.nextInt(unchanged.size())).setLimit(lowered);
+      }
+      LimitNode busy = all.get(step / BUSY_STEPS % all.size());
+      int turn = random.nextInt(all.size());
+      LimitNode node = all.get(turn);
+      switch (random.nextInt(4)) {
+        case 0 -> sent.addAll(node.tick(node.now + random.nextInt(100 << turn)));
+        case 1 -> (random.nextInt(4) > 0 ? busy : node).take();
+        case 2 -> {
+          if (node.inUse > 0 && (node != busy || random.nextInt(4) == 0)) {
+            node.give();
+          }
+        }
+        default -> {
+          for (int i = random.nextInt(MOST_DELIVERIES); i > 0; i--) {
+            deliver(random, sent, all);
+          }
+        }
+      }
+      lent += all.stream().anyMatch(each -> each.inUse > (limit + 3) / 4) ? 1 : 0;
+      assertTrue(all.stream().mapToInt(each -> each.inUse).sum() <= limit, "at step " + step);
+    }
+    assertTrue(limit < 8 || lent > 0, "no unit was ever lent");
+  }
+
+  /** Delivers any message in flight, which may then be lost, or delivered again later. */
+  private static void deliver(Random random, List<PeerMessage> sent, List<LimitNode> all) {
+    if (sent.isEmpty()) {
+      return;
+    }
+    int chosen = random.nextInt(sent.size());
+    PeerMessage message = random.nextInt(3) > 0 ? sent.remove(chosen) : sent.get(chosen);
+    int receiver = ROSTER.stream().map(Seat::name).toList().indexOf(message.getTo());
+    if (random.nextInt(10) > 0) {
+      all.get(receiver).receive(message);
+    }
+  }
+
+  private static List<LimitNode> nodes(int count, int limit) {
+    List<LimitNode> nodes = new ArrayList<>();
+    for (Seat seat : ROSTER.subList(0, count)) {
+      LimitNode node = new LimitNode(seat, ROSTER, 1, 0);
+      node.setLimit(limit);
+      nodes.add(node);
+    }
+    return nodes;
+  }
+
+  private void start(int limit) {
+    nodes.addAll(nodes(ROSTER.size(), limit));
+    run(2_000);
+  }
+
+  private void runWithDemandAt(LimitNode node, long millis) {
+    for (long end = now + millis; now < end; ) {
+      node.takeAll();
+      run(TICK_MILLIS);
+    }
+  }
+
+  private void run(long millis) {
+    for (long end = now + millis; now < end; now += TICK_MILLIS) {
+      List<PeerMessage> arrived = wire.stream().filter(delivered).toList();
+      wire = new ArrayList<>();
+      for (LimitNode node : nodes) {
+        arrived.forEach(node::receive);
+        wire.addAll(node.tick(now));
+      }
+    }
+  }
+}
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Loan.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Loan.java
@@ -45,22 +45,11 @@
             org.hemlockpick.proto.Loan.class, org.hemlockpick.proto.Loan.Builder.class);
   }
 
-  public static final int LOAN_ID_FIELD_NUMBER = 1;
-  private long loanId_ = 0L;
-  /**
-   * <code>uint64 loan_id = 1;</code>
-   * @return The loanId.
-   */
-  @java.lang.Override
-  public long getLoanId() {
-    return loanId_;
-  }
-
-  public static final int CUSTOMER_FIELD_NUMBER = 2;
+  public static final int CUSTOMER_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object customer_ = "";
   /**
-   * <code>string customer = 2;</code>
+   * <code>string customer = 1;</code>
    * @return The customer.
    */
   @java.lang.Override
@@ -77,7 +66,7 @@
     }
   }
   /**
-   * <code>string customer = 2;</code>
+   * <code>string customer = 1;</code>
    * @return The bytes for customer.
    */
   @java.lang.Override
@@ -95,17 +84,17 @@
     }
   }
 
-  public static final int KIND_FIELD_NUMBER = 3;
+  public static final int KIND_FIELD_NUMBER = 2;
   private int kind_ = 0;
   /**
-   * <code>.hemlockpick.LimitKind kind = 3;</code>
+   * <code>.hemlockpick.LimitKind kind = 2;</code>
    * @return The enum numeric value on the wire for kind.
    */
   @java.lang.Override public int getKindValue() {
     return kind_;
   }
   /**
-   * <code>.hemlockpick.LimitKind kind = 3;</code>
+   * <code>.hemlockpick.LimitKind kind = 2;</code>
    * @return The kind.
    */
   @java.lang.Override public org.hemlockpick.proto.LimitKind getKind() {
@@ -113,26 +102,45 @@
     return result == null ? org.hemlockpick.proto.LimitKind.UNRECOGNIZED : result;
   }
 
-  public static final int UNITS_FIELD_NUMBER = 4;
-  private int units_ = 0;
+  public static final int LENT_TOTAL_FIELD_NUMBER = 3;
+  private long lentTotal_ = 0L;
   /**
-   * <code>uint32 units = 4;</code>
-   * @return The units.
+   * <pre>
+   * Units that the sender has lent to the receiver so far.
+   * </pre>
+   *
+   * <code>uint64 lent_total = 3;</code>
+   * @return The lentTotal.
    */
   @java.lang.Override
-  public int getUnits() {
-    return units_;
+  public long getLentTotal() {
+    return lentTotal_;
   }
 
-  public static final int VALID_MILLIS_FIELD_NUMBER = 5;
-  private int validMillis_ = 0;
+  public static final int DUE_MILLIS_FIELD_NUMBER = 4;
+  private int dueMillis_ = 0;
   /**
-   * <code>uint32 valid_millis = 5;</code>
-   * @return The validMillis.
+   * <pre>
+   * Time after which all units of the sender must be returned as soon as they are free.
+   * </pre>
+   *
+   * <code>uint32 due_millis = 4;</code>
+   * @return The dueMillis.
    */
   @java.lang.Override
-  public int getValidMillis() {
-    return validMillis_;
+  public int getDueMillis() {
+    return dueMillis_;
+  }
+
+  public static final int TO_INCARNATION_FIELD_NUMBER = 5;
+  private long toIncarnation_ = 0L;
+  /**
+   * <code>uint64 to_incarnation = 5;</code>
+   * @return The toIncarnation.
+   */
+  @java.lang.Override
+  public long getToIncarnation() {
+    return toIncarnation_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -149,20 +157,20 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (loanId_ != 0L) {
-      output.writeUInt64(1, loanId_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, customer_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
     }
     if (kind_ != org.hemlockpick.proto.LimitKind.LIMIT_UNSPECIFIED.getNumber()) {
-      output.writeEnum(3, kind_);
+      output.writeEnum(2, kind_);
     }
-    if (units_ != 0) {
-      output.writeUInt32(4, units_);
+    if (lentTotal_ != 0L) {
+      output.writeUInt64(3, lentTotal_);
     }
-    if (validMillis_ != 0) {
-      output.writeUInt32(5, validMillis_);
+    if (dueMillis_ != 0) {
+      output.writeUInt32(4, dueMillis_);
+    }
+    if (toIncarnation_ != 0L) {
+      output.writeUInt64(5, toIncarnation_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -173,24 +181,24 @@
     if (size != -1) return size;
 
     size = 0;
-    if (loanId_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, loanId_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, customer_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
     }
     if (kind_ != org.hemlockpick.proto.LimitKind.LIMIT_UNSPECIFIED.getNumber()) {
       size += com.google.protobuf.CodedOutputStream
-        .computeEnumSize(3, kind_);
+        .computeEnumSize(2, kind_);
+    }
+    if (lentTotal_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, lentTotal_);
     }
-    if (units_ != 0) {
+    if (dueMillis_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(4, units_);
+        .computeUInt32Size(4, dueMillis_);
     }
-    if (validMillis_ != 0) {
+    if (toIncarnation_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(5, validMillis_);
+        .computeUInt64Size(5, toIncarnation_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -207,15 +215,15 @@
     }
     org.hemlockpick.proto.Loan other = (org.hemlockpick.proto.Loan) obj;
 
-    if (getLoanId()
-        != other.getLoanId()) return false;
     if (!getCustomer()
         .equals(other.getCustomer())) return false;
     if (kind_ != other.kind_) return false;
-    if (getUnits()
-        != other.getUnits()) return false;
-    if (getValidMillis()
-        != other.getValidMillis()) return false;
+    if (getLentTotal()
+        != other.getLentTotal()) return false;
+    if (getDueMillis()
+        != other.getDueMillis()) return false;
+    if (getToIncarnation()
+        != other.getToIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -227,17 +235,18 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + LOAN_ID_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getLoanId());
     hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
     hash = (53 * hash) + getCustomer().hashCode();
     hash = (37 * hash) + KIND_FIELD_NUMBER;
     hash = (53 * hash) + kind_;
-    hash = (37 * hash) + UNITS_FIELD_NUMBER;
-    hash = (53 * hash) + getUnits();
-    hash = (37 * hash) + VALID_MILLIS_FIELD_NUMBER;
-    hash = (53 * hash) + getValidMillis();
+    hash = (37 * hash) + LENT_TOTAL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLentTotal());
+    hash = (37 * hash) + DUE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getDueMillis();
+    hash = (37 * hash) + TO_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getToIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -369,11 +378,11 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      loanId_ = 0L;
       customer_ = "";
       kind_ = 0;
-      units_ = 0;
-      validMillis_ = 0;
+      lentTotal_ = 0L;
+      dueMillis_ = 0;
+      toIncarnation_ = 0L;
       return this;
     }
 
@@ -408,19 +417,19 @@
     private void buildPartial0(org.hemlockpick.proto.Loan result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.loanId_ = loanId_;
+        result.customer_ = customer_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.customer_ = customer_;
+        result.kind_ = kind_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.kind_ = kind_;
+        result.lentTotal_ = lentTotal_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.units_ = units_;
+        result.dueMillis_ = dueMillis_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.validMillis_ = validMillis_;
+        result.toIncarnation_ = toIncarnation_;
       }
     }
 
@@ -436,22 +445,22 @@
 
     public Builder mergeFrom(org.hemlockpick.proto.Loan other) {
       if (other == org.hemlockpick.proto.Loan.getDefaultInstance()) return this;
-      if (other.getLoanId() != 0L) {
-        setLoanId(other.getLoanId());
-      }
       if (!other.getCustomer().isEmpty()) {
         customer_ = other.customer_;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
       }
       if (other.kind_ != 0) {
         setKindValue(other.getKindValue());
       }
-      if (other.getUnits() != 0) {
-        setUnits(other.getUnits());
+      if (other.getLentTotal() != 0L) {
+        setLentTotal(other.getLentTotal());
       }
-      if (other.getValidMillis() != 0) {
-        setValidMillis(other.getValidMillis());
+      if (other.getDueMillis() != 0) {
+        setDueMillis(other.getDueMillis());
+      }
+      if (other.getToIncarnation() != 0L) {
+        setToIncarnation(other.getToIncarnation());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -479,28 +488,28 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              loanId_ = input.readUInt64();
+            case 10: {
+              customer_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000001;
               break;
-            } // case 8
-            case 18: {
-              customer_ = input.readStringRequireUtf8();
+            } // case 10
+            case 16: {
+              kind_ = input.readEnum();
               bitField0_ |= 0x00000002;
               break;
-            } // case 18
+            } // case 16
             case 24: {
-              kind_ = input.readEnum();
+              lentTotal_ = input.readUInt64();
               bitField0_ |= 0x00000004;
               break;
             } // case 24
             case 32: {
-              units_ = input.readUInt32();
+              dueMillis_ = input.readUInt32();
               bitField0_ |= 0x00000008;
               break;
             } // case 32
             case 40: {
-              validMillis_ = input.readUInt32();
+              toIncarnation_ = input.readUInt64();
               bitField0_ |= 0x00000010;
               break;
             } // case 40
@@ -521,41 +530,9 @@
     }
     private int bitField0_;
 
-    private long loanId_ ;
-    /**
-     * <code>uint64 loan_id = 1;</code>
-     * @return The loanId.
-     */
-    @java.lang.Override
-    public long getLoanId() {
-      return loanId_;
-    }
-    /**
-     * <code>uint64 loan_id = 1;</code>
-     * @param value The loanId to set.
-     * @return This builder for chaining.
-     */
-    public Builder setLoanId(long value) {
-
-      loanId_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 loan_id = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearLoanId() {
-      bitField0_ = (bitField0_ & ~0x00000001);
-      loanId_ = 0L;
-      onChanged();
-      return this;
-    }
-
     private java.lang.Object customer_ = "";
     /**
-     * <code>string customer = 2;</code>
+     * <code>string customer = 1;</code>
      * @return The customer.
      */
     public java.lang.String getCustomer() {
@@ -571,7 +548,7 @@
       }
     }
     /**
-     * <code>string customer = 2;</code>
+     * <code>string customer = 1;</code>
      * @return The bytes for customer.
      */
     public com.google.protobuf.ByteString
@@ -588,7 +565,7 @@
       }
     }
     /**
-     * <code>string customer = 2;</code>
+     * <code>string customer = 1;</code>
      * @param value The customer to set.
      * @return This builder for chaining.
      */
@@ -596,22 +573,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       customer_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>string customer = 2;</code>
+     * <code>string customer = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearCustomer() {
       customer_ = getDefaultInstance().getCustomer();
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000001);
       onChanged();
       return this;
     }
     /**
-     * <code>string customer = 2;</code>
+     * <code>string customer = 1;</code>
      * @param value The bytes for customer to set.
      * @return This builder for chaining.
      */
@@ -620,32 +597,32 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       customer_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
 
     private int kind_ = 0;
     /**
-     * <code>.hemlockpick.LimitKind kind = 3;</code>
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
      * @return The enum numeric value on the wire for kind.
      */
     @java.lang.Override public int getKindValue() {
       return kind_;
     }
     /**
-     * <code>.hemlockpick.LimitKind kind = 3;</code>
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
      * @param value The enum numeric value on the wire for kind to set.
      * @return This builder for chaining.
      */
     public Builder setKindValue(int value) {
       kind_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>.hemlockpick.LimitKind kind = 3;</code>
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
      * @return The kind.
      */
     @java.lang.Override
@@ -654,88 +631,144 @@
       return result == null ? org.hemlockpick.proto.LimitKind.UNRECOGNIZED : result;
     }
     /**
-     * <code>.hemlockpick.LimitKind kind = 3;</code>
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
      * @param value The kind to set.
      * @return This builder for chaining.
      */
     public Builder setKind(org.hemlockpick.proto.LimitKind value) {
       if (value == null) { throw new NullPointerException(); }
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       kind_ = value.getNumber();
       onChanged();
       return this;
     }
     /**
-     * <code>.hemlockpick.LimitKind kind = 3;</code>
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearKind() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       kind_ = 0;
       onChanged();
       return this;
     }
 
-    private int units_ ;
+    private long lentTotal_ ;
+    /**
+     * <pre>
+     * Units that the sender has lent to the receiver so far.
+     * </pre>
+     *
+     * <code>uint64 lent_total = 3;</code>
+     * @return The lentTotal.
+     */
+    @java.lang.Override
+    public long getLentTotal() {
+      return lentTotal_;
+    }
+    /**
+     * <pre>
+     * Units that the sender has lent to the receiver so far.
+     * </pre>
+     *
+     * <code>uint64 lent_total = 3;</code>
+     * @param value The lentTotal to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLentTotal(long value) {
+
+      lentTotal_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Units that the sender has lent to the receiver so far.
+     * </pre>
+     *
+     * <code>uint64 lent_total = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLentTotal() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      lentTotal_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int dueMillis_ ;
     /**
-     * <code>uint32 units = 4;</code>
-     * @return The units.
+     * <pre>
+     * Time after which all units of the sender must be returned as soon as they are free.
+     * </pre>
+     *
+     * <code>uint32 due_millis = 4;</code>
+     * @return The dueMillis.
      */
     @java.lang.Override
-    public int getUnits() {
-      return units_;
+    public int getDueMillis() {
+      return dueMillis_;
     }
     /**
-     * <code>uint32 units = 4;</code>
-     * @param value The units to set.
+     * <pre>
+     * Time after which all units of the sender must be returned as soon as they are free.
+     * </pre>
+     *
+     * <code>uint32 due_millis = 4;</code>
+     * @param value The dueMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setUnits(int value) {
+    public Builder setDueMillis(int value) {
 
-      units_ = value;
+      dueMillis_ = value;
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>uint32 units = 4;</code>
+     * <pre>
+     * Time after which all units of the sender must be returned as soon as they are free.
+     * </pre>
+     *
+     * <code>uint32 due_millis = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearUnits() {
+    public Builder clearDueMillis() {
       bitField0_ = (bitField0_ & ~0x00000008);
-      units_ = 0;
+      dueMillis_ = 0;
       onChanged();
       return this;
     }
 
-    private int validMillis_ ;
+    private long toIncarnation_ ;
     /**
-     * <code>uint32 valid_millis = 5;</code>
-     * @return The validMillis.
+     * <code>uint64 to_incarnation = 5;</code>
+     * @return The toIncarnation.
      */
     @java.lang.Override
-    public int getValidMillis() {
-      return validMillis_;
+    public long getToIncarnation() {
+      return toIncarnation_;
     }
     /**
-     * <code>uint32 valid_millis = 5;</code>
-     * @param value The validMillis to set.
+     * <code>uint64 to_incarnation = 5;</code>
+     * @param value The toIncarnation to set.
      * @return This builder for chaining.
      */
-    public Builder setValidMillis(int value) {
+    public Builder setToIncarnation(long value) {
 
-      validMillis_ = value;
+      toIncarnation_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>uint32 valid_millis = 5;</code>
+     * <code>uint64 to_incarnation = 5;</code>
      * @return This builder for chaining.
      */
-    public Builder clearValidMillis() {
+    public Builder clearToIncarnation() {
       bitField0_ = (bitField0_ & ~0x00000010);
-      validMillis_ = 0;
+      toIncarnation_ = 0L;
       onChanged();
       return this;
     }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanAsk.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanAsk.java
@@ -113,6 +113,36 @@
     return units_;
   }
 
+  public static final int KNOWN_TOTAL_FIELD_NUMBER = 4;
+  private long knownTotal_ = 0L;
+  /**
+   * <pre>
+   * The newest lent_total that the asker has from the receiver.
+   * </pre>
+   *
+   * <code>uint64 known_total = 4;</code>
+   * @return The knownTotal.
+   */
+  @java.lang.Override
+  public long getKnownTotal() {
+    return knownTotal_;
+  }
+
+  public static final int TO_INCARNATION_FIELD_NUMBER = 5;
+  private long toIncarnation_ = 0L;
+  /**
+   * <pre>
+   * Incarnation of the receiver that lent known_total.
+   * </pre>
+   *
+   * <code>uint64 to_incarnation = 5;</code>
+   * @return The toIncarnation.
+   */
+  @java.lang.Override
+  public long getToIncarnation() {
+    return toIncarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -136,6 +166,12 @@
     if (units_ != 0) {
       output.writeUInt32(3, units_);
     }
+    if (knownTotal_ != 0L) {
+      output.writeUInt64(4, knownTotal_);
+    }
+    if (toIncarnation_ != 0L) {
+      output.writeUInt64(5, toIncarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -156,6 +192,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, units_);
     }
+    if (knownTotal_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, knownTotal_);
+    }
+    if (toIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, toIncarnation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -176,6 +220,10 @@
     if (kind_ != other.kind_) return false;
     if (getUnits()
         != other.getUnits()) return false;
+    if (getKnownTotal()
+        != other.getKnownTotal()) return false;
+    if (getToIncarnation()
+        != other.getToIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -193,6 +241,12 @@
     hash = (53 * hash) + kind_;
     hash = (37 * hash) + UNITS_FIELD_NUMBER;
     hash = (53 * hash) + getUnits();
+    hash = (37 * hash) + KNOWN_TOTAL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getKnownTotal());
+    hash = (37 * hash) + TO_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getToIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -327,6 +381,8 @@
       customer_ = "";
       kind_ = 0;
       units_ = 0;
+      knownTotal_ = 0L;
+      toIncarnation_ = 0L;
       return this;
     }
 
@@ -369,6 +425,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.units_ = units_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.knownTotal_ = knownTotal_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.toIncarnation_ = toIncarnation_;
+      }
     }
 
     @java.lang.Override
@@ -394,6 +456,12 @@
       if (other.getUnits() != 0) {
         setUnits(other.getUnits());
       }
+      if (other.getKnownTotal() != 0L) {
+        setKnownTotal(other.getKnownTotal());
+      }
+      if (other.getToIncarnation() != 0L) {
+        setToIncarnation(other.getToIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -435,6 +503,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              knownTotal_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              toIncarnation_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -607,6 +685,94 @@
       return this;
     }
 
+    private long knownTotal_ ;
+    /**
+     * <pre>
+     * The newest lent_total that the asker has from the receiver.
+     * </pre>
+     *
+     * <code>uint64 known_total = 4;</code>
+     * @return The knownTotal.
+     */
+    @java.lang.Override
+    public long getKnownTotal() {
+      return knownTotal_;
+    }
+    /**
+     * <pre>
+     * The newest lent_total that the asker has from the receiver.
+     * </pre>
+     *
+     * <code>uint64 known_total = 4;</code>
+     * @param value The knownTotal to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnownTotal(long value) {
+
+      knownTotal_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest lent_total that the asker has from the receiver.
+     * </pre>
+     *
+     * <code>uint64 known_total = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnownTotal() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      knownTotal_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long toIncarnation_ ;
+    /**
+     * <pre>
+     * Incarnation of the receiver that lent known_total.
+     * </pre>
+     *
+     * <code>uint64 to_incarnation = 5;</code>
+     * @return The toIncarnation.
+     */
+    @java.lang.Override
+    public long getToIncarnation() {
+      return toIncarnation_;
+    }
+    /**
+     * <pre>
+     * Incarnation of the receiver that lent known_total.
+     * </pre>
+     *
+     * <code>uint64 to_incarnation = 5;</code>
+     * @param value The toIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setToIncarnation(long value) {
+
+      toIncarnation_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnation of the receiver that lent known_total.
+     * </pre>
+     *
+     * <code>uint64 to_incarnation = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearToIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      toIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.LoanAsk)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanAskOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanAskOrBuilder.java
@@ -38,4 +38,24 @@
    * @return The units.
    */
   int getUnits();
+
+  /**
+   * <pre>
+   * The newest lent_total that the asker has from the receiver.
+   * </pre>
+   *
+   * <code>uint64 known_total = 4;</code>
+   * @return The knownTotal.
+   */
+  long getKnownTotal();
+
+  /**
+   * <pre>
+   * Incarnation of the receiver that lent known_total.
+   * </pre>
+   *
+   * <code>uint64 to_incarnation = 5;</code>
+   * @return The toIncarnation.
+   */
+  long getToIncarnation();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanOrBuilder.java
@@ -11,43 +11,51 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>uint64 loan_id = 1;</code>
-   * @return The loanId.
-   */
-  long getLoanId();
-
-  /**
-   * <code>string customer = 2;</code>
+   * <code>string customer = 1;</code>
    * @return The customer.
    */
   java.lang.String getCustomer();
   /**
-   * <code>string customer = 2;</code>
+   * <code>string customer = 1;</code>
    * @return The bytes for customer.
    */
   com.google.protobuf.ByteString
       getCustomerBytes();
 
   /**
-   * <code>.hemlockpick.LimitKind kind = 3;</code>
+   * <code>.hemlockpick.LimitKind kind = 2;</code>
    * @return The enum numeric value on the wire for kind.
    */
   int getKindValue();
   /**
-   * <code>.hemlockpick.LimitKind kind = 3;</code>
+   * <code>.hemlockpick.LimitKind kind = 2;</code>
    * @return The kind.
    */
   org.hemlockpick.proto.LimitKind getKind();
 
   /**
-   * <code>uint32 units = 4;</code>
-   * @return The units.
+   * <pre>
+   * Units that the sender has lent to the receiver so far.
+   * </pre>
+   *
+   * <code>uint64 lent_total = 3;</code>
+   * @return The lentTotal.
+   */
+  long getLentTotal();
+
+  /**
+   * <pre>
+   * Time after which all units of the sender must be returned as soon as they are free.
+   * </pre>
+   *
+   * <code>uint32 due_millis = 4;</code>
+   * @return The dueMillis.
    */
-  int getUnits();
+  int getDueMillis();
 
   /**
-   * <code>uint32 valid_millis = 5;</code>
-   * @return The validMillis.
+   * <code>uint64 to_incarnation = 5;</code>
+   * @return The toIncarnation.
    */
-  int getValidMillis();
+  long getToIncarnation();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanReturn.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanReturn.java
@@ -28,6 +28,8 @@
     super(builder);
   }
   private LoanReturn() {
+    customer_ = "";
+    kind_ = 0;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -43,15 +45,87 @@
             org.hemlockpick.proto.LoanReturn.class, org.hemlockpick.proto.LoanReturn.Builder.class);
   }
 
-  public static final int LOAN_ID_FIELD_NUMBER = 1;
-  private long loanId_ = 0L;
+  public static final int CUSTOMER_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object customer_ = "";
   /**
-   * <code>uint64 loan_id = 1;</code>
-   * @return The loanId.
+   * <code>string customer = 1;</code>
+   * @return The customer.
    */
   @java.lang.Override
-  public long getLoanId() {
-    return loanId_;
+  public java.lang.String getCustomer() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      customer_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string customer = 1;</code>
+   * @return The bytes for customer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCustomerBytes() {
+    java.lang.Object ref = customer_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      customer_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int KIND_FIELD_NUMBER = 2;
+  private int kind_ = 0;
+  /**
+   * <code>.hemlockpick.LimitKind kind = 2;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  @java.lang.Override public int getKindValue() {
+    return kind_;
+  }
+  /**
+   * <code>.hemlockpick.LimitKind kind = 2;</code>
+   * @return The kind.
+   */
+  @java.lang.Override public org.hemlockpick.proto.LimitKind getKind() {
+    org.hemlockpick.proto.LimitKind result = org.hemlockpick.proto.LimitKind.forNumber(kind_);
+    return result == null ? org.hemlockpick.proto.LimitKind.UNRECOGNIZED : result;
+  }
+
+  public static final int RETURNED_TOTAL_FIELD_NUMBER = 3;
+  private long returnedTotal_ = 0L;
+  /**
+   * <pre>
+   * Units that the sender has returned to the receiver so far.
+   * </pre>
+   *
+   * <code>uint64 returned_total = 3;</code>
+   * @return The returnedTotal.
+   */
+  @java.lang.Override
+  public long getReturnedTotal() {
+    return returnedTotal_;
+  }
+
+  public static final int TO_INCARNATION_FIELD_NUMBER = 4;
+  private long toIncarnation_ = 0L;
+  /**
+   * <code>uint64 to_incarnation = 4;</code>
+   * @return The toIncarnation.
+   */
+  @java.lang.Override
+  public long getToIncarnation() {
+    return toIncarnation_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -68,8 +142,17 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (loanId_ != 0L) {
-      output.writeUInt64(1, loanId_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, customer_);
+    }
+    if (kind_ != org.hemlockpick.proto.LimitKind.LIMIT_UNSPECIFIED.getNumber()) {
+      output.writeEnum(2, kind_);
+    }
+    if (returnedTotal_ != 0L) {
+      output.writeUInt64(3, returnedTotal_);
+    }
+    if (toIncarnation_ != 0L) {
+      output.writeUInt64(4, toIncarnation_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -80,9 +163,20 @@
     if (size != -1) return size;
 
     size = 0;
-    if (loanId_ != 0L) {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(customer_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, customer_);
+    }
+    if (kind_ != org.hemlockpick.proto.LimitKind.LIMIT_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(2, kind_);
+    }
+    if (returnedTotal_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, returnedTotal_);
+    }
+    if (toIncarnation_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(1, loanId_);
+        .computeUInt64Size(4, toIncarnation_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -99,8 +193,13 @@
     }
     org.hemlockpick.proto.LoanReturn other = (org.hemlockpick.proto.LoanReturn) obj;
 
-    if (getLoanId()
-        != other.getLoanId()) return false;
+    if (!getCustomer()
+        .equals(other.getCustomer())) return false;
+    if (kind_ != other.kind_) return false;
+    if (getReturnedTotal()
+        != other.getReturnedTotal()) return false;
+    if (getToIncarnation()
+        != other.getToIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -112,9 +211,16 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + LOAN_ID_FIELD_NUMBER;
+    hash = (37 * hash) + CUSTOMER_FIELD_NUMBER;
+    hash = (53 * hash) + getCustomer().hashCode();
+    hash = (37 * hash) + KIND_FIELD_NUMBER;
+    hash = (53 * hash) + kind_;
+    hash = (37 * hash) + RETURNED_TOTAL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReturnedTotal());
+    hash = (37 * hash) + TO_INCARNATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getLoanId());
+        getToIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -246,7 +352,10 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      loanId_ = 0L;
+      customer_ = "";
+      kind_ = 0;
+      returnedTotal_ = 0L;
+      toIncarnation_ = 0L;
       return this;
     }
 
@@ -281,7 +390,16 @@
     private void buildPartial0(org.hemlockpick.proto.LoanReturn result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.loanId_ = loanId_;
+        result.customer_ = customer_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.kind_ = kind_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.returnedTotal_ = returnedTotal_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.toIncarnation_ = toIncarnation_;
       }
     }
 
@@ -297,8 +415,19 @@
 
     public Builder mergeFrom(org.hemlockpick.proto.LoanReturn other) {
       if (other == org.hemlockpick.proto.LoanReturn.getDefaultInstance()) return this;
-      if (other.getLoanId() != 0L) {
-        setLoanId(other.getLoanId());
+      if (!other.getCustomer().isEmpty()) {
+        customer_ = other.customer_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (other.kind_ != 0) {
+        setKindValue(other.getKindValue());
+      }
+      if (other.getReturnedTotal() != 0L) {
+        setReturnedTotal(other.getReturnedTotal());
+      }
+      if (other.getToIncarnation() != 0L) {
+        setToIncarnation(other.getToIncarnation());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -326,11 +455,26 @@
             case 0:
               done = true;
               break;
-            case 8: {
-              loanId_ = input.readUInt64();
+            case 10: {
+              customer_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000001;
               break;
-            } // case 8
+            } // case 10
+            case 16: {
+              kind_ = input.readEnum();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            case 24: {
+              returnedTotal_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              toIncarnation_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -348,34 +492,201 @@
     }
     private int bitField0_;
 
-    private long loanId_ ;
+    private java.lang.Object customer_ = "";
     /**
-     * <code>uint64 loan_id = 1;</code>
-     * @return The loanId.
+     * <code>string customer = 1;</code>
+     * @return The customer.
      */
-    @java.lang.Override
-    public long getLoanId() {
-      return loanId_;
+    public java.lang.String getCustomer() {
+      java.lang.Object ref = customer_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        customer_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
     }
     /**
-     * <code>uint64 loan_id = 1;</code>
-     * @param value The loanId to set.
+     * <code>string customer = 1;</code>
+     * @return The bytes for customer.
+     */
+    public com.google.protobuf.ByteString
+        getCustomerBytes() {
+      java.lang.Object ref = customer_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        customer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @param value The customer to set.
      * @return This builder for chaining.
      */
-    public Builder setLoanId(long value) {
-
-      loanId_ = value;
+    public Builder setCustomer(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      customer_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 loan_id = 1;</code>
+     * <code>string customer = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearLoanId() {
+    public Builder clearCustomer() {
+      customer_ = getDefaultInstance().getCustomer();
       bitField0_ = (bitField0_ & ~0x00000001);
-      loanId_ = 0L;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string customer = 1;</code>
+     * @param value The bytes for customer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCustomerBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      customer_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private int kind_ = 0;
+    /**
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override public int getKindValue() {
+      return kind_;
+    }
+    /**
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
+     * @param value The enum numeric value on the wire for kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindValue(int value) {
+      kind_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
+     * @return The kind.
+     */
+    @java.lang.Override
+    public org.hemlockpick.proto.LimitKind getKind() {
+      org.hemlockpick.proto.LimitKind result = org.hemlockpick.proto.LimitKind.forNumber(kind_);
+      return result == null ? org.hemlockpick.proto.LimitKind.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
+     * @param value The kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKind(org.hemlockpick.proto.LimitKind value) {
+      if (value == null) { throw new NullPointerException(); }
+      bitField0_ |= 0x00000002;
+      kind_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.hemlockpick.LimitKind kind = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKind() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      kind_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long returnedTotal_ ;
+    /**
+     * <pre>
+     * Units that the sender has returned to the receiver so far.
+     * </pre>
+     *
+     * <code>uint64 returned_total = 3;</code>
+     * @return The returnedTotal.
+     */
+    @java.lang.Override
+    public long getReturnedTotal() {
+      return returnedTotal_;
+    }
+    /**
+     * <pre>
+     * Units that the sender has returned to the receiver so far.
+     * </pre>
+     *
+     * <code>uint64 returned_total = 3;</code>
+     * @param value The returnedTotal to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReturnedTotal(long value) {
+
+      returnedTotal_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Units that the sender has returned to the receiver so far.
+     * </pre>
+     *
+     * <code>uint64 returned_total = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReturnedTotal() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      returnedTotal_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long toIncarnation_ ;
+    /**
+     * <code>uint64 to_incarnation = 4;</code>
+     * @return The toIncarnation.
+     */
+    @java.lang.Override
+    public long getToIncarnation() {
+      return toIncarnation_;
+    }
+    /**
+     * <code>uint64 to_incarnation = 4;</code>
+     * @param value The toIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setToIncarnation(long value) {
+
+      toIncarnation_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 to_incarnation = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearToIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      toIncarnation_ = 0L;
       onChanged();
       return this;
     }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanReturnOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/LoanReturnOrBuilder.java
@@ -11,8 +11,41 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>uint64 loan_id = 1;</code>
-   * @return The loanId.
+   * <code>string customer = 1;</code>
+   * @return The customer.
    */
-  long getLoanId();
+  java.lang.String getCustomer();
+  /**
+   * <code>string customer = 1;</code>
+   * @return The bytes for customer.
+   */
+  com.google.protobuf.ByteString
+      getCustomerBytes();
+
+  /**
+   * <code>.hemlockpick.LimitKind kind = 2;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  int getKindValue();
+  /**
+   * <code>.hemlockpick.LimitKind kind = 2;</code>
+   * @return The kind.
+   */
+  org.hemlockpick.proto.LimitKind getKind();
+
+  /**
+   * <pre>
+   * Units that the sender has returned to the receiver so far.
+   * </pre>
+   *
+   * <code>uint64 returned_total = 3;</code>
+   * @return The returnedTotal.
+   */
+  long getReturnedTotal();
+
+  /**
+   * <code>uint64 to_incarnation = 4;</code>
+   * @return The toIncarnation.
+   */
+  long getToIncarnation();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Peer.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Peer.java
@@ -117,35 +117,39 @@
       "(\r\022\014\n\004body\030\004 \001(\014\022\026\n\016to_incarnation\030\005 \001(\004" +
       "\"#\n\nConfigPull\022\025\n\rknown_version\030\001 \001(\004\":\n" +
       "\nConfigPush\022,\n\007records\030\001 \003(\0132\033.hemlockpi" +
-      "ck.ContractRecord\"P\n\007LoanAsk\022\020\n\010customer" +
+      "ck.ContractRecord\"}\n\007LoanAsk\022\020\n\010customer" +
       "\030\001 \001(\t\022$\n\004kind\030\002 \001(\0162\026.hemlockpick.Limit" +
-      "Kind\022\r\n\005units\030\003 \001(\r\"t\n\004Loan\022\017\n\007loan_id\030\001" +
-      " \001(\004\022\020\n\010customer\030\002 \001(\t\022$\n\004kind\030\003 \001(\0162\026.h" +
-      "emlockpick.LimitKind\022\r\n\005units\030\004 \001(\r\022\024\n\014v" +
-      "alid_millis\030\005 \001(\r\"\035\n\nLoanReturn\022\017\n\007loan_" +
-      "id\030\001 \001(\004\"W\n\rAssignedTasks\022\016\n\006worker\030\001 \001(" +
-      "\t\022\014\n\004boot\030\002 \001(\t\022(\n\005tasks\030\003 \003(\0132\031.hemlock" +
-      "pick.AssignedTask\"X\n\014AssignedTask\022\013\n\003job" +
-      "\030\001 \001(\t\022\r\n\005index\030\002 \001(\r\022\017\n\007attempt\030\003 \001(\r\022\r" +
-      "\n\005shard\030\004 \001(\r\022\014\n\004stop\030\005 \001(\010\"\'\n\tShardHint" +
-      "\022\013\n\003job\030\001 \001(\t\022\r\n\005shard\030\002 \001(\r\"\277\004\n\013PeerMes" +
-      "sage\022\014\n\004from\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022" +
-      "\014\n\004zone\030\003 \001(\t\022\n\n\002to\030\004 \001(\t\022\r\n\005clock\030\005 \001(\004" +
-      "\022+\n\theartbeat\030\006 \001(\0132\026.hemlockpick.Heartb" +
-      "eatH\000\0226\n\017request_forward\030\007 \001(\0132\033.hemlock" +
-      "pick.RequestForwardH\000\0226\n\017request_outcome" +
-      "\030\010 \001(\0132\033.hemlockpick.RequestOutcomeH\000\022.\n" +
-      "\013config_pull\030\t \001(\0132\027.hemlockpick.ConfigP" +
-      "ullH\000\022.\n\013config_push\030\n \001(\0132\027.hemlockpick" +
-      ".ConfigPushH\000\022(\n\010loan_ask\030\013 \001(\0132\024.hemloc" +
-      "kpick.LoanAskH\000\022!\n\004loan\030\014 \001(\0132\021.hemlockp" +
-      "ick.LoanH\000\022.\n\013loan_return\030\r \001(\0132\027.hemloc" +
-      "kpick.LoanReturnH\000\0224\n\016assigned_tasks\030\016 \001" +
-      "(\0132\032.hemlockpick.AssignedTasksH\000\022,\n\nshar" +
-      "d_hint\030\017 \001(\0132\026.hemlockpick.ShardHintH\000B\006" +
-      "\n\004body*K\n\tLimitKind\022\025\n\021LIMIT_UNSPECIFIED" +
-      "\020\000\022\026\n\022REQUESTS_IN_FLIGHT\020\001\022\017\n\013BATCH_TASK" +
-      "S\020\002B\031\n\025org.hemlockpick.protoP\001b\006proto3"
+      "Kind\022\r\n\005units\030\003 \001(\r\022\023\n\013known_total\030\004 \001(\004" +
+      "\022\026\n\016to_incarnation\030\005 \001(\004\"~\n\004Loan\022\020\n\010cust" +
+      "omer\030\001 \001(\t\022$\n\004kind\030\002 \001(\0162\026.hemlockpick.L" +
+      "imitKind\022\022\n\nlent_total\030\003 \001(\004\022\022\n\ndue_mill" +
+      "is\030\004 \001(\r\022\026\n\016to_incarnation\030\005 \001(\004\"t\n\nLoan" +
+      "Return\022\020\n\010customer\030\001 \001(\t\022$\n\004kind\030\002 \001(\0162\026" +
+      ".hemlockpick.LimitKind\022\026\n\016returned_total" +
+      "\030\003 \001(\004\022\026\n\016to_incarnation\030\004 \001(\004\"W\n\rAssign" +
+      "edTasks\022\016\n\006worker\030\001 \001(\t\022\014\n\004boot\030\002 \001(\t\022(\n" +
+      "\005tasks\030\003 \003(\0132\031.hemlockpick.AssignedTask\"" +
+      "X\n\014AssignedTask\022\013\n\003job\030\001 \001(\t\022\r\n\005index\030\002 " +
+      "\001(\r\022\017\n\007attempt\030\003 \001(\r\022\r\n\005shard\030\004 \001(\r\022\014\n\004s" +
+      "top\030\005 \001(\010\"\'\n\tShardHint\022\013\n\003job\030\001 \001(\t\022\r\n\005s" +
+      "hard\030\002 \001(\r\"\277\004\n\013PeerMessage\022\014\n\004from\030\001 \001(\t" +
+      "\022\023\n\013incarnation\030\002 \001(\004\022\014\n\004zone\030\003 \001(\t\022\n\n\002t" +
+      "o\030\004 \001(\t\022\r\n\005clock\030\005 \001(\004\022+\n\theartbeat\030\006 \001(" +
+      "\0132\026.hemlockpick.HeartbeatH\000\0226\n\017request_f" +
+      "orward\030\007 \001(\0132\033.hemlockpick.RequestForwar" +
+      "dH\000\0226\n\017request_outcome\030\010 \001(\0132\033.hemlockpi" +
+      "ck.RequestOutcomeH\000\022.\n\013config_pull\030\t \001(\013" +
+      "2\027.hemlockpick.ConfigPullH\000\022.\n\013config_pu" +
+      "sh\030\n \001(\0132\027.hemlockpick.ConfigPushH\000\022(\n\010l" +
+      "oan_ask\030\013 \001(\0132\024.hemlockpick.LoanAskH\000\022!\n" +
+      "\004loan\030\014 \001(\0132\021.hemlockpick.LoanH\000\022.\n\013loan" +
+      "_return\030\r \001(\0132\027.hemlockpick.LoanReturnH\000" +
+      "\0224\n\016assigned_tasks\030\016 \001(\0132\032.hemlockpick.A" +
+      "ssignedTasksH\000\022,\n\nshard_hint\030\017 \001(\0132\026.hem" +
+      "lockpick.ShardHintH\000B\006\n\004body*K\n\tLimitKin" +
+      "d\022\025\n\021LIMIT_UNSPECIFIED\020\000\022\026\n\022REQUESTS_IN_" +
+      "FLIGHT\020\001\022\017\n\013BATCH_TASKS\020\002B\031\n\025org.hemlock" +
+      "pick.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -193,19 +197,19 @@
     internal_static_hemlockpick_LoanAsk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_LoanAsk_descriptor,
-        new java.lang.String[] { "Customer", "Kind", "Units", });
+        new java.lang.String[] { "Customer", "Kind", "Units", "KnownTotal", "ToIncarnation", });
     internal_static_hemlockpick_Loan_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_hemlockpick_Loan_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_Loan_descriptor,
-        new java.lang.String[] { "LoanId", "Customer", "Kind", "Units", "ValidMillis", });
+        new java.lang.String[] { "Customer", "Kind", "LentTotal", "DueMillis", "ToIncarnation", });
     internal_static_hemlockpick_LoanReturn_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_hemlockpick_LoanReturn_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_LoanReturn_descriptor,
-        new java.lang.String[] { "LoanId", });
+        new java.lang.String[] { "Customer", "Kind", "ReturnedTotal", "ToIncarnation", });
     internal_static_hemlockpick_AssignedTasks_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_hemlockpick_AssignedTasks_fieldAccessorTable = new
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/limit/LimitSystem.java
@@ -0,0 +1,310 @@
+package org.hemlockpick.internal.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hemlockpick.contract.Contract;
+import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.lib.Seat;
+import org.hemlockpick.proto.LimitKind;
+import org.hemlockpick.proto.Loan;
+import org.hemlockpick.proto.LoanAsk;
+import org.hemlockpick.proto.LoanReturn;
+import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.util.Rendezvous;
+
+/**
+ * Keeps the limits of contracts over all entry instances.
+ *
+ * <p>Each seat of the roster has a share of every limit and may lend unused units to peers. A
+ * lender counts a unit as its own again only when the borrower returned it or was replaced, never
+ * because time has passed, so that the units in use everywhere never exceed the limit while
+ * contract and roster stay the same. {@code docs/design/limits.md} has the reasoning.
+ *
+ * <p>A tick costs time for accounts with loans or unmet demand only. Memory grows with the
+ * customers that were ever active here.
+ */
+public final class LimitSystem implements LoopSystem {
+  /** Time after which lent units must be returned as soon as they are free, in milliseconds. */
+  static final int LOAN_MILLIS = 5_000;
+
+  /** Interval at which a lender renews a loan, or calls it in, in milliseconds. */
+  private static final int RENEWAL_MILLIS = 2_000;
+
+  private record Key(String customer, LimitKind kind) {}
+
+  private final Map<Key, LimitAccount> accounts = new HashMap<>();
+  private final Set<LimitAccount> active = new LinkedHashSet<>();
+  private final Map<String, TokenBucket> rates = new HashMap<>();
+  private final Map<String, Integer> ranks = new HashMap<>();
+  private final InstanceSettings settings;
+  private final Outbox outbox;
+  private final PeerTable peers;
+  private final ContractTable contracts;
+
+  /** Creates the system with nothing in use. */
+  public LimitSystem(
+      InstanceSettings settings, Outbox outbox, PeerTable peers, ContractTable contracts) {
+    this.settings = settings;
+    this.outbox = outbox;
+    this.peers = peers;
+    this.contracts = contracts;
+  }
+
+  /**
+   * Takes one unit of a limit into use.
+   *
+   * @return false when the customer has no unit left at this entry instance or no contract
+   */
+  public boolean tryTake(String customer, LimitKind kind) {
+    if (limit(customer, kind) == 0) {
+      return false;
+    }
+    LimitAccount account = account(customer, kind);
+    boolean taken = account.tryTake(outbox.now());
+    if (account.wanted() > 0) {
+      active.add(account);
+    }
+    return taken;
+  }
+
+  /** Ends the use of one unit that {@link #tryTake} granted. */
+  public void give(String customer, LimitKind kind) {
+    account(customer, kind).give();
+  }
+
+  /**
+   * Takes one request from the customer's rate.
+   *
+   * @return false when the rate is used up at this entry instance or the customer has no contract
+   */
+  public boolean tryTakeRate(String customer) {
+    Contract contract = contracts.find(customer);
+    if (contract == null || contract.requestsPerSecond() == 0) {
+      return false;
+    }
+    double perSecond = (double) contract.requestsPerSecond() / settings.roster().size();
+    long now = outbox.now();
+    return rates
+        .computeIfAbsent(customer, key -> new TokenBucket(perSecond, now))
+        .tryTake(perSecond, now);
+  }
+
+  /** Takes a message about loans; ignores others. */
+  public void on(PeerMessage message) {
+    switch (message.getBodyCase()) {
+      case LOAN_ASK -> onAsk(message, message.getLoanAsk());
+      case LOAN -> onLoan(message, message.getLoan());
+      case LOAN_RETURN -> onReturn(message, message.getLoanReturn());
+      default -> {
+        // For another system.
+      }
+    }
+  }
+
+  @Override
+  public void run(long now) {
+    for (LimitAccount account : List.copyOf(active)) {
+      refreshShare(account);
+      run(account, now);
+      if (account.isIdle()) {
+        active.remove(account);
+      }
+    }
+  }
+
+  private void run(LimitAccount account, long now) {
+    for (PeerLoans loans : account.loans()) {
+      meet(loans);
+      loans.expire(now);
+    }
+    for (PeerLoans loans : account.loans()) {
+      returnDue(account, loans);
+      resend(account, loans, now);
+    }
+    ask(account, now);
+  }
+
+  private void onAsk(PeerMessage message, LoanAsk ask) {
+    if (!isLimit(ask.getKind()) || limit(ask.getCustomer(), ask.getKind()) == 0) {
+      return;
+    }
+    LimitAccount account = account(ask.getCustomer(), ask.getKind());
+    PeerLoans loans = met(account, message);
+    boolean forThis = ask.getToIncarnation() == outbox.incarnation();
+    long known = forThis ? ask.getKnownTotal() : 0;
+    if (known < loans.lentTotal()) {
+      // The newest loan is still on its way or was lost.
+      sendLoan(account, loans, LOAN_MILLIS);
+      return;
+    }
+    long units = Math.min(ask.getUnits(), account.lendable());
+    if (units <= 0) {
+      return;
+    }
+    loans.lend(units);
+    sendLoan(account, loans, LOAN_MILLIS);
+    active.add(account);
+  }
+
+  private void onLoan(PeerMessage message, Loan loan) {
+    boolean forThis = loan.getToIncarnation() == outbox.incarnation();
+    if (!forThis || !isLimit(loan.getKind())) {
+      return;
+    }
+    LimitAccount account = account(loan.getCustomer(), loan.getKind());
+    PeerLoans loans = met(account, message);
+    boolean more = loan.getLentTotal() > loans.borrowedTotal();
+    if (!loans.borrow(loan.getLentTotal(), outbox.now() + loan.getDueMillis())) {
+      return;
+    }
+    active.add(account);
+    if (more) {
+      account.search().succeed();
+      return;
+    }
+    // A renewal. The answer also makes up for a return that was lost.
+    loans.giveBack(account.spare(loans));
+    sendReturn(account, loans);
+  }
+
+  private void onReturn(PeerMessage message, LoanReturn returned) {
+    boolean forThis = returned.getToIncarnation() == outbox.incarnation();
+    if (!forThis || !isLimit(returned.getKind())) {
+      return;
+    }
+    LimitAccount account = account(returned.getCustomer(), returned.getKind());
+    met(account, message).takeBack(returned.getReturnedTotal());
+  }
+
+  private void returnDue(LimitAccount account, PeerLoans loans) {
+    long units = Math.min(loans.due(), account.returnable());
+    if (units <= 0) {
+      return;
+    }
+    loans.giveBack(units);
+    sendReturn(account, loans);
+  }
+
+  private void resend(LimitAccount account, PeerLoans loans, long now) {
+    if (loans.isResendDue(now)) {
+      int dueMillis = account.wasShortSince(now - LOAN_MILLIS) ? 0 : LOAN_MILLIS;
+      sendLoan(account, loans, dueMillis);
+    }
+  }
+
+  private void ask(LimitAccount account, long now) {
+    if (account.wanted() == 0 || !account.search().isDue(now)) {
+      return;
+    }
+    List<Peer> candidates = candidates(now);
+    if (!candidates.isEmpty()) {
+      sendAsk(account, account.search().next(candidates, now));
+    }
+    account.clearWanted();
+  }
+
+  /** Returns the peers that are alive, those of this availability zone first. */
+  private List<Peer> candidates(long now) {
+    List<Peer> candidates = new ArrayList<>(peers.aliveInZone(now));
+    peers.alive(now).stream()
+        .filter(peer -> !peer.zone().equals(settings.zone()))
+        .forEach(candidates::add);
+    return candidates;
+  }
+
+  private void sendAsk(LimitAccount account, Peer peer) {
+    PeerLoans loans = account.loans(peer.name());
+    meet(loans);
+    LoanAsk.Builder ask =
+        LoanAsk.newBuilder()
+            .setCustomer(account.customer())
+            .setKind(account.kind())
+            .setUnits((int) Math.min(Integer.MAX_VALUE, account.wanted()))
+            .setKnownTotal(loans.borrowedTotal())
+            .setToIncarnation(loans.incarnation());
+    outbox.send(peer.name(), PeerMessage.newBuilder().setLoanAsk(ask));
+  }
+
+  private void sendLoan(LimitAccount account, PeerLoans loans, int dueMillis) {
+    loans.resendAt(outbox.now() + RENEWAL_MILLIS);
+    Loan.Builder loan =
+        Loan.newBuilder()
+            .setCustomer(account.customer())
+            .setKind(account.kind())
+            .setLentTotal(loans.lentTotal())
+            .setDueMillis(dueMillis)
+            .setToIncarnation(loans.incarnation());
+    outbox.send(loans.peer(), PeerMessage.newBuilder().setLoan(loan));
+  }
+
+  private void sendReturn(LimitAccount account, PeerLoans loans) {
+    LoanReturn.Builder returned =
+        LoanReturn.newBuilder()
+            .setCustomer(account.customer())
+            .setKind(account.kind())
+            .setReturnedTotal(loans.borrowedReturned())
+            .setToIncarnation(loans.incarnation());
+    outbox.send(loans.peer(), PeerMessage.newBuilder().setLoanReturn(returned));
+  }
+
+  private PeerLoans met(LimitAccount account, PeerMessage message) {
+    PeerLoans loans = account.loans(message.getFrom());
+    loans.meet(message.getIncarnation());
+    return loans;
+  }
+
+  private void meet(PeerLoans loans) {
+    Peer peer = peers.find(loans.peer());
+    if (peer != null) {
+      loans.meet(peer.incarnation());
+    }
+  }
+
+  private LimitAccount account(String customer, LimitKind kind) {
+    LimitAccount account =
+        accounts.computeIfAbsent(new Key(customer, kind), key -> new LimitAccount(customer, kind));
+    refreshShare(account);
+    return account;
+  }
+
+  private void refreshShare(LimitAccount account) {
+    account.setShare(share(account.customer(), limit(account.customer(), account.kind())));
+  }
+
+  /** Returns this seat's part of a limit; the parts of all seats add up to the limit. */
+  private int share(String customer, int limit) {
+    int seats = settings.roster().size();
+    int rank = ranks.computeIfAbsent(customer, this::rank);
+    return limit / seats + (rank < limit % seats ? 1 : 0);
+  }
+
+  private int rank(String customer) {
+    List<String> names = settings.roster().stream().map(Seat::name).toList();
+    return Rendezvous.rank(customer, names).indexOf(settings.name());
+  }
+
+  private int limit(String customer, LimitKind kind) {
+    Contract contract = contracts.find(customer);
+    if (contract == null) {
+      return 0;
+    }
+    return switch (kind) {
+      case REQUESTS_IN_FLIGHT -> contract.requestsInFlight();
+      case BATCH_TASKS -> contract.batch().tasks();
+      case LIMIT_UNSPECIFIED, UNRECOGNIZED -> 0;
+    };
+  }
+
+  private static boolean isLimit(LimitKind kind) {
+    return kind == LimitKind.REQUESTS_IN_FLIGHT || kind == LimitKind.BATCH_TASKS;
+  }
+}
