Test how far a replaced instance may exceed a limit

The successor starts with nothing in use while work of its predecessor may still run; the bound in docs/design/limits.md is checked with any messages and clocks, as the bound of 0 is.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/limit/LimitSystemTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/limit/LimitSystemTest.java
@@ -170,29 +170,58 @@
       if (step >= UNCHANGED_STEPS && random.nextInt(100) == 0 && !unchanged.isEmpty()) {
         unchanged.remove(random.nextInt(unchanged.size())).setLimit(lowered);
       }
-      LimitNode busy = all.get(step / BUSY_STEPS % all.size());
-      int turn = random.nextInt(all.size());
-      LimitNode node = all.get(turn);
-      switch (random.nextInt(4)) {
-        case 0 -> sent.addAll(node.tick(node.now + random.nextInt(100 << turn)));
-        case 1 -> (random.nextInt(4) > 0 ? busy : node).take();
-        case 2 -> {
-          if (node.inUse > 0 && (node != busy || random.nextInt(4) == 0)) {
-            node.give();
-          }
-        }
-        default -> {
-          for (int i = random.nextInt(MOST_DELIVERIES); i > 0; i--) {
-            deliver(random, sent, all);
-          }
-        }
-      }
+      step(random, step, sent, all);
       lent += all.stream().anyMatch(each -> each.inUse > (limit + 3) / 4) ? 1 : 0;
       assertTrue(all.stream().mapToInt(each -> each.inUse).sum() <= limit, "at step " + step);
     }
     assertTrue(limit < 8 || lent > 0, "no unit was ever lent");
   }
 
+  @Property(tries = 200, seed = "20261205")
+  void exceedsTheLimitByNoMoreThanAReplacedInstanceUsedAndLent(
+      @ForAll long seed, @ForAll @IntRange(min = 1, max = 40) int limit) {
+    Random random = new Random(seed);
+    List<LimitNode> all = nodes(ROSTER.size(), limit);
+    List<PeerMessage> sent = new ArrayList<>();
+    int replaced = random.nextInt(ROSTER.size());
+    int replacedAt = random.nextInt(UNCHANGED_STEPS);
+    int mostShare = (limit + ROSTER.size() - 1) / ROSTER.size();
+    int predecessorsUse = 0;
+    int bound = limit;
+    for (int step = 0; step < STEPS; step++) {
+      if (step == replacedAt) {
+        predecessorsUse = all.get(replaced).inUse;
+        bound = limit + predecessorsUse + mostShare;
+        LimitNode successor = new LimitNode(ROSTER.get(replaced), ROSTER, 2, all.get(replaced).now);
+        successor.setLimit(limit);
+        all.set(replaced, successor);
+      }
+      step(random, step, sent, all);
+      int inUse = predecessorsUse + all.stream().mapToInt(each -> each.inUse).sum();
+      assertTrue(inUse <= bound, "at step " + step);
+    }
+  }
+
+  private static void step(Random random, int step, List<PeerMessage> sent, List<LimitNode> all) {
+    LimitNode busy = all.get(step / BUSY_STEPS % all.size());
+    int turn = random.nextInt(all.size());
+    LimitNode node = all.get(turn);
+    switch (random.nextInt(4)) {
+      case 0 -> sent.addAll(node.tick(node.now + random.nextInt(100 << turn)));
+      case 1 -> (random.nextInt(4) > 0 ? busy : node).take();
+      case 2 -> {
+        if (node.inUse > 0 && (node != busy || random.nextInt(4) == 0)) {
+          node.give();
+        }
+      }
+      default -> {
+        for (int i = random.nextInt(MOST_DELIVERIES); i > 0; i--) {
+          deliver(random, sent, all);
+        }
+      }
+    }
+  }
+
   /** Delivers any message in flight, which may then be lost, or delivered again later. */
   private static void deliver(Random random, List<PeerMessage> sent, List<LimitNode> all) {
     if (sent.isEmpty()) {
