Serve requests: admission, keys, routing, dispatch and forwards

A request goes through the systems in a fixed order; each attempt has a number that is never reused, each non-idempotent request is recorded under its key before it is sent, and an attempt without an answer is put to the worker, which proves that it did not run or says that it did.

--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/AdmissionSystem.java
@@ -0,0 +1,159 @@
+package org.hemlockpick.internal.request;
+
+import com.google.protobuf.ByteString;
+import org.hemlockpick.contract.Contract;
+import org.hemlockpick.contract.ServiceTerms;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.limit.LimitSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.CallerRequest;
+import org.hemlockpick.proto.KeyRecord;
+import org.hemlockpick.proto.KeyState;
+import org.hemlockpick.proto.LimitKind;
+
+/** Checks requests of callers against the contract and refuses early what cannot be served. */
+final class AdmissionSystem {
+  /** Requests that may wait for each customer, as a multiple of its weight. */
+  private static final int WAITING_PER_WEIGHT = 32;
+
+  private final Outbox outbox;
+  private final StoreCalls store;
+  private final PeerTable peers;
+  private final ContractTable contracts;
+  private final LimitSystem limits;
+  private final RequestTable requests;
+  private final KeyJournal keys;
+  private final RetryBudget budget;
+  private final Waiting waiting;
+  private final Finisher finisher;
+
+  AdmissionSystem(
+      Outbox outbox,
+      StoreCalls store,
+      PeerTable peers,
+      ContractTable contracts,
+      LimitSystem limits,
+      RequestTable requests,
+      KeyJournal keys,
+      RetryBudget budget,
+      Waiting waiting,
+      Finisher finisher) {
+    this.outbox = outbox;
+    this.store = store;
+    this.peers = peers;
+    this.contracts = contracts;
+    this.limits = limits;
+    this.requests = requests;
+    this.keys = keys;
+    this.budget = budget;
+    this.waiting = waiting;
+    this.finisher = finisher;
+  }
+
+  /** Admits or refuses a request. */
+  void on(CallerRequest call) {
+    Contract contract = contracts.find(call.getCustomer());
+    if (contract == null || !contract.accepts(call.getKeyDigest())) {
+      refuse(call, ResultCode.NOT_AUTHENTICATED);
+      return;
+    }
+    ServiceTerms terms = contract.services().get(call.getService());
+    if (terms == null) {
+      refuse(call, ResultCode.UNKNOWN_SERVICE);
+      return;
+    }
+    if (call.getBody().size() > terms.maxBodyBytes()) {
+      refuse(call, ResultCode.TOO_LARGE);
+      return;
+    }
+    if (!call.getIdempotent() && call.getIdempotencyKey().isEmpty()) {
+      refuse(call, ResultCode.KEY_REQUIRED);
+      return;
+    }
+    admit(call, contract, terms);
+  }
+
+  /** Continues a request whose key was recorded. */
+  void onRecorded(Request request) {
+    waiting.add(request);
+  }
+
+  /** Answers a request whose key was recorded before by another request. */
+  void onDuplicate(Request request, KeyRecord earlier) {
+    if (earlier.getState() == KeyState.KEY_DONE) {
+      finisher.finish(request, ResultCode.of(earlier.getCode()), earlier.getBody());
+      return;
+    }
+    finisher.finish(request, isLive(earlier) ? ResultCode.IN_PROGRESS : ResultCode.OUTCOME_UNKNOWN);
+  }
+
+  private boolean isLive(KeyRecord record) {
+    var peer = peers.find(record.getInstance());
+    return peer == null
+        ? record.getIncarnation() == outbox.incarnation()
+        : peer.incarnation() == record.getIncarnation() && peers.isAlive(peer, outbox.now());
+  }
+
+  private void admit(CallerRequest call, Contract contract, ServiceTerms terms) {
+    boolean keyed = !call.getIdempotent();
+    if (keyed && !store.isReachable()) {
+      refuse(call, ResultCode.STORE_UNREACHABLE);
+      return;
+    }
+    if (keyed && keys.isOpen(call.getCustomer(), call.getIdempotencyKey())) {
+      refuse(call, ResultCode.IN_PROGRESS);
+      return;
+    }
+    if (requests.waiting().size(call.getCustomer()) >= WAITING_PER_WEIGHT * contract.weight()) {
+      refuse(call, ResultCode.OVERLOADED);
+      return;
+    }
+    if (!limits.tryTakeRate(call.getCustomer())
+        || !limits.tryTake(call.getCustomer(), LimitKind.REQUESTS_IN_FLIGHT)) {
+      refuse(call, ResultCode.OVER_LIMIT);
+      return;
+    }
+    budget.noteRequest();
+    Request request = newRequest(call, terms);
+    request.holdsLimit = true;
+    requests.add(request);
+    outbox.event("request-admitted", request.label(), keyed ? "non-idempotent" : "idempotent");
+    if (keyed) {
+      request.state = RequestState.RECORDING;
+      keys.record(request);
+    } else {
+      waiting.add(request);
+    }
+  }
+
+  private Request newRequest(CallerRequest call, ServiceTerms terms) {
+    long now = outbox.now();
+    long longest = terms.timeout().toMillis();
+    long timeout =
+        call.getTimeoutMillis() == 0 ? longest : Math.min(longest, call.getTimeoutMillis());
+    return new Request(
+        new Origin.Caller(call.getExchange()),
+        call.getCustomer(),
+        call.getService(),
+        call.getIdempotent(),
+        call.getIdempotent() ? "" : call.getIdempotencyKey(),
+        call.getBody(),
+        now,
+        now + timeout);
+  }
+
+  /** Refuses a request before it takes up anything. */
+  void refuse(CallerRequest call, ResultCode code) {
+    outbox.answer(
+        CallerAnswer.newBuilder()
+            .setExchange(call.getExchange())
+            .setCode(code.number())
+            .setDetail(code.text())
+            .setRetryAfterMillis(finisher.retryAfterMillis())
+            .setBody(ByteString.EMPTY));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
@@ -0,0 +1,261 @@
+package org.hemlockpick.internal.request;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.WorkerCalls;
+import org.hemlockpick.internal.ownership.Attempt;
+import org.hemlockpick.internal.ownership.FenceSource;
+import org.hemlockpick.internal.ownership.LeaseListener;
+import org.hemlockpick.internal.ownership.OwnershipSystem;
+import org.hemlockpick.internal.ownership.Worker;
+import org.hemlockpick.proto.CallFate;
+import org.hemlockpick.proto.FencedRequest;
+import org.hemlockpick.proto.RequestCall;
+import org.hemlockpick.proto.RequestFate;
+import org.hemlockpick.proto.RequestReply;
+import org.hemlockpick.proto.RequestResult;
+import org.hemlockpick.proto.WorkerCall;
+import org.hemlockpick.proto.WorkerReply;
+
+/**
+ * Sends requests to held workers and turns what comes back, or does not, into outcomes.
+ *
+ * <p>Every sending has a sequence number that is never reused, so an answer to an abandoned attempt
+ * is never taken for that of another. An attempt without an answer is put to the worker with the
+ * next renewal of the lease: the worker either proves that it did not run and never will, or says
+ * that it runs or has finished.
+ */
+final class DispatchSystem implements LoopSystem, LeaseListener, FenceSource {
+  /** Age at which the worker is asked about an attempt without an answer, in milliseconds. */
+  private static final long DOUBT_AFTER_MILLIS = 1_000;
+
+  /** How long the answer of a finished attempt may take to arrive, in milliseconds. */
+  private static final long ANSWER_GRACE_MILLIS = 500;
+
+  private final Outbox outbox;
+  private final WorkerCalls calls;
+  private final OwnershipSystem ownership;
+  private final RequestTable requests;
+  private final RetryBudget budget;
+  private final Waiting waiting;
+  private final Finisher finisher;
+
+  DispatchSystem(
+      Outbox outbox,
+      WorkerCalls calls,
+      OwnershipSystem ownership,
+      RequestTable requests,
+      RetryBudget budget,
+      Waiting waiting,
+      Finisher finisher) {
+    this.outbox = outbox;
+    this.calls = calls;
+    this.ownership = ownership;
+    this.requests = requests;
+    this.budget = budget;
+    this.waiting = waiting;
+    this.finisher = finisher;
+  }
+
+  /** Sends a request to a worker that has a free slot. */
+  void send(Request request, Worker worker, long now) {
+    Attempt attempt = new Attempt(worker.epoch(), ownership.nextSequence(), now);
+    worker.open(attempt);
+    requests.setSequence(request, attempt.sequence());
+    request.worker = worker.name();
+    request.state = RequestState.SENT;
+    request.sends++;
+    request.finishedSeenAt = 0;
+    RequestCall.Builder call =
+        RequestCall.newBuilder()
+            .setEpoch(attempt.epoch())
+            .setSequence(attempt.sequence())
+            .setCustomer(request.customer)
+            .setService(request.service)
+            .setBody(request.body)
+            .setIdempotent(request.idempotent)
+            .setTimeoutMillis(request.remainingMillis(now));
+    WorkerCall.Builder workerCall =
+        WorkerCall.newBuilder()
+            .setWorker(worker.name())
+            .setAddress(worker.address())
+            .setTimeoutMillis(request.remainingMillis(now))
+            .setFreshConnection(worker.needsFreshConnection())
+            .setRequest(call);
+    outbox.event("request-sent", request.label(), worker.name() + " #" + attempt.sequence());
+    calls.send(workerCall, reply -> onReply(request, worker, attempt, reply));
+  }
+
+  @Override
+  public void run(long now) {
+    for (Request request : requests.due(now)) {
+      expire(request);
+    }
+  }
+
+  @Override
+  public List<Attempt> doubtful(Worker worker, long now) {
+    List<Attempt> doubtful = new ArrayList<>();
+    for (Attempt attempt : worker.openAttempts()) {
+      if (now - attempt.sentAt() >= DOUBT_AFTER_MILLIS) {
+        doubtful.add(attempt);
+      }
+    }
+    return doubtful;
+  }
+
+  @Override
+  public void fenced(Worker worker, FencedRequest fenced) {
+    Request request = requests.findSequence(fenced.getSequence());
+    if (request == null || !worker.name().equals(request.worker)) {
+      settleOrphan(worker, fenced);
+      return;
+    }
+    switch (fenced.getFate()) {
+      case NEVER_SEEN -> onNeverSeen(request, worker);
+      case FINISHED -> onFinishedUnanswered(request, worker);
+      case REQUEST_FATE_UNSPECIFIED -> onFateUnknown(request);
+      default -> {
+        // Still running: the answer or the next report decides.
+      }
+    }
+  }
+
+  @Override
+  public void lost(Worker worker) {
+    for (Request request : requests.inState(RequestState.FENCING)) {
+      if (worker.name().equals(request.worker)) {
+        finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
+      }
+    }
+  }
+
+  private void onReply(Request request, Worker worker, Attempt attempt, WorkerReply reply) {
+    boolean current =
+        request.sequence == attempt.sequence() && request.state != RequestState.FINISHED;
+    if (reply.getFate() == CallFate.NOT_SENT) {
+      worker.settle(attempt.sequence());
+      if (current) {
+        sendElsewhere(request, worker);
+      }
+      return;
+    }
+    boolean whole =
+        reply.getFate() == CallFate.ANSWERED
+            && reply.getRequest().getSequence() == attempt.sequence()
+            && reply.getRequest().getResult() != RequestResult.REQUEST_RESULT_UNSPECIFIED;
+    if (!whole) {
+      onLost(request, worker, attempt, current);
+      return;
+    }
+    worker.settle(attempt.sequence());
+    if (current) {
+      onAnswer(request, worker, reply.getRequest());
+    }
+  }
+
+  private void onAnswer(Request request, Worker worker, RequestReply reply) {
+    switch (reply.getResult()) {
+      case REQUEST_DONE -> finisher.finish(request, ResultCode.DONE, reply.getBody());
+      case REQUEST_FAILED -> finisher.finish(request, ResultCode.FAILED, reply.getBody());
+      case REFUSED_STALE -> {
+        ownership.renewSoon(worker);
+        sendElsewhere(request, worker);
+      }
+      default -> sendElsewhere(request, worker);
+    }
+  }
+
+  private void onLost(Request request, Worker worker, Attempt attempt, boolean current) {
+    worker.abandon(attempt.sequence());
+    distrust(worker);
+    if (!current) {
+      return;
+    }
+    if (request.idempotent) {
+      retryOrGiveUp(request, worker);
+    } else if (worker.isHeld(outbox.now())) {
+      request.state = RequestState.FENCING;
+    } else {
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
+    }
+  }
+
+  private void onNeverSeen(Request request, Worker worker) {
+    worker.settle(request.sequence);
+    distrust(worker);
+    outbox.event("request-never-seen", request.label(), worker.name() + " #" + request.sequence);
+    sendElsewhere(request, worker);
+  }
+
+  private void onFinishedUnanswered(Request request, Worker worker) {
+    long now = outbox.now();
+    if (request.finishedSeenAt == 0) {
+      request.finishedSeenAt = now;
+    }
+    if (request.state == RequestState.SENT && now - request.finishedSeenAt < ANSWER_GRACE_MILLIS) {
+      return;
+    }
+    worker.settle(request.sequence);
+    distrust(worker);
+    if (request.idempotent) {
+      retryOrGiveUp(request, worker);
+    } else {
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
+    }
+  }
+
+  private void onFateUnknown(Request request) {
+    if (request.state == RequestState.FENCING) {
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
+    }
+  }
+
+  private static void settleOrphan(Worker worker, FencedRequest fenced) {
+    if (fenced.getFate() == RequestFate.NEVER_SEEN || fenced.getFate() == RequestFate.FINISHED) {
+      worker.settle(fenced.getSequence());
+    }
+  }
+
+  private void retryOrGiveUp(Request request, Worker worker) {
+    request.mayHaveRun = true;
+    if (budget.tryTake()) {
+      sendElsewhere(request, worker);
+    } else {
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
+    }
+  }
+
+  private void sendElsewhere(Request request, Worker worker) {
+    requests.clearSequence(request);
+    request.excludedWorkers.add(worker.name());
+    waiting.addAgain(request);
+  }
+
+  private void distrust(Worker worker) {
+    worker.distrustConnections();
+    outbox.resetWorker(worker.name());
+    ownership.renewSoon(worker);
+  }
+
+  private void expire(Request request) {
+    boolean running =
+        request.state == RequestState.SENT
+            || request.state == RequestState.FENCING
+            || request.state == RequestState.FORWARDED;
+    if (request.state == RequestState.SENT && request.worker != null) {
+      ownership.abandon(request.worker, request.sequence);
+    }
+    if (running) {
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN, ByteString.EMPTY);
+    } else if (request.state == RequestState.RECORDING) {
+      finisher.finish(request, ResultCode.STORE_UNREACHABLE);
+    } else {
+      finisher.finishUnsent(request, ResultCode.DEADLINE_PASSED);
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Finisher.java
@@ -0,0 +1,79 @@
+package org.hemlockpick.internal.request;
+
+import com.google.protobuf.ByteString;
+import java.util.random.RandomGenerator;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.errors.ResultCode.Effect;
+import org.hemlockpick.internal.limit.LimitSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.LimitKind;
+
+/** Ends requests: answers the caller or peer once and gives back what the request held. */
+final class Finisher {
+  private static final int RETRY_AFTER_BASE_MILLIS = 200;
+  private static final int RETRY_AFTER_SPREAD_MILLIS = 800;
+
+  private final Outbox outbox;
+  private final RequestTable requests;
+  private final LimitSystem limits;
+  private final KeyJournal keys;
+  private final ForwardLedger ledger;
+  private final RandomGenerator random;
+
+  Finisher(
+      Outbox outbox,
+      RequestTable requests,
+      LimitSystem limits,
+      KeyJournal keys,
+      ForwardLedger ledger,
+      RandomGenerator random) {
+    this.outbox = outbox;
+    this.requests = requests;
+    this.limits = limits;
+    this.keys = keys;
+    this.ledger = ledger;
+    this.random = random;
+  }
+
+  /** Ends a request that gave no answer of its own. */
+  void finish(Request request, ResultCode code) {
+    finish(request, code, ByteString.EMPTY);
+  }
+
+  /** Ends a request that did not run now; an earlier attempt may have run. */
+  void finishUnsent(Request request, ResultCode code) {
+    finish(request, request.mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : code);
+  }
+
+  void finish(Request request, ResultCode code, ByteString body) {
+    if (request.state == RequestState.FINISHED) {
+      return;
+    }
+    requests.remove(request);
+    if (request.holdsLimit) {
+      limits.give(request.customer, LimitKind.REQUESTS_IN_FLIGHT);
+    }
+    keys.finish(request, code, body);
+    int retryAfter = code.effect() == Effect.RAN ? 0 : retryAfterMillis();
+    outbox.event("request-finished", request.label(), code.name());
+    if (request.origin instanceof Origin.Forwarded origin) {
+      ledger.finish(origin, code, retryAfter, body);
+      return;
+    }
+    if (request.origin instanceof Origin.Caller caller && !request.callerGone) {
+      outbox.answer(
+          CallerAnswer.newBuilder()
+              .setExchange(caller.exchange())
+              .setCode(code.number())
+              .setDetail(code.text())
+              .setRetryAfterMillis(retryAfter)
+              .setBody(body));
+    }
+  }
+
+  /** Returns a time to come back, spread so that callers do not return all at once. */
+  int retryAfterMillis() {
+    return RETRY_AFTER_BASE_MILLIS + random.nextInt(RETRY_AFTER_SPREAD_MILLIS);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/ForwardSystem.java
@@ -0,0 +1,173 @@
+package org.hemlockpick.internal.request;
+
+import com.google.protobuf.ByteString;
+import java.util.Objects;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.errors.ResultCode.Effect;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.proto.RequestForward;
+import org.hemlockpick.proto.RequestOutcome;
+
+/**
+ * Forwards requests to peers that own workers with free slots, and serves the forwards of peers.
+ *
+ * <p>A forward goes one hop. It is sent again under the same number until its outcome arrives; the
+ * receiver runs it once. It names the incarnation of its receiver, because a replacement knows
+ * nothing of what its predecessor ran.
+ */
+final class ForwardSystem implements LoopSystem {
+  private static final long RESEND_MILLIS = 400;
+
+  private final Outbox outbox;
+  private final PeerTable peers;
+  private final RequestTable requests;
+  private final ForwardLedger ledger;
+  private final RetryBudget budget;
+  private final Waiting waiting;
+  private final Finisher finisher;
+  private long lastForward;
+
+  ForwardSystem(
+      Outbox outbox,
+      PeerTable peers,
+      RequestTable requests,
+      ForwardLedger ledger,
+      RetryBudget budget,
+      Waiting waiting,
+      Finisher finisher) {
+    this.outbox = outbox;
+    this.peers = peers;
+    this.requests = requests;
+    this.ledger = ledger;
+    this.budget = budget;
+    this.waiting = waiting;
+    this.finisher = finisher;
+  }
+
+  /** Returns the number below which all forwards of this entry instance are settled. */
+  long settledBelow() {
+    return requests.openForwards().stream()
+        .mapToLong(Long::longValue)
+        .min()
+        .orElse(lastForward + 1);
+  }
+
+  /** Forwards a request to a peer. */
+  void forward(Request request, Peer peer, long now) {
+    requests.setForward(request, ++lastForward);
+    request.peer = peer.name();
+    request.peerIncarnation = peer.incarnation();
+    request.state = RequestState.FORWARDED;
+    request.sends++;
+    outbox.event("request-forwarded", request.label(), peer.name());
+    send(request, now);
+  }
+
+  /** Takes a forward of a peer. */
+  void on(PeerMessage message, RequestForward forward) {
+    String from = message.getFrom();
+    if (forward.getToIncarnation() != outbox.incarnation()) {
+      return; // Meant for a predecessor; the sender learns of the replacement by heartbeat.
+    }
+    ForwardLedger.Standing standing =
+        ledger.note(from, message.getIncarnation(), forward.getForwardId());
+    if (standing != ForwardLedger.Standing.FIRST) {
+      return;
+    }
+    long now = outbox.now();
+    Request request =
+        new Request(
+            new Origin.Forwarded(from, message.getIncarnation(), forward.getForwardId()),
+            forward.getCustomer(),
+            forward.getService(),
+            forward.getIdempotent(),
+            "",
+            forward.getBody(),
+            now,
+            now + forward.getTimeoutMillis());
+    requests.add(request);
+    waiting.add(request);
+  }
+
+  /** Takes the outcome of a forward. */
+  void on(PeerMessage message, RequestOutcome outcome) {
+    Request request = requests.findForward(outcome.getForwardId());
+    boolean matches =
+        request != null
+            && request.state == RequestState.FORWARDED
+            && message.getFrom().equals(request.peer)
+            && message.getIncarnation() == request.peerIncarnation
+            && outcome.getToIncarnation() == outbox.incarnation();
+    if (request == null || !matches) {
+      return;
+    }
+    requests.clearForward(request);
+    ResultCode code = ResultCode.of(outcome.getCode());
+    if (code.effect() == Effect.NOT_RUN) {
+      request.excludedPeers.add(message.getFrom());
+      waiting.addAgain(request);
+    } else if (code == ResultCode.OUTCOME_UNKNOWN && request.idempotent) {
+      retryOrGiveUp(request);
+    } else {
+      finisher.finish(request, code, outcome.getBody());
+    }
+  }
+
+  @Override
+  public void run(long now) {
+    for (Request request : requests.inState(RequestState.FORWARDED)) {
+      if (isPeerLost(request, now)) {
+        onPeerLost(request);
+      } else if (now - request.forwardedAt >= RESEND_MILLIS) {
+        send(request, now);
+      }
+    }
+  }
+
+  private boolean isPeerLost(Request request, long now) {
+    Peer peer = request.peer == null ? null : peers.find(request.peer);
+    return peer == null
+        || peer.incarnation() != request.peerIncarnation
+        || !peers.isAlive(peer, now);
+  }
+
+  private void onPeerLost(Request request) {
+    requests.clearForward(request);
+    if (request.idempotent) {
+      retryOrGiveUp(request);
+    } else {
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN, ByteString.EMPTY);
+    }
+  }
+
+  private void retryOrGiveUp(Request request) {
+    request.mayHaveRun = true;
+    if (request.peer != null) {
+      request.excludedPeers.add(request.peer);
+    }
+    if (budget.tryTake()) {
+      waiting.addAgain(request);
+    } else {
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN, ByteString.EMPTY);
+    }
+  }
+
+  private void send(Request request, long now) {
+    request.forwardedAt = now;
+    RequestForward.Builder forward =
+        RequestForward.newBuilder()
+            .setForwardId(request.forwardId)
+            .setCustomer(request.customer)
+            .setService(request.service)
+            .setIdempotent(request.idempotent)
+            .setTimeoutMillis(request.remainingMillis(now))
+            .setBody(request.body)
+            .setToIncarnation(request.peerIncarnation);
+    outbox.send(
+        Objects.requireNonNull(request.peer), PeerMessage.newBuilder().setRequestForward(forward));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Request.java
@@ -0,0 +1,81 @@
+package org.hemlockpick.internal.request;
+
+import com.google.protobuf.ByteString;
+import java.util.HashSet;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Holds one open request. */
+final class Request {
+  final Origin origin;
+  final String customer;
+  final String service;
+  final boolean idempotent;
+  final String idempotencyKey;
+  final ByteString body;
+  final long admittedAt;
+  final long deadline;
+  final Set<String> excludedWorkers = new HashSet<>();
+  final Set<String> excludedPeers = new HashSet<>();
+
+  RequestState state = RequestState.WAITING;
+
+  /** Whether an earlier attempt may have run. */
+  boolean mayHaveRun;
+
+  boolean holdsLimit;
+  boolean callerGone;
+  int sends;
+  long waitingSince;
+
+  /** Worker of the newest attempt. */
+  @Nullable String worker;
+
+  /** Sequence number of the newest attempt; 0 before the first. */
+  long sequence;
+
+  /** Time at which the worker first said that the attempt had finished; 0 before that. */
+  long finishedSeenAt;
+
+  /** Peer that the request was forwarded to. */
+  @Nullable String peer;
+
+  long peerIncarnation;
+  long forwardId;
+  long forwardedAt;
+
+  Request(
+      Origin origin,
+      String customer,
+      String service,
+      boolean idempotent,
+      String idempotencyKey,
+      ByteString body,
+      long admittedAt,
+      long deadline) {
+    this.origin = origin;
+    this.customer = customer;
+    this.service = service;
+    this.idempotent = idempotent;
+    this.idempotencyKey = idempotencyKey;
+    this.body = body;
+    this.admittedAt = admittedAt;
+    this.deadline = deadline;
+  }
+
+  boolean isForwarded() {
+    return origin instanceof Origin.Forwarded;
+  }
+
+  boolean isNeverSent() {
+    return sends == 0;
+  }
+
+  String label() {
+    return customer + "/" + service;
+  }
+
+  int remainingMillis(long now) {
+    return (int) Math.max(1, deadline - now);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RoutingSystem.java
@@ -0,0 +1,141 @@
+package org.hemlockpick.internal.request;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.internal.ownership.Worker;
+import org.hemlockpick.internal.ownership.WorkerTable;
+import org.hemlockpick.lib.InstanceSettings;
+
+/**
+ * Gives waiting requests a worker: one that this entry instance holds, else a peer of the
+ * availability zone with free slots, else, after a short wait, a peer of another availability zone.
+ * A request that waits too long is refused at once.
+ */
+final class RoutingSystem implements LoopSystem {
+  /** Longest wait for a slot, in milliseconds. */
+  private static final long MAX_WAIT_MILLIS = 250;
+
+  /** Wait before a request may leave its availability zone, in milliseconds. */
+  private static final long REMOTE_AFTER_MILLIS = 50;
+
+  /** Part of a request's time that it may wait for a slot. */
+  private static final int WAIT_DIVISOR = 4;
+
+  private final InstanceSettings settings;
+  private final PeerTable peers;
+  private final WorkerTable workers;
+  private final RequestTable requests;
+  private final RoutingPolicy policy;
+  private final DispatchSystem dispatch;
+  private final ForwardSystem forwards;
+  private final Finisher finisher;
+
+  RoutingSystem(
+      InstanceSettings settings,
+      PeerTable peers,
+      WorkerTable workers,
+      RequestTable requests,
+      RoutingPolicy policy,
+      DispatchSystem dispatch,
+      ForwardSystem forwards,
+      Finisher finisher) {
+    this.settings = settings;
+    this.peers = peers;
+    this.workers = workers;
+    this.requests = requests;
+    this.policy = policy;
+    this.dispatch = dispatch;
+    this.forwards = forwards;
+    this.finisher = finisher;
+  }
+
+  @Override
+  public void run(long now) {
+    refuseOverdue(now);
+    Request request = requests.waiting().peek();
+    while (request != null && place(request, now)) {
+      request = requests.waiting().peek();
+    }
+  }
+
+  /** Returns the free slots of the workers held here. */
+  int freeSlots(long now) {
+    return workers.all().stream().mapToInt(worker -> worker.freeSlots(now)).sum();
+  }
+
+  private boolean place(Request request, long now) {
+    List<Worker> free = workers.all().stream().filter(worker -> worker.freeSlots(now) > 0).toList();
+    if (!free.isEmpty()) {
+      requests.waiting().serve(request);
+      dispatch.send(request, policy.choose(preferUntried(free, request), now), now);
+      return true;
+    }
+    Optional<Peer> peer = request.isForwarded() ? Optional.empty() : choosePeer(request, now);
+    if (peer.isEmpty()) {
+      return false;
+    }
+    requests.waiting().serve(request);
+    forwards.forward(request, peer.get(), now);
+    return true;
+  }
+
+  private static List<Worker> preferUntried(List<Worker> free, Request request) {
+    List<Worker> untried =
+        free.stream().filter(w -> !request.excludedWorkers.contains(w.name())).toList();
+    return untried.isEmpty() ? free : untried;
+  }
+
+  private Optional<Peer> choosePeer(Request request, long now) {
+    Map<String, Integer> forwarded = new HashMap<>();
+    for (Request open : requests.inState(RequestState.FORWARDED)) {
+      if (open.peer != null) {
+        forwarded.merge(open.peer, 1, Integer::sum);
+      }
+    }
+    Optional<Peer> local = mostFree(peers.aliveInZone(now), request, forwarded);
+    if (local.isPresent() || now - request.waitingSince < REMOTE_AFTER_MILLIS) {
+      return local;
+    }
+    List<Peer> remote =
+        peers.alive(now).stream().filter(peer -> !peer.zone().equals(settings.zone())).toList();
+    return mostFree(remote, request, forwarded);
+  }
+
+  private static Optional<Peer> mostFree(
+      List<Peer> candidates, Request request, Map<String, Integer> forwarded) {
+    Comparator<Peer> byFree = Comparator.comparingInt(peer -> free(peer, forwarded));
+    return candidates.stream()
+        .filter(peer -> !request.excludedPeers.contains(peer.name()))
+        .filter(peer -> free(peer, forwarded) > 0)
+        .max(byFree);
+  }
+
+  private static int free(Peer peer, Map<String, Integer> forwarded) {
+    return peer.heartbeat().getFreeSlots() - forwarded.getOrDefault(peer.name(), 0);
+  }
+
+  private void refuseOverdue(long now) {
+    for (Request request : requests.waiting().all()) {
+      long wait = now - request.waitingSince;
+      long limit =
+          Math.min(MAX_WAIT_MILLIS, (request.deadline - request.admittedAt) / WAIT_DIVISOR);
+      if (wait >= limit) {
+        finisher.finishUnsent(request, refusal(now));
+      }
+    }
+  }
+
+  private ResultCode refusal(long now) {
+    boolean anyWorker = workers.all().stream().anyMatch(worker -> worker.accepts(now));
+    boolean anyPeer =
+        peers.aliveInZone(now).stream().anyMatch(p -> p.heartbeat().getWorkersCount() > 0);
+    return anyWorker || anyPeer ? ResultCode.OVERLOADED : ResultCode.NO_WORKER;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Waiting.java
@@ -0,0 +1,41 @@
+package org.hemlockpick.internal.request;
+
+import org.hemlockpick.contract.Contract;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.loop.Outbox;
+
+/** Puts requests into the queue for a worker. */
+final class Waiting {
+  /** Most sendings of one request, the first included. */
+  private static final int MAX_SENDS = 4;
+
+  private final Outbox outbox;
+  private final RequestTable requests;
+  private final ContractTable contracts;
+  private final Finisher finisher;
+
+  Waiting(Outbox outbox, RequestTable requests, ContractTable contracts, Finisher finisher) {
+    this.outbox = outbox;
+    this.requests = requests;
+    this.contracts = contracts;
+    this.finisher = finisher;
+  }
+
+  /** Queues a request that was not sent yet. */
+  void add(Request request) {
+    Contract contract = contracts.find(request.customer);
+    request.state = RequestState.WAITING;
+    request.waitingSince = outbox.now();
+    requests.waiting().add(request, contract == null ? 1 : contract.weight());
+  }
+
+  /** Queues a request again whose newest attempt did not run or may be repeated. */
+  void addAgain(Request request) {
+    if (request.sends >= MAX_SENDS) {
+      finisher.finishUnsent(request, ResultCode.NO_WORKER);
+      return;
+    }
+    add(request);
+  }
+}
