--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeQuota.java
@@ -0,0 +1,28 @@
+package org.hemlockpick.internal.batch;
+
+/** Grants up to a number of units to all customers together. */
+final class FakeQuota implements TaskQuota {
+  private int free;
+
+  FakeQuota(int free) {
+    this.free = free;
+  }
+
+  int free() {
+    return free;
+  }
+
+  @Override
+  public boolean tryTake(String customer) {
+    if (free == 0) {
+      return false;
+    }
+    free--;
+    return true;
+  }
+
+  @Override
+  public void give(String customer) {
+    free++;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeWorker.java
@@ -0,0 +1,126 @@
+package org.hemlockpick.internal.batch;
+
+import com.google.protobuf.ByteString;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.hemlockpick.proto.CallFate;
+import org.hemlockpick.proto.Capacity;
+import org.hemlockpick.proto.TaskPhase;
+import org.hemlockpick.proto.TaskRef;
+import org.hemlockpick.proto.TaskStartCall;
+import org.hemlockpick.proto.TaskStatus;
+import org.hemlockpick.proto.WorkerCall;
+import org.hemlockpick.proto.WorkerReply;
+import org.hemlockpick.standin.WorkerModel;
+
+/** Drives a worker model: runs its tasks for a time, restarts, and loses what a test names. */
+final class FakeWorker {
+  final String name;
+  private final Capacity capacity;
+  private final InstantSource clock;
+  private final RunLog log;
+  private int starts = 1;
+  private WorkerModel model;
+  private final Map<TaskRef, Long> startedAt = new HashMap<>();
+
+  /** How long a task runs, in milliseconds. */
+  long runMillis = 1_000;
+
+  /** How a task ends. */
+  Function<TaskRef, TaskPhase> ends = ref -> TaskPhase.TASK_DONE;
+
+  /** Calls that never arrive. */
+  Predicate<WorkerCall> lostCalls = call -> false;
+
+  /** Calls whose replies never arrive. */
+  Predicate<WorkerCall> lostReplies = call -> false;
+
+  /** Checkpoints with which attempts were started. */
+  final Map<TaskRef, String> checkpoints = new HashMap<>();
+
+  FakeWorker(String name, int cpuMillis, InstantSource clock, RunLog log) {
+    this.name = name;
+    this.clock = clock;
+    this.log = log;
+    capacity =
+        Capacity.newBuilder()
+            .setSlots(4)
+            .setConnections(16)
+            .setCpuMillis(cpuMillis)
+            .setMemoryMb(64_000)
+            .build();
+    model = start();
+  }
+
+  WorkerModel model() {
+    return model;
+  }
+
+  /** Ends everything that runs and starts anew. */
+  void restart() {
+    starts++;
+    startedAt.clear();
+    model = start();
+  }
+
+  List<TaskRef> running() {
+    return model.tasks().stream()
+        .filter(status -> status.getPhase() == TaskPhase.TASK_RUNNING)
+        .map(TaskStatus::getTask)
+        .toList();
+  }
+
+  /** Ends the tasks that have run for long enough. */
+  void step() {
+    model.stopOrphans();
+    for (TaskRef ref : new ArrayList<>(running())) {
+      if (clock.millis() - startedAt.getOrDefault(ref, clock.millis()) >= runMillis) {
+        model.finishTask(ref, ends.apply(ref), ByteString.copyFromUtf8("r" + ref.getIndex()));
+      }
+    }
+  }
+
+  Optional<WorkerReply> handle(WorkerCall call) {
+    if (lostCalls.test(call)) {
+      return Optional.empty();
+    }
+    WorkerReply.Builder reply =
+        WorkerReply.newBuilder()
+            .setCallId(call.getCallId())
+            .setWorker(name)
+            .setFate(CallFate.ANSWERED);
+    switch (call.getBodyCase()) {
+      case LEASE -> reply.setLease(model.lease(call.getLease()));
+      case TASK_START -> reply.setTask(model.start(noted(call.getTaskStart())));
+      case TASK_STOP -> reply.setTask(model.stop(call.getTaskStop()));
+      default -> throw new IllegalArgumentException("unexpected call " + call.getBodyCase());
+    }
+    if (call.hasTaskStart()) {
+      noteRuns();
+    }
+    return lostReplies.test(call) ? Optional.empty() : Optional.of(reply.build());
+  }
+
+  private TaskStartCall noted(TaskStartCall start) {
+    checkpoints.putIfAbsent(start.getTask(), start.getCheckpoint());
+    return start;
+  }
+
+  private void noteRuns() {
+    for (TaskRef ref : running()) {
+      if (startedAt.putIfAbsent(ref, clock.millis()) == null) {
+        log.started(name + "/" + starts, ref);
+      }
+    }
+  }
+
+  private WorkerModel start() {
+    return new WorkerModel(name, capacity, clock, name + "/" + starts, starts * 1_000L);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/RunLog.java
@@ -0,0 +1,47 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hemlockpick.proto.TaskRef;
+
+/** Watches that no attempt starts twice and no task runs in two places. */
+final class RunLog {
+  private record TaskName(String job, int index) {}
+
+  private final Map<TaskRef, String> places = new HashMap<>();
+  final List<String> faults = new ArrayList<>();
+  private int starts;
+
+  int starts() {
+    return starts;
+  }
+
+  void started(String place, TaskRef ref) {
+    starts++;
+    String former = places.putIfAbsent(ref, place);
+    if (former != null) {
+      faults.add("started twice, at " + former + " and " + place + ": " + text(ref));
+    }
+  }
+
+  /** Looks for tasks that run in two places now. */
+  void check(Collection<FakeWorker> workers) {
+    Set<TaskName> running = new HashSet<>();
+    for (FakeWorker worker : workers) {
+      for (TaskRef ref : worker.running()) {
+        if (!running.add(new TaskName(ref.getJob(), ref.getIndex()))) {
+          faults.add("runs in two places: " + text(ref) + " also at " + worker.name);
+        }
+      }
+    }
+  }
+
+  private static String text(TaskRef ref) {
+    return ref.getJob() + "/" + ref.getIndex() + " attempt " + ref.getAttempt();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/contract/ContractTables.java
@@ -0,0 +1,17 @@
+package org.hemlockpick.internal.contract;
+
+import org.hemlockpick.contract.Contract;
+
+/** Fills tables of contracts for tests. */
+public final class ContractTables {
+  private ContractTables() {}
+
+  /** Returns a table in which these contracts are in force. */
+  public static ContractTable of(Contract... contracts) {
+    ContractTable table = new ContractTable();
+    for (Contract contract : contracts) {
+      table.put(contract);
+    }
+    return table;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/JobCancels.java
@@ -0,0 +1,130 @@
+package org.hemlockpick.internal.batch;
+
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.loop.Tables;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.proto.JobCancel;
+import org.hemlockpick.proto.JobPhase;
+import org.hemlockpick.proto.JobRecord;
+import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.proto.Row;
+import org.hemlockpick.proto.RowWrite;
+import org.hemlockpick.proto.ShardHint;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.proto.Transaction;
+
+/**
+ * Cancels jobs: one write marks the job, and the holders of its shards cancel the tasks with their
+ * next group commits.
+ */
+final class JobCancels {
+  /** How long the fate of a cancellation is looked for, in milliseconds. */
+  private static final long LIMIT_MILLIS = 6_000;
+
+  private final Outbox outbox;
+  private final StoreCalls store;
+  private final PeerTable peers;
+  private final JobTable jobs;
+  private final ShardTable shards;
+  private final WriteIds writeIds;
+  private final Callers callers;
+
+  JobCancels(
+      Outbox outbox,
+      StoreCalls store,
+      PeerTable peers,
+      JobTable jobs,
+      ShardTable shards,
+      WriteIds writeIds,
+      Callers callers) {
+    this.outbox = outbox;
+    this.store = store;
+    this.peers = peers;
+    this.jobs = jobs;
+    this.shards = shards;
+    this.writeIds = writeIds;
+    this.callers = callers;
+  }
+
+  void on(JobCancel cancel) {
+    long exchange = cancel.getExchange();
+    if (callers.authenticate(exchange, cancel.getCustomer(), cancel.getKeyDigest()) == null) {
+      return;
+    }
+    read(cancel, outbox.now() + LIMIT_MILLIS, ResultCode.STORE_UNREACHABLE);
+  }
+
+  private void read(JobCancel cancel, long limitAt, ResultCode onSilence) {
+    store.read(Tables.JOBS, cancel.getJob(), reply -> onRead(cancel, limitAt, onSilence, reply));
+  }
+
+  private void onRead(JobCancel cancel, long limitAt, ResultCode onSilence, StoreReply reply) {
+    switch (reply.getStatus()) {
+      case STORE_OK -> {
+        if (reply.getRowsCount() == 0) {
+          callers.answer(cancel.getExchange(), ResultCode.UNKNOWN_JOB);
+        } else {
+          cancel(cancel, limitAt, reply.getRows(0));
+        }
+      }
+      default -> {
+        if (outbox.now() < limitAt) {
+          read(cancel, limitAt, onSilence);
+        } else {
+          callers.answer(cancel.getExchange(), onSilence);
+        }
+      }
+    }
+  }
+
+  private void cancel(JobCancel cancel, long limitAt, Row row) {
+    JobRecord record = Rows.job(row);
+    if (!record.getCustomer().equals(cancel.getCustomer())) {
+      callers.answer(cancel.getExchange(), ResultCode.UNKNOWN_JOB);
+      return;
+    }
+    if (record.getPhase() == JobPhase.JOB_CANCELLED) {
+      spread(cancel, record);
+      return;
+    }
+    JobRecord cancelled =
+        record.toBuilder().setPhase(JobPhase.JOB_CANCELLED).setWriteId(writeIds.next()).build();
+    RowWrite write =
+        RowWrite.newBuilder()
+            .setTable(Tables.JOBS)
+            .setKey(row.getKey())
+            .setExpectedVersion(row.getVersion())
+            .setValue(cancelled.toByteString())
+            .build();
+    store.commit(
+        Transaction.newBuilder().addWrites(write).build(),
+        reply -> onCommit(cancel, limitAt, cancelled, reply));
+  }
+
+  private void onCommit(JobCancel cancel, long limitAt, JobRecord cancelled, StoreReply reply) {
+    switch (reply.getStatus()) {
+      case STORE_OK -> spread(cancel, cancelled);
+      case STORE_CONFLICT -> read(cancel, limitAt, ResultCode.STORE_UNREACHABLE);
+      default -> read(cancel, limitAt, ResultCode.OUTCOME_UNKNOWN);
+    }
+  }
+
+  private void spread(JobCancel cancel, JobRecord record) {
+    callers.answer(cancel.getExchange(), JobViews.cancelled(record));
+    outbox.event("job-cancelled", record.getJob(), record.getCustomer());
+    for (Peer peer : peers.alive(outbox.now())) {
+      if (peer.zone().equals(record.getZone())) {
+        ShardHint.Builder hint = ShardHint.newBuilder().setJob(record.getJob());
+        outbox.send(peer.name(), PeerMessage.newBuilder().setShardHint(hint));
+      }
+    }
+    Job job = jobs.find(record.getJob());
+    if (job != null) {
+      jobs.put(record);
+      shards.jobChanged(job);
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/PlacementPolicy.java
@@ -0,0 +1,18 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Decides which worker a task is assigned to. */
+interface PlacementPolicy {
+
+  /**
+   * Chooses a worker.
+   *
+   * @param task the task
+   * @param need what the task needs
+   * @param rooms the workers that may be chosen
+   * @return the room to take; null when the task has to wait
+   */
+  @Nullable Room choose(Task task, Amounts need, List<Room> rooms);
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ReportReader.java
@@ -0,0 +1,290 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.ownership.LeaseListener;
+import org.hemlockpick.internal.ownership.RecordedTasks;
+import org.hemlockpick.internal.ownership.Worker;
+import org.hemlockpick.internal.ownership.WorkerTable;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.proto.TaskPhase;
+import org.hemlockpick.proto.TaskRecord;
+import org.hemlockpick.proto.TaskRef;
+import org.hemlockpick.proto.TaskState;
+import org.hemlockpick.proto.TaskStatus;
+
+/**
+ * Brings the rows in line with what workers report.
+ *
+ * <p>A report counts only for the attempt that the row assigns to this start of the worker, and the
+ * row moves on to the next attempt; so each report has its effect once, whoever reads it. The
+ * worker repeats it until the row is written.
+ */
+final class ReportReader implements LeaseListener, RecordedTasks, ShardListener {
+  /** Reports after which one was certainly asked for later than an assignment became known. */
+  private static final long SURE_REPORTS = 2;
+
+  private record Report(String worker, TaskRef ref) {}
+
+  private final InstanceSettings settings;
+  private final Outbox outbox;
+  private final WorkerTable workers;
+  private final WorkerLedger ledger;
+  private final ShardTable shards;
+  private final ShardJournal journal;
+  private final TaskRunner runner;
+  private final Quarantine quarantine;
+  private final Map<String, Set<Report>> unmatched = new HashMap<>();
+  private boolean roomChanged;
+
+  ReportReader(
+      InstanceSettings settings,
+      Outbox outbox,
+      WorkerTable workers,
+      WorkerLedger ledger,
+      ShardTable shards,
+      ShardJournal journal,
+      TaskRunner runner,
+      Quarantine quarantine) {
+    this.settings = settings;
+    this.outbox = outbox;
+    this.workers = workers;
+    this.ledger = ledger;
+    this.shards = shards;
+    this.journal = journal;
+    this.runner = runner;
+    this.quarantine = quarantine;
+  }
+
+  /** Tells whether workers reported since the last call. */
+  boolean takeRoomChanged() {
+    boolean changed = roomChanged;
+    roomChanged = false;
+    return changed;
+  }
+
+  @Override
+  public void granted(Worker worker) {
+    ledger.of(worker.name()).granted(outbox.now());
+  }
+
+  @Override
+  public void restarted(Worker worker, String formerBoot) {
+    ledger.of(worker.name()).restarted();
+    quarantine.forgetWorker(worker.name());
+  }
+
+  @Override
+  public void lost(Worker worker) {
+    ledger.of(worker.name()).lost();
+  }
+
+  @Override
+  public void reported(Worker worker) {
+    roomChanged = true;
+    WorkerLoad load = ledger.of(worker.name());
+    load.take(worker);
+    List.copyOf(worker.tasks().values()).forEach(status -> apply(worker, status));
+    new ArrayList<>(load.assigned).forEach(task -> check(worker, load, task));
+    if (worker.isLeaving()) {
+      stopAll(worker);
+    }
+  }
+
+  @Override
+  public void gone(Worker worker) {
+    quarantine.forgetWorker(worker.name());
+    lose(ledger.of(worker.name()));
+  }
+
+  /** Queues all tasks again that the row assigns to a worker that runs nothing any more. */
+  void lose(WorkerLoad load) {
+    for (Task task : new ArrayList<>(load.assigned)) {
+      if (task.isPlaced()) {
+        shards.change(task, TaskChanges.lost(task.wanted));
+      }
+    }
+  }
+
+  @Override
+  public List<TaskRef> recorded(Worker worker) {
+    WorkerLoad load = ledger.of(worker.name());
+    return worker.tasks().values().stream()
+        .filter(status -> isOver(status) && load.mayForget(status.getTask()))
+        .map(TaskStatus::getTask)
+        .toList();
+  }
+
+  @Override
+  public void settled(Shard shard) {
+    unmatched.remove(shard.key);
+    Job job = shard.indexedUnder;
+    boolean cancelled = job != null && job.isCancelled() && shards.isHeld(shard);
+    for (Task task : shard.tasks) {
+      if (cancelled) {
+        cancel(task);
+      }
+      if (task.isPlaced()) {
+        review(task);
+      }
+    }
+  }
+
+  @Override
+  public void absent(String key) {
+    Set<Report> reports = unmatched.remove(key);
+    if (reports != null) {
+      reports.forEach(report -> ledger.of(report.worker()).record(report.ref()));
+    }
+  }
+
+  /** Takes the status of one attempt from a report or a reply of a worker. */
+  void apply(Worker worker, TaskStatus status) {
+    TaskRef ref = status.getTask();
+    WorkerLoad load = ledger.of(worker.name());
+    if (isOver(status)) {
+      load.over(ref);
+    }
+    Shard shard = shards.find(ref.getJob(), ref.getIndex());
+    if (shard == null || shard.indexedUnder == null) {
+      if (isOver(status) && !load.mayForget(ref)) {
+        lookUp(worker, ref);
+      }
+      return;
+    }
+    if (!shard.has(ref.getIndex())) {
+      return;
+    }
+    Task task = shard.task(ref.getIndex());
+    if (isPast(task.committed, ref)) {
+      settlePast(worker, load, status);
+    } else if (task.committed.getState() != TaskState.ASSIGNED
+        || task.committed.getAttempt() < ref.getAttempt()) {
+      shards.read(shard.key);
+    } else if (isAssignedTo(task.committed, worker) && task.isPlaced()) {
+      follow(worker, load, task, status);
+    }
+  }
+
+  private void settlePast(Worker worker, WorkerLoad load, TaskStatus status) {
+    if (isOver(status)) {
+      load.record(status.getTask());
+    } else {
+      runner.stop(worker, status.getTask());
+    }
+  }
+
+  private void follow(Worker worker, WorkerLoad load, Task task, TaskStatus status) {
+    if (!isOver(status)) {
+      task.confirmed = true;
+      load.unstarted.remove(task);
+      task.wanted = TaskChanges.withCheckpoint(task.wanted, status.getCheckpoint());
+      return;
+    }
+    TaskRecord next = next(task, status);
+    shards.change(task, next);
+    if (status.getPhase() == TaskPhase.TASK_DONE) {
+      quarantine.succeeded(worker.name(), task.shard.job);
+    } else if (status.getPhase() == TaskPhase.TASK_FAILED) {
+      quarantine.failed(worker.name(), task.shard.job);
+    }
+    roomChanged = true;
+  }
+
+  private static TaskRecord next(Task task, TaskStatus status) {
+    Job job = task.shard.indexedUnder;
+    boolean cancelled = job != null && job.isCancelled();
+    return switch (status.getPhase()) {
+      case TASK_DONE -> TaskChanges.done(task.wanted, status.getResult());
+      case TASK_FAILED ->
+          cancelled
+              ? TaskChanges.cancelled(task.wanted)
+              : TaskChanges.failed(task.wanted, status.getCheckpoint());
+      default ->
+          cancelled
+              ? TaskChanges.cancelled(task.wanted)
+              : TaskChanges.stopped(task.wanted, status.getCheckpoint());
+    };
+  }
+
+  /** Looks after a task that the row assigns to a worker owned here. */
+  private void review(Task task) {
+    Worker worker = workers.find(task.wanted.getWorker());
+    if (worker == null || !worker.isHeld(outbox.now()) || !isAssignedTo(task.wanted, worker)) {
+      return;
+    }
+    TaskStatus status = worker.tasks().get(task.ref());
+    if (status != null) {
+      apply(worker, status);
+    } else if (!task.confirmed) {
+      ledger.of(worker.name()).unstarted.add(task);
+    }
+  }
+
+  private void check(Worker worker, WorkerLoad load, Task task) {
+    if (!task.isPlaced()) {
+      return;
+    }
+    if (!isAssignedTo(task.wanted, worker)) {
+      if (load.reports() >= task.reportsBefore + SURE_REPORTS) {
+        shards.change(task, TaskChanges.lost(task.wanted));
+      }
+      return;
+    }
+    TaskRef ref = task.ref();
+    if (!worker.tasks().containsKey(ref)) {
+      task.confirmed &= load.mayRun(ref);
+      if (!task.confirmed) {
+        load.unstarted.add(task);
+      }
+    }
+  }
+
+  private void cancel(Task task) {
+    boolean unwritten =
+        task.state() == TaskState.ASSIGNED
+            && task.committed.getState() != TaskState.ASSIGNED
+            && !journal.isWriting(task.shard);
+    if (task.state() == TaskState.QUEUED || unwritten) {
+      shards.change(task, TaskChanges.cancelled(task.wanted));
+      return;
+    }
+    Worker worker = workers.find(task.wanted.getWorker());
+    boolean here = worker != null && worker.isHeld(outbox.now());
+    if (worker != null && here && task.isPlaced() && isAssignedTo(task.wanted, worker)) {
+      runner.stop(worker, task.ref());
+    }
+  }
+
+  private void stopAll(Worker worker) {
+    for (TaskStatus status : worker.tasks().values()) {
+      if (!isOver(status)) {
+        runner.stop(worker, status.getTask());
+      }
+    }
+  }
+
+  private void lookUp(Worker worker, TaskRef ref) {
+    String key = Rows.shardKey(settings.zone(), ref.getJob(), Rows.shardOf(ref.getIndex()));
+    unmatched.computeIfAbsent(key, missing -> new HashSet<>()).add(new Report(worker.name(), ref));
+    shards.read(key);
+  }
+
+  private static boolean isPast(TaskRecord row, TaskRef ref) {
+    return row.getAttempt() > ref.getAttempt()
+        || (row.getAttempt() == ref.getAttempt() && TaskChanges.isOver(row));
+  }
+
+  private static boolean isAssignedTo(TaskRecord task, Worker worker) {
+    return task.getWorker().equals(worker.name()) && task.getBoot().equals(worker.boot());
+  }
+
+  private static boolean isOver(TaskStatus status) {
+    return status.getPhase() != TaskPhase.TASK_RUNNING;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardClaims.java
@@ -0,0 +1,168 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.loop.Tables;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.proto.Row;
+import org.hemlockpick.proto.RowScan;
+import org.hemlockpick.proto.ShardRecord;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.proto.StoreStatus;
+import org.hemlockpick.util.Rendezvous;
+
+/**
+ * Finds the shards of this entry instance and takes over those whose holder is dead, replaced or
+ * leaving. Two entry instances that both think that they should hold a shard do no harm: the row
+ * names one of them.
+ */
+final class ShardClaims implements LoopSystem {
+  /** Interval between scans when the live entry instances stay the same, in milliseconds. */
+  private static final long SCAN_MILLIS = 60_000;
+
+  /** Interval between looks at the live entry instances, in milliseconds. */
+  private static final long LOOK_MILLIS = 500;
+
+  /** Wait before a scan without an answer is repeated, in milliseconds. */
+  private static final long RETRY_MILLIS = 1_000;
+
+  private static final int PAGE_ROWS = 200;
+
+  /** One holder as the rows name it. */
+  private record Holder(String name, long incarnation) {}
+
+  private final InstanceSettings settings;
+  private final Outbox outbox;
+  private final StoreCalls store;
+  private final PeerTable peers;
+  private final ShardTable shards;
+  private Set<Holder> live = Set.of();
+  private long startedAt = -1;
+  private long nextLook = Long.MIN_VALUE;
+  private long nextScan = Long.MIN_VALUE;
+  private boolean scanning;
+
+  ShardClaims(
+      InstanceSettings settings,
+      Outbox outbox,
+      StoreCalls store,
+      PeerTable peers,
+      ShardTable shards) {
+    this.settings = settings;
+    this.outbox = outbox;
+    this.store = store;
+    this.peers = peers;
+    this.shards = shards;
+  }
+
+  @Override
+  public void run(long now) {
+    if (startedAt < 0) {
+      startedAt = now;
+    }
+    if (now < nextLook || now - startedAt < settings.timing().startWait().toMillis()) {
+      return;
+    }
+    nextLook = now + LOOK_MILLIS;
+    Set<Holder> present = new HashSet<>(candidates(now));
+    if (!present.equals(live)) {
+      live = present;
+      nextScan = now;
+    }
+    if (!scanning && now >= nextScan) {
+      scanning = true;
+      nextScan = now + SCAN_MILLIS;
+      scan("");
+    }
+  }
+
+  /**
+   * Returns the names of the entry instances of the zone that may hold shards, this one included.
+   */
+  List<String> candidateNames(long now) {
+    return candidates(now).stream().map(Holder::name).toList();
+  }
+
+  /** Returns the incarnation under which a candidate would hold shards. */
+  long incarnationOf(String name) {
+    Peer peer = peers.find(name);
+    return peer == null ? outbox.incarnation() : peer.incarnation();
+  }
+
+  private List<Holder> candidates(long now) {
+    List<Holder> candidates = new ArrayList<>();
+    candidates.add(new Holder(settings.name(), outbox.incarnation()));
+    for (Peer peer : peers.aliveInZone(now)) {
+      if (peer.heartbeat().getReady() && !peer.heartbeat().getLeaving()) {
+        candidates.add(new Holder(peer.name(), peer.incarnation()));
+      }
+    }
+    return candidates;
+  }
+
+  private void scan(String after) {
+    RowScan scan =
+        RowScan.newBuilder()
+            .setTable(Tables.SHARDS)
+            .setPrefix(Rows.zonePrefix(settings.zone()))
+            .setAfter(after)
+            .setLimit(PAGE_ROWS)
+            .build();
+    long sentAt = outbox.now();
+    store.scan(scan, reply -> onPage(sentAt, reply));
+  }
+
+  private void onPage(long sentAt, StoreReply reply) {
+    if (reply.getStatus() != StoreStatus.STORE_OK) {
+      scanning = false;
+      nextScan = outbox.now() + RETRY_MILLIS;
+      return;
+    }
+    reply.getRowsList().forEach(row -> consider(row, sentAt));
+    if (reply.getRowsCount() < PAGE_ROWS) {
+      scanning = false;
+      return;
+    }
+    scan(reply.getRows(reply.getRowsCount() - 1).getKey());
+  }
+
+  private void consider(Row row, long sentAt) {
+    ShardRecord record = Rows.shard(row);
+    boolean own =
+        record.getHolder().equals(settings.name())
+            && record.getHolderIncarnation() == outbox.incarnation();
+    if (own || shards.find(row.getKey()) != null) {
+      shards.load(row, sentAt);
+    }
+    if (!own && isOrphan(record) && isChosen(row.getKey())) {
+      claim(row, sentAt);
+    }
+  }
+
+  private void claim(Row row, long sentAt) {
+    Shard shard = shards.load(row, sentAt);
+    if (shard != null && shard.version == row.getVersion() && !shards.isHeld(shard)) {
+      shards.claim(shard);
+    }
+  }
+
+  private boolean isOrphan(ShardRecord record) {
+    Peer peer = peers.find(record.getHolder());
+    return peer == null
+        || !peers.isAlive(peer, outbox.now())
+        || peer.incarnation() > record.getHolderIncarnation()
+        || peer.heartbeat().getLeaving();
+  }
+
+  private boolean isChosen(String key) {
+    List<String> names = candidateNames(outbox.now());
+    return Rendezvous.rank(key, names).get(0).equals(settings.name());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardTable.java
@@ -0,0 +1,374 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.loop.Tables;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.proto.Row;
+import org.hemlockpick.proto.ShardRecord;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.proto.StoreStatus;
+import org.hemlockpick.proto.TaskRecord;
+import org.hemlockpick.proto.TaskState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds the loaded shards and keeps the indexes of their tasks.
+ *
+ * <p>A shard is held when its row names this entry instance. Others are loaded for a while when the
+ * row has to follow a report of a worker that this entry instance owns.
+ */
+final class ShardTable {
+  /** How long a dropped shard is remembered; longer than any read of its row takes. */
+  private static final long DROPPED_MILLIS = 10_000;
+
+  private final InstanceSettings settings;
+  private final Outbox outbox;
+  private final StoreCalls store;
+  private final JobTable jobs;
+  private final WorkerLedger ledger;
+  private final TaskUnits units;
+  private final List<ShardListener> listeners = new ArrayList<>();
+  private final Map<String, Shard> shards = new LinkedHashMap<>();
+  private final Map<String, Long> dropped = new LinkedHashMap<>();
+  private final Set<String> loading = new LinkedHashSet<>();
+  private final Set<Shard> dirty = new LinkedHashSet<>();
+
+  ShardTable(
+      InstanceSettings settings,
+      Outbox outbox,
+      StoreCalls store,
+      JobTable jobs,
+      WorkerLedger ledger,
+      TaskUnits units) {
+    this.settings = settings;
+    this.outbox = outbox;
+    this.store = store;
+    this.jobs = jobs;
+    this.ledger = ledger;
+    this.units = units;
+  }
+
+  void addListener(ShardListener listener) {
+    listeners.add(listener);
+  }
+
+  @Nullable Shard find(String key) {
+    return shards.get(key);
+  }
+
+  @Nullable Shard find(String job, int index) {
+    return shards.get(Rows.shardKey(settings.zone(), job, Rows.shardOf(index)));
+  }
+
+  Collection<Shard> all() {
+    return new ArrayList<>(shards.values());
+  }
+
+  boolean isHeld(Shard shard) {
+    return shard.isHeldBy(settings.name(), outbox.incarnation());
+  }
+
+  int heldCount() {
+    return (int) shards.values().stream().filter(this::isHeld).count();
+  }
+
+  boolean isDirty(Shard shard) {
+    return dirty.contains(shard);
+  }
+
+  boolean hasDirty() {
+    return !dirty.isEmpty();
+  }
+
+  boolean hasDirtyHeld() {
+    return dirty.stream().anyMatch(this::isHeld);
+  }
+
+  /** Returns the shards to write next, oldest change first, and takes them off the list. */
+  List<Shard> takeDirty(int limit) {
+    List<Shard> taken = dirty.stream().limit(limit).toList();
+    taken.forEach(dirty::remove);
+    return taken;
+  }
+
+  void markDirty(Shard shard) {
+    if (shards.get(shard.key) == shard) {
+      dirty.add(shard);
+    }
+  }
+
+  /** Plans a change of a task; the row follows with the next group commit. */
+  void change(Task task, TaskRecord next) {
+    set(task, next);
+    markDirty(task.shard);
+  }
+
+  /** Plans to become the holder of a shard. */
+  void claim(Shard shard) {
+    shard.claimed = true;
+    markDirty(shard);
+  }
+
+  /**
+   * Takes a row that was read.
+   *
+   * @param sentAt time at which the read was sent, in milliseconds
+   * @return the loaded shard; null when the row is older than what is known to have followed it
+   */
+  @Nullable Shard load(Row row, long sentAt) {
+    Shard present = shards.get(row.getKey());
+    if (present != null) {
+      reload(present, row, sentAt);
+      return shards.get(row.getKey());
+    }
+    if (sentAt <= dropped.getOrDefault(row.getKey(), Long.MIN_VALUE)) {
+      return null;
+    }
+    Shard shard = new Shard(row.getKey(), Rows.shard(row), row.getVersion(), outbox.now());
+    shard.knownAt = sentAt;
+    shards.put(shard.key, shard);
+    findJob(shard);
+    return shard;
+  }
+
+  /** Reads the row of a shard again, or for the first time; drops it when the row is gone. */
+  void read(String key) {
+    if (!loading.add(key)) {
+      return;
+    }
+    long sentAt = outbox.now();
+    Shard present = shards.get(key);
+    long version = present == null ? 0 : present.version;
+    store.read(Tables.SHARDS, key, reply -> onRead(key, sentAt, version, reply));
+  }
+
+  /** Takes the present row of a loaded shard; plans that the row contradicts are given up. */
+  void reload(Shard shard, Row row, long sentAt) {
+    if (row.getVersion() < shard.version || shards.get(shard.key) != shard) {
+      return;
+    }
+    shard.knownAt = Math.max(shard.knownAt, sentAt);
+    if (row.getVersion() == shard.version) {
+      return;
+    }
+    ShardRecord record = Rows.shard(row);
+    boolean wasHeld = isHeld(shard);
+    shard.version = row.getVersion();
+    unindex(shard);
+    shard.holder = record.getHolder();
+    shard.holderIncarnation = record.getHolderIncarnation();
+    shard.claimed = false;
+    dirty.remove(shard);
+    for (int i = 0; i < shard.tasks.size(); i++) {
+      Task task = shard.tasks.get(i);
+      settle(task, record.getTasks(i));
+      set(task, record.getTasks(i));
+    }
+    if (wasHeld && !isHeld(shard)) {
+      outbox.event("shard-lost", shard.key, "held by " + shard.holder);
+      drop(shard);
+      return;
+    }
+    findJob(shard);
+  }
+
+  /** Notes that a commit wrote the row of a shard. */
+  void committed(Shard shard, ShardRecord record, long version, long sentAt) {
+    if (version < shard.version || shards.get(shard.key) != shard) {
+      return;
+    }
+    boolean wasHeld = isHeld(shard);
+    shard.version = version;
+    shard.knownAt = Math.max(shard.knownAt, sentAt);
+    shard.holder = record.getHolder();
+    shard.holderIncarnation = record.getHolderIncarnation();
+    for (int i = 0; i < shard.tasks.size(); i++) {
+      settle(shard.tasks.get(i), record.getTasks(i));
+    }
+    if (isHeld(shard)) {
+      shard.claimed = false;
+    }
+    if (isHeld(shard) && !wasHeld) {
+      unindex(shard);
+    }
+    findJob(shard);
+  }
+
+  /** Notes that a commit moved the row to the finished shards. */
+  void finished(Shard shard) {
+    shard.tasks.forEach(task -> settle(task, task.wanted));
+    drop(shard);
+  }
+
+  /** Forgets a shard. */
+  void drop(Shard shard) {
+    unindex(shard);
+    if (shards.get(shard.key) != shard) {
+      return;
+    }
+    shards.remove(shard.key);
+    dirty.remove(shard);
+    dropped.remove(shard.key);
+    dropped.put(shard.key, outbox.now());
+    Job job = jobs.find(shard.job);
+    if (job != null) {
+      jobs.release(job);
+    }
+  }
+
+  /** Tells the listeners of all loaded shards of a job that the job changed. */
+  void jobChanged(Job job) {
+    List.copyOf(job.shards.values()).forEach(this::tell);
+  }
+
+  /** Forgets old drops and asks again for jobs whose rows could not be read. */
+  void tidy(long now) {
+    dropped.values().removeIf(at -> now - at > DROPPED_MILLIS);
+    for (Shard shard : all()) {
+      if (shard.indexedUnder == null) {
+        findJob(shard);
+      }
+    }
+  }
+
+  private void onRead(String key, long sentAt, long versionAtRead, StoreReply reply) {
+    loading.remove(key);
+    if (reply.getStatus() != StoreStatus.STORE_OK) {
+      return;
+    }
+    Shard present = shards.get(key);
+    if (reply.getRowsCount() > 0) {
+      load(reply.getRows(0), sentAt);
+    } else if (present == null) {
+      listeners.forEach(listener -> listener.absent(key));
+    } else if (present.version == versionAtRead) {
+      dropAbsent(present);
+    }
+  }
+
+  /** The row is gone: every attempt in it is over and recorded. */
+  void dropAbsent(Shard shard) {
+    for (Task task : shard.tasks) {
+      if (task.committed.getState() == TaskState.ASSIGNED) {
+        ledger.of(task.committed.getWorker()).record(task.ref(task.committed.getAttempt()));
+      }
+    }
+    drop(shard);
+  }
+
+  private void findJob(Shard shard) {
+    if (shard.indexedUnder != null) {
+      tell(shard);
+      return;
+    }
+    jobs.with(shard.job, job -> indexUnder(shard, job));
+  }
+
+  private void indexUnder(Shard shard, @Nullable Job job) {
+    if (shards.get(shard.key) != shard || shard.indexedUnder != null) {
+      return;
+    }
+    if (job == null || shard.number >= job.record.getShards()) {
+      drop(shard);
+      listeners.forEach(listener -> listener.jobless(shard, job == null));
+      return;
+    }
+    shard.indexedUnder = job;
+    job.shards.put(shard.number, shard);
+    shard.tasks.forEach(task -> index(task, job));
+    tell(shard);
+  }
+
+  private void tell(Shard shard) {
+    for (ShardListener listener : listeners) {
+      if (shards.get(shard.key) == shard && shard.indexedUnder != null) {
+        listener.settled(shard);
+      }
+    }
+  }
+
+  /** Takes what the row says of a task; an attempt that is over there may be forgotten. */
+  private void settle(Task task, TaskRecord next) {
+    TaskRecord former = task.committed;
+    task.committed = next;
+    boolean same =
+        next.getState() == TaskState.ASSIGNED && next.getAttempt() == former.getAttempt();
+    if (former.getState() == TaskState.ASSIGNED && !same) {
+      ledger.of(former.getWorker()).record(task.ref(former.getAttempt()));
+    }
+  }
+
+  private void set(Task task, TaskRecord next) {
+    boolean sameAttempt =
+        next.getState() == TaskState.ASSIGNED && next.getAttempt() == task.wanted.getAttempt();
+    Job job = task.shard.indexedUnder;
+    if (job != null) {
+      unindex(task, job);
+    }
+    task.wanted = next;
+    if (!sameAttempt) {
+      task.confirmed = false;
+      task.refusals = 0;
+      task.nextStartAt = 0;
+    }
+    if (job != null) {
+      index(task, job);
+    }
+    if (task.counted && next.getState() != TaskState.ASSIGNED && job != null) {
+      release(task, job);
+    }
+  }
+
+  private void index(Task task, Job job) {
+    boolean held = isHeld(task.shard);
+    if (task.state() == TaskState.QUEUED && held) {
+      job.queued.put(task.wanted.getIndex(), task);
+    }
+    if (task.state() == TaskState.ASSIGNED) {
+      WorkerLoad load = ledger.of(task.wanted.getWorker());
+      load.assigned.add(task);
+      task.reportsBefore = load.reports();
+      if (held && !task.counted) {
+        task.counted = true;
+        units.take(job.customer());
+      }
+    }
+  }
+
+  private void unindex(Task task, Job job) {
+    job.queued.remove(task.wanted.getIndex(), task);
+    if (task.state() == TaskState.ASSIGNED) {
+      WorkerLoad load = ledger.of(task.wanted.getWorker());
+      load.assigned.remove(task);
+      load.unstarted.remove(task);
+    }
+  }
+
+  private void unindex(Shard shard) {
+    Job job = shard.indexedUnder;
+    if (job == null) {
+      return;
+    }
+    for (Task task : shard.tasks) {
+      unindex(task, job);
+      if (task.counted) {
+        release(task, job);
+      }
+    }
+    job.shards.remove(shard.number, shard);
+    shard.indexedUnder = null;
+  }
+
+  private void release(Task task, Job job) {
+    task.counted = false;
+    units.give(job.customer());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Submission.java
@@ -0,0 +1,273 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.loop.Tables;
+import org.hemlockpick.proto.JobRecord;
+import org.hemlockpick.proto.Row;
+import org.hemlockpick.proto.RowWrite;
+import org.hemlockpick.proto.ShardRecord;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.proto.Transaction;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Writes the rows of one submitted job.
+ *
+ * <p>The job exists from the moment that its own row does. A large job takes several transactions,
+ * the one with the job's row last: shards without it are ignored and swept. That last transaction
+ * also rewrites shard 0 at the version that this submission gave it, so it fails when the shards
+ * were swept or another submission under the same key has begun since.
+ */
+final class Submission {
+  /** Most shards written by one transaction. */
+  static final int STEP_SHARDS = 64;
+
+  /** How long the fate of a transaction is looked for, in milliseconds. */
+  private static final long LIMIT_MILLIS = 6_000;
+
+  /** Wait before a transaction without an answer is written again, in milliseconds. */
+  private static final long RETRY_MILLIS = 300;
+
+  /** Takes the result of a submission. */
+  interface Handler {
+    void over(Submission submission, ResultCode code, String detail);
+  }
+
+  private final long exchange;
+  private final JobRecord record;
+  private final List<ShardRecord> shards;
+  private final StoreCalls store;
+  private final Outbox outbox;
+  private final long limitAt;
+  private final Map<String, Long> versions = new HashMap<>();
+  private final Map<String, Long> written = new HashMap<>();
+  private Handler handler = (submission, code, detail) -> {};
+  private int step;
+  private @Nullable Transaction unanswered;
+  private long retryAt = Long.MAX_VALUE;
+  private boolean isNew = true;
+  private long sentAt;
+
+  Submission(
+      long exchange, JobRecord record, List<ShardRecord> shards, StoreCalls store, Outbox outbox) {
+    this.exchange = exchange;
+    this.record = record;
+    this.shards = shards;
+    this.store = store;
+    this.outbox = outbox;
+    limitAt = outbox.now() + LIMIT_MILLIS;
+  }
+
+  long exchange() {
+    return exchange;
+  }
+
+  JobRecord record() {
+    return record;
+  }
+
+  List<ShardRecord> shards() {
+    return shards;
+  }
+
+  /** Returns the row of a shard as it was written; empty when its version is not known. */
+  Optional<Row> row(ShardRecord shard) {
+    Long version = written.get(key(shard));
+    if (version == null) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        Row.newBuilder()
+            .setTable(Tables.SHARDS)
+            .setKey(key(shard))
+            .setVersion(version)
+            .setValue(shard.toByteString())
+            .build());
+  }
+
+  /** Returns when the last transaction was sent, in milliseconds. */
+  long sentAt() {
+    return sentAt;
+  }
+
+  /** Tells whether this submission wrote the job; false when an earlier one had. */
+  boolean isNew() {
+    return isNew;
+  }
+
+  void whenOver(Handler handler) {
+    this.handler = handler;
+  }
+
+  void begin() {
+    step = 0;
+    commit();
+  }
+
+  void end(ResultCode code) {
+    handler.over(this, code, code.text());
+  }
+
+  /** Writes a transaction without an answer again, unchanged. */
+  void run(long now) {
+    Transaction transaction = unanswered;
+    if (transaction == null || now < retryAt) {
+      return;
+    }
+    if (now >= limitAt) {
+      unanswered = null;
+      end(ResultCode.OUTCOME_UNKNOWN);
+      return;
+    }
+    send(transaction);
+  }
+
+  private int steps() {
+    return shards.size() <= STEP_SHARDS ? 1 : (shards.size() - 1) / STEP_SHARDS + 2;
+  }
+
+  private boolean isLastStep() {
+    return step == steps() - 1;
+  }
+
+  private void commit() {
+    Transaction.Builder transaction = Transaction.newBuilder();
+    if (isLastStep()) {
+      RowWrite.Builder job =
+          RowWrite.newBuilder()
+              .setTable(Tables.JOBS)
+              .setKey(record.getJob())
+              .setValue(record.toByteString());
+      transaction.addWrites(job);
+    }
+    stepShards().forEach(shard -> transaction.addWrites(write(shard)));
+    send(transaction.build());
+  }
+
+  private List<ShardRecord> stepShards() {
+    if (isLastStep() && step > 0) {
+      return shards.subList(0, 1);
+    }
+    int first = step * STEP_SHARDS;
+    return shards.subList(first, Math.min(first + STEP_SHARDS, shards.size()));
+  }
+
+  private RowWrite.Builder write(ShardRecord shard) {
+    String key = key(shard);
+    return RowWrite.newBuilder()
+        .setTable(Tables.SHARDS)
+        .setKey(key)
+        .setExpectedVersion(versions.getOrDefault(key, 0L))
+        .setValue(shard.toByteString());
+  }
+
+  private String key(ShardRecord shard) {
+    return Rows.shardKey(record.getZone(), shard.getJob(), shard.getShard());
+  }
+
+  private void send(Transaction transaction) {
+    unanswered = transaction;
+    sentAt = outbox.now();
+    retryAt = Long.MAX_VALUE;
+    store.commit(transaction, this::onReply);
+  }
+
+  private void onReply(StoreReply reply) {
+    switch (reply.getStatus()) {
+      case STORE_OK -> {
+        unanswered = null;
+        stepShards().forEach(shard -> wrote(key(shard), reply.getVersion()));
+        next();
+      }
+      case STORE_CONFLICT -> {
+        unanswered = null;
+        onConflict(reply.getRowsList());
+      }
+      default -> retryAt = outbox.now() + RETRY_MILLIS;
+    }
+  }
+
+  private void next() {
+    if (isLastStep()) {
+      end(ResultCode.DONE);
+      return;
+    }
+    step++;
+    commit();
+  }
+
+  private void onConflict(List<Row> rows) {
+    int own = 0;
+    JobRecord present = null;
+    for (Row row : rows) {
+      if (row.getTable().equals(Tables.SHARDS)) {
+        versions.put(row.getKey(), row.getVersion());
+        if (isOwn(row)) {
+          wrote(row.getKey(), row.getVersion());
+          own++;
+        }
+      } else if (row.getVersion() != 0) {
+        present = Rows.job(row);
+      }
+    }
+    if (present != null) {
+      compare(present);
+      return;
+    }
+    if (!isLastStep() && own == stepShards().size()) {
+      next();
+    } else {
+      restart();
+    }
+  }
+
+  private void wrote(String key, long version) {
+    versions.put(key, version);
+    written.put(key, version);
+  }
+
+  private boolean isOwn(Row row) {
+    return row.getVersion() != 0 && Rows.shard(row).getWriteId().equals(record.getWriteId());
+  }
+
+  /** Begins again with shard 0, unless another submission under the same key is complete. */
+  private void restart() {
+    if (outbox.now() >= limitAt) {
+      end(ResultCode.OUTCOME_UNKNOWN);
+      return;
+    }
+    store.read(Tables.JOBS, record.getJob(), this::onJobRead);
+  }
+
+  private void onJobRead(StoreReply reply) {
+    switch (reply.getStatus()) {
+      case STORE_OK -> {
+        if (reply.getRowsCount() > 0) {
+          compare(Rows.job(reply.getRows(0)));
+        } else {
+          begin();
+        }
+      }
+      default -> restart();
+    }
+  }
+
+  private void compare(JobRecord present) {
+    isNew = present.getWriteId().equals(record.getWriteId());
+    boolean same =
+        present.getCustomer().equals(record.getCustomer())
+            && present.getSpec().equals(record.getSpec())
+            && present.getPayload().equals(record.getPayload());
+    if (isNew || same) {
+      end(ResultCode.DONE);
+    } else {
+      handler.over(this, ResultCode.BAD_REQUEST, Messages.OTHER_SPEC);
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskChanges.java
@@ -0,0 +1,77 @@
+package org.hemlockpick.internal.batch;
+
+import com.google.protobuf.ByteString;
+import org.hemlockpick.proto.TaskRecord;
+import org.hemlockpick.proto.TaskState;
+
+/** Derives the next record of a task from the present one. */
+final class TaskChanges {
+  /** Different workers on which a task fails before it is parked. */
+  static final int PARK_WORKERS = 3;
+
+  /** Failures after which a task is parked. */
+  static final int PARK_FAILURES = 6;
+
+  private TaskChanges() {}
+
+  static TaskRecord queued(int index) {
+    return TaskRecord.newBuilder().setIndex(index).setState(TaskState.QUEUED).setAttempt(1).build();
+  }
+
+  static TaskRecord assigned(TaskRecord task, String worker, String boot) {
+    return task.toBuilder().setState(TaskState.ASSIGNED).setWorker(worker).setBoot(boot).build();
+  }
+
+  static TaskRecord done(TaskRecord task, ByteString result) {
+    return task.toBuilder().setState(TaskState.DONE).setResult(result).build();
+  }
+
+  static TaskRecord cancelled(TaskRecord task) {
+    return task.toBuilder().setState(TaskState.CANCELLED).build();
+  }
+
+  static TaskRecord stopped(TaskRecord task, String checkpoint) {
+    return requeued(withCheckpoint(task, checkpoint)).toBuilder()
+        .setEvictions(task.getEvictions() + 1)
+        .build();
+  }
+
+  /** The worker's start is over: the next attempt begins at the last known checkpoint. */
+  static TaskRecord lost(TaskRecord task) {
+    return requeued(task);
+  }
+
+  static TaskRecord failed(TaskRecord task, String checkpoint) {
+    TaskRecord.Builder failed =
+        withCheckpoint(task, checkpoint).toBuilder().setFailures(task.getFailures() + 1);
+    if (!task.getFailedOnList().contains(task.getWorker())) {
+      failed.addFailedOn(task.getWorker());
+    }
+    boolean parked =
+        failed.getFailedOnCount() >= PARK_WORKERS || failed.getFailures() >= PARK_FAILURES;
+    if (parked) {
+      return failed.setState(TaskState.PARKED).setReason(Messages.parked(failed)).build();
+    }
+    return requeued(failed.build());
+  }
+
+  static TaskRecord withCheckpoint(TaskRecord task, String checkpoint) {
+    return checkpoint.isEmpty() ? task : task.toBuilder().setCheckpoint(checkpoint).build();
+  }
+
+  static boolean isOver(TaskRecord task) {
+    return switch (task.getState()) {
+      case DONE, PARKED, CANCELLED -> true;
+      default -> false;
+    };
+  }
+
+  private static TaskRecord requeued(TaskRecord task) {
+    return task.toBuilder()
+        .setState(TaskState.QUEUED)
+        .setAttempt(task.getAttempt() + 1)
+        .clearWorker()
+        .clearBoot()
+        .build();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskOrder.java
@@ -0,0 +1,18 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.Collection;
+import org.jspecify.annotations.Nullable;
+
+/** Decides whose task is assigned next. */
+interface TaskOrder {
+
+  /**
+   * Chooses a job.
+   *
+   * @param waiting jobs that have queued tasks
+   * @param shares running tasks and limits of the customers
+   * @param now time in milliseconds on the loop's clock
+   * @return the job whose first queued task is next; null when there are no jobs
+   */
+  @Nullable Job next(Collection<Job> waiting, TaskUnits shares, long now);
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskQuota.java
@@ -0,0 +1,11 @@
+package org.hemlockpick.internal.batch;
+
+/** Grants the units that running tasks of a customer occupy. */
+public interface TaskQuota {
+
+  /** Takes one unit; returns false when the customer has none left here. */
+  boolean tryTake(String customer);
+
+  /** Gives one unit back. */
+  void give(String customer);
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskUnits.java
@@ -0,0 +1,66 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.hemlockpick.contract.Contract;
+import org.hemlockpick.internal.contract.ContractTable;
+
+/**
+ * Counts the units that the tasks of each customer occupy here. Tasks that were taken over run
+ * without asking; while their units are not all granted, the customer starts no further tasks.
+ */
+final class TaskUnits {
+  private final TaskQuota quota;
+  private final ContractTable contracts;
+  private final Map<String, Integer> used = new HashMap<>();
+  private final Map<String, Integer> owed = new HashMap<>();
+
+  TaskUnits(TaskQuota quota, ContractTable contracts) {
+    this.quota = quota;
+    this.contracts = contracts;
+  }
+
+  /** Takes a unit for a new assignment; returns false when the customer has to wait. */
+  boolean tryTake(String customer) {
+    payOwed(customer);
+    if (owed.containsKey(customer) || !quota.tryTake(customer)) {
+      return false;
+    }
+    used.merge(customer, 1, Integer::sum);
+    return true;
+  }
+
+  /** Counts a task that is assigned already, whether there is a unit for it or not. */
+  void take(String customer) {
+    used.merge(customer, 1, Integer::sum);
+    if (!quota.tryTake(customer)) {
+      owed.merge(customer, 1, Integer::sum);
+    }
+  }
+
+  void give(String customer) {
+    lower(used, customer);
+    if (owed.containsKey(customer)) {
+      lower(owed, customer);
+    } else {
+      quota.give(customer);
+    }
+  }
+
+  /** Returns the part of its limit that the customer uses here; above 1 when it has no limit. */
+  double usedShare(String customer) {
+    Contract contract = contracts.find(customer);
+    int limit = contract == null ? 0 : contract.batch().tasks();
+    return (1 + used.getOrDefault(customer, 0)) / Math.max(limit, 0.5);
+  }
+
+  private void payOwed(String customer) {
+    while (owed.containsKey(customer) && quota.tryTake(customer)) {
+      lower(owed, customer);
+    }
+  }
+
+  private static void lower(Map<String, Integer> counts, String customer) {
+    counts.computeIfPresent(customer, (key, count) -> count == 1 ? null : count - 1);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/WorkerLedger.java
@@ -0,0 +1,32 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hemlockpick.internal.ownership.Worker;
+
+/** Holds the load of every worker that tasks are assigned to or that reported. */
+final class WorkerLedger {
+  private final Map<String, WorkerLoad> loads = new HashMap<>();
+
+  WorkerLoad of(String worker) {
+    return loads.computeIfAbsent(worker, WorkerLoad::new);
+  }
+
+  List<WorkerLoad> all() {
+    return new ArrayList<>(loads.values());
+  }
+
+  /** Returns the resources that nothing uses at a worker. */
+  Amounts free(Worker worker) {
+    return Amounts.of(worker.capacity()).minus(of(worker.name()).used());
+  }
+
+  void forget(String worker) {
+    WorkerLoad load = loads.get(worker);
+    if (load != null && load.assigned.isEmpty()) {
+      loads.remove(worker);
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/WorkerLoad.java
@@ -0,0 +1,162 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.hemlockpick.internal.ownership.Worker;
+import org.hemlockpick.proto.TaskPhase;
+import org.hemlockpick.proto.TaskRef;
+import org.hemlockpick.proto.TaskStatus;
+
+/** Holds what may run at one worker, counting all that is not proved to be over. */
+final class WorkerLoad {
+  final String worker;
+
+  /** Tasks of loaded shards that are assigned to the worker or are to be. */
+  final Set<Task> assigned = new LinkedHashSet<>();
+
+  /** Tasks that the row assigns and the worker has not confirmed, in order of assignment. */
+  final Set<Task> unstarted = new LinkedHashSet<>();
+
+  /** Attempts to stop with the time of the last call, in milliseconds. */
+  final Map<TaskRef, Long> stops = new LinkedHashMap<>();
+
+  private final Map<TaskRef, Amounts> running = new HashMap<>();
+  private final Map<TaskRef, Amounts> sent = new HashMap<>();
+  private final Map<TaskRef, Integer> openCopies = new HashMap<>();
+  private final Set<TaskRef> recorded = new HashSet<>();
+  private long reports;
+  private long grantedAt;
+  private long unknownSince = -1;
+
+  WorkerLoad(String worker) {
+    this.worker = worker;
+  }
+
+  long reports() {
+    return reports;
+  }
+
+  /** Returns when the present lease was granted; what was read earlier may be outdated. */
+  long grantedAt() {
+    return grantedAt;
+  }
+
+  /** Begins a new lease: calls under the former epoch have no effect any more. */
+  void granted(long now) {
+    grantedAt = now;
+    forgetCalls();
+  }
+
+  /** Forgets what ran when this entry instance lost the lease. */
+  void lost() {
+    running.clear();
+  }
+
+  /** Forgets the former start of the worker and all that ran in it. */
+  void restarted() {
+    forgetCalls();
+    running.clear();
+    stops.clear();
+    recorded.clear();
+  }
+
+  /** Takes the newest report of the worker. */
+  void take(Worker reported) {
+    reports++;
+    running.clear();
+    for (TaskStatus status : reported.tasks().values()) {
+      sent.remove(status.getTask());
+      if (status.getPhase() == TaskPhase.TASK_RUNNING) {
+        running.put(status.getTask(), Amounts.of(status.getResources()));
+      } else {
+        stops.remove(status.getTask());
+      }
+    }
+    recorded.retainAll(reported.tasks().keySet());
+  }
+
+  /** Notes a start call; the attempt counts as running until the worker shows otherwise. */
+  void beginStart(TaskRef ref, Amounts need) {
+    sent.put(ref, need);
+    openCopies.merge(ref, 1, Integer::sum);
+  }
+
+  /** Notes that a start call had its whole effect or none. */
+  void endStart(TaskRef ref) {
+    openCopies.computeIfPresent(ref, (key, copies) -> copies == 1 ? null : copies - 1);
+  }
+
+  /** Notes that the worker refused an attempt; copies of the call may still be under way. */
+  void refused(TaskRef ref) {
+    if (!openCopies.containsKey(ref)) {
+      sent.remove(ref);
+    }
+  }
+
+  /** Notes that an attempt is over although no report has shown it yet. */
+  void over(TaskRef ref) {
+    sent.remove(ref);
+    running.remove(ref);
+    stops.remove(ref);
+  }
+
+  void record(TaskRef ref) {
+    recorded.add(ref);
+  }
+
+  /**
+   * Tells whether the worker may forget an attempt. While a copy of its start call may be under
+   * way, the worker has to remember that the attempt is over, or the copy would start it anew.
+   */
+  boolean mayForget(TaskRef ref) {
+    return recorded.contains(ref) && !openCopies.containsKey(ref);
+  }
+
+  boolean mayRun(TaskRef ref) {
+    return running.containsKey(ref) || sent.containsKey(ref);
+  }
+
+  /** Returns what may be in use at the worker now. */
+  Amounts used() {
+    Map<TaskRef, Amounts> all = new HashMap<>(running);
+    all.putAll(sent);
+    return all.values().stream().reduce(Amounts.NONE, Amounts::plus);
+  }
+
+  /** Returns what is in use now or assigned and waits for room. */
+  Amounts planned() {
+    Amounts planned = used();
+    for (Task task : assigned) {
+      Job job = task.shard.indexedUnder;
+      if (job != null && !mayRun(task.ref())) {
+        planned = planned.plus(job.need());
+      }
+    }
+    return planned;
+  }
+
+  int runningTasks() {
+    return running.size();
+  }
+
+  /** Returns since when the table of workers has not shown this worker. */
+  long unknownSince(long now) {
+    if (unknownSince < 0) {
+      unknownSince = now;
+    }
+    return unknownSince;
+  }
+
+  void known() {
+    unknownSince = -1;
+  }
+
+  private void forgetCalls() {
+    sent.clear();
+    openCopies.clear();
+  }
+}
