--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchWorld.java
@@ -12,6 +12,7 @@
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.hemlockpick.contract.BatchTerms;
 import org.hemlockpick.contract.Contract;
 import org.hemlockpick.errors.ResultCode;
@@ -264,7 +265,20 @@
   }
 
   private String state() {
-    return "rows " + rows() + ", starts " + log.starts();
+    StringBuilder text = new StringBuilder("starts " + log.starts());
+    for (ShardRecord shard : shardRows()) {
+      text.append("; shard ").append(shard.getShard());
+      text.append(" of ").append(shard.getHolder()).append('/');
+      text.append(shard.getHolderIncarnation());
+      Map<String, Long> counts =
+          shard.getTasksList().stream()
+              .collect(
+                  Collectors.groupingBy(
+                      task -> task.getState() + " " + task.getBoot() + " n" + task.getAttempt(),
+                      Collectors.counting()));
+      text.append(' ').append(counts);
+    }
+    return text.toString();
   }
 
   private void give(String instance, Input input) {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeInstance.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeInstance.java
@@ -103,7 +103,11 @@
   }
 
   private Heartbeat heartbeat(boolean withinZone) {
-    Heartbeat.Builder heartbeat = Heartbeat.newBuilder().setReady(true).setLeaving(leaving);
+    Heartbeat.Builder heartbeat =
+        Heartbeat.newBuilder()
+            .setReady(true)
+            .setLeaving(leaving)
+            .setFreeBatchCpuMillis(batch.freeCpuMillis(outbox.now()));
     if (withinZone) {
       heartbeat.addAllWorkers(ownership.owned(outbox.now()));
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Assigner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Assigner.java
@@ -70,6 +70,11 @@
     }
   }
 
+  /** Tells whether a task with these needs could start at once at a worker owned here. */
+  boolean hasRoom(Amounts need, long now) {
+    return rooms(now).stream().anyMatch(room -> room.fitsNow(need));
+  }
+
   private void assign(List<Job> waiting, List<Room> rooms, long now) {
     while (!rooms.isEmpty()) {
       Job job = order.next(waiting, units, now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/BatchModule.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/BatchModule.java
@@ -44,6 +44,7 @@
   private final ReportReader reports;
   private final Assigner assigner;
   private final Relays relays;
+  private final ShardHandover handover;
   private final JobIntake intake;
   private final JobCancels cancels;
   private final JobViews views;
@@ -75,7 +76,7 @@
     jobs = new JobTable(store);
     shards = new ShardTable(settings, outbox, store, jobs, ledger, units);
     journal = new ShardJournal(settings, outbox, store, shards, writeIds);
-    claims = new ShardClaims(settings, outbox, store, peers, shards);
+    claims = new ShardClaims(settings, outbox, store, peers, workers, shards);
     quarantine = new Quarantine(outbox);
     runner = new TaskRunner(outbox, settings.timing(), calls, workers, ledger, shards);
     reports =
@@ -91,6 +92,7 @@
             new UrgentFairOrder(),
             new MostFreePlacement());
     relays = new Relays(settings, outbox, peers, workers, ledger, shards, journal, runner, reports);
+    handover = new ShardHandover(peers, shards, jobs, assigner);
     intake =
         new JobIntake(
             settings, outbox, store, blobs, workers, jobs, shards, claims, writeIds, callers);
@@ -145,6 +147,7 @@
       assigner.wake();
     }
     assigner.run(now);
+    handover.run(now);
     journal.run(now);
     runner.run(now);
     relays.run(now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/JobIntake.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/JobIntake.java
@@ -23,7 +23,6 @@
 import org.hemlockpick.proto.PeerMessage;
 import org.hemlockpick.proto.ShardHint;
 import org.hemlockpick.proto.ShardRecord;
-import org.hemlockpick.util.Rendezvous;
 import org.jspecify.annotations.Nullable;
 
 /** Takes submissions: checks them, writes their rows and hands their shards out. */
@@ -191,16 +190,17 @@
   }
 
   private List<ShardRecord> shardRecords(JobRecord job) {
-    List<String> holders = Rendezvous.rank(job.getJob(), claims.candidateNames(outbox.now()));
+    List<Holder> holders = claims.holdersOfNewShards(outbox.now());
+    int offset = Math.floorMod(job.getJob().hashCode(), holders.size());
     List<ShardRecord> records = new ArrayList<>();
     for (int number = 0; number < job.getShards(); number++) {
-      String holder = holders.get(number % holders.size());
+      Holder holder = holders.get((offset + number) % holders.size());
       ShardRecord.Builder record =
           ShardRecord.newBuilder()
               .setJob(job.getJob())
               .setShard(number)
-              .setHolder(holder)
-              .setHolderIncarnation(claims.incarnationOf(holder))
+              .setHolder(holder.name())
+              .setHolderIncarnation(holder.incarnation())
               .setWriteId(job.getWriteId());
       int first = number * Rows.SHARD_TASKS;
       int end = Math.min(first + Rows.SHARD_TASKS, job.getSpec().getTaskCount());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Shard.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Shard.java
@@ -22,6 +22,9 @@
   /** Whether this entry instance is to become the holder with the next commit. */
   boolean claimed;
 
+  /** Who is to become the holder with the next commit; null when the shard stays. */
+  @Nullable Holder handedTo;
+
   /** The job, once it is known and the tasks are indexed under it; only of held shards. */
   @Nullable Job indexedUnder;
 
@@ -47,7 +50,9 @@
   }
 
   boolean isChanged() {
-    return claimed || tasks.stream().anyMatch(task -> !task.wanted.equals(task.committed));
+    return claimed
+        || handedTo != null
+        || tasks.stream().anyMatch(task -> !task.wanted.equals(task.committed));
   }
 
   boolean isFinished() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardClaims.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardClaims.java
@@ -10,6 +10,7 @@
 import org.hemlockpick.internal.loop.Tables;
 import org.hemlockpick.internal.membership.Peer;
 import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.internal.ownership.WorkerTable;
 import org.hemlockpick.lib.InstanceSettings;
 import org.hemlockpick.proto.Row;
 import org.hemlockpick.proto.RowScan;
@@ -35,13 +36,11 @@
 
   private static final int PAGE_ROWS = 200;
 
-  /** One holder as the rows name it. */
-  private record Holder(String name, long incarnation) {}
-
   private final InstanceSettings settings;
   private final Outbox outbox;
   private final StoreCalls store;
   private final PeerTable peers;
+  private final WorkerTable workers;
   private final ShardTable shards;
   private Set<Holder> live = Set.of();
   private long startedAt = -1;
@@ -54,11 +53,13 @@
       Outbox outbox,
       StoreCalls store,
       PeerTable peers,
+      WorkerTable workers,
       ShardTable shards) {
     this.settings = settings;
     this.outbox = outbox;
     this.store = store;
     this.peers = peers;
+    this.workers = workers;
     this.shards = shards;
   }
 
@@ -83,17 +84,16 @@
     }
   }
 
-  /**
-   * Returns the names of the entry instances of the zone that may hold shards, this one included.
-   */
-  List<String> candidateNames(long now) {
-    return candidates(now).stream().map(Holder::name).toList();
+  /** Returns who may get the shards of a new job: those that own workers, if any do. */
+  List<Holder> holdersOfNewShards(long now) {
+    List<Holder> all = candidates(now);
+    List<Holder> working = all.stream().filter(holder -> ownsWorkers(holder, now)).toList();
+    return working.isEmpty() ? all : working;
   }
 
-  /** Returns the incarnation under which a candidate would hold shards. */
-  long incarnationOf(String name) {
-    Peer peer = peers.find(name);
-    return peer == null ? outbox.incarnation() : peer.incarnation();
+  private boolean ownsWorkers(Holder holder, long now) {
+    Peer peer = peers.find(holder.name());
+    return peer == null ? !workers.held(now).isEmpty() : peer.heartbeat().getWorkersCount() > 0;
   }
 
   private List<Holder> candidates(long now) {
@@ -162,7 +162,7 @@
   }
 
   private boolean isChosen(String key) {
-    List<String> names = candidateNames(outbox.now());
+    List<String> names = candidates(outbox.now()).stream().map(Holder::name).toList();
     return Rendezvous.rank(key, names).get(0).equals(settings.name());
   }
 }
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardHandover.java
@@ -0,0 +1,65 @@
+package org.hemlockpick.internal.batch;
+
+import java.util.Comparator;
+import java.util.Optional;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.proto.TaskState;
+
+/**
+ * Hands shards whose tasks find no room at the workers owned here to a peer of the zone that has
+ * room. A holder assigns only to workers that it owns, and it may own few or none.
+ */
+final class ShardHandover implements LoopSystem {
+  /** Interval between handovers, each of one shard, in milliseconds. */
+  private static final long HANDOVER_MILLIS = 1_000;
+
+  /** Most queued tasks that a peer needs room for before it gets a shard. */
+  private static final int MOST_TASKS = 16;
+
+  private final PeerTable peers;
+  private final ShardTable shards;
+  private final JobTable jobs;
+  private final Assigner assigner;
+  private long nextRun = Long.MIN_VALUE;
+
+  ShardHandover(PeerTable peers, ShardTable shards, JobTable jobs, Assigner assigner) {
+    this.peers = peers;
+    this.shards = shards;
+    this.jobs = jobs;
+    this.assigner = assigner;
+  }
+
+  @Override
+  public void run(long now) {
+    if (now < nextRun) {
+      return;
+    }
+    nextRun = now + HANDOVER_MILLIS;
+    Optional<Peer> freest =
+        peers.aliveInZone(now).stream()
+            .filter(peer -> peer.heartbeat().getReady() && !peer.heartbeat().getLeaving())
+            .max(Comparator.comparingInt(peer -> peer.heartbeat().getFreeBatchCpuMillis()));
+    freest.ifPresent(peer -> handOver(peer, now));
+  }
+
+  private void handOver(Peer peer, long now) {
+    long free = peer.heartbeat().getFreeBatchCpuMillis();
+    for (Job job : jobs.all()) {
+      if (job.queued.isEmpty() || job.isCancelled()) {
+        continue;
+      }
+      Shard last = job.queued.lastEntry().getValue().shard;
+      long wanted = job.need().cpuMillis() * Math.min(MOST_TASKS, queued(last));
+      if (free >= wanted && !assigner.hasRoom(job.need(), now)) {
+        shards.handOver(last, new Holder(peer.name(), peer.incarnation()));
+        return;
+      }
+    }
+  }
+
+  private static long queued(Shard shard) {
+    return shard.tasks.stream().filter(task -> task.state() == TaskState.QUEUED).count();
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardJournal.java
@@ -100,9 +100,17 @@
   }
 
   private Entry entry(Shard shard) {
-    String holder = shard.claimed ? settings.name() : shard.holder;
-    long incarnation = shard.claimed ? outbox.incarnation() : shard.holderIncarnation;
-    return new Entry(shard, shard.wanted(holder, incarnation, writeIds.next()), shard.isFinished());
+    Holder holder = holder(shard);
+    ShardRecord record = shard.wanted(holder.name(), holder.incarnation(), writeIds.next());
+    return new Entry(shard, record, shard.isFinished());
+  }
+
+  private Holder holder(Shard shard) {
+    if (shard.claimed) {
+      return new Holder(settings.name(), outbox.incarnation());
+    }
+    Holder next = shard.handedTo;
+    return next == null ? new Holder(shard.holder, shard.holderIncarnation) : next;
   }
 
   private static void addWrites(Transaction.Builder transaction, Entry entry) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardTable.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardTable.java
@@ -11,7 +11,9 @@
 import org.hemlockpick.internal.loop.StoreCalls;
 import org.hemlockpick.internal.loop.Tables;
 import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.proto.PeerMessage;
 import org.hemlockpick.proto.Row;
+import org.hemlockpick.proto.ShardHint;
 import org.hemlockpick.proto.ShardRecord;
 import org.hemlockpick.proto.StoreReply;
 import org.hemlockpick.proto.StoreStatus;
@@ -117,6 +119,16 @@
     markDirty(shard);
   }
 
+  /** Plans to give a held shard to a peer; none of its tasks is assigned any more. */
+  void handOver(Shard shard, Holder peer) {
+    Job job = shard.indexedUnder;
+    if (job != null) {
+      shard.handedTo = peer;
+      shard.tasks.forEach(task -> job.queued.remove(task.wanted.getIndex(), task));
+      markDirty(shard);
+    }
+  }
+
   /**
    * Takes a row that was read.
    *
@@ -166,6 +178,7 @@
     shard.holder = record.getHolder();
     shard.holderIncarnation = record.getHolderIncarnation();
     shard.claimed = false;
+    shard.handedTo = null;
     dirty.remove(shard);
     for (int i = 0; i < shard.tasks.size(); i++) {
       Task task = shard.tasks.get(i);
@@ -195,6 +208,9 @@
     }
     if (isHeld(shard)) {
       shard.claimed = false;
+    } else if (wasHeld) {
+      handedOver(shard);
+      return;
     }
     if (isHeld(shard) && !wasHeld) {
       unindex(shard);
@@ -202,6 +218,13 @@
     findJob(shard);
   }
 
+  private void handedOver(Shard shard) {
+    outbox.event("shard-handed-over", shard.key, "to " + shard.holder);
+    ShardHint.Builder hint = ShardHint.newBuilder().setJob(shard.job).setShard(shard.number);
+    outbox.send(shard.holder, PeerMessage.newBuilder().setShardHint(hint));
+    drop(shard);
+  }
+
   /** Notes that a commit moved the row to the finished shards. */
   void finished(Shard shard) {
     shard.tasks.forEach(task -> settle(task, task.wanted));
@@ -329,7 +352,7 @@
 
   private void index(Task task, Job job) {
     boolean held = isHeld(task.shard);
-    if (task.state() == TaskState.QUEUED && held) {
+    if (task.state() == TaskState.QUEUED && held && task.shard.handedTo == null) {
       job.queued.put(task.wanted.getIndex(), task);
     }
     if (task.state() == TaskState.ASSIGNED) {
