--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Assigner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Assigner.java
@@ -70,6 +70,11 @@
     }
   }
 
+  /** Tells whether any worker owned here takes new tasks. */
+  boolean hasWorkers(long now) {
+    return !rooms(now).isEmpty();
+  }
+
   /** Tells whether a task with these needs could start at once at a worker owned here. */
   boolean hasRoom(Amounts need, long now) {
     return rooms(now).stream().anyMatch(room -> room.fitsNow(need));
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardHandover.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardHandover.java
@@ -15,7 +15,10 @@
   /** Interval between handovers, each of one shard, in milliseconds. */
   private static final long HANDOVER_MILLIS = 1_000;
 
-  /** Most queued tasks that a peer needs room for before it gets a shard. */
+  /**
+   * Most queued tasks that a peer needs room for before it gets a shard from a holder that has
+   * workers too. A little free room is no reason to move a shard: it comes and goes all the time.
+   */
   private static final int MOST_TASKS = 16;
 
   private final PeerTable peers;
@@ -51,7 +54,8 @@
         continue;
       }
       Shard last = job.queued.lastEntry().getValue().shard;
-      long wanted = job.need().cpuMillis() * Math.min(MOST_TASKS, queued(last));
+      long tasks = assigner.hasWorkers(now) ? Math.min(MOST_TASKS, queued(last)) : 1;
+      long wanted = tasks * job.need().cpuMillis();
       if (free >= wanted && !assigner.hasRoom(job.need(), now)) {
         shards.handOver(last, new Holder(peer.name(), peer.incarnation()));
         return;
