--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchFailureTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchFailureTest.java
@@ -103,6 +103,25 @@
     assertEquals(200, world.log.starts());
   }
 
+  @Test
+  void anOwnerThatComesBackDoesNotStartAgainWhatAnotherRecorded() {
+    BatchWorld world = new BatchWorld(2, 1, 4_000);
+    world.worker("w1").runMillis = 5_000;
+    String job = world.submit(BatchWorld.spec(4, 1_000));
+    world.until("all running", 20_000, () -> world.runningTasks() == 4);
+    FakeInstance former = world.owner("w1");
+    former.paused = true;
+    world.until("recorded by the other", 60_000, () -> world.shardRows().isEmpty());
+    world.until("forgotten", 5_000, () -> world.worker("w1").model().tasks().isEmpty());
+    world.kill(world.owner("w1").name);
+    world.run(5_000);
+    former.paused = false;
+    world.run(20_000);
+    assertEquals("w1", former.ownership.owned(world.now()).get(0).getWorker());
+    assertEquals(4, world.log.starts());
+    assertEquals(4, world.query(job).getDone());
+  }
+
   @Test
   void aStopThatTwoOwnersRecordResumesOnceWithItsCheckpoint() {
     BatchWorld world = new BatchWorld(3, 1, 4_000);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchJobTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchJobTest.java
@@ -5,8 +5,10 @@
 
 import com.google.protobuf.ByteString;
 import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.loop.Tables;
 import org.hemlockpick.proto.JobSpec;
 import org.hemlockpick.proto.JobView;
+import org.hemlockpick.proto.StoreCall;
 import org.hemlockpick.proto.TaskPhase;
 import org.junit.jupiter.api.Test;
 
@@ -150,6 +152,44 @@
     assertEquals(6 * 40 + tried, world.log.starts());
   }
 
+  @Test
+  void noMoreTasksRunThanTheCustomerHasUnits() {
+    BatchWorld world = new BatchWorld(1, 2, 4_000);
+    FakeQuota quota = world.instance("e1").quota;
+    quota.limit(3);
+    String job = world.submit(BatchWorld.spec(10, 1_000));
+    world.until("three running", 20_000, () -> world.runningTasks() == 3);
+    while (!world.shardRows().isEmpty()) {
+      world.step();
+      assertTrue(world.runningTasks() <= 3);
+    }
+    world.untilState(job, "finished", 1_000);
+    assertEquals(3, quota.free());
+  }
+
+  @Test
+  void shardsOfABrokenOffSubmissionAreSweptAndItsLastWriteComesToNothing() {
+    BatchWorld world = new BatchWorld(1, 1, 4_000);
+    world.store.lateCalls = BatchJobTest::writesJob;
+    JobSpec spec = BatchWorld.spec(64 * 64 + 1, 1_000);
+    long exchange = world.submitting("e1", BatchWorld.CUSTOMER, "broken", spec);
+    assertEquals(ResultCode.OUTCOME_UNKNOWN, world.code(exchange));
+    assertEquals(65, world.shardRows().size());
+    world.run(1_500_000);
+    assertEquals(0, world.shardRows().size());
+    world.store.lateCalls = call -> false;
+    world.store.applyLate();
+    assertEquals(0, world.shardRows().size());
+    long again = world.submitting("e1", BatchWorld.CUSTOMER, "broken", spec);
+    assertEquals(ResultCode.DONE, world.code(again));
+    assertEquals(65, world.shardRows().size());
+  }
+
+  private static boolean writesJob(StoreCall call) {
+    return call.getTransaction().getWritesList().stream()
+        .anyMatch(write -> write.getTable().equals(Tables.JOBS));
+  }
+
   @Test
   void aTaskStartCostsLessThanHalfATransaction() {
     BatchWorld world = new BatchWorld(3, 40, 8_000);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeQuota.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeQuota.java
@@ -8,6 +8,10 @@
     this.free = free;
   }
 
+  void limit(int units) {
+    free = units;
+  }
+
   int free() {
     return free;
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeWorker.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeWorker.java
@@ -95,6 +95,7 @@
             .setCallId(call.getCallId())
             .setWorker(name)
             .setFate(CallFate.ANSWERED);
+    List<TaskRef> known = model.tasks().stream().map(TaskStatus::getTask).toList();
     switch (call.getBodyCase()) {
       case LEASE -> reply.setLease(model.lease(call.getLease()));
       case TASK_START -> reply.setTask(model.start(noted(call.getTaskStart())));
@@ -102,7 +103,7 @@
       default -> throw new IllegalArgumentException("unexpected call " + call.getBodyCase());
     }
     if (call.hasTaskStart()) {
-      noteRuns();
+      noteRun(call.getTaskStart().getTask(), known);
     }
     return lostReplies.test(call) ? Optional.empty() : Optional.of(reply.build());
   }
@@ -112,11 +113,10 @@
     return start;
   }
 
-  private void noteRuns() {
-    for (TaskRef ref : running()) {
-      if (startedAt.putIfAbsent(ref, clock.millis()) == null) {
-        log.started(name + "/" + starts, ref);
-      }
+  private void noteRun(TaskRef ref, List<TaskRef> known) {
+    if (!known.contains(ref) && running().contains(ref)) {
+      startedAt.put(ref, clock.millis());
+      log.started(name + "/" + starts, ref);
     }
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/WorkerLoad.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/WorkerLoad.java
@@ -10,6 +10,7 @@
 import org.hemlockpick.proto.TaskPhase;
 import org.hemlockpick.proto.TaskRef;
 import org.hemlockpick.proto.TaskStatus;
+import org.jspecify.annotations.Nullable;
 
 /** Holds what may run at one worker, counting all that is not proved to be over. */
 final class WorkerLoad {
@@ -28,6 +29,7 @@
   private final Map<TaskRef, Amounts> sent = new HashMap<>();
   private final Map<TaskRef, Integer> openCopies = new HashMap<>();
   private final Set<TaskRef> recorded = new HashSet<>();
+  private @Nullable Amounts used;
   private long reports;
   private long grantedAt;
   private long unknownSince = -1;
@@ -53,12 +55,14 @@
 
   /** Forgets what ran when this entry instance lost the lease. */
   void lost() {
+    used = null;
     running.clear();
   }
 
   /** Forgets the former start of the worker and all that ran in it. */
   void restarted() {
     forgetCalls();
+    used = null;
     running.clear();
     stops.clear();
     recorded.clear();
@@ -66,6 +70,7 @@
 
   /** Takes the newest report of the worker. */
   void take(Worker reported) {
+    used = null;
     reports++;
     running.clear();
     for (TaskStatus status : reported.tasks().values()) {
@@ -81,6 +86,7 @@
 
   /** Notes a start call; the attempt counts as running until the worker shows otherwise. */
   void beginStart(TaskRef ref, Amounts need) {
+    used = null;
     sent.put(ref, need);
     openCopies.merge(ref, 1, Integer::sum);
   }
@@ -94,11 +100,13 @@
   void refused(TaskRef ref) {
     if (!openCopies.containsKey(ref)) {
       sent.remove(ref);
+      used = null;
     }
   }
 
   /** Notes that an attempt is over although no report has shown it yet. */
   void over(TaskRef ref) {
+    used = null;
     sent.remove(ref);
     running.remove(ref);
     stops.remove(ref);
@@ -122,9 +130,14 @@
 
   /** Returns what may be in use at the worker now. */
   Amounts used() {
-    Map<TaskRef, Amounts> all = new HashMap<>(running);
-    all.putAll(sent);
-    return all.values().stream().reduce(Amounts.NONE, Amounts::plus);
+    Amounts known = used;
+    if (known == null) {
+      Map<TaskRef, Amounts> all = new HashMap<>(running);
+      all.putAll(sent);
+      known = all.values().stream().reduce(Amounts.NONE, Amounts::plus);
+      used = known;
+    }
+    return known;
   }
 
   /** Returns what is in use now or assigned and waits for room. */
@@ -156,6 +169,7 @@
   }
 
   private void forgetCalls() {
+    used = null;
     sent.clear();
     openCopies.clear();
   }
