Wire the entry instance and fuzz it against an oracle

EntryInstance runs the systems in one order. Two zones of three entry instances and three workers each run in virtual time under random faults: deaths, pauses, restarts, planned stops, cuts, a store that is down, slow or loses answers, silent connections, lost, late and repeated messages. The oracle sees only callers and workers.

Not shown by the fuzz: the incarnation in a forward, and the epoch and the lapse of a lease one at a time, since each covers for the other.

--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/fakes/package-info.java
@@ -0,0 +1,5 @@
+/** Hand-written fakes at the interfaces of the library, in virtual time. */
+@NullMarked
+package org.hemlockpick.fakes;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
@@ -0,0 +1,167 @@
+package org.hemlockpick.world;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hemlockpick.proto.CallerRequest;
+import org.hemlockpick.proto.ContractApply;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.JobCancel;
+import org.hemlockpick.proto.JobSpec;
+import org.hemlockpick.proto.JobSubmit;
+
+/**
+ * Sends requests, jobs and contracts to the entry instances, and repeats requests as callers do.
+ */
+final class Callers {
+  static final String KEY_DIGEST = "0".repeat(64);
+  private static final int TIMEOUT_MILLIS = 1_500;
+  private static final long RETRY_MILLIS = 400;
+  private static final int MAX_REPEATS = 6;
+
+  private final World world;
+  private final List<String> jobs = new ArrayList<>();
+  private final Set<Long> jobExchanges = new HashSet<>();
+  private long lastExchange;
+  private long lastKey;
+  private boolean loading = true;
+
+  Callers(World world) {
+    this.world = world;
+  }
+
+  /** Returns the submission keys of all jobs. */
+  List<String> jobs() {
+    return jobs;
+  }
+
+  boolean isJobExchange(long exchange) {
+    return jobExchanges.contains(exchange);
+  }
+
+  long newExchange() {
+    return ++lastExchange;
+  }
+
+  /** Keeps a steady load going until {@link #stop}. */
+  void run(long intervalMillis) {
+    if (!loading) {
+      return;
+    }
+    request();
+    world.time.after(
+        1 + world.conditions.random.nextInt((int) (2 * intervalMillis)), () -> run(intervalMillis));
+  }
+
+  void stop() {
+    loading = false;
+  }
+
+  /** Sends one request to some entry instance that says it is ready. */
+  void request() {
+    boolean idempotent = world.conditions.chance(0.5);
+    String key = (idempotent ? "i" : "n") + ++lastKey;
+    send(key, idempotent, 0);
+  }
+
+  /** Sends many requests at once. */
+  void burst(int count) {
+    for (int i = 0; i < count; i++) {
+      request();
+    }
+  }
+
+  /** Applies a contract text at one entry instance. */
+  long apply(EntryNode node, String customer, String text, long baseRevision) {
+    long exchange = newExchange();
+    ContractApply.Builder apply =
+        ContractApply.newBuilder()
+            .setExchange(exchange)
+            .setOperator("operator")
+            .setCustomer(customer)
+            .setBaseRevision(baseRevision)
+            .setText(text);
+    world.input(node, Input.newBuilder().setContractApply(apply));
+    return exchange;
+  }
+
+  /** Submits a job of some tasks. */
+  void submit(EntryNode node, int tasks) {
+    String key = "job" + ++lastKey;
+    jobs.add(key);
+    long exchange = newExchange();
+    jobExchanges.add(exchange);
+    submitAgain(node, key, tasks, exchange);
+  }
+
+  private void submitAgain(EntryNode node, String key, int tasks, long exchange) {
+    JobSpec.Builder spec =
+        JobSpec.newBuilder()
+            .setName(key)
+            .setTaskCount(tasks)
+            .setKind("rib-spacing")
+            .setCpuMillis(1_000)
+            .setMemoryMb(500)
+            .setDeclaredRunMillis(2_000);
+    JobSubmit.Builder submit =
+        JobSubmit.newBuilder()
+            .setExchange(exchange)
+            .setCustomer("orikiri")
+            .setKeyDigest(KEY_DIGEST)
+            .setSubmissionKey(key)
+            .setSpec(spec);
+    world.input(node, Input.newBuilder().setJobSubmit(submit));
+  }
+
+  /** Cancels a job by its id. */
+  void cancel(EntryNode node, String job) {
+    JobCancel.Builder cancel =
+        JobCancel.newBuilder()
+            .setExchange(newExchange())
+            .setCustomer("orikiri")
+            .setKeyDigest(KEY_DIGEST)
+            .setJob(job);
+    world.input(node, Input.newBuilder().setJobCancel(cancel));
+  }
+
+  private void send(String key, boolean idempotent, int repeats) {
+    List<EntryNode> ready = world.entries.values().stream().filter(EntryNode::isReady).toList();
+    if (ready.isEmpty()) {
+      return;
+    }
+    EntryNode node = ready.get(world.conditions.random.nextInt(ready.size()));
+    long exchange = newExchange();
+    String body = key + "#" + exchange;
+    long deadline = world.time.millis() + TIMEOUT_MILLIS;
+    world.oracle.asked(new Oracle.Exchange(exchange, node.name, key, body, idempotent, deadline));
+    CallerRequest.Builder request =
+        CallerRequest.newBuilder()
+            .setExchange(exchange)
+            .setCustomer("lanternhall")
+            .setKeyDigest(KEY_DIGEST)
+            .setService("litepay")
+            .setIdempotent(idempotent)
+            .setIdempotencyKey(idempotent ? "" : key)
+            .setTimeoutMillis(TIMEOUT_MILLIS)
+            .setBody(ByteString.copyFromUtf8(body));
+    world.input(node, Input.newBuilder().setCallerRequest(request));
+    if (!idempotent && repeats < MAX_REPEATS) {
+      repeatLater(exchange, key, repeats);
+    }
+  }
+
+  /** A caller that is not told "done" asks again under the same key, perhaps before its answer. */
+  private void repeatLater(long exchange, String key, int repeats) {
+    long wait = world.conditions.chance(0.2) ? RETRY_MILLIS : TIMEOUT_MILLIS + RETRY_MILLIS;
+    world.time.after(
+        wait,
+        () -> {
+          Oracle.Exchange asked = world.oracle.exchange(exchange);
+          if (asked != null && asked.code != 0) {
+            send(key, false, repeats + 1);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/ConnectionTest.java
@@ -0,0 +1,28 @@
+package org.hemlockpick.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Shows that silent connections to workers are found and replaced. */
+class ConnectionTest {
+  /** Longest time until a silent connection is replaced: a renewal, its time limit, a doubt. */
+  private static final long REPLACEMENT_BOUND_MILLIS = 4_000;
+
+  @Test
+  void silentConnectionIsReplacedAndNothingRunsTwice() {
+    Scenario scenario = Scenario.underLoad(21);
+    World world = scenario.world;
+    WorkerNode worker = world.worker("worker0-0");
+    String holder = world.holders(worker.name).get(0);
+    worker.silentFor.addAll(world.entries.keySet());
+
+    long took = world.await(() -> !worker.silentFor.contains(holder), 60_000);
+
+    assertTrue(took <= REPLACEMENT_BOUND_MILLIS, "the replacement took " + took + " ms");
+    assertEquals(List.of(holder), world.holders(worker.name));
+    assertEquals(List.of(), scenario.finish());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Oracle.java
@@ -0,0 +1,219 @@
+package org.hemlockpick.world;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.RequestCall;
+import org.hemlockpick.proto.TaskRef;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows what happens at callers and workers and notes every breach of what must always hold.
+ * Knows nothing of how the entry instances decide.
+ */
+final class Oracle {
+  /** Number ranges of result codes that promise that the work did not run. */
+  private static boolean promisesNotRun(int code) {
+    return code >= 100 && code < 200;
+  }
+
+  private final List<String> breaches = new ArrayList<>();
+  private final Map<String, Integer> runs = new HashMap<>();
+  private final Map<Long, Exchange> exchanges = new HashMap<>();
+  private final Map<String, String> taskPlaces = new HashMap<>();
+  private final Map<String, String> attemptPlaces = new HashMap<>();
+  private final Map<String, String> stoppedAt = new HashMap<>();
+  private final Map<String, String> finishedAt = new HashMap<>();
+  private final Set<String> recordedTasks = new HashSet<>();
+  int answered;
+  int done;
+  int notRun;
+  int unknown;
+  int taskStarts;
+  int resumes;
+
+  /** What a caller asked for and what it was told. */
+  static final class Exchange {
+    final long id;
+    final String node;
+    final String key;
+    final String body;
+    final boolean idempotent;
+    final long deadline;
+    int answers;
+    int code = -1;
+    boolean nodeDied;
+
+    Exchange(long id, String node, String key, String body, boolean idempotent, long deadline) {
+      this.id = id;
+      this.node = node;
+      this.key = key;
+      this.body = body;
+      this.idempotent = idempotent;
+      this.deadline = deadline;
+    }
+  }
+
+  void asked(Exchange exchange) {
+    exchanges.put(exchange.id, exchange);
+  }
+
+  @Nullable Exchange exchange(long id) {
+    return exchanges.get(id);
+  }
+
+  void nodeDied(String node) {
+    for (Exchange exchange : exchanges.values()) {
+      if (exchange.node.equals(node) && exchange.answers == 0) {
+        exchange.nodeDied = true;
+      }
+    }
+  }
+
+  void answered(CallerAnswer answer) {
+    Exchange exchange = exchanges.get(answer.getExchange());
+    if (exchange == null) {
+      return;
+    }
+    exchange.answers++;
+    exchange.code = answer.getCode();
+    answered++;
+    if (exchange.answers > 1) {
+      breach("exchange " + exchange.id + " was answered twice");
+    }
+    if (answer.getCode() == 0) {
+      done++;
+      checkBody(exchange, answer.getBody().toStringUtf8());
+    } else if (promisesNotRun(answer.getCode())) {
+      notRun++;
+    } else {
+      unknown++;
+    }
+  }
+
+  /** A request call reached a worker under a current lease. */
+  void offered(String worker, int running, int slots) {
+    if (running >= slots) {
+      breach(worker + " was given a request while all " + slots + " slots were taken");
+    }
+  }
+
+  /** A request began to run. */
+  void ran(String worker, RequestCall call) {
+    String body = call.getBody().toStringUtf8();
+    int count = runs.merge(body, 1, Integer::sum);
+    boolean idempotent = body.startsWith("i");
+    String key = body.substring(0, body.indexOf('#'));
+    int keyCount = idempotent ? 1 : runs.merge("key " + key, 1, Integer::sum);
+    if (!idempotent && (count > 1 || keyCount > 1)) {
+      breach("non-idempotent " + body + " ran again at " + worker);
+    }
+  }
+
+  /** A task began to run at a worker's present start. */
+  void taskStarted(String place, TaskRef task, String checkpoint) {
+    String id = task.getJob() + "/" + task.getIndex();
+    String attempt = id + "@" + task.getAttempt();
+    taskStarts++;
+    String elsewhere = taskPlaces.put(id, place);
+    if (elsewhere != null) {
+      breach("task " + attempt + " started at " + place + " while running at " + elsewhere);
+    }
+    String before = attemptPlaces.putIfAbsent(attempt, place);
+    if (before != null) {
+      breach("attempt " + attempt + " started at " + place + " after " + before);
+    }
+    if (finishedAt.containsKey(id)) {
+      breach("task " + attempt + " started at " + place + " after it had finished");
+    }
+    String expected = stoppedAt.remove(id);
+    if (expected != null) {
+      resumes++;
+      if (!expected.equals(checkpoint)) {
+        breach("task " + attempt + " resumed from '" + checkpoint + "', not '" + expected + "'");
+      }
+    }
+  }
+
+  void taskStopped(TaskRef task, String checkpoint) {
+    String id = task.getJob() + "/" + task.getIndex();
+    taskPlaces.remove(id);
+    stoppedAt.put(id, checkpoint);
+  }
+
+  void taskEnded(String place, TaskRef task, boolean finished) {
+    String id = task.getJob() + "/" + task.getIndex();
+    taskPlaces.remove(id);
+    if (finished) {
+      finishedAt.put(id, place);
+    }
+  }
+
+  /** A worker was told that the end of a task is recorded. */
+  void taskRecorded(TaskRef task) {
+    recordedTasks.add(task.getJob() + "/" + task.getIndex());
+  }
+
+  /** A worker died: nothing runs there any more, and unrecorded results are lost with it. */
+  void placeDied(String place) {
+    taskPlaces.values().removeIf(place::equals);
+    finishedAt
+        .entrySet()
+        .removeIf(e -> e.getValue().equals(place) && !recordedTasks.contains(e.getKey()));
+  }
+
+  /** New work was sent to a worker that has been listed as leaving for some time. */
+  void sentToLeaving(String worker, long sinceMillis, long boundMillis) {
+    if (sinceMillis > boundMillis) {
+      breach("work was sent to " + worker + " " + sinceMillis + " ms after it was leaving");
+    }
+  }
+
+  void overdue(long now, long graceMillis) {
+    for (Exchange exchange : exchanges.values()) {
+      boolean late = now > exchange.deadline + graceMillis;
+      if (exchange.answers == 0 && !exchange.nodeDied && late) {
+        exchange.nodeDied = true;
+        breach("exchange " + exchange.id + " at " + exchange.node + " has no answer in time");
+      }
+    }
+  }
+
+  /** Checks at the end that what was said not to have run did not run. */
+  void checkNotRun() {
+    for (Exchange exchange : exchanges.values()) {
+      if (promisesNotRun(exchange.code) && runs.containsKey(exchange.body)) {
+        breach("exchange " + exchange.id + " ran although code " + exchange.code + " says not");
+      }
+    }
+  }
+
+  void versionWentBack(String node, long from, long to) {
+    breach(node + " went back from configuration " + from + " to " + to);
+  }
+
+  void breach(String text) {
+    breaches.add(text);
+  }
+
+  Collection<Exchange> exchanges() {
+    return exchanges.values();
+  }
+
+  List<String> breaches() {
+    return breaches;
+  }
+
+  private void checkBody(Exchange exchange, String body) {
+    String expected = exchange.idempotent ? "echo " + exchange.body : "echo " + exchange.key + "#";
+    boolean right = exchange.idempotent ? body.equals(expected) : body.startsWith(expected);
+    if (!right) {
+      breach("exchange " + exchange.id + " got the answer '" + body + "'");
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Scenario.java
@@ -0,0 +1,192 @@
+package org.hemlockpick.world;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockpick.proto.CallerAnswer;
+
+/** Carries out a list of steps on a world, heals it, and collects the breaches. */
+final class Scenario {
+  static final int ZONES = 2;
+  static final int ENTRIES_PER_ZONE = 3;
+  static final int WORKERS_PER_ZONE = 3;
+  private static final long SETTLE_MILLIS = 12_000;
+  private static final long LOAD_START_MILLIS = 2_000;
+  private static final long HEAL_MILLIS = 40_000;
+  private static final long ANSWER_GRACE_MILLIS = 400;
+  private static final long LOAD_INTERVAL_MILLIS = 25;
+  private static final int BURST_REQUESTS = 60;
+  private static final int CONTRACT_CHANGES = 3;
+
+  final World world;
+  final Callers callers;
+  private final List<Long> applies = new ArrayList<>();
+
+  Scenario(long seed) {
+    world = new World(seed, ZONES, ENTRIES_PER_ZONE, WORKERS_PER_ZONE);
+    callers = new Callers(world);
+  }
+
+  /** Runs the steps and returns the breaches that the oracle saw. */
+  List<String> run(List<Step> steps) {
+    settle();
+    callers.run(LOAD_INTERVAL_MILLIS);
+    for (Step step : steps) {
+      carryOut(step);
+      world.time.runFor(step.waitMillis());
+      world.oracle.overdue(liveTime(), ANSWER_GRACE_MILLIS);
+    }
+    heal();
+    world.time.runFor(HEAL_MILLIS);
+    return finish();
+  }
+
+  /** Starts the world with contracts in force and, from then on, a steady load. */
+  static Scenario underLoad(long seed) {
+    Scenario scenario = new Scenario(seed);
+    scenario.settle();
+    scenario.callers.run(LOAD_INTERVAL_MILLIS);
+    scenario.world.time.runFor(LOAD_START_MILLIS);
+    return scenario;
+  }
+
+  /** Ends the load, lets everything be answered and returns the breaches. */
+  List<String> finish() {
+    callers.stop();
+    world.time.runFor(SETTLE_MILLIS);
+    world.oracle.overdue(world.time.millis(), ANSWER_GRACE_MILLIS);
+    world.oracle.checkNotRun();
+    for (String shard : world.openShards()) {
+      world.oracle.breach("shard " + shard + " is not finished");
+    }
+    return world.oracle.breaches();
+  }
+
+  /** Starts the world and puts the contracts into force. */
+  void settle() {
+    world.time.runFor(3_000);
+    EntryNode first = entry(0);
+    applies.add(callers.apply(first, "lanternhall", Contracts.lanternhall(0), 0));
+    applies.add(callers.apply(first, "orikiri", Contracts.orikiri(), 0));
+    world.time.runFor(SETTLE_MILLIS);
+    for (long exchange : applies) {
+      if (codeOf(exchange) != 0) {
+        world.oracle.breach("a first contract was not accepted: " + codeOf(exchange));
+      }
+    }
+  }
+
+  private long liveTime() {
+    boolean anyPaused = world.entries.values().stream().anyMatch(node -> node.paused);
+    return anyPaused ? 0 : world.time.millis();
+  }
+
+  private int codeOf(long exchange) {
+    return world.otherAnswers().stream()
+        .filter(answer -> answer.getExchange() == exchange)
+        .mapToInt(CallerAnswer::getCode)
+        .findFirst()
+        .orElse(-1);
+  }
+
+  private EntryNode entry(int index) {
+    List<EntryNode> nodes = List.copyOf(world.entries.values());
+    return nodes.get(Math.floorMod(index, nodes.size()));
+  }
+
+  private WorkerNode worker(int index) {
+    List<WorkerNode> nodes = List.copyOf(world.workers.values());
+    return nodes.get(Math.floorMod(index, nodes.size()));
+  }
+
+  private void carryOut(Step step) {
+    Conditions conditions = world.conditions;
+    EntryNode entry = entry(step.index());
+    WorkerNode worker = worker(step.index());
+    switch (step.kind()) {
+      case KILL_ENTRY -> entry.kill();
+      case RESTART_ENTRY -> entry.restart();
+      case PAUSE_ENTRY -> entry.paused = true;
+      case RESUME_ENTRY -> entry.paused = false;
+      case STOP_ENTRY -> entry.stop();
+      case KILL_WORKER -> worker.kill();
+      case RESTART_WORKER -> worker.restart();
+      case REPLACE_WORKER -> replace(worker);
+      case WORKER_LEAVES -> leave(worker);
+      case SILENCE_CONNECTIONS -> worker.silentFor.addAll(world.entries.keySet());
+      case WORKER_FAILS -> worker.failsEverything = true;
+      case WORKER_MENDS -> worker.failsEverything = false;
+      case STORE_DOWN -> conditions.storeDown = true;
+      case STORE_SLOW -> conditions.storeSlow = true;
+      case STORE_LOSES_ANSWERS -> conditions.storeLosesAnswers = true;
+      case STORE_WORKS -> storeWorks();
+      case CUT_ZONE -> conditions.cutZones.add("zone" + step.index() % ZONES);
+      case CUT_FROM_PLATFORM -> conditions.cutFromPlatform.add("zone" + step.index() % ZONES);
+      case JOIN_ZONES -> joinZones();
+      case LOSE_PEER_MESSAGES -> conditions.lossyPeers = true;
+      case LOSE_WORKER_MESSAGES -> conditions.lossyWorkers = true;
+      case NETWORK_WORKS -> networkWorks();
+      case BURST -> callers.burst(BURST_REQUESTS);
+      case SUBMIT_JOB -> callers.submit(entry, 3 + step.index() % 40);
+      case CANCEL_JOBS -> callers.jobs().forEach(job -> callers.cancel(entry, job));
+      case OPERATORS_RACE -> race(step.index());
+      case WAIT -> {
+        // Only time passes.
+      }
+    }
+  }
+
+  private void replace(WorkerNode worker) {
+    worker.kill();
+    worker.listed = false;
+  }
+
+  private void leave(WorkerNode worker) {
+    if (worker.leavingSince < 0) {
+      worker.leavingSince = world.time.millis();
+    }
+  }
+
+  private void storeWorks() {
+    world.conditions.storeDown = false;
+    world.conditions.storeSlow = false;
+    world.conditions.storeLosesAnswers = false;
+  }
+
+  private void joinZones() {
+    world.conditions.cutZones.clear();
+    world.conditions.cutFromPlatform.clear();
+  }
+
+  private void networkWorks() {
+    world.conditions.lossyPeers = false;
+    world.conditions.lossyWorkers = false;
+  }
+
+  private void race(int index) {
+    for (int i = 0; i < CONTRACT_CHANGES; i++) {
+      EntryNode node = entry(index + i);
+      long revision = node.instance().status().getConfigVersion();
+      callers.apply(node, "lanternhall", Contracts.lanternhall(index + i), revision);
+    }
+  }
+
+  private void heal() {
+    world.conditions.heal();
+    for (EntryNode node : world.entries.values()) {
+      node.paused = false;
+      if (node.dead || node.stopping) {
+        node.restart();
+      }
+    }
+    for (WorkerNode node : world.workers.values()) {
+      node.silentFor.clear();
+      node.failsEverything = false;
+      if (node.dead) {
+        node.restart();
+      }
+      node.listed = true;
+      node.leavingSince = -1;
+      node.toldAt.clear();
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
@@ -0,0 +1,307 @@
+package org.hemlockpick.world;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import org.hemlockpick.fakes.VirtualTime;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.lib.Seat;
+import org.hemlockpick.lib.Timing;
+import org.hemlockpick.proto.BlobCall;
+import org.hemlockpick.proto.BlobReply;
+import org.hemlockpick.proto.CallFate;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.Event;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.InstanceList;
+import org.hemlockpick.proto.InstanceRole;
+import org.hemlockpick.proto.ListedInstance;
+import org.hemlockpick.proto.Output;
+import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.proto.Row;
+import org.hemlockpick.proto.RowScan;
+import org.hemlockpick.proto.StoreCall;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.proto.WorkerCall;
+import org.hemlockpick.proto.WorkerReply;
+import org.hemlockpick.standin.TableModel;
+
+/**
+ * Connects entry instances, workers and a platform in virtual time. Messages can be late, lost,
+ * repeated and out of order; processes can die, pause and restart; paths can be cut.
+ */
+final class World {
+  private static final long START_MILLIS = 1_000_000;
+  private static final long LIST_INTERVAL_MILLIS = 1_000;
+  private static final long LIST_LAG_MILLIS = 2_000;
+  private static final int EVENTS_KEPT = 400;
+
+  /** Time after the list showed a leaving worker to an entry instance until its last new work. */
+  static final long LEAVING_BOUND_MILLIS = 1_000;
+
+  final VirtualTime time = new VirtualTime(START_MILLIS);
+  final Conditions conditions;
+  final Oracle oracle = new Oracle();
+  final Map<String, EntryNode> entries = new LinkedHashMap<>();
+  final Map<String, WorkerNode> workers = new LinkedHashMap<>();
+  final TableModel table = new TableModel();
+  private final Map<String, ByteString> objects = new HashMap<>();
+  private final Deque<Event> events = new ArrayDeque<>();
+  private final List<CallerAnswer> operatorAnswers = new ArrayList<>();
+
+  World(long seed, int zones, int entriesPerZone, int workersPerZone) {
+    conditions = new Conditions(seed);
+    List<Seat> roster = new ArrayList<>();
+    for (int z = 0; z < zones; z++) {
+      for (int i = 0; i < entriesPerZone; i++) {
+        roster.add(new Seat("zone" + z + "-" + i, "zone" + z));
+      }
+      for (int w = 0; w < workersPerZone; w++) {
+        String name = "worker" + z + "-" + w;
+        workers.put(name, new WorkerNode(name, "zone" + z, time, conditions, oracle));
+      }
+    }
+    for (Seat seat : roster) {
+      InstanceSettings settings =
+          new InstanceSettings(seat.name(), seat.zone(), roster, Timing.standard());
+      entries.put(seat.name(), new EntryNode(settings, time, conditions, oracle, this::carryOut));
+    }
+    sendLists();
+  }
+
+  /** Returns the newest time line events, oldest first. */
+  List<String> newestEvents() {
+    List<String> lines = new ArrayList<>();
+    for (Event event : events) {
+      lines.add(
+          event.getInstance()
+              + " "
+              + event.getAtMillis()
+              + " "
+              + event.getKind()
+              + " "
+              + event.getSubject()
+              + " "
+              + event.getDetail());
+    }
+    return lines;
+  }
+
+  /**
+   * Returns the answers to exchanges that the oracle does not know: those of operators and jobs.
+   */
+  List<CallerAnswer> otherAnswers() {
+    return operatorAnswers;
+  }
+
+  EntryNode entry(String name) {
+    return Objects.requireNonNull(entries.get(name));
+  }
+
+  WorkerNode worker(String name) {
+    return Objects.requireNonNull(workers.get(name));
+  }
+
+  /** Returns the names of the entry instances that run and hold the lease of a worker. */
+  List<String> holders(String worker) {
+    return entries.values().stream()
+        .filter(node -> !node.dead && node.holds(worker))
+        .map(node -> node.name)
+        .toList();
+  }
+
+  /** Returns the keys of the shards in the table service that have unfinished tasks. */
+  List<String> openShards() {
+    RowScan scan = RowScan.newBuilder().setTable("shards").setLimit(1_000).build();
+    return table.handle(StoreCall.newBuilder().setScan(scan).build()).getRowsList().stream()
+        .map(Row::getKey)
+        .toList();
+  }
+
+  /** Lets time pass until a condition holds and returns how long that took, in milliseconds. */
+  long await(BooleanSupplier condition, long limitMillis) {
+    long start = time.millis();
+    while (!condition.getAsBoolean() && time.millis() - start < limitMillis) {
+      time.runFor(10);
+    }
+    return time.millis() - start;
+  }
+
+  void input(EntryNode node, Input.Builder input) {
+    node.receive(input.build(), node.starts());
+  }
+
+  private void carryOut(EntryNode node, Output output) {
+    switch (output.getBodyCase()) {
+      case WORKER_CALL -> callWorker(node, output.getWorkerCall());
+      case STORE_CALL -> callStore(node, output.getStoreCall());
+      case BLOB_CALL -> callObjects(node, output.getBlobCall());
+      case PEER_MESSAGE -> sendToPeer(node, output.getPeerMessage());
+      case CALLER_ANSWER -> onAnswer(output.getCallerAnswer());
+      case WORKER_RESET -> worker(output.getWorkerReset().getWorker()).silentFor.remove(node.name);
+      case EVENT -> keep(output.getEvent());
+      case STOPPED, BODY_NOT_SET -> {
+        // The node shows that it has stopped.
+      }
+    }
+  }
+
+  private void onAnswer(CallerAnswer answer) {
+    if (oracle.exchange(answer.getExchange()) == null) {
+      operatorAnswers.add(answer);
+    } else {
+      oracle.answered(answer);
+    }
+  }
+
+  private void keep(Event event) {
+    events.addLast(event);
+    if (events.size() > EVENTS_KEPT) {
+      events.removeFirst();
+    }
+  }
+
+  private void callWorker(EntryNode node, WorkerCall call) {
+    WorkerNode worker = worker(call.getWorker());
+    if (call.getFreshConnection()) {
+      worker.silentFor.remove(node.name);
+    }
+    noteLeaving(node, worker, call);
+    int start = node.starts();
+    if (worker.dead && conditions.chance(0.5)) {
+      WorkerReply refused =
+          WorkerReply.newBuilder()
+              .setCallId(call.getCallId())
+              .setWorker(worker.name)
+              .setFate(CallFate.NOT_SENT)
+              .build();
+      deliver(node, start, 1, Input.newBuilder().setWorkerReply(refused));
+      return;
+    }
+    boolean silent = worker.silentFor.contains(node.name);
+    if (silent || conditions.losesWorkerMessage()) {
+      return;
+    }
+    time.after(
+        conditions.workerDelay(),
+        () -> worker.handle(call, reply -> answer(node, start, worker, reply)));
+    if (conditions.repeatsMessage()) {
+      time.after(200 + conditions.workerDelay(), () -> worker.handle(call, reply -> {}));
+    }
+  }
+
+  private void answer(EntryNode node, int start, WorkerNode worker, WorkerReply reply) {
+    if (worker.silentFor.contains(node.name) || conditions.losesWorkerMessage()) {
+      return;
+    }
+    deliver(node, start, conditions.workerDelay(), Input.newBuilder().setWorkerReply(reply));
+  }
+
+  private void noteLeaving(EntryNode node, WorkerNode worker, WorkerCall call) {
+    boolean newWork = call.hasRequest() || call.hasTaskStart();
+    Long toldAt = worker.toldAt.get(node.name);
+    if (newWork && toldAt != null) {
+      oracle.sentToLeaving(worker.name, time.millis() - toldAt, LEAVING_BOUND_MILLIS);
+    }
+  }
+
+  private void callStore(EntryNode node, StoreCall call) {
+    int start = node.starts();
+    if (conditions.storeDown || !conditions.reachesPlatform(node.zone)) {
+      return;
+    }
+    time.after(
+        conditions.storeDelay(),
+        () -> {
+          StoreReply reply = table.handle(call);
+          boolean lost = conditions.storeLosesAnswers && conditions.chance(0.5);
+          if (!lost && conditions.reachesPlatform(node.zone)) {
+            deliver(node, start, conditions.storeDelay(), Input.newBuilder().setStoreReply(reply));
+          }
+        });
+  }
+
+  private void callObjects(EntryNode node, BlobCall call) {
+    int start = node.starts();
+    if (conditions.storeDown || !conditions.reachesPlatform(node.zone)) {
+      return;
+    }
+    BlobReply.Builder reply = BlobReply.newBuilder().setCallId(call.getCallId()).setOk(true);
+    if (call.hasPut()) {
+      objects.put(call.getPut().getKey(), call.getPut().getValue());
+    } else {
+      ByteString value = objects.get(call.getGet().getKey());
+      reply.setFound(value != null).setValue(value == null ? ByteString.EMPTY : value);
+    }
+    deliver(node, start, conditions.storeDelay(), Input.newBuilder().setBlobReply(reply));
+  }
+
+  private void sendToPeer(EntryNode node, PeerMessage message) {
+    EntryNode peer = entries.get(message.getTo());
+    if (peer == null
+        || !conditions.reaches(node.zone, peer.zone)
+        || conditions.losesPeerMessage()) {
+      return;
+    }
+    int copies = conditions.repeatsMessage() ? 2 : 1;
+    for (int i = 0; i < copies; i++) {
+      time.after(
+          conditions.peerDelay(node.zone, peer.zone),
+          () ->
+              peer.receive(
+                  Input.newBuilder().setClock(message.getClock()).setPeerMessage(message).build(),
+                  peer.starts()));
+    }
+  }
+
+  private void deliver(EntryNode node, int start, long delay, Input.Builder input) {
+    time.after(delay, () -> node.receive(input.build(), start));
+  }
+
+  private void sendLists() {
+    InstanceList list = list();
+    time.after(
+        LIST_LAG_MILLIS,
+        () -> {
+          for (EntryNode node : entries.values()) {
+            if (!conditions.storeDown && conditions.reachesPlatform(node.zone)) {
+              input(node, Input.newBuilder().setInstanceList(list));
+              noteTold(node, list);
+            }
+          }
+        });
+    time.after(LIST_INTERVAL_MILLIS, this::sendLists);
+  }
+
+  private void noteTold(EntryNode node, InstanceList list) {
+    for (ListedInstance listed : list.getInstancesList()) {
+      WorkerNode worker = worker(listed.getName());
+      if (listed.getLeaving() && worker.leavingSince >= 0) {
+        worker.toldAt.putIfAbsent(node.name, time.millis());
+      }
+    }
+  }
+
+  private InstanceList list() {
+    InstanceList.Builder list = InstanceList.newBuilder();
+    for (WorkerNode worker : workers.values()) {
+      if (worker.listed) {
+        list.addInstances(
+            ListedInstance.newBuilder()
+                .setName(worker.name)
+                .setZone(worker.zone)
+                .setRole(InstanceRole.WORKER)
+                .setAddress(worker.name + ":1")
+                .setLeaving(worker.leavingSince >= 0));
+      }
+    }
+    return list.build();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
@@ -0,0 +1,284 @@
+package org.hemlockpick.lib;
+
+import java.time.InstantSource;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.internal.batch.BatchModule;
+import org.hemlockpick.internal.batch.LimitQuota;
+import org.hemlockpick.internal.contract.ContractSystem;
+import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.limit.LimitSystem;
+import org.hemlockpick.internal.loop.BlobCalls;
+import org.hemlockpick.internal.loop.Outbox;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.loop.WorkerCalls;
+import org.hemlockpick.internal.membership.MembershipSystem;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.internal.ownership.OwnershipSystem;
+import org.hemlockpick.internal.ownership.Worker;
+import org.hemlockpick.internal.ownership.WorkerTable;
+import org.hemlockpick.internal.request.RequestModule;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.CallerRequest;
+import org.hemlockpick.proto.Heartbeat;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.Output;
+import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.proto.StatusQuery;
+import org.hemlockpick.proto.StatusView;
+import org.hemlockpick.proto.WorkerView;
+
+/**
+ * Decides for one entry instance: takes typed inputs, runs the systems over the tables in a fixed
+ * order and returns typed outputs.
+ *
+ * <p>Does no I/O, starts no thread and reads no clock but the one passed in. The same inputs at the
+ * same times give the same outputs. Not safe for use by several threads.
+ */
+public final class EntryInstance {
+  /** Time between the announcement of a planned stop and the first refusal, in milliseconds. */
+  private static final long STOP_NOTICE_MILLIS = 1_500;
+
+  /** Longest time that a planned stop waits for the journal, in milliseconds. */
+  private static final long STOP_JOURNAL_MILLIS = 10_000;
+
+  private final InstanceSettings settings;
+  private final InstantSource clock;
+  private final Outbox outbox;
+  private final StoreCalls store;
+  private final BlobCalls blobs;
+  private final WorkerCalls workerCalls;
+  private final PeerTable peers;
+  private final WorkerTable workers;
+  private final MembershipSystem membership;
+  private final ContractTable contracts = new ContractTable();
+  private final ContractSystem contractSystem;
+  private final LimitSystem limits;
+  private final OwnershipSystem ownership;
+  private final RequestModule requests;
+  private final BatchModule batch;
+  private final long startedAt;
+  private long stopOrderedAt = -1;
+  private boolean stopped;
+
+  /**
+   * Creates an entry instance that knows nothing but its settings.
+   *
+   * @param settings settings of the entry instance
+   * @param incarnation number of this start; greater than that of every earlier start under the
+   *     same name
+   * @param clock source of time; only differences of its times are used
+   * @param random source of random numbers
+   */
+  public EntryInstance(
+      InstanceSettings settings, long incarnation, InstantSource clock, RandomGenerator random) {
+    this.settings = settings;
+    this.clock = clock;
+    startedAt = clock.millis();
+    outbox = new Outbox(settings, incarnation);
+    outbox.begin(startedAt);
+    store = new StoreCalls(outbox, settings.timing());
+    blobs = new BlobCalls(outbox, settings.timing());
+    workerCalls = new WorkerCalls(outbox);
+    peers = new PeerTable(settings);
+    workers = new WorkerTable(settings);
+    membership = new MembershipSystem(settings, outbox, peers, this::heartbeat);
+    contractSystem = new ContractSystem(settings, outbox, store, peers, contracts);
+    limits = new LimitSystem(settings, outbox, peers, contracts);
+    ownership = new OwnershipSystem(settings, outbox, workerCalls, peers, workers);
+    ownership.setReleaseNotice(membership::sendNow);
+    requests =
+        new RequestModule(
+            settings,
+            outbox,
+            store,
+            workerCalls,
+            peers,
+            workers,
+            ownership,
+            contracts,
+            limits,
+            random);
+    batch =
+        new BatchModule(
+            settings,
+            outbox,
+            store,
+            blobs,
+            workerCalls,
+            peers,
+            workers,
+            ownership,
+            contracts,
+            new LimitQuota(limits),
+            random);
+  }
+
+  /**
+   * Takes inputs and runs one tick.
+   *
+   * @param inputs inputs since the last tick in the order of their arrival
+   * @return outputs to carry out, in order
+   */
+  public List<Output> tick(List<Input> inputs) {
+    long now = clock.millis();
+    outbox.begin(now);
+    for (Input input : inputs) {
+      outbox.witness(input.getClock());
+      take(input, now);
+    }
+    store.run(now);
+    blobs.run(now);
+    workerCalls.run(now);
+    membership.run(now);
+    contractSystem.run(now);
+    limits.run(now);
+    if (mayOwn(now)) {
+      ownership.run(now);
+    }
+    requests.run(now);
+    batch.run(now);
+    runStop(now);
+    return outbox.drain();
+  }
+
+  /** Tells whether this entry instance serves callers. */
+  public boolean isReady() {
+    return contractSystem.isReady(outbox.now()) && stopOrderedAt < 0;
+  }
+
+  /** Tells whether the planned stop is complete. */
+  public boolean isStopped() {
+    return stopped;
+  }
+
+  /** Describes this entry instance. */
+  public StatusView status() {
+    long now = outbox.now();
+    StatusView.Builder status =
+        StatusView.newBuilder()
+            .setInstance(settings.name())
+            .setIncarnation(outbox.incarnation())
+            .setZone(settings.zone())
+            .setReady(isReady())
+            .setNotReadyReason(contractSystem.isReady(now) ? "" : contractSystem.notReadyReason())
+            .setStopping(stopOrderedAt >= 0)
+            .setStopped(stopped)
+            .setConfigVersion(contractSystem.version())
+            .setStoreReachable(store.isReachable())
+            .setRequestsInFlight(requests.openRequests())
+            .setShardsHeld(batch.shardsHeld())
+            .setTasksRunning(batch.tasksRunning());
+    peers.alive(now).stream().map(Peer::name).forEach(status::addLivePeers);
+    workers.all().stream().map(worker -> view(worker, now)).forEach(status::addWorkers);
+    return status.build();
+  }
+
+  private void take(Input input, long now) {
+    switch (input.getBodyCase()) {
+      case CALLER_REQUEST -> onCallerRequest(input.getCallerRequest(), now);
+      case CALLER_GONE -> requests.onCallerGone(input.getCallerGone().getExchange());
+      case JOB_SUBMIT -> batch.on(input.getJobSubmit());
+      case JOB_QUERY -> batch.on(input.getJobQuery());
+      case JOB_CANCEL -> batch.on(input.getJobCancel());
+      case CONTRACT_APPLY -> contractSystem.on(input.getContractApply());
+      case CONTRACT_QUERY -> contractSystem.on(input.getContractQuery());
+      case STATUS_QUERY -> onStatusQuery(input.getStatusQuery());
+      case STOP_ORDER -> beginStop(now);
+      case PEER_MESSAGE -> onPeerMessage(input.getPeerMessage());
+      case WORKER_REPLY -> workerCalls.on(input.getWorkerReply());
+      case STORE_REPLY -> store.on(input.getStoreReply());
+      case BLOB_REPLY -> blobs.on(input.getBlobReply());
+      case INSTANCE_LIST -> workers.take(input.getInstanceList(), now);
+      case BODY_NOT_SET -> {
+        // An input of a later version: nothing to do.
+      }
+    }
+  }
+
+  private void onCallerRequest(CallerRequest call, long now) {
+    if (!contractSystem.isReady(now)) {
+      requests.refuse(call, ResultCode.NOT_READY);
+    } else if (stopOrderedAt >= 0 && now - stopOrderedAt >= STOP_NOTICE_MILLIS) {
+      requests.refuse(call, ResultCode.STOPPING);
+    } else {
+      requests.on(call);
+    }
+  }
+
+  private void onPeerMessage(PeerMessage message) {
+    if (!membership.on(message)) {
+      return;
+    }
+    contractSystem.on(message);
+    limits.on(message);
+    requests.on(message);
+    batch.on(message);
+  }
+
+  private void onStatusQuery(StatusQuery query) {
+    outbox.answer(
+        CallerAnswer.newBuilder()
+            .setExchange(query.getExchange())
+            .setCode(ResultCode.DONE.number())
+            .setStatus(status()));
+  }
+
+  private Heartbeat heartbeat(boolean withinZone) {
+    long now = outbox.now();
+    Heartbeat.Builder heartbeat =
+        Heartbeat.newBuilder()
+            .setConfigVersion(contractSystem.version())
+            .setLeaving(stopOrderedAt >= 0)
+            .setReady(isReady())
+            .setFreeSlots(requests.freeSlots(now))
+            .setFreeBatchCpuMillis(batch.freeCpuMillis(now))
+            .setSettledForwardsBelow(requests.settledForwardsBelow());
+    if (withinZone) {
+      heartbeat.addAllWorkers(ownership.owned(now));
+    }
+    return heartbeat.build();
+  }
+
+  /** Waits with the first leases until the peers of the zone had time to be heard. */
+  private boolean mayOwn(long now) {
+    boolean allHeard = peers.aliveInZone(now).size() == settings.zonePeers().size();
+    boolean waited = now - startedAt >= settings.timing().startWait().toMillis();
+    return contractSystem.isReady(now) && (allHeard || waited);
+  }
+
+  private void beginStop(long now) {
+    if (stopOrderedAt >= 0) {
+      return;
+    }
+    stopOrderedAt = now;
+    outbox.event("stop-begun", settings.name(), "");
+    membership.sendNow();
+  }
+
+  private void runStop(long now) {
+    if (stopOrderedAt < 0 || stopped || now - stopOrderedAt < STOP_NOTICE_MILLIS) {
+      return;
+    }
+    ownership.stop();
+    boolean journalDone = batch.isFlushed() || now - stopOrderedAt >= STOP_JOURNAL_MILLIS;
+    if (requests.openRequests() == 0 && ownership.holdsNothing(now) && journalDone) {
+      stopped = true;
+      outbox.event("stop-complete", settings.name(), "");
+      outbox.stopped();
+    }
+  }
+
+  private static WorkerView view(Worker worker, long now) {
+    return WorkerView.newBuilder()
+        .setWorker(worker.name())
+        .setEpoch(worker.isHeld(now) ? worker.epoch() : 0)
+        .setSlotsUsed(worker.slotsUsed())
+        .setSlots(worker.capacity().getSlots())
+        .setTasks(worker.tasks().size())
+        .setLeaving(worker.isLeaving())
+        .build();
+  }
+}
