--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
@@ -2,9 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.hemlockpick.proto.CallerRequest;
 import org.hemlockpick.proto.ContractApply;
 import org.hemlockpick.proto.Input;
@@ -23,7 +21,6 @@
 
   private final World world;
   private final List<String> jobs = new ArrayList<>();
-  private final Set<Long> jobExchanges = new HashSet<>();
   private long lastExchange;
   private long lastKey;
   private boolean loading = true;
@@ -37,10 +34,6 @@
     return jobs;
   }
 
-  boolean isJobExchange(long exchange) {
-    return jobExchanges.contains(exchange);
-  }
-
   long newExchange() {
     return ++lastExchange;
   }
@@ -91,12 +84,17 @@
   void submit(EntryNode node, int tasks) {
     String key = "job" + ++lastKey;
     jobs.add(key);
-    long exchange = newExchange();
-    jobExchanges.add(exchange);
-    submitAgain(node, key, tasks, exchange);
+    send(node, key, tasks, false, newExchange());
+  }
+
+  /** Submits an urgent job of some tasks. */
+  void submitUrgent(EntryNode node, int tasks) {
+    String key = "urgent" + ++lastKey;
+    jobs.add(key);
+    send(node, key, tasks, true, newExchange());
   }
 
-  private void submitAgain(EntryNode node, String key, int tasks, long exchange) {
+  private void send(EntryNode node, String key, int tasks, boolean urgent, long exchange) {
     JobSpec.Builder spec =
         JobSpec.newBuilder()
             .setName(key)
@@ -104,7 +102,8 @@
             .setKind("rib-spacing")
             .setCpuMillis(1_000)
             .setMemoryMb(500)
-            .setDeclaredRunMillis(2_000);
+            .setDeclaredRunMillis(2_000)
+            .setUrgent(urgent);
     JobSubmit.Builder submit =
         JobSubmit.newBuilder()
             .setExchange(exchange)
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/EntryNode.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/EntryNode.java
@@ -67,8 +67,8 @@
         .anyMatch(view -> view.getWorker().equals(worker) && view.getEpoch() != 0);
   }
 
-  EntryInstance instance() {
-    return instance;
+  long configVersion() {
+    return instance.status().getConfigVersion();
   }
 
   void receive(Input input, int sentToStart) {
@@ -124,7 +124,7 @@
   }
 
   private void checkVersion() {
-    long present = instance.status().getConfigVersion();
+    long present = configVersion();
     if (present < version) {
       oracle.versionWentBack(name, version, present);
     }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Scenario.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Scenario.java
@@ -6,6 +6,9 @@
 
 /** Carries out a list of steps on a world, heals it, and collects the breaches. */
 final class Scenario {
+  /** How many contracts {@link #settle} puts into force. */
+  static final int FIRST_CONTRACTS = 2;
+
   static final int ZONES = 2;
   static final int ENTRIES_PER_ZONE = 3;
   static final int WORKERS_PER_ZONE = 3;
@@ -80,7 +83,8 @@
     return anyPaused ? 0 : world.time.millis();
   }
 
-  private int codeOf(long exchange) {
+  /** Returns the result code of an operator's or job's exchange; -1 while there is none. */
+  int codeOf(long exchange) {
     return world.otherAnswers().stream()
         .filter(answer -> answer.getExchange() == exchange)
         .mapToInt(CallerAnswer::getCode)
@@ -88,6 +92,11 @@
         .orElse(-1);
   }
 
+  /** Returns the newest revision of a customer's contract that any entry instance has in force. */
+  long revisionOf(String customer) {
+    return world.revisionOf(customer);
+  }
+
   private EntryNode entry(int index) {
     List<EntryNode> nodes = List.copyOf(world.entries.values());
     return nodes.get(Math.floorMod(index, nodes.size()));
@@ -165,7 +174,7 @@
   private void race(int index) {
     for (int i = 0; i < CONTRACT_CHANGES; i++) {
       EntryNode node = entry(index + i);
-      long revision = node.instance().status().getConfigVersion();
+      long revision = node.configVersion();
       callers.apply(node, "lanternhall", Contracts.lanternhall(index + i), revision);
     }
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
@@ -1,6 +1,7 @@
 package org.hemlockpick.world;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -18,6 +19,7 @@
 import org.hemlockpick.proto.BlobReply;
 import org.hemlockpick.proto.CallFate;
 import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.ContractRecord;
 import org.hemlockpick.proto.Event;
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.InstanceList;
@@ -117,6 +119,27 @@
         .toList();
   }
 
+  /** Returns the version of the newest change of a customer's contract in the table service. */
+  long revisionOf(String customer) {
+    RowScan scan = RowScan.newBuilder().setTable("config").setLimit(10_000).build();
+    long newest = 0;
+    for (Row row : table.handle(StoreCall.newBuilder().setScan(scan).build()).getRowsList()) {
+      ContractRecord record = parseContract(row);
+      if (record.getCustomer().equals(customer)) {
+        newest = record.getVersion();
+      }
+    }
+    return newest;
+  }
+
+  private static ContractRecord parseContract(Row row) {
+    try {
+      return ContractRecord.parseFrom(row.getValue());
+    } catch (InvalidProtocolBufferException e) {
+      throw new AssertionError(row.getKey(), e);
+    }
+  }
+
   /** Returns the keys of the shards in the table service that have unfinished tasks. */
   List<String> openShards() {
     RowScan scan = RowScan.newBuilder().setTable("shards").setLimit(1_000).build();
