Make the race of a returning owner independent of timing

The test for an owner that comes back passed by chance without the guard that it is about: the slow read of rows at foreign workers happened to fall into the first tick and dropped the outdated copy. Reads now fail for the first seconds, so only the guard is left between the copy and a start call.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchFailureTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchFailureTest.java
@@ -115,8 +115,13 @@
     world.until("forgotten", 5_000, () -> world.worker("w1").model().tasks().isEmpty());
     world.kill(world.owner("w1").name);
     world.run(5_000);
+    // Its connections broke meanwhile, and reads fail: nothing tells it that another owned w1.
+    former.inputs.clear();
+    world.store.lostCalls = StoreCall::hasRead;
     former.paused = false;
-    world.run(20_000);
+    world.run(5_000);
+    world.store.lostCalls = call -> false;
+    world.run(15_000);
     assertEquals("w1", former.ownership.owned(world.now()).get(0).getWorker());
     assertEquals(4, world.log.starts());
     assertEquals(4, world.query(job).getDone());
