--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/BatchModule.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/BatchModule.java
@@ -54,7 +54,7 @@
    * Creates the module and makes it follow the leases of workers.
    *
    * @param quota units that running tasks of a customer occupy
-   * @param random source of random numbers
+   * @param random source of random numbers for policies; the present ones draw none
    */
   public BatchModule(
       InstanceSettings settings,
