Test the order of assignment and the accounting of workers

Jobs of different sizes share workers without one start call that a worker refuses for want of room; an urgent job passes tasks that are queued before it; two customers with equal limits progress together.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchJobTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchJobTest.java
@@ -167,6 +167,30 @@
     assertEquals(3, quota.free());
   }
 
+  @Test
+  void noStartIsRefusedForWantOfRoom() {
+    BatchWorld world = new BatchWorld(2, 3, 4_000);
+    world.submit(BatchWorld.spec(60, 700));
+    world.submit(BatchWorld.spec(20, 2_500));
+    world.submit(BatchWorld.spec(30, 1_100));
+    world.until("all jobs finished", 120_000, () -> world.shardRows().isEmpty());
+    assertEquals(110, world.log.starts());
+    world.workers.values().forEach(worker -> assertEquals(0, worker.refusedStarts));
+  }
+
+  @Test
+  void anUrgentJobGoesFirstAndCustomersShareTheRest() {
+    BatchWorld world = new BatchWorld(1, 1, 4_000);
+    String large = world.submit(BatchWorld.spec(64, 1_000));
+    long lamps = world.submitting("e1", "lamps", "", BatchWorld.spec(64, 1_000));
+    String other = world.answer(lamps).getJob().getJob();
+    String urgent = world.submit(BatchWorld.spec(8, 1_000).toBuilder().setUrgent(true).build());
+    world.untilState(urgent, "finished", 20_000);
+    assertTrue(world.done(large) + world.done(other) <= 16);
+    world.until("half of the job", 60_000, () -> world.done(large) >= 32);
+    assertTrue(Math.abs(world.done(large) - world.done(other)) <= 8);
+  }
+
   @Test
   void shardsOfABrokenOffSubmissionAreSweptAndItsLastWriteComesToNothing() {
     BatchWorld world = new BatchWorld(1, 1, 4_000);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/BatchWorld.java
@@ -39,6 +39,7 @@
 import org.hemlockpick.proto.ShardRecord;
 import org.hemlockpick.proto.StoreCall;
 import org.hemlockpick.proto.TaskRecord;
+import org.hemlockpick.proto.TaskState;
 
 /** Runs entry instances, workers and a table service of one zone in virtual time. */
 final class BatchWorld {
@@ -234,6 +235,15 @@
         .toList();
   }
 
+  /** Returns how many tasks of a job with unfinished shards are done. */
+  long done(String job) {
+    return shardRows().stream()
+        .filter(shard -> shard.getJob().equals(job))
+        .flatMap(shard -> shard.getTasksList().stream())
+        .filter(task -> task.getState() == TaskState.DONE)
+        .count();
+  }
+
   int runningTasks() {
     return workers.values().stream().mapToInt(worker -> worker.running().size()).sum();
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeWorker.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeWorker.java
@@ -41,6 +41,9 @@
   /** Calls whose replies never arrive. */
   Predicate<WorkerCall> lostReplies = call -> false;
 
+  /** Start calls that the worker refused. */
+  int refusedStarts;
+
   /** Checkpoints with which attempts were started. */
   final Map<TaskRef, String> checkpoints = new HashMap<>();
 
@@ -104,6 +107,7 @@
     }
     if (call.hasTaskStart()) {
       noteRun(call.getTaskStart().getTask(), known);
+      refusedStarts += reply.getTask().getAccepted() ? 0 : 1;
     }
     return lostReplies.test(call) ? Optional.empty() : Optional.of(reply.build());
   }
