Read and check the settings, run the loop on a thread and serve the caller API

The loop only sees typed inputs: controllers translate, one thread ticks, and an exchange number that is never reused ties an answer to its caller. Inputs of callers are bounded so that a burst is refused at once; platform replies are not, as a dropped reply would look like a lost call.

--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiServer.java
@@ -0,0 +1,59 @@
+package org.hemlockpick.daemon;
+
+import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.server.EmbeddedServer;
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+/** Serves callers and operators over HTTP. */
+final class ApiServer implements AutoCloseable {
+  private static final long MAX_BODY_BYTES = 8L * 1024 * 1024;
+  private static final int THREADS = 2;
+
+  private final ApplicationContext context;
+  private final EmbeddedServer server;
+
+  private ApiServer(ApplicationContext context, EmbeddedServer server) {
+    this.context = context;
+    this.server = server;
+  }
+
+  /**
+   * Starts to serve.
+   *
+   * @param address address to listen at; port 0 for any free one
+   * @param parts what the controllers need
+   */
+  static ApiServer start(InetSocketAddress address, Object... parts) {
+    Map<String, Object> properties =
+        Map.of(
+            "micronaut.server.host",
+            address.getHostString(),
+            "micronaut.server.port",
+            address.getPort() == 0 ? -1 : address.getPort(),
+            "micronaut.server.max-request-size",
+            MAX_BODY_BYTES,
+            "micronaut.netty.event-loops.default.num-threads",
+            THREADS);
+    ApplicationContext context =
+        ApplicationContext.builder()
+            .deduceEnvironment(false)
+            .banner(false)
+            .properties(properties)
+            .singletons(parts)
+            .start();
+    EmbeddedServer server = context.getBean(EmbeddedServer.class);
+    server.start();
+    return new ApiServer(context, server);
+  }
+
+  int port() {
+    return server.getPort();
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+    context.close();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DaemonMetrics.java
@@ -0,0 +1,120 @@
+package org.hemlockpick.daemon;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import com.codahale.metrics.Snapshot;
+import jakarta.json.Json;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.transport.peer.PeerCounters;
+
+/** Counts and measures what one process does. Times are in microseconds. */
+final class DaemonMetrics {
+  private static final long WINDOW_SECONDS = 60;
+  private static final long BYTES_PER_PAGE = 4_096;
+  private static final Path MEMORY_FILE = Path.of("/proc/self/statm");
+
+  private final MetricRegistry registry = new MetricRegistry();
+  private final Histogram requestLatency = histogram("request.latency.micros");
+  private final Histogram tickTime = histogram("tick.micros");
+  private final Counter storeCalls = registry.counter("store.calls");
+  private final Counter blobCalls = registry.counter("blob.calls");
+  private final Counter workerCalls = registry.counter("worker.calls");
+
+  DaemonMetrics() {
+    gauge("memory.heap.bytes", DaemonMetrics::heapBytes);
+    gauge("memory.resident.bytes", DaemonMetrics::residentBytes);
+  }
+
+  void watchQueue(LongSupplier length) {
+    gauge("queue.length", length);
+  }
+
+  void watchPeers(Supplier<PeerCounters> counters) {
+    gauge("peers.sent", () -> counters.get().sent());
+    gauge("peers.received", () -> counters.get().received());
+    gauge("peers.dropped", () -> counters.get().dropped());
+    gauge("peers.badFrames", () -> counters.get().badFrames());
+    gauge("peers.reconnects", () -> counters.get().reconnects());
+    gauge("peers.silences", () -> counters.get().silences());
+    gauge("peers.bytesIn", () -> counters.get().bytesIn());
+    gauge("peers.bytesOut", () -> counters.get().bytesOut());
+  }
+
+  /** Counts a request and the time that it took. */
+  void onRequest(ResultCode code, long nanos) {
+    registry.counter("requests." + code.name()).inc();
+    requestLatency.update(TimeUnit.NANOSECONDS.toMicros(nanos));
+  }
+
+  /** Counts a tick and the time that it took. */
+  void onTick(long nanos) {
+    tickTime.update(TimeUnit.NANOSECONDS.toMicros(nanos));
+  }
+
+  void onStoreCall() {
+    storeCalls.inc();
+  }
+
+  void onBlobCall() {
+    blobCalls.inc();
+  }
+
+  void onWorkerCall() {
+    workerCalls.inc();
+  }
+
+  JsonObject toJson() {
+    JsonObjectBuilder json = Json.createObjectBuilder();
+    registry.getCounters().forEach((name, counter) -> json.add(name, counter.getCount()));
+    registry.getGauges().forEach((name, gauge) -> json.add(name, (Long) gauge.getValue()));
+    registry.getHistograms().forEach((name, histogram) -> json.add(name, show(histogram)));
+    return json.build();
+  }
+
+  private void gauge(String name, LongSupplier value) {
+    Gauge<Long> gauge = value::getAsLong;
+    registry.registerGauge(name, gauge);
+  }
+
+  private Histogram histogram(String name) {
+    return registry.histogram(
+        name,
+        () -> new Histogram(new SlidingTimeWindowArrayReservoir(WINDOW_SECONDS, TimeUnit.SECONDS)));
+  }
+
+  private static JsonObjectBuilder show(Histogram histogram) {
+    Snapshot window = histogram.getSnapshot();
+    return Json.createObjectBuilder()
+        .add("count", histogram.getCount())
+        .add("windowCount", window.size())
+        .add("p50", window.getMedian())
+        .add("p99", window.get99thPercentile())
+        .add("p999", window.get999thPercentile())
+        .add("max", window.getMax());
+  }
+
+  private static long heapBytes() {
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
+  /** Returns the resident size of the process, or -1 where the system does not tell. */
+  private static long residentBytes() {
+    try {
+      return Long.parseLong(Files.readString(MEMORY_FILE).split(" ")[1]) * BYTES_PER_PAGE;
+    } catch (IOException | NumberFormatException e) {
+      return -1;
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Exchanges.java
@@ -0,0 +1,93 @@
+package org.hemlockpick.daemon;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.CallerGone;
+import org.hemlockpick.proto.Input;
+
+/**
+ * Keeps the exchanges with callers that wait for the loop's answer.
+ *
+ * <p>Each exchange has a number that is never used again, so that an answer can only reach the
+ * caller it was made for.
+ */
+final class Exchanges {
+  private static final int RETRY_AFTER_MILLIS = 1_000;
+
+  private final InputQueue queue;
+  private final AtomicLong lastNumber = new AtomicLong();
+  private final Map<Long, CompletableFuture<CallerAnswer>> open = new ConcurrentHashMap<>();
+  private volatile boolean closed;
+
+  /**
+   * Creates a table without exchanges.
+   *
+   * @param queue takes the inputs to the loop
+   */
+  Exchanges(InputQueue queue) {
+    this.queue = queue;
+  }
+
+  /**
+   * Begins an exchange.
+   *
+   * @param input makes the input from the number of the exchange
+   */
+  Exchange begin(LongFunction<Input> input) {
+    long number = lastNumber.incrementAndGet();
+    CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
+    open.put(number, answer);
+    if (closed) {
+      refuse(number, ResultCode.STOPPING, Messages.CLOSED);
+    } else if (!queue.offer(input.apply(number))) {
+      refuse(number, ResultCode.OVERLOADED, Messages.QUEUE_FULL);
+    }
+    return new Exchange(number, answer);
+  }
+
+  /** Hands an answer to its caller; an answer to a caller that has gone is dropped. */
+  void complete(CallerAnswer answer) {
+    CompletableFuture<CallerAnswer> waiting = open.remove(answer.getExchange());
+    if (waiting != null) {
+      waiting.complete(answer);
+    }
+  }
+
+  /** Tells the loop that a caller has gone, unless it has its answer. */
+  void abandon(long number) {
+    if (open.remove(number) == null) {
+      return;
+    }
+    CallerGone gone = CallerGone.newBuilder().setExchange(number).build();
+    queue.put(Input.newBuilder().setCallerGone(gone).build());
+  }
+
+  /** Answers every open exchange: what became of it is not known any more. */
+  void close() {
+    closed = true;
+    open.keySet().forEach(number -> refuse(number, ResultCode.OUTCOME_UNKNOWN, Messages.CLOSED));
+  }
+
+  private void refuse(long number, ResultCode code, String detail) {
+    complete(
+        CallerAnswer.newBuilder()
+            .setExchange(number)
+            .setCode(code.number())
+            .setDetail(detail)
+            .setRetryAfterMillis(code == ResultCode.OUTCOME_UNKNOWN ? 0 : RETRY_AFTER_MILLIS)
+            .build());
+  }
+
+  /**
+   * Names one exchange.
+   *
+   * @param number number of the exchange
+   * @param answer completes with the loop's answer
+   */
+  record Exchange(long number, CompletableFuture<CallerAnswer> answer) {}
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/HealthController.java
@@ -0,0 +1,63 @@
+package org.hemlockpick.daemon;
+
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Get;
+import java.util.concurrent.CompletableFuture;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.StatusQuery;
+import org.hemlockpick.proto.StatusView;
+
+/** Tells balancers and monitors how the process does. */
+@Controller("/v1")
+@Requires(beans = Exchanges.class)
+final class HealthController {
+  private final Calls calls;
+  private final LoopThread loop;
+  private final DaemonMetrics metrics;
+
+  HealthController(Calls calls, LoopThread loop, DaemonMetrics metrics) {
+    this.calls = calls;
+    this.loop = loop;
+    this.metrics = metrics;
+  }
+
+  @Get("/health")
+  HttpResponse<String> health() {
+    return loop.isTurning()
+        ? Replies.of(ResultCode.DONE, "")
+        : Replies.of(ResultCode.NOT_READY, Messages.LOOP_SILENT);
+  }
+
+  @Get("/ready")
+  CompletableFuture<HttpResponse<String>> ready(HttpRequest<?> http) {
+    if (!loop.isTurning()) {
+      return CompletableFuture.completedFuture(health());
+    }
+    return calls.pass(
+        http,
+        number ->
+            Input.newBuilder().setStatusQuery(StatusQuery.newBuilder().setExchange(number)).build(),
+        HealthController::readiness);
+  }
+
+  @Get("/metrics")
+  HttpResponse<String> metrics() {
+    return Replies.of(ResultCode.DONE, metrics.toJson());
+  }
+
+  private static HttpResponse<String> readiness(CallerAnswer answer) {
+    StatusView status = answer.getStatus();
+    if (status.getReady()) {
+      return Replies.of(ResultCode.DONE, "");
+    }
+    if (status.getStopping()) {
+      return Replies.of(ResultCode.STOPPING, "");
+    }
+    return Replies.of(ResultCode.NOT_READY, status.getNotReadyReason());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/JsonFields.java
@@ -0,0 +1,126 @@
+package org.hemlockpick.daemon;
+
+import jakarta.json.Json;
+import jakarta.json.JsonException;
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
+import jakarta.json.JsonString;
+import jakarta.json.JsonValue;
+import java.io.StringReader;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** Reads the typed fields of a call's JSON object; every other form is bad input. */
+final class JsonFields {
+  private final JsonObject object;
+  private final Set<String> known = new HashSet<>();
+
+  private JsonFields(JsonObject object) {
+    this.object = object;
+  }
+
+  /**
+   * Reads an object.
+   *
+   * @param body bytes of the body; null for none
+   * @throws BadInputException if the body is not one JSON object in UTF-8
+   */
+  static JsonFields parse(byte @Nullable [] body) {
+    if (parseValue(body == null ? new byte[0] : body) instanceof JsonObject object) {
+      return new JsonFields(object);
+    }
+    throw new BadInputException(Messages.BODY_NOT_OBJECT);
+  }
+
+  private static JsonValue parseValue(byte[] body) {
+    try {
+      String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString();
+      try (JsonReader reader = Json.createReader(new StringReader(text))) {
+        return reader.readValue();
+      }
+    } catch (CharacterCodingException | JsonException | IllegalStateException e) {
+      throw new BadInputException(Messages.BODY_NOT_JSON);
+    }
+  }
+
+  /** Returns a whole number from 0 to {@code most}, or {@code standard} if the field is missing. */
+  long number(String name, long standard, long most) {
+    JsonValue value = value(name);
+    if (value == null) {
+      return standard;
+    }
+    if (value instanceof JsonNumber number && number.isIntegral()) {
+      return inRange(name, number, most);
+    }
+    throw bad(name, Messages.NOT_WHOLE_NUMBER);
+  }
+
+  /** Returns a text, or an empty one if the field is missing. */
+  String text(String name) {
+    JsonValue value = value(name);
+    if (value == null) {
+      return "";
+    }
+    if (value instanceof JsonString text) {
+      return text.getString();
+    }
+    throw bad(name, Messages.NOT_A_STRING);
+  }
+
+  /** Returns a text that must be there and not empty. */
+  String requiredText(String name) {
+    String text = text(name);
+    if (text.isEmpty()) {
+      throw bad(name, Messages.FIELD_MISSING);
+    }
+    return text;
+  }
+
+  /** Returns a truth value, or false if the field is missing. */
+  boolean flag(String name) {
+    JsonValue value = value(name);
+    if (value == null || value == JsonValue.FALSE) {
+      return false;
+    }
+    if (value == JsonValue.TRUE) {
+      return true;
+    }
+    throw bad(name, Messages.NOT_A_BOOLEAN);
+  }
+
+  /** Returns any value, or null if the field is missing. */
+  @Nullable JsonValue value(String name) {
+    known.add(name);
+    return object.get(name);
+  }
+
+  /** Refuses fields that no method asked for. */
+  void refuseUnknown() {
+    for (String name : object.keySet()) {
+      if (!known.contains(name)) {
+        throw bad(name, Messages.FIELD_UNKNOWN);
+      }
+    }
+  }
+
+  static BadInputException bad(String name, String problem) {
+    return new BadInputException(Messages.field(name, problem));
+  }
+
+  private static long inRange(String name, JsonNumber number, long most) {
+    try {
+      long value = number.longValueExact();
+      if (value >= 0 && value <= most) {
+        return value;
+      }
+    } catch (ArithmeticException e) {
+      // Out of the range of long, so out of any narrower one.
+    }
+    throw bad(name, Messages.outOfRange("0", Long.toString(most)));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -0,0 +1,87 @@
+package org.hemlockpick.daemon;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.stream.Collectors;
+
+/** Holds the texts that this module shows to callers and operators. */
+final class Messages {
+  static final String MISSING = "the key is missing";
+  static final String UNKNOWN_KEY = "unknown key";
+  static final String UNKNOWN_SECTION = "unknown section";
+  static final String NOT_A_TABLE = "must be a section";
+  static final String NOT_A_ROSTER = "must be a list of [[roster]] sections";
+  static final String NOT_A_STRING = "must be a string";
+  static final String NOT_A_NUMBER = "must be a number";
+  static final String NOT_A_LIST = "must be a list";
+  static final String BAD_NAME = "must be lower-case letters, digits and hyphens, at most 63";
+  static final String BAD_ADDRESS = "must be host:port with a port of 0 to 65535";
+  static final String BAD_URL = "must be an http or https URL";
+  static final String BAD_PATH = "must be a path";
+  static final String BAD_DURATION =
+      "must be a duration with its unit, such as \"500 ms\" or \"2 s\"";
+  static final String BAD_DIGEST = "must hold SHA-256 digests of 64 lower-case hex digits";
+  static final String SAME_PORT = "is the address for callers too";
+  static final String LEASE_TOO_SHORT = "must be more than twice lease-renewal";
+  static final String PEER_TIMEOUT_TOO_SHORT = "must be more than twice heartbeat";
+  static final String PEER_ADDRESS_DIFFERS =
+      "differs from the peers address of this entry instance in the roster";
+
+  static final String NO_SUCH_PATH = "unknown path";
+  static final String WRONG_METHOD = "this path does not take this method";
+  static final String BODY_TOO_LARGE = "the body is too large";
+  static final String BODY_NOT_JSON = "the body is not JSON";
+  static final String BODY_NOT_OBJECT = "the body must be a JSON object";
+  static final String OPERATOR_KEY_WRONG = "this path needs the key of an operator";
+  static final String KEY_MISSING = "the header X-Hemlockpick-Key is missing";
+  static final String QUEUE_FULL = "too many calls wait for the loop";
+  static final String CLOSED = "the process ends";
+  static final String STOP_BEGUN = "the planned stop has begun";
+  static final String LOOP_SILENT = "the loop does not turn";
+  static final String STILL_STARTING = "starting";
+  static final String BAD_BASE64 = "must be base64";
+  static final String TWO_PAYLOADS = "give payload or payloadBase64, not both";
+
+  static final String NOT_WHOLE_NUMBER = "must be a whole number";
+  static final String NOT_A_BOOLEAN = "must be true or false";
+  static final String FIELD_MISSING = "is missing";
+  static final String FIELD_UNKNOWN = "is unknown";
+  static final String TICK_FAILED = "the loop ends: a tick failed on inputs {0}";
+  static final String OUTPUT_FAILED = "an output of kind {0} could not be carried out";
+
+  private Messages() {}
+
+  static String noSeat(String name, String zone) {
+    return "the roster has no entry instance " + name + " in zone " + zone;
+  }
+
+  static String duplicateName(String name) {
+    return "the roster has more than one " + name;
+  }
+
+  static String duplicateAddress(String address) {
+    return "the roster has " + address + " more than once";
+  }
+
+  static String outOfRange(String least, String most) {
+    return "must be from " + least + " to " + most;
+  }
+
+  static String fractionOutOfRange(double below) {
+    return "must be at least 0 and less than " + below;
+  }
+
+  static String notOneOf(Class<? extends Enum<?>> type) {
+    return Arrays.stream(type.getEnumConstants())
+        .map(choice -> choice.name().toLowerCase(Locale.ROOT))
+        .collect(Collectors.joining(", ", "must be one of: ", ""));
+  }
+
+  static String unreadable(String reason) {
+    return "cannot be read: " + reason;
+  }
+
+  static String field(String name, String problem) {
+    return "field " + name + " " + problem;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
@@ -0,0 +1,218 @@
+package org.hemlockpick.daemon;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * Reads the typed values of one TOML table and collects its faults.
+ *
+ * <p>Every method returns null after it has reported a fault, unless it has a default.
+ */
+final class Section {
+  private static final int MAX_PORT = 65_535;
+  private static final Pattern ADDRESS =
+      Pattern.compile("(?<host>[^:\\s]+|\\[[^]]+]):(?<port>\\d+)");
+  private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+  private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
+
+  private final Faults faults;
+  private final String prefix;
+  private final @Nullable TomlTable table;
+  private final int line;
+  private final Set<String> known = new HashSet<>();
+
+  Section(Faults faults, String prefix, @Nullable TomlTable table, int line) {
+    this.faults = faults;
+    this.prefix = prefix;
+    this.table = table;
+    this.line = line;
+  }
+
+  /** Returns the line of a key, or that of the section when the key is missing. */
+  int lineOf(String key) {
+    TomlPosition position = table == null ? null : table.inputPositionOf(List.of(key));
+    return position == null ? line : position.line();
+  }
+
+  /** Reports a fault of one of the keys. */
+  void fault(String key, String message) {
+    faults.add(lineOf(key), prefix + "." + key, message);
+  }
+
+  @Nullable String name(String key) {
+    String name = required(key, text(key));
+    if (name == null || NAME.matcher(name).matches()) {
+      return name;
+    }
+    fault(key, Messages.BAD_NAME);
+    return null;
+  }
+
+  @Nullable InetSocketAddress address(String key) {
+    String text = required(key, text(key));
+    return text == null ? null : parsed(key, text, Section::parseAddress, Messages.BAD_ADDRESS);
+  }
+
+  @Nullable URI httpUrl(String key) {
+    String text = required(key, text(key));
+    return text == null ? null : parsed(key, text, Section::parseHttpUrl, Messages.BAD_URL);
+  }
+
+  @Nullable Path path(String key) {
+    String text = text(key);
+    return text == null ? null : parsed(key, text, Section::parsePath, Messages.BAD_PATH);
+  }
+
+  Duration duration(String key, Duration standard, Duration least, Duration most) {
+    String text = text(key);
+    if (text == null) {
+      return standard;
+    }
+    Duration value = parsed(key, text, DurationText::parse, Messages.BAD_DURATION);
+    if (value == null) {
+      return standard;
+    }
+    if (value.compareTo(least) < 0 || value.compareTo(most) > 0) {
+      fault(key, Messages.outOfRange(DurationText.format(least), DurationText.format(most)));
+      return standard;
+    }
+    return value;
+  }
+
+  double fraction(String key, double standard, double below) {
+    Object value = value(key);
+    if (value == null) {
+      return standard;
+    }
+    if (!(value instanceof Number number)) {
+      fault(key, Messages.NOT_A_NUMBER);
+      return standard;
+    }
+    double fraction = number.doubleValue();
+    if (fraction >= 0 && fraction < below) {
+      return fraction;
+    }
+    fault(key, Messages.fractionOutOfRange(below));
+    return standard;
+  }
+
+  <T extends Enum<T>> T choice(String key, Class<T> type, T standard) {
+    String text = text(key);
+    if (text == null) {
+      return standard;
+    }
+    for (T choice : Objects.requireNonNull(type.getEnumConstants())) {
+      if (choice.name().toLowerCase(java.util.Locale.ROOT).equals(text)) {
+        return choice;
+      }
+    }
+    fault(key, Messages.notOneOf(type));
+    return standard;
+  }
+
+  List<String> digests(String key) {
+    Object value = value(key);
+    if (value == null) {
+      return List.of();
+    }
+    if (!(value instanceof TomlArray array)) {
+      fault(key, Messages.NOT_A_LIST);
+      return List.of();
+    }
+    if (array.toList().stream().allMatch(Section::isDigest)) {
+      return array.toList().stream().map(String.class::cast).toList();
+    }
+    fault(key, Messages.BAD_DIGEST);
+    return List.of();
+  }
+
+  /** Reports every key that no method asked for. */
+  void refuseUnknownKeys() {
+    if (table == null) {
+      return;
+    }
+    table.keySet().stream()
+        .filter(key -> !known.contains(key))
+        .forEach(key -> fault(key, Messages.UNKNOWN_KEY));
+  }
+
+  private @Nullable Object value(String key) {
+    known.add(key);
+    return table == null ? null : table.get(List.of(key));
+  }
+
+  private @Nullable String text(String key) {
+    Object value = value(key);
+    if (value == null || value instanceof String) {
+      return (String) value;
+    }
+    fault(key, Messages.NOT_A_STRING);
+    return null;
+  }
+
+  private @Nullable String required(String key, @Nullable String text) {
+    boolean isMissing = table == null || !table.contains(List.of(key));
+    if (isMissing) {
+      fault(key, Messages.MISSING);
+    }
+    return text;
+  }
+
+  private <T> @Nullable T parsed(
+      String key, String text, Function<String, @Nullable T> parser, String message) {
+    T value = parser.apply(text);
+    if (value == null) {
+      fault(key, message);
+    }
+    return value;
+  }
+
+  private static boolean isDigest(Object item) {
+    return item instanceof String text && DIGEST.matcher(text).matches();
+  }
+
+  private static @Nullable InetSocketAddress parseAddress(String text) {
+    var matcher = ADDRESS.matcher(text);
+    if (!matcher.matches() || matcher.group("port").length() > 5) {
+      return null;
+    }
+    int port = Integer.parseInt(matcher.group("port"));
+    if (port > MAX_PORT) {
+      return null;
+    }
+    InetSocketAddress address = new InetSocketAddress(matcher.group("host"), port);
+    return address.isUnresolved() ? null : address;
+  }
+
+  private static @Nullable URI parseHttpUrl(String text) {
+    try {
+      URI url = new URI(text);
+      boolean isHttp = "http".equals(url.getScheme()) || "https".equals(url.getScheme());
+      return isHttp && url.getHost() != null ? url : null;
+    } catch (URISyntaxException e) {
+      return null;
+    }
+  }
+
+  private static @Nullable Path parsePath(String text) {
+    try {
+      return Path.of(text);
+    } catch (InvalidPathException e) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Settings.java
@@ -0,0 +1,64 @@
+package org.hemlockpick.daemon;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.hemlockpick.lib.InstanceSettings;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Holds the settings of one process that serves as an entry instance.
+ *
+ * @param instance name, availability zone, roster and timing
+ * @param callers address that callers and operators connect to
+ * @param peers address that other entry instances connect to
+ * @param peerAddresses address of every other entry instance by its name
+ * @param platform where the platform's services are
+ * @param operatorKeyDigests SHA-256 digests, in lower-case hex, of the operators' keys
+ * @param traceDirectory directory for the recording of inputs; null to record none
+ * @param timeline where and whether the time line is written
+ */
+public record Settings(
+    InstanceSettings instance,
+    InetSocketAddress callers,
+    InetSocketAddress peers,
+    Map<String, InetSocketAddress> peerAddresses,
+    Platform platform,
+    List<String> operatorKeyDigests,
+    @Nullable Path traceDirectory,
+    Timeline timeline) {
+
+  /** Copies the collections. */
+  public Settings {
+    peerAddresses = Map.copyOf(peerAddresses);
+    operatorKeyDigests = List.copyOf(operatorKeyDigests);
+  }
+
+  /**
+   * Holds where the platform's services are.
+   *
+   * @param tableService base URL of the table service
+   * @param objectStore base URL of the object store
+   * @param instanceList base URL of the list of instances
+   */
+  public record Platform(URI tableService, URI objectStore, URI instanceList) {}
+
+  /**
+   * Holds how the time line is written.
+   *
+   * @param level which events are written
+   * @param file file that gets the events; null for the process log
+   */
+  public record Timeline(Level level, @Nullable Path file) {
+
+    /** Names which events are written. */
+    public enum Level {
+      /** None. */
+      OFF,
+      /** All. */
+      ALL
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
@@ -0,0 +1,281 @@
+package org.hemlockpick.daemon;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.lib.Seat;
+import org.hemlockpick.lib.Timing;
+import org.jspecify.annotations.Nullable;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/** Reads settings from a TOML file and checks them whole. */
+public final class SettingsReader {
+  private static final Duration LEAST_INTERVAL = Duration.ofMillis(10);
+  private static final Duration MOST_INTERVAL = Duration.ofMinutes(5);
+  private static final double MAX_DRIFT = 0.5;
+
+  private final Faults faults;
+  private final TomlParseResult toml;
+  private final Set<String> known = new HashSet<>();
+
+  private SettingsReader(String file, TomlParseResult toml) {
+    this.faults = new Faults(file);
+    this.toml = toml;
+  }
+
+  /**
+   * Reads a settings file.
+   *
+   * @param file file to read
+   * @return the settings, or every fault that was found in the order of the lines
+   */
+  public static Either<List<Fault>, Settings> read(Path file) {
+    try {
+      return new SettingsReader(file.toString(), Toml.parse(file)).read();
+    } catch (IOException e) {
+      return Either.left(
+          List.of(new Fault(file.toString(), 1, "", Messages.unreadable(reason(e)))));
+    }
+  }
+
+  /**
+   * Reads settings from text.
+   *
+   * @param file name of the file for the faults
+   * @param text settings in TOML
+   * @return the settings, or every fault that was found in the order of the lines
+   */
+  public static Either<List<Fault>, Settings> read(String file, String text) {
+    return new SettingsReader(file, Toml.parse(text)).read();
+  }
+
+  private static String reason(IOException e) {
+    return e.getClass().getSimpleName() + " " + e.getMessage();
+  }
+
+  private Either<List<Fault>, Settings> read() {
+    if (toml.hasErrors()) {
+      toml.errors().forEach(this::addSyntaxFault);
+      return Either.left(faults.sorted());
+    }
+    Settings settings = readSections();
+    refuseUnknownSections();
+    return settings == null || !faults.isEmpty()
+        ? Either.left(faults.sorted())
+        : Either.right(settings);
+  }
+
+  private void addSyntaxFault(TomlParseError error) {
+    faults.add(error.position().line(), "", String.valueOf(error.getMessage()));
+  }
+
+  private @Nullable Settings readSections() {
+    Section instance = section("instance");
+    String name = instance.name("name");
+    String zone = instance.name("zone");
+    instance.refuseUnknownKeys();
+    Section listen = section("listen");
+    InetSocketAddress callers = listen.address("callers");
+    InetSocketAddress peers = listen.address("peers");
+    checkListen(listen, callers, peers);
+    listen.refuseUnknownKeys();
+    Settings.@Nullable Platform platform = readPlatform();
+    Section operators = section("operators");
+    List<String> digests = operators.digests("key-sha256");
+    operators.refuseUnknownKeys();
+    Section trace = section("trace");
+    Path traceDirectory = trace.path("directory");
+    trace.refuseUnknownKeys();
+    Settings.Timeline timeline = readTimeline();
+    Timing timing = readTiming();
+    Map<Seat, InetSocketAddress> roster = readRoster();
+    checkSeat(instance, listen, name, zone, peers, roster);
+    if (!faults.isEmpty() || name == null || zone == null) {
+      return null;
+    }
+    InstanceSettings own = new InstanceSettings(name, zone, List.copyOf(roster.keySet()), timing);
+    return new Settings(
+        own,
+        Objects.requireNonNull(callers),
+        Objects.requireNonNull(peers),
+        addressesOfOthers(name, roster),
+        Objects.requireNonNull(platform),
+        digests,
+        traceDirectory,
+        timeline);
+  }
+
+  private Section section(String name) {
+    known.add(name);
+    Object value = toml.get(List.of(name));
+    TomlPosition position = toml.inputPositionOf(List.of(name));
+    int line = position == null ? 1 : position.line();
+    if (value == null || value instanceof TomlTable) {
+      return new Section(faults, name, (TomlTable) value, line);
+    }
+    faults.add(line, name, Messages.NOT_A_TABLE);
+    return new Section(faults, name, null, line);
+  }
+
+  private void refuseUnknownSections() {
+    for (String name : toml.keySet()) {
+      TomlPosition position = toml.inputPositionOf(List.of(name));
+      if (!known.contains(name) && position != null) {
+        faults.add(position.line(), name, Messages.UNKNOWN_SECTION);
+      }
+    }
+  }
+
+  private Settings.@Nullable Platform readPlatform() {
+    Section platform = section("platform");
+    var tableService = platform.httpUrl("table-service");
+    var objectStore = platform.httpUrl("object-store");
+    var instanceList = platform.httpUrl("instance-list");
+    platform.refuseUnknownKeys();
+    if (tableService == null || objectStore == null || instanceList == null) {
+      return null;
+    }
+    return new Settings.Platform(tableService, objectStore, instanceList);
+  }
+
+  private Settings.Timeline readTimeline() {
+    Section timeline = section("timeline");
+    Settings.Timeline.Level level =
+        timeline.choice("level", Settings.Timeline.Level.class, Settings.Timeline.Level.ALL);
+    Path file = timeline.path("file");
+    timeline.refuseUnknownKeys();
+    return new Settings.Timeline(level, file);
+  }
+
+  private Timing readTiming() {
+    Section section = section("timing");
+    Timing standard = Timing.standard();
+    Timing timing =
+        new Timing(
+            interval(section, "heartbeat", standard.heartbeat()),
+            interval(section, "peer-timeout", standard.peerTimeout()),
+            interval(section, "lease-ttl", standard.leaseTtl()),
+            interval(section, "lease-renewal", standard.leaseRenewal()),
+            interval(section, "worker-timeout", standard.workerTimeout()),
+            interval(section, "store-timeout", standard.storeTimeout()),
+            interval(section, "config-poll", standard.configPoll()),
+            interval(section, "journal-interval", standard.journalInterval()),
+            interval(section, "start-wait", standard.startWait()),
+            section.fraction("max-clock-drift", standard.maxClockDrift(), MAX_DRIFT));
+    if (!isMoreThanTwice(timing.leaseTtl(), timing.leaseRenewal())) {
+      section.fault("lease-ttl", Messages.LEASE_TOO_SHORT);
+    }
+    if (!isMoreThanTwice(timing.peerTimeout(), timing.heartbeat())) {
+      section.fault("peer-timeout", Messages.PEER_TIMEOUT_TOO_SHORT);
+    }
+    section.refuseUnknownKeys();
+    return timing;
+  }
+
+  private static Duration interval(Section section, String key, Duration standard) {
+    return section.duration(key, standard, LEAST_INTERVAL, MOST_INTERVAL);
+  }
+
+  private static boolean isMoreThanTwice(Duration longer, Duration shorter) {
+    return longer.compareTo(shorter.multipliedBy(2)) > 0;
+  }
+
+  private Map<Seat, InetSocketAddress> readRoster() {
+    known.add("roster");
+    Map<Seat, InetSocketAddress> roster = new LinkedHashMap<>();
+    Object value = toml.get(List.of("roster"));
+    if (value == null) {
+      faults.add(1, "roster", Messages.MISSING);
+      return roster;
+    }
+    if (!(value instanceof TomlArray array) || !holdsTables(array)) {
+      TomlPosition position = toml.inputPositionOf(List.of("roster"));
+      faults.add(position == null ? 1 : position.line(), "roster", Messages.NOT_A_ROSTER);
+      return roster;
+    }
+    Set<String> names = new HashSet<>();
+    Set<InetSocketAddress> addresses = new HashSet<>();
+    for (int i = 0; i < array.size(); i++) {
+      Section seat =
+          new Section(faults, "roster", array.getTable(i), array.inputPositionOf(i).line());
+      readSeat(seat, roster, names, addresses);
+    }
+    return roster;
+  }
+
+  private static boolean holdsTables(TomlArray array) {
+    return array.toList().stream().allMatch(TomlTable.class::isInstance);
+  }
+
+  private static void readSeat(
+      Section section,
+      Map<Seat, InetSocketAddress> roster,
+      Set<String> names,
+      Set<InetSocketAddress> addresses) {
+    String name = section.name("name");
+    String zone = section.name("zone");
+    InetSocketAddress peers = section.address("peers");
+    section.refuseUnknownKeys();
+    if (name != null && !names.add(name)) {
+      section.fault("name", Messages.duplicateName(name));
+    }
+    if (peers != null && !addresses.add(peers)) {
+      section.fault("peers", Messages.duplicateAddress(show(peers)));
+    }
+    if (name != null && zone != null && peers != null) {
+      roster.put(new Seat(name, zone), peers);
+    }
+  }
+
+  private static void checkListen(
+      Section listen, @Nullable InetSocketAddress callers, @Nullable InetSocketAddress peers) {
+    boolean isSet = callers != null && peers != null && callers.getPort() != 0;
+    if (isSet && Objects.requireNonNull(callers).equals(peers)) {
+      listen.fault("peers", Messages.SAME_PORT);
+    }
+  }
+
+  private static void checkSeat(
+      Section instance,
+      Section listen,
+      @Nullable String name,
+      @Nullable String zone,
+      @Nullable InetSocketAddress peers,
+      Map<Seat, InetSocketAddress> roster) {
+    if (name == null || zone == null || roster.isEmpty()) {
+      return;
+    }
+    InetSocketAddress ownSeat = roster.get(new Seat(name, zone));
+    if (ownSeat == null) {
+      instance.fault("name", Messages.noSeat(name, zone));
+    } else if (peers != null && ownSeat.getPort() != peers.getPort()) {
+      listen.fault("peers", Messages.PEER_ADDRESS_DIFFERS);
+    }
+  }
+
+  private static Map<String, InetSocketAddress> addressesOfOthers(
+      String name, Map<Seat, InetSocketAddress> roster) {
+    Map<String, InetSocketAddress> others = new LinkedHashMap<>();
+    roster.forEach((seat, address) -> others.put(seat.name(), address));
+    others.remove(name);
+    return others;
+  }
+
+  private static String show(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+}
