--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiErrorProcessor.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiErrorProcessor.java
@@ -1,19 +1,16 @@
 package org.hemlockpick.daemon;
 
-import io.micronaut.context.annotation.Replaces;
 import io.micronaut.context.annotation.Requires;
 import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MediaType;
 import io.micronaut.http.MutableHttpResponse;
 import io.micronaut.http.server.exceptions.response.ErrorContext;
 import io.micronaut.http.server.exceptions.response.ErrorResponseProcessor;
-import io.micronaut.http.server.exceptions.response.HateoasErrorResponseProcessor;
 import jakarta.inject.Singleton;
 import org.hemlockpick.errors.ResultCode;
 
 /** Gives every error that the HTTP server itself finds a numbered result. */
 @Singleton
-@Replaces(HateoasErrorResponseProcessor.class)
 @Requires(beans = Exchanges.class)
 final class ApiErrorProcessor implements ErrorResponseProcessor<String> {
 
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DaemonMetrics.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DaemonMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import com.codahale.metrics.Snapshot;
+import com.google.common.base.Splitter;
 import jakarta.json.Json;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonObjectBuilder;
@@ -14,14 +15,13 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.hemlockpick.errors.ResultCode;
-import org.hemlockpick.transport.peer.PeerCounters;
 
 /** Counts and measures what one process does. Times are in microseconds. */
 final class DaemonMetrics {
   private static final long WINDOW_SECONDS = 60;
   private static final long BYTES_PER_PAGE = 4_096;
+  private static final Splitter FIELDS = Splitter.on(' ');
   private static final Path MEMORY_FILE = Path.of("/proc/self/statm");
 
   private final MetricRegistry registry = new MetricRegistry();
@@ -36,21 +36,6 @@
     gauge("memory.resident.bytes", DaemonMetrics::residentBytes);
   }
 
-  void watchQueue(LongSupplier length) {
-    gauge("queue.length", length);
-  }
-
-  void watchPeers(Supplier<PeerCounters> counters) {
-    gauge("peers.sent", () -> counters.get().sent());
-    gauge("peers.received", () -> counters.get().received());
-    gauge("peers.dropped", () -> counters.get().dropped());
-    gauge("peers.badFrames", () -> counters.get().badFrames());
-    gauge("peers.reconnects", () -> counters.get().reconnects());
-    gauge("peers.silences", () -> counters.get().silences());
-    gauge("peers.bytesIn", () -> counters.get().bytesIn());
-    gauge("peers.bytesOut", () -> counters.get().bytesOut());
-  }
-
   /** Counts a request and the time that it took. */
   void onRequest(ResultCode code, long nanos) {
     registry.counter("requests." + code.name()).inc();
@@ -82,7 +67,8 @@
     return json.build();
   }
 
-  private void gauge(String name, LongSupplier value) {
+  /** Shows a value that another part keeps. */
+  void gauge(String name, LongSupplier value) {
     Gauge<Long> gauge = value::getAsLong;
     registry.registerGauge(name, gauge);
   }
@@ -112,7 +98,8 @@
   /** Returns the resident size of the process, or -1 where the system does not tell. */
   private static long residentBytes() {
     try {
-      return Long.parseLong(Files.readString(MEMORY_FILE).split(" ")[1]) * BYTES_PER_PAGE;
+      return Long.parseLong(FIELDS.splitToList(Files.readString(MEMORY_FILE)).get(1))
+          * BYTES_PER_PAGE;
     } catch (IOException | NumberFormatException e) {
       return -1;
     }
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Logging.java
@@ -0,0 +1,62 @@
+package org.hemlockpick.daemon;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.jboss.logmanager.handlers.ConsoleHandler;
+import org.jboss.logmanager.handlers.FileHandler;
+
+/** Sets up the logs of the process: one JSON object a line on the standard error stream. */
+public final class Logging {
+  /** Loggers of libraries that write much; kept here, as the log manager holds them weakly. */
+  private static final List<Logger> LIBRARIES =
+      List.of(Logger.getLogger("io.micronaut"), Logger.getLogger("io.netty"));
+
+  private static final Logger TIMELINE = Logger.getLogger(TimelineLog.LOGGER_NAME);
+
+  private Logging() {}
+
+  /**
+   * Replaces the handlers of all logs by one to the standard error stream.
+   *
+   * @param least least level that is written
+   */
+  public static void install(Level least) {
+    Logger root = Logger.getLogger("");
+    for (Handler handler : root.getHandlers()) {
+      root.removeHandler(handler);
+    }
+    Formatter formatter = new JsonLineFormatter();
+    root.addHandler(new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter));
+    root.setLevel(least);
+    LIBRARIES.forEach(library -> library.setLevel(Level.WARNING));
+  }
+
+  /**
+   * Sets where the time line is written.
+   *
+   * @throws IOException if its file cannot be written
+   */
+  static void install(Settings.Timeline timeline) throws IOException {
+    if (timeline.level() == Settings.Timeline.Level.OFF) {
+      TIMELINE.setLevel(Level.OFF);
+      return;
+    }
+    TIMELINE.setLevel(Level.INFO);
+    Path file = timeline.file();
+    if (file == null) {
+      return;
+    }
+    Path folder = file.toAbsolutePath().getParent();
+    if (folder != null) {
+      Files.createDirectories(folder);
+    }
+    TIMELINE.setUseParentHandlers(false);
+    TIMELINE.addHandler(new FileHandler(new JsonLineFormatter(), file.toFile(), true));
+  }
+}
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -49,6 +49,9 @@
   static final String TICK_FAILED = "the loop ends: a tick failed on inputs {0}";
   static final String OUTPUT_FAILED = "an output of kind {0} could not be carried out";
 
+  static final String TRACE_FAILED = "the recording of inputs ends: {0}";
+  static final String TRACE_EMPTY = "the trace has no first line";
+
   private Messages() {}
 
   static String noSeat(String name, String zone) {
@@ -84,4 +87,12 @@
   static String field(String name, String problem) {
     return "field " + name + " " + problem;
   }
+
+  static String traceLineUnreadable(int line, String reason) {
+    return "line " + line + " of the trace cannot be read: " + reason;
+  }
+
+  static String replayDiffers(int line, long atMillis) {
+    return "line " + line + ": the outputs differ from the recorded ones at " + atMillis + " ms";
+  }
 }
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/OutputRouter.java
@@ -0,0 +1,44 @@
+package org.hemlockpick.daemon;
+
+import org.hemlockpick.proto.Output;
+
+/** Carries out the loop's outputs by handing each to the part that is in charge of its kind. */
+final class OutputRouter {
+  private final Exchanges exchanges;
+  private final Effects effects;
+  private final EventSink events;
+  private final DaemonMetrics metrics;
+
+  OutputRouter(Exchanges exchanges, Effects effects, EventSink events, DaemonMetrics metrics) {
+    this.exchanges = exchanges;
+    this.effects = effects;
+    this.events = events;
+    this.metrics = metrics;
+  }
+
+  /** Carries out one output; never blocks. */
+  void carryOut(Output output) {
+    switch (output.getBodyCase()) {
+      case CALLER_ANSWER -> exchanges.complete(output.getCallerAnswer());
+      case PEER_MESSAGE -> effects.send(output.getPeerMessage());
+      case WORKER_CALL -> {
+        metrics.onWorkerCall();
+        effects.call(output.getWorkerCall(), output.getClock());
+      }
+      case STORE_CALL -> {
+        metrics.onStoreCall();
+        effects.call(output.getStoreCall(), output.getClock());
+      }
+      case BLOB_CALL -> {
+        metrics.onBlobCall();
+        effects.call(output.getBlobCall(), output.getClock());
+      }
+      case EVENT -> events.accept(output.getEvent());
+      case WORKER_RESET -> effects.reset(output.getWorkerReset().getWorker());
+      case STOPPED -> effects.stopped();
+      case BODY_NOT_SET -> {
+        // An output of a later version: nothing to do.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TimelineLog.java
@@ -0,0 +1,24 @@
+package org.hemlockpick.daemon;
+
+import org.hemlockpick.proto.Event;
+import org.jboss.logging.Logger;
+
+/** Writes the time line to the log as one JSON object for each entry. */
+final class TimelineLog implements EventSink {
+  static final String LOGGER_NAME = "org.hemlockpick.timeline";
+
+  private static final Logger log = Logger.getLogger(LOGGER_NAME);
+
+  @Override
+  public void accept(Event event) {
+    log.infov("{0}", new Entry(event));
+  }
+
+  /** Shows an event as a short text; the formatter writes its fields. */
+  record Entry(Event event) {
+    @Override
+    public String toString() {
+      return event.getKind() + " " + event.getSubject() + " " + event.getDetail();
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceHeader.java
@@ -0,0 +1,97 @@
+package org.hemlockpick.daemon;
+
+import jakarta.json.Json;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+import java.time.Duration;
+import java.util.List;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.lib.Seat;
+import org.hemlockpick.lib.Timing;
+
+/**
+ * Holds what a recorded loop was made from; the first line of a trace.
+ *
+ * @param settings settings of the entry instance
+ * @param incarnation number of the start
+ * @param seed seed of the random numbers
+ * @param startedAtMillis time on the loop's clock when the loop was made, in milliseconds
+ */
+record TraceHeader(InstanceSettings settings, long incarnation, long seed, long startedAtMillis) {
+  private static final int FORMAT = 1;
+
+  JsonObject toJson() {
+    JsonArrayBuilder roster = Json.createArrayBuilder();
+    for (Seat seat : settings.roster()) {
+      roster.add(Json.createObjectBuilder().add("name", seat.name()).add("zone", seat.zone()));
+    }
+    return Json.createObjectBuilder()
+        .add("format", FORMAT)
+        .add("name", settings.name())
+        .add("zone", settings.zone())
+        .add("roster", roster)
+        .add("timing", toJson(settings.timing()))
+        .add("incarnation", incarnation)
+        .add("seed", seed)
+        .add("startedAtMillis", startedAtMillis)
+        .build();
+  }
+
+  static TraceHeader of(JsonObject json) {
+    if (json.getInt("format") != FORMAT) {
+      throw new IllegalArgumentException("format " + json.getInt("format"));
+    }
+    List<Seat> roster =
+        json.getJsonArray("roster").getValuesAs(JsonObject.class).stream()
+            .map(seat -> new Seat(seat.getString("name"), seat.getString("zone")))
+            .toList();
+    InstanceSettings settings =
+        new InstanceSettings(
+            json.getString("name"),
+            json.getString("zone"),
+            roster,
+            timing(json.getJsonObject("timing")));
+    return new TraceHeader(
+        settings,
+        longOf(json, "incarnation"),
+        longOf(json, "seed"),
+        longOf(json, "startedAtMillis"));
+  }
+
+  private static JsonObjectBuilder toJson(Timing timing) {
+    return Json.createObjectBuilder()
+        .add("heartbeatMillis", timing.heartbeat().toMillis())
+        .add("peerTimeoutMillis", timing.peerTimeout().toMillis())
+        .add("leaseTtlMillis", timing.leaseTtl().toMillis())
+        .add("leaseRenewalMillis", timing.leaseRenewal().toMillis())
+        .add("workerTimeoutMillis", timing.workerTimeout().toMillis())
+        .add("storeTimeoutMillis", timing.storeTimeout().toMillis())
+        .add("configPollMillis", timing.configPoll().toMillis())
+        .add("journalIntervalMillis", timing.journalInterval().toMillis())
+        .add("startWaitMillis", timing.startWait().toMillis())
+        .add("maxClockDrift", timing.maxClockDrift());
+  }
+
+  private static Timing timing(JsonObject json) {
+    return new Timing(
+        millis(json, "heartbeatMillis"),
+        millis(json, "peerTimeoutMillis"),
+        millis(json, "leaseTtlMillis"),
+        millis(json, "leaseRenewalMillis"),
+        millis(json, "workerTimeoutMillis"),
+        millis(json, "storeTimeoutMillis"),
+        millis(json, "configPollMillis"),
+        millis(json, "journalIntervalMillis"),
+        millis(json, "startWaitMillis"),
+        json.getJsonNumber("maxClockDrift").doubleValue());
+  }
+
+  private static Duration millis(JsonObject json, String name) {
+    return Duration.ofMillis(longOf(json, name));
+  }
+
+  private static long longOf(JsonObject json, String name) {
+    return json.getJsonNumber(name).longValueExact();
+  }
+}
