--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiServer.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiServer.java
@@ -1,14 +1,22 @@
 package org.hemlockpick.daemon;
 
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
+
 import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.graceful.GracefulShutdownCapable;
 import io.micronaut.runtime.server.EmbeddedServer;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeoutException;
+import org.jboss.logging.Logger;
 
 /** Serves callers and operators over HTTP. */
 final class ApiServer implements AutoCloseable {
   private static final long MAX_BODY_BYTES = 8L * 1024 * 1024;
   private static final int THREADS = 2;
+  private static final long GRACE_MILLIS = 1_000;
+  private static final Logger log = Logger.getLogger(ApiServer.class);
 
   private final ApplicationContext context;
   private final EmbeddedServer server;
@@ -51,9 +59,23 @@
     return server.getPort();
   }
 
+  /** Lets the responses under way reach their callers, then closes. */
   @Override
   public void close() {
+    if (server instanceof GracefulShutdownCapable graceful) {
+      await(graceful);
+    }
     server.stop();
     context.close();
   }
+
+  private static void await(GracefulShutdownCapable graceful) {
+    try {
+      graceful.shutdownGracefully().toCompletableFuture().get(GRACE_MILLIS, MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException e) {
+      log.debug(Messages.CLOSED_EARLY, e);
+    }
+  }
 }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Effects.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Effects.java
@@ -1,12 +1,29 @@
 package org.hemlockpick.daemon;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
 import org.hemlockpick.proto.BlobCall;
 import org.hemlockpick.proto.PeerMessage;
 import org.hemlockpick.proto.StoreCall;
 import org.hemlockpick.proto.WorkerCall;
 
 /** Carries out what the loop wants done outside of the process. No method blocks. */
-interface Effects {
+interface Effects extends AutoCloseable {
+
+  /**
+   * Opens the ends to the outside.
+   *
+   * @throws IOException if an address cannot be bound
+   */
+  void start() throws IOException;
+
+  /** Returns the port at which peers connect. */
+  int peersPort();
+
+  /** Replaces the addresses of the peers. */
+  void setPeers(Map<String, InetSocketAddress> addresses);
+
   /** Sends a message to the peer that it names. */
   void send(PeerMessage message);
 
@@ -22,6 +39,6 @@
   /** Closes the open connections to a worker. */
   void reset(String worker);
 
-  /** Takes note that the planned stop is complete. */
-  void stopped();
+  @Override
+  void close();
 }
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
@@ -0,0 +1,172 @@
+package org.hemlockpick.daemon;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.Output;
+import org.hemlockpick.proto.StopOrder;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+
+/** Serves as one entry instance: joins the loop with its thread, its ends and the caller API. */
+public final class EntryDaemon implements AutoCloseable {
+  /** Longest time that a planned stop may take, in milliseconds. */
+  public static final long MAX_STOP_MILLIS = 30_000;
+
+  private static final Logger log = Logger.getLogger(EntryDaemon.class);
+
+  private final Settings settings;
+  private final InputQueue queue = new InputQueue();
+  private final Exchanges exchanges = new Exchanges(queue);
+  private final DaemonMetrics metrics = new DaemonMetrics();
+  private final CompletableFuture<Void> ended = new CompletableFuture<>();
+  private final OutputRouter router;
+  private final Effects effects;
+  private final LoopThread loop;
+  private final @Nullable TraceWriter trace;
+  private final ApiServer api;
+
+  private EntryDaemon(Settings settings, LoopFactory loops, EffectsFactory ends, EventSink events)
+      throws IOException {
+    this.settings = settings;
+    InstantSource time = new MonotonicClock();
+    long startedAt = time.millis();
+    long seed = System.nanoTime() ^ startedAt;
+    TickClock clock = new TickClock(startedAt);
+    trace = beginTrace(settings, new TraceHeader(settings.instance(), startedAt, seed, startedAt));
+    Loop core = loops.create(settings.instance(), startedAt, clock, RandomSource.of(seed));
+    effects = ends.create(settings, queue::put, this::lamportClock, metrics);
+    router = new OutputRouter(exchanges, effects, events, metrics, () -> ended.complete(null));
+    String name = settings.instance().name();
+    loop =
+        new LoopThread(
+            name,
+            queue,
+            core,
+            clock,
+            time,
+            router::carryOut,
+            this::onTick,
+            ended::completeExceptionally);
+    metrics.gauge("queue.length", queue::length);
+    api = open(settings);
+    log.infov(Messages.STARTED, name, startedAt, seed, api.port());
+  }
+
+  /**
+   * Starts to serve.
+   *
+   * @param settings settings of the process
+   * @param events takes the time line
+   * @throws IOException if an address or a file cannot be used
+   */
+  static EntryDaemon start(
+      Settings settings, LoopFactory loops, EffectsFactory ends, EventSink events)
+      throws IOException {
+    return new EntryDaemon(settings, loops, ends, events);
+  }
+
+  /** Returns the port at which callers and operators connect. */
+  public int callersPort() {
+    return api.port();
+  }
+
+  /** Returns the port at which peers connect. */
+  public int peersPort() {
+    return effects.peersPort();
+  }
+
+  /** Replaces the addresses of the peers. */
+  public void setPeers(Map<String, InetSocketAddress> addresses) {
+    effects.setPeers(addresses);
+  }
+
+  /** Tells whether callers are served. */
+  public boolean isReady() {
+    return loop.isReady();
+  }
+
+  /** Begins the planned stop. */
+  public void beginStop() {
+    log.infov(Messages.STOP_REQUESTED, settings.instance().name());
+    queue.put(Input.newBuilder().setStopOrder(StopOrder.getDefaultInstance()).build());
+  }
+
+  /** Completes when the planned stop is complete, or with the error that ended the loop. */
+  public CompletableFuture<Void> ended() {
+    return ended;
+  }
+
+  /**
+   * Runs the planned stop and closes.
+   *
+   * @return whether the stop was complete in time
+   */
+  public boolean stop() {
+    beginStop();
+    boolean complete =
+        ended
+            .thenApply(none -> true)
+            .completeOnTimeout(false, MAX_STOP_MILLIS, TimeUnit.MILLISECONDS)
+            .exceptionally(error -> false)
+            .join();
+    log.infov(
+        complete ? Messages.STOP_COMPLETE : Messages.STOP_TOO_SLOW, settings.instance().name());
+    close();
+    return complete;
+  }
+
+  /** Closes everything at once; calls in flight are answered as of unknown outcome. */
+  @Override
+  public void close() {
+    exchanges.close();
+    api.close();
+    loop.close();
+    effects.close();
+    if (trace != null) {
+      trace.close();
+    }
+  }
+
+  private ApiServer open(Settings settings) throws IOException {
+    try {
+      effects.start();
+      loop.start();
+      return ApiServer.start(
+          settings.callers(),
+          exchanges,
+          queue,
+          loop,
+          metrics,
+          new Calls(exchanges),
+          new Keys(settings.operatorKeyDigests()));
+    } catch (IOException | RuntimeException e) {
+      loop.close();
+      effects.close();
+      throw new IOException(Messages.cannotServe(settings.callers(), e), e);
+    }
+  }
+
+  private void onTick(long atMillis, long nanos, List<Input> inputs, List<Output> outputs) {
+    metrics.onTick(nanos);
+    if (trace != null) {
+      trace.onTick(atMillis, inputs, outputs);
+    }
+  }
+
+  private long lamportClock() {
+    return router.clock();
+  }
+
+  private static @Nullable TraceWriter beginTrace(Settings settings, TraceHeader header)
+      throws IOException {
+    Path directory = settings.traceDirectory();
+    return directory == null ? null : TraceWriter.begin(directory, header);
+  }
+}
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/LoopThread.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/LoopThread.java
@@ -2,7 +2,6 @@
 
 import java.time.InstantSource;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hemlockpick.proto.Input;
@@ -28,7 +27,7 @@
   private final InstantSource time;
   private final Consumer<Output> handler;
   private final TickListener listener;
-  private final CompletableFuture<Void> failure = new CompletableFuture<>();
+  private final Consumer<Throwable> onFailure;
   private final Thread thread;
   private volatile boolean closed;
   private volatile boolean ready;
@@ -41,13 +40,15 @@
       TickClock tickClock,
       InstantSource time,
       Consumer<Output> handler,
-      TickListener listener) {
+      TickListener listener,
+      Consumer<Throwable> onFailure) {
     this.queue = queue;
     this.loop = loop;
     this.tickClock = tickClock;
     this.time = time;
     this.handler = handler;
     this.listener = listener;
+    this.onFailure = onFailure;
     this.thread = new Thread(this::run, "loop-" + name);
   }
 
@@ -65,11 +66,6 @@
     return thread.isAlive() && System.nanoTime() - lastTickNanos < SILENCE_NANOS;
   }
 
-  /** Completes with the error of the tick that ended the loop. */
-  CompletableFuture<Void> failure() {
-    return failure;
-  }
-
   /** Ends the thread after its present tick. */
   void close() {
     closed = true;
@@ -92,18 +88,19 @@
 
   private boolean tick(List<Input> inputs) {
     long now = time.millis();
+    long begun = System.nanoTime();
     tickClock.set(now);
     try {
       List<Output> outputs = loop.tick(inputs);
       ready = loop.isReady();
-      listener.onTick(now, inputs, outputs);
+      listener.onTick(now, System.nanoTime() - begun, inputs, outputs);
       outputs.forEach(this::carryOut);
       lastTickNanos = System.nanoTime();
       return true;
     } catch (RuntimeException | Error e) {
       ready = false;
       log.errorv(e, Messages.TICK_FAILED, inputs.stream().map(Input::getBodyCase).toList());
-      failure.completeExceptionally(e);
+      onFailure.accept(e);
       return false;
     }
   }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.daemon;
 
+import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.stream.Collectors;
@@ -16,7 +17,7 @@
   static final String NOT_A_LIST = "must be a list";
   static final String BAD_NAME = "must be lower-case letters, digits and hyphens, at most 63";
   static final String BAD_ADDRESS = "must be host:port with a port of 0 to 65535";
-  static final String BAD_URL = "must be an http or https URL";
+  static final String BAD_URL = "must be an http URL of a host and a port";
   static final String BAD_PATH = "must be a path";
   static final String BAD_DURATION =
       "must be a duration with its unit, such as \"500 ms\" or \"2 s\"";
@@ -52,6 +53,13 @@
   static final String TRACE_FAILED = "the recording of inputs ends: {0}";
   static final String TRACE_EMPTY = "the trace has no first line";
 
+  static final String STARTED = "entry instance {0} incarnation {1} seed {2} serves callers at {3}";
+  static final String STOP_REQUESTED = "entry instance {0} begins its planned stop";
+  static final String STOP_COMPLETE = "entry instance {0} has stopped";
+  static final String STOP_TOO_SLOW = "entry instance {0} did not stop in time";
+
+  static final String CLOSED_EARLY = "connections of callers were still open at the end";
+
   private Messages() {}
 
   static String noSeat(String name, String zone) {
@@ -95,4 +103,8 @@
   static String replayDiffers(int line, long atMillis) {
     return "line " + line + ": the outputs differ from the recorded ones at " + atMillis + " ms";
   }
+
+  static String cannotServe(InetSocketAddress callers, Exception reason) {
+    return "cannot serve callers at " + callers + ": " + reason.getMessage();
+  }
 }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/OutputRouter.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/OutputRouter.java
@@ -8,16 +8,30 @@
   private final Effects effects;
   private final EventSink events;
   private final DaemonMetrics metrics;
+  private final Runnable stopped;
+  private volatile long clock;
 
-  OutputRouter(Exchanges exchanges, Effects effects, EventSink events, DaemonMetrics metrics) {
+  OutputRouter(
+      Exchanges exchanges,
+      Effects effects,
+      EventSink events,
+      DaemonMetrics metrics,
+      Runnable stopped) {
+    this.stopped = stopped;
     this.exchanges = exchanges;
     this.effects = effects;
     this.events = events;
     this.metrics = metrics;
   }
 
+  /** Returns the Lamport clock of the newest output. */
+  long clock() {
+    return clock;
+  }
+
   /** Carries out one output; never blocks. */
   void carryOut(Output output) {
+    clock = Math.max(clock, output.getClock());
     switch (output.getBodyCase()) {
       case CALLER_ANSWER -> exchanges.complete(output.getCallerAnswer());
       case PEER_MESSAGE -> effects.send(output.getPeerMessage());
@@ -35,7 +49,7 @@
       }
       case EVENT -> events.accept(output.getEvent());
       case WORKER_RESET -> effects.reset(output.getWorkerReset().getWorker());
-      case STOPPED -> effects.stopped();
+      case STOPPED -> stopped.run();
       case BODY_NOT_SET -> {
         // An output of a later version: nothing to do.
       }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
@@ -201,8 +201,9 @@
   private static @Nullable URI parseHttpUrl(String text) {
     try {
       URI url = new URI(text);
-      boolean isHttp = "http".equals(url.getScheme()) || "https".equals(url.getScheme());
-      return isHttp && url.getHost() != null ? url : null;
+      boolean isBare = "".equals(url.getPath()) || "/".equals(url.getPath());
+      boolean isWhole = url.getHost() != null && url.getPort() > 0 && isBare;
+      return "http".equals(url.getScheme()) && isWhole ? url : null;
     } catch (URISyntaxException e) {
       return null;
     }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TickListener.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TickListener.java
@@ -12,8 +12,9 @@
    * Takes note of a tick.
    *
    * @param atMillis time of the tick on the loop's clock
+   * @param nanos time that the tick took, in nanoseconds
    * @param inputs inputs that the tick took
    * @param outputs outputs that it returned
    */
-  void onTick(long atMillis, List<Input> inputs, List<Output> outputs);
+  void onTick(long atMillis, long nanos, List<Input> inputs, List<Output> outputs);
 }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceWriter.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceWriter.java
@@ -17,7 +17,7 @@
  * <p>A trace holds the bodies of the callers' requests. When the file cannot be written any more,
  * the recording ends and the loop goes on.
  */
-final class TraceWriter implements TickListener, AutoCloseable {
+final class TraceWriter implements AutoCloseable {
   private static final Logger log = Logger.getLogger(TraceWriter.class);
   private static final long FLUSH_MILLIS = TimeUnit.SECONDS.toMillis(1);
   private static final int MAX_IDLE = 1_000;
@@ -46,8 +46,8 @@
     return trace;
   }
 
-  @Override
-  public synchronized void onTick(long atMillis, List<Input> inputs, List<Output> outputs) {
+  /** Records a tick. */
+  synchronized void onTick(long atMillis, List<Input> inputs, List<Output> outputs) {
     if (failed) {
       return;
     }
