--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/AnswerJson.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/AnswerJson.java
@@ -3,12 +3,9 @@
 import com.google.protobuf.ByteString;
 import jakarta.json.Json;
 import jakarta.json.JsonArrayBuilder;
-import jakarta.json.JsonException;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonObjectBuilder;
-import jakarta.json.JsonReader;
 import jakarta.json.JsonValue;
-import java.io.StringReader;
 import java.util.Base64;
 import java.util.Optional;
 import org.hemlockpick.errors.ResultCode;
@@ -69,14 +66,7 @@
   }
 
   private static Optional<JsonValue> parse(ByteString body) {
-    if (!body.isValidUtf8()) {
-      return Optional.empty();
-    }
-    try (JsonReader reader = Json.createReader(new StringReader(body.toStringUtf8()))) {
-      return Optional.of(reader.readValue());
-    } catch (JsonException | IllegalStateException e) {
-      return Optional.empty();
-    }
+    return body.isValidUtf8() ? JsonText.parse(body.toStringUtf8()) : Optional.empty();
   }
 
   private static JsonObjectBuilder job(JobView job) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/JsonFields.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/JsonFields.java
@@ -1,13 +1,9 @@
 package org.hemlockpick.daemon;
 
-import jakarta.json.Json;
-import jakarta.json.JsonException;
 import jakarta.json.JsonNumber;
 import jakarta.json.JsonObject;
-import jakarta.json.JsonReader;
 import jakarta.json.JsonString;
 import jakarta.json.JsonValue;
-import java.io.StringReader;
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
@@ -40,14 +36,16 @@
   private static JsonValue parseValue(byte[] body) {
     try {
       String text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString();
-      try (JsonReader reader = Json.createReader(new StringReader(text))) {
-        return reader.readValue();
-      }
-    } catch (CharacterCodingException | JsonException | IllegalStateException e) {
-      throw new BadInputException(Messages.BODY_NOT_JSON);
+      return JsonText.parse(text).orElseThrow(JsonFields::notJson);
+    } catch (CharacterCodingException e) {
+      throw notJson();
     }
   }
 
+  private static BadInputException notJson() {
+    return new BadInputException(Messages.BODY_NOT_JSON);
+  }
+
   /** Returns a whole number from 0 to {@code most}, or {@code standard} if the field is missing. */
   long number(String name, long standard, long most) {
     JsonValue value = value(name);
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -17,7 +17,7 @@
   static final String NOT_A_LIST = "must be a list";
   static final String BAD_NAME = "must be lower-case letters, digits and hyphens, at most 63";
   static final String BAD_ADDRESS = "must be host:port with a port of 0 to 65535";
-  static final String BAD_URL = "must be an http URL of a host and a port";
+  static final String BAD_URL = "must be an http URL with a host and a port";
   static final String BAD_PATH = "must be a path";
   static final String BAD_DURATION =
       "must be a duration with its unit, such as \"500 ms\" or \"2 s\"";
@@ -60,6 +60,8 @@
 
   static final String CLOSED_EARLY = "connections of callers were still open at the end";
 
+  static final String LINE_NOT_JSON = "not JSON";
+
   private Messages() {}
 
   static String noSeat(String name, String zone) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Replies.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Replies.java
@@ -1,7 +1,6 @@
 package org.hemlockpick.daemon;
 
 import io.micronaut.http.HttpResponse;
-import io.micronaut.http.HttpResponseFactory;
 import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MediaType;
 import io.micronaut.http.MutableHttpResponse;
@@ -35,9 +34,9 @@
   }
 
   static MutableHttpResponse<String> of(ResultCode code, JsonObject json) {
-    MutableHttpResponse<String> response =
-        HttpResponseFactory.INSTANCE.status(HttpStatus.valueOf(code.httpStatus()), json.toString());
-    return response.contentType(MediaType.APPLICATION_JSON_TYPE);
+    return HttpResponse.<String>status(HttpStatus.valueOf(code.httpStatus()))
+        .contentType(MediaType.APPLICATION_JSON_TYPE)
+        .body(json.toString());
   }
 
   static CompletableFuture<HttpResponse<String>> refused(BadInputException e) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
@@ -34,6 +34,7 @@
   private final @Nullable TomlTable table;
   private final int line;
   private final Set<String> known = new HashSet<>();
+  private boolean clean = true;
 
   Section(Faults faults, String prefix, @Nullable TomlTable table, int line) {
     this.faults = faults;
@@ -48,8 +49,14 @@
     return position == null ? line : position.line();
   }
 
+  /** Tells whether no fault was reported. */
+  boolean isClean() {
+    return clean;
+  }
+
   /** Reports a fault of one of the keys. */
   void fault(String key, String message) {
+    clean = false;
     faults.add(lineOf(key), prefix + "." + key, message);
   }
 
@@ -201,7 +208,7 @@
   private static @Nullable URI parseHttpUrl(String text) {
     try {
       URI url = new URI(text);
-      boolean isBare = "".equals(url.getPath()) || "/".equals(url.getPath());
+      boolean isBare = url.getQuery() == null && url.getFragment() == null;
       boolean isWhole = url.getHost() != null && url.getPort() > 0 && isBare;
       return "http".equals(url.getScheme()) && isWhole ? url : null;
     } catch (URISyntaxException e) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
@@ -176,14 +176,20 @@
             interval(section, "journal-interval", standard.journalInterval()),
             interval(section, "start-wait", standard.startWait()),
             section.fraction("max-clock-drift", standard.maxClockDrift(), MAX_DRIFT));
+    if (section.isClean()) {
+      checkTiming(section, timing);
+    }
+    section.refuseUnknownKeys();
+    return timing;
+  }
+
+  private static void checkTiming(Section section, Timing timing) {
     if (!isMoreThanTwice(timing.leaseTtl(), timing.leaseRenewal())) {
       section.fault("lease-ttl", Messages.LEASE_TOO_SHORT);
     }
     if (!isMoreThanTwice(timing.peerTimeout(), timing.heartbeat())) {
       section.fault("peer-timeout", Messages.PEER_TIMEOUT_TOO_SHORT);
     }
-    section.refuseUnknownKeys();
-    return timing;
   }
 
   private static Duration interval(Section section, String key, Duration standard) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceReplay.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceReplay.java
@@ -1,13 +1,9 @@
 package org.hemlockpick.daemon;
 
 import io.vavr.control.Either;
-import jakarta.json.Json;
-import jakarta.json.JsonException;
 import jakarta.json.JsonObject;
-import jakarta.json.JsonReader;
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.StringReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -105,10 +101,10 @@
   }
 
   private static JsonObject parse(String text) {
-    try (JsonReader reader = Json.createReader(new StringReader(text))) {
-      return reader.readObject();
-    } catch (JsonException e) {
-      throw new IllegalArgumentException(e.getMessage(), e);
-    }
+    return JsonText.parse(text).orElseThrow(TraceReplay::notJson).asJsonObject();
+  }
+
+  private static IllegalArgumentException notJson() {
+    return new IllegalArgumentException(Messages.LINE_NOT_JSON);
   }
 }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceTick.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceTick.java
@@ -6,9 +6,7 @@
 import jakarta.json.JsonArrayBuilder;
 import jakarta.json.JsonNumber;
 import jakarta.json.JsonObject;
-import jakarta.json.JsonReader;
 import jakarta.json.JsonValue;
-import java.io.StringReader;
 import java.util.ArrayList;
 import java.util.List;
 import org.hemlockpick.proto.Input;
@@ -57,8 +55,8 @@
   }
 
   private static JsonValue toJson(Input input) {
-    try (JsonReader reader = Json.createReader(new StringReader(PRINTER.print(input)))) {
-      return reader.readValue();
+    try {
+      return JsonText.parse(PRINTER.print(input)).orElseThrow();
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalStateException(e);
     }
