Add the command line, the demo and the ends to the platform

serve, check, diff, apply, status, drain, timeline, replay, stand-in and demo; each is a class with setters and one call. Wrong usage is one line and exit status 2, so that a script can tell it from a failure.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
@@ -31,6 +31,7 @@
   private final LoopThread loop;
   private final @Nullable TraceWriter trace;
   private final ApiServer api;
+  private boolean closed;
 
   private EntryDaemon(Settings settings, LoopFactory loops, EffectsFactory ends, EventSink events)
       throws IOException {
@@ -56,7 +57,18 @@
             ended::completeExceptionally);
     metrics.gauge("queue.length", queue::length);
     api = open(settings);
-    log.infov(Messages.STARTED, name, startedAt, seed, api.port());
+    log.infof(Messages.STARTED, name, startedAt, seed, api.port());
+  }
+
+  /**
+   * Starts to serve and writes the time line to the log.
+   *
+   * @param settings settings of the process
+   * @throws IOException if an address or a file cannot be used
+   */
+  public static EntryDaemon start(Settings settings) throws IOException {
+    Logging.install(settings.timeline());
+    return start(settings, new TimelineLog());
   }
 
   /**
@@ -66,6 +78,10 @@
    * @param events takes the time line
    * @throws IOException if an address or a file cannot be used
    */
+  public static EntryDaemon start(Settings settings, EventSink events) throws IOException {
+    return start(settings, EntryLoop::new, PlatformEffects::new, events);
+  }
+
   static EntryDaemon start(
       Settings settings, LoopFactory loops, EffectsFactory ends, EventSink events)
       throws IOException {
@@ -109,7 +125,9 @@
    * @return whether the stop was complete in time
    */
   public boolean stop() {
-    beginStop();
+    if (!ended.isDone()) {
+      beginStop();
+    }
     boolean complete =
         ended
             .thenApply(none -> true)
@@ -124,7 +142,11 @@
 
   /** Closes everything at once; calls in flight are answered as of unknown outcome. */
   @Override
-  public void close() {
+  public synchronized void close() {
+    if (closed) {
+      return;
+    }
+    closed = true;
     exchanges.close();
     api.close();
     loop.close();
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -19,8 +19,6 @@
   static final String BAD_ADDRESS = "must be host:port with a port of 0 to 65535";
   static final String BAD_URL = "must be an http URL with a host and a port";
   static final String BAD_PATH = "must be a path";
-  static final String BAD_DURATION =
-      "must be a duration with its unit, such as \"500 ms\" or \"2 s\"";
   static final String BAD_DIGEST = "must hold SHA-256 digests of 64 lower-case hex digits";
   static final String SAME_PORT = "is the address for callers too";
   static final String LEASE_TOO_SHORT = "must be more than twice lease-renewal";
@@ -53,7 +51,8 @@
   static final String TRACE_FAILED = "the recording of inputs ends: {0}";
   static final String TRACE_EMPTY = "the trace has no first line";
 
-  static final String STARTED = "entry instance {0} incarnation {1} seed {2} serves callers at {3}";
+  static final String STARTED =
+      "entry instance %s incarnation %d seed %d serves callers at port %d";
   static final String STOP_REQUESTED = "entry instance {0} begins its planned stop";
   static final String STOP_COMPLETE = "entry instance {0} has stopped";
   static final String STOP_TOO_SLOW = "entry instance {0} did not stop in time";
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/PlatformEffects.java
@@ -0,0 +1,121 @@
+package org.hemlockpick.daemon;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.hemlockpick.proto.BlobCall;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.proto.StoreCall;
+import org.hemlockpick.proto.WorkerCall;
+import org.hemlockpick.transport.http.HttpTransport;
+import org.hemlockpick.transport.http.InstanceListPort;
+import org.hemlockpick.transport.http.ObjectStorePort;
+import org.hemlockpick.transport.http.TableServicePort;
+import org.hemlockpick.transport.http.WorkerPort;
+import org.hemlockpick.transport.peer.PeerLink;
+
+/** Reaches peers over TCP, and workers and the platform's services over HTTP. */
+final class PlatformEffects implements Effects {
+  private static final Duration LIST_INTERVAL = Duration.ofMillis(500);
+
+  private final HttpTransport transport = new HttpTransport();
+  private final PeerLink peers;
+  private final WorkerPort workers;
+  private final TableServicePort tableService;
+  private final ObjectStorePort objectStore;
+  private final InstanceListPort instanceList;
+
+  PlatformEffects(
+      Settings settings, Consumer<Input> inputs, LongSupplier clock, DaemonMetrics metrics) {
+    Settings.Platform platform = settings.platform();
+    Duration timeout = settings.instance().timing().storeTimeout();
+    peers =
+        new PeerLink(
+            settings.instance().name(),
+            settings.peers(),
+            settings.peerAddresses(),
+            message -> inputs.accept(input(message)));
+    workers = new WorkerPort(transport, inputs);
+    tableService =
+        new TableServicePort(transport, address(platform.tableService()), timeout, inputs);
+    objectStore = new ObjectStorePort(transport, address(platform.objectStore()), timeout, inputs);
+    instanceList =
+        new InstanceListPort(
+            transport, address(platform.instanceList()), LIST_INTERVAL, clock, inputs);
+    showCounters(metrics);
+  }
+
+  @Override
+  public void start() throws IOException {
+    peers.start();
+    instanceList.start();
+  }
+
+  @Override
+  public int peersPort() {
+    return peers.port();
+  }
+
+  @Override
+  public void setPeers(Map<String, InetSocketAddress> addresses) {
+    peers.setPeers(addresses);
+  }
+
+  @Override
+  public void send(PeerMessage message) {
+    peers.send(message);
+  }
+
+  @Override
+  public void call(WorkerCall call, long clock) {
+    workers.call(call, clock);
+  }
+
+  @Override
+  public void call(StoreCall call, long clock) {
+    tableService.call(call, clock);
+  }
+
+  @Override
+  public void call(BlobCall call, long clock) {
+    objectStore.call(call, clock);
+  }
+
+  @Override
+  public void reset(String worker) {
+    workers.reset(worker);
+  }
+
+  @Override
+  public void close() {
+    instanceList.close();
+    peers.close();
+    transport.close();
+  }
+
+  private void showCounters(DaemonMetrics metrics) {
+    metrics.gauge("peers.sent", () -> peers.counters().sent());
+    metrics.gauge("peers.received", () -> peers.counters().received());
+    metrics.gauge("peers.dropped", () -> peers.counters().dropped());
+    metrics.gauge("peers.badFrames", () -> peers.counters().badFrames());
+    metrics.gauge("peers.reconnects", () -> peers.counters().reconnects());
+    metrics.gauge("peers.silences", () -> peers.counters().silences());
+    metrics.gauge("peers.bytesIn", () -> peers.counters().bytesIn());
+    metrics.gauge("peers.bytesOut", () -> peers.counters().bytesOut());
+  }
+
+  private static Input input(PeerMessage message) {
+    return Input.newBuilder().setClock(message.getClock()).setPeerMessage(message).build();
+  }
+
+  /** Returns host, port and path of a URL. */
+  private static String address(URI url) {
+    String address = url.getAuthority() + url.getPath();
+    return address.endsWith("/") ? address.substring(0, address.length() - 1) : address;
+  }
+}
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Pattern;
+import org.hemlockpick.util.Units;
 import org.jspecify.annotations.Nullable;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlPosition;
@@ -89,15 +90,27 @@
     if (text == null) {
       return standard;
     }
-    Duration value = parsed(key, text, DurationText::parse, Messages.BAD_DURATION);
-    if (value == null) {
-      return standard;
-    }
-    if (value.compareTo(least) < 0 || value.compareTo(most) > 0) {
-      fault(key, Messages.outOfRange(DurationText.format(least), DurationText.format(most)));
-      return standard;
+    return Units.duration(text)
+        .fold(
+            message -> orFault(key, message, standard),
+            value -> inRange(key, value, standard, least, most));
+  }
+
+  private Duration inRange(
+      String key, Duration value, Duration standard, Duration least, Duration most) {
+    if (value.compareTo(least) >= 0 && value.compareTo(most) <= 0) {
+      return value;
     }
-    return value;
+    return orFault(key, Messages.outOfRange(inMillis(least), inMillis(most)), standard);
+  }
+
+  private Duration orFault(String key, String message, Duration standard) {
+    fault(key, message);
+    return standard;
+  }
+
+  private static String inMillis(Duration duration) {
+    return duration.toMillis() + " ms";
   }
 
   double fraction(String key, double standard, double below) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceReplay.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TraceReplay.java
@@ -32,6 +32,17 @@
    */
   public record Result(long ticks, long inputs, String hash, boolean cutOff) {}
 
+  /**
+   * Replays a trace with the library's loop.
+   *
+   * @param trace trace that was recorded
+   * @return what was run, or the reason why the run differs or cannot be read
+   * @throws IOException if the file cannot be read
+   */
+  public static Either<String, Result> replay(Path trace) throws IOException {
+    return new TraceReplay(EntryLoop::new).run(trace);
+  }
+
   /**
    * Replays a trace.
    *
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the command line. */
+@NullMarked
+package org.hemlockpick.pgm;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ApiClient.java
@@ -0,0 +1,95 @@
+package org.hemlockpick.pgm;
+
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.client.BlockingHttpClient;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.exceptions.HttpClientException;
+import jakarta.json.Json;
+import jakarta.json.JsonException;
+import jakarta.json.JsonObject;
+import java.io.IOException;
+import java.io.StringReader;
+import java.net.URI;
+import java.time.Duration;
+
+/** Calls the API of an entry instance. */
+final class ApiClient implements AutoCloseable {
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+  private static final String KEY_HEADER = "X-Hemlockpick-Key";
+
+  private final URI url;
+  private final String key;
+  private final HttpClient client;
+  private final BlockingHttpClient blocking;
+
+  /**
+   * Creates a client without a connection.
+   *
+   * @param url caller address of an entry instance
+   * @param key key of the operator or the customer
+   * @throws IOException if the URL is malformed
+   */
+  ApiClient(URI url, String key) throws IOException {
+    this.url = url;
+    this.key = key;
+    DefaultHttpClientConfiguration settings = new DefaultHttpClientConfiguration();
+    settings.setReadTimeout(TIMEOUT);
+    settings.setExceptionOnErrorStatus(false);
+    client = HttpClient.create(url.toURL(), settings);
+    blocking = client.toBlocking();
+  }
+
+  /**
+   * Gets an object.
+   *
+   * @throws IOException if there is no whole answer
+   */
+  JsonObject get(String path) throws IOException {
+    return send(HttpRequest.GET(path));
+  }
+
+  /**
+   * Posts an object.
+   *
+   * @throws IOException if there is no whole answer
+   */
+  JsonObject post(String path, JsonObject body) throws IOException {
+    return send(HttpRequest.POST(path, body.toString()));
+  }
+
+  /**
+   * Posts a request with an idempotency key.
+   *
+   * @throws IOException if there is no whole answer
+   */
+  JsonObject post(String path, JsonObject body, String idempotencyKey) throws IOException {
+    return send(HttpRequest.POST(path, body.toString()).header("Idempotency-Key", idempotencyKey));
+  }
+
+  /**
+   * Puts an object.
+   *
+   * @throws IOException if there is no whole answer
+   */
+  JsonObject put(String path, JsonObject body) throws IOException {
+    return send(HttpRequest.PUT(path, body.toString()));
+  }
+
+  @Override
+  public void close() {
+    client.close();
+  }
+
+  private JsonObject send(MutableHttpRequest<?> request) throws IOException {
+    try {
+      HttpResponse<String> response =
+          blocking.exchange(request.header(KEY_HEADER, key), String.class);
+      return Json.createReader(new StringReader(response.getBody().orElse(""))).readObject();
+    } catch (HttpClientException | JsonException e) {
+      throw new IOException(Messages.noAnswer(url.toString(), String.valueOf(e.getMessage())), e);
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
@@ -0,0 +1,93 @@
+package org.hemlockpick.pgm;
+
+import java.io.IOException;
+import java.util.function.BiFunction;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** Parses arguments and runs the command that they name. */
+public final class CommandLine {
+  private static final String FACTORY = "factory";
+  private static final String NAME = "command";
+
+  private final Console console;
+  private final ArgumentParser parser;
+
+  /** Creates a command line that writes to a console. */
+  public CommandLine(Console console) {
+    this.console = console;
+    parser =
+        ArgumentParsers.newFor(Messages.PROGRAM)
+            .build()
+            .description(Messages.DESCRIPTION)
+            .epilog(Messages.EXIT_STATUSES);
+    Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND").dest(NAME);
+    add(commands, "serve", Messages.SERVE, ServeCommand::describe, ServeCommand::of);
+    add(commands, "check", Messages.CHECK, CheckCommand::describe, CheckCommand::of);
+    add(commands, "diff", Messages.DIFF, DiffCommand::describe, DiffCommand::of);
+    add(commands, "apply", Messages.APPLY, ApplyCommand::describe, ApplyCommand::of);
+    add(commands, "status", Messages.STATUS, StatusCommand::describe, StatusCommand::of);
+    add(commands, "drain", Messages.DRAIN, DrainCommand::describe, DrainCommand::of);
+    add(commands, "timeline", Messages.TIMELINE, TimelineCommand::describe, TimelineCommand::of);
+    add(commands, "replay", Messages.REPLAY, ReplayCommand::describe, ReplayCommand::of);
+    add(commands, "stand-in", Messages.STAND_IN, StandInCommand::describe, StandInCommand::of);
+    add(commands, "demo", Messages.DEMO, DemoCommand::describe, DemoCommand::of);
+  }
+
+  /**
+   * Runs a command.
+   *
+   * @return exit status of the process
+   */
+  public int run(String... args) {
+    try {
+      Namespace values = parser.parseArgs(args);
+      BiFunction<Namespace, Console, Command> factory = values.get(FACTORY);
+      return factory.apply(values, console).call();
+    } catch (HelpScreenException e) {
+      return ExitStatus.OK;
+    } catch (ArgumentParserException e) {
+      console.err().println(Messages.usage(oneLine(e.getMessage()), commandOf(args)));
+      return ExitStatus.USAGE;
+    } catch (UsageException e) {
+      console.err().println(Messages.usage(oneLine(e.getMessage()), commandOf(args)));
+      return ExitStatus.USAGE;
+    } catch (IOException e) {
+      console.err().println(Messages.failure(oneLine(e.getMessage())));
+      return ExitStatus.FAILURE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return ExitStatus.FAILURE;
+    }
+  }
+
+  private static void add(
+      Subparsers commands,
+      String name,
+      String help,
+      Description description,
+      BiFunction<Namespace, Console, Command> factory) {
+    Subparser command = commands.addParser(name).help(help).description(help);
+    description.addTo(command);
+    command.setDefault(FACTORY, factory);
+  }
+
+  private static String commandOf(String... args) {
+    return args.length > 0 && args[0].matches("[a-z-]+") ? args[0] : "";
+  }
+
+  private static String oneLine(@org.jspecify.annotations.Nullable String message) {
+    return String.valueOf(message).replaceAll("\\s*\\R\\s*", " ").strip();
+  }
+
+  /** Adds the arguments and examples of one command to its parser. */
+  @FunctionalInterface
+  private interface Description {
+    void addTo(Subparser command);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DemoZone.java
@@ -0,0 +1,107 @@
+package org.hemlockpick.pgm;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.hemlockpick.daemon.EntryDaemon;
+import org.hemlockpick.daemon.Settings;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.lib.Seat;
+import org.hemlockpick.lib.Timing;
+import org.hemlockpick.proto.Event;
+import org.hemlockpick.standin.StandInSettings;
+import org.hemlockpick.standin.StandIns;
+
+/** Runs three entry instances of one availability zone and stand-ins at free ports. */
+final class DemoZone implements AutoCloseable {
+  static final String OPERATOR_KEY = "demo-operator";
+
+  private static final String ZONE = "zone-a";
+  private static final int WORKERS = 3;
+  private static final List<Seat> ROSTER =
+      List.of(
+          new Seat("entry-a-1", ZONE), new Seat("entry-a-2", ZONE), new Seat("entry-a-3", ZONE));
+
+  private final StandIns standIns = new StandIns(StandInSettings.all(List.of(ZONE), WORKERS));
+  private final List<EntryDaemon> daemons = new ArrayList<>();
+  private final ConcurrentLinkedQueue<Event> events = new ConcurrentLinkedQueue<>();
+
+  /**
+   * Starts the zone.
+   *
+   * @throws IOException if a port cannot be used
+   */
+  DemoZone() throws IOException {
+    try {
+      startDaemons();
+    } catch (IOException | RuntimeException e) {
+      close();
+      throw e;
+    }
+  }
+
+  int size() {
+    return daemons.size();
+  }
+
+  boolean isReady() {
+    return daemons.stream().allMatch(EntryDaemon::isReady);
+  }
+
+  /** Opens a client of one of the entry instances. */
+  ApiClient client(int index, String key) throws IOException {
+    return new ApiClient(URI.create("http://127.0.0.1:" + daemons.get(index).callersPort()), key);
+  }
+
+  /** Returns the time line so far, in causal order. */
+  List<TimelineEntry> timeline() {
+    return events.stream().map(TimelineEntry::new).sorted().toList();
+  }
+
+  @Override
+  public void close() {
+    daemons.forEach(EntryDaemon::close);
+    standIns.close();
+  }
+
+  private void startDaemons() throws IOException {
+    Map<String, InetSocketAddress> addresses = new HashMap<>();
+    for (Seat seat : ROSTER) {
+      EntryDaemon daemon = EntryDaemon.start(settings(seat), events::add);
+      daemons.add(daemon);
+      addresses.put(seat.name(), loopback(daemon.peersPort()));
+    }
+    daemons.forEach(daemon -> daemon.setPeers(addresses));
+  }
+
+  private Settings settings(Seat seat) {
+    Settings.Platform platform =
+        new Settings.Platform(
+            url(standIns.tableAddress()),
+            url(standIns.objectsAddress()),
+            url(standIns.listAddress()));
+    return new Settings(
+        new InstanceSettings(seat.name(), seat.zone(), ROSTER, Timing.standard()),
+        loopback(0),
+        loopback(0),
+        Map.of(),
+        platform,
+        List.of(Digests.sha256(OPERATOR_KEY)),
+        null,
+        new Settings.Timeline(Settings.Timeline.Level.OFF, null));
+  }
+
+  private static InetSocketAddress loopback(int port) {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+  }
+
+  private static URI url(String address) {
+    return URI.create("http://" + address);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
@@ -0,0 +1,70 @@
+package org.hemlockpick.pgm;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.logging.Level;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.hemlockpick.daemon.EntryDaemon;
+import org.hemlockpick.daemon.Fault;
+import org.hemlockpick.daemon.Logging;
+import org.hemlockpick.daemon.Settings;
+import org.hemlockpick.daemon.SettingsReader;
+
+/** Serves as an entry instance until it is stopped by a signal or an operator. */
+final class ServeCommand implements Command {
+  private final Console console;
+  private Path settings = Path.of("");
+
+  ServeCommand(Console console) {
+    this.console = console;
+  }
+
+  static void describe(Subparser command) {
+    command.addArgument("--settings").metavar("FILE").required(true).help("settings in TOML");
+    command.epilog(Messages.examples("hemlockpick serve --settings examples/zone/entry-a-1.toml"));
+  }
+
+  static ServeCommand of(Namespace values, Console console) {
+    return new ServeCommand(console).setSettings(Path.of(values.getString("settings")));
+  }
+
+  /** Sets the file with the settings. */
+  ServeCommand setSettings(Path file) {
+    settings = file;
+    return this;
+  }
+
+  @Override
+  public int call() throws IOException {
+    var read = SettingsReader.read(settings);
+    return read.isLeft() ? refuse(read.getLeft()) : serve(read.get());
+  }
+
+  private int refuse(List<Fault> faults) {
+    faults.forEach(console.err()::println);
+    return ExitStatus.USAGE;
+  }
+
+  private static int serve(Settings settings) throws IOException {
+    Logging.install(Level.INFO);
+    EntryDaemon daemon = EntryDaemon.start(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "stop"));
+    try {
+      daemon.ended().join();
+      return ExitStatus.OK;
+    } catch (CompletionException e) {
+      return ExitStatus.FAILURE;
+    } finally {
+      daemon.close();
+    }
+  }
+
+  /** Ends the process with the status of the stop, as the virtual machine would show the signal. */
+  private static void stop(EntryDaemon daemon) {
+    boolean complete = daemon.stop();
+    Runtime.getRuntime().halt(complete ? ExitStatus.OK : ExitStatus.FAILURE);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/TimelineEntry.java
@@ -0,0 +1,82 @@
+package org.hemlockpick.pgm;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.util.JsonFormat;
+import jakarta.json.Json;
+import jakarta.json.JsonException;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
+import java.io.StringReader;
+import java.util.Comparator;
+import java.util.Optional;
+import org.hemlockpick.proto.Event;
+
+/**
+ * Holds one entry of a time line. The natural order is by the Lamport clock, which puts causes
+ * before effects; entries with the same clock have no effect on each other.
+ *
+ * @param event what happened
+ */
+record TimelineEntry(Event event) implements Comparable<TimelineEntry> {
+  private static final JsonFormat.Parser PARSER = JsonFormat.parser().ignoringUnknownFields();
+  private static final Comparator<TimelineEntry> CAUSAL =
+      Comparator.<TimelineEntry>comparingLong(entry -> entry.event.getClock())
+          .thenComparing(entry -> entry.event.getInstance())
+          .thenComparingLong(entry -> entry.event.getIncarnation());
+
+  /**
+   * Returns the entry of a log line, or nothing if the line holds none. The fields stand in the
+   * line itself or in its message.
+   */
+  static Optional<TimelineEntry> parse(String line) {
+    return parseEvent(line).or(() -> message(line).flatMap(TimelineEntry::parseEvent));
+  }
+
+  private static Optional<TimelineEntry> parseEvent(String json) {
+    Event.Builder event = Event.newBuilder();
+    try {
+      PARSER.merge(json, event);
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+    boolean isWhole = !event.getKind().isEmpty() && !event.getInstance().isEmpty();
+    return isWhole ? Optional.of(new TimelineEntry(event.build())) : Optional.empty();
+  }
+
+  private static Optional<String> message(String line) {
+    try (JsonReader reader = Json.createReader(new StringReader(line))) {
+      return Optional.ofNullable(reader.readObject().getString("message", null));
+    } catch (JsonException e) {
+      return Optional.empty();
+    }
+  }
+
+  JsonObject toJson() {
+    return Json.createObjectBuilder()
+        .add("clock", event.getClock())
+        .add("instance", event.getInstance())
+        .add("incarnation", event.getIncarnation())
+        .add("atMillis", event.getAtMillis())
+        .add("kind", event.getKind())
+        .add("subject", event.getSubject())
+        .add("detail", event.getDetail())
+        .build();
+  }
+
+  @Override
+  public int compareTo(TimelineEntry other) {
+    return CAUSAL.compare(this, other);
+  }
+
+  @Override
+  public String toString() {
+    return String.format(
+            "%8d  %-12s  %-20s  %s  %s",
+            event.getClock(),
+            event.getInstance(),
+            event.getKind(),
+            event.getSubject(),
+            event.getDetail())
+        .stripTrailing();
+  }
+}
