--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ApiClient.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ApiClient.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.pgm;
 
+import static io.micronaut.core.type.Argument.STRING;
+
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.MutableHttpRequest;
@@ -7,9 +9,11 @@
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
 import io.micronaut.http.client.exceptions.HttpClientException;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
 import jakarta.json.Json;
 import jakarta.json.JsonException;
 import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
 import java.io.IOException;
 import java.io.StringReader;
 import java.net.URI;
@@ -37,7 +41,6 @@
     this.key = key;
     DefaultHttpClientConfiguration settings = new DefaultHttpClientConfiguration();
     settings.setReadTimeout(TIMEOUT);
-    settings.setExceptionOnErrorStatus(false);
     client = HttpClient.create(url.toURL(), settings);
     blocking = client.toBlocking();
   }
@@ -85,11 +88,24 @@
 
   private JsonObject send(MutableHttpRequest<?> request) throws IOException {
     try {
-      HttpResponse<String> response =
-          blocking.exchange(request.header(KEY_HEADER, key), String.class);
-      return Json.createReader(new StringReader(response.getBody().orElse(""))).readObject();
-    } catch (HttpClientException | JsonException e) {
-      throw new IOException(Messages.noAnswer(url.toString(), String.valueOf(e.getMessage())), e);
+      return parse(blocking.exchange(request.header(KEY_HEADER, key), STRING, STRING));
+    } catch (HttpClientResponseException e) {
+      return parse(e.getResponse());
+    } catch (HttpClientException e) {
+      throw noAnswer(e);
+    }
+  }
+
+  private JsonObject parse(HttpResponse<?> response) throws IOException {
+    String text = response.getBody(String.class).orElse("");
+    try (JsonReader reader = Json.createReader(new StringReader(text))) {
+      return reader.readObject();
+    } catch (JsonException e) {
+      throw noAnswer(e);
     }
   }
+
+  private IOException noAnswer(RuntimeException e) {
+    return new IOException(Messages.noAnswer(url.toString(), String.valueOf(e.getMessage())), e);
+  }
 }
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DemoScript.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DemoScript.java
@@ -77,6 +77,7 @@
 
   private void sendNonIdempotentRequestTwice() throws IOException {
     JsonObject request = request(false, "top-up");
+    long sentBefore = requestsSent();
     JsonObject first = post(0, request);
     JsonObject second = post(2, request);
     console.out().println(first);
@@ -84,9 +85,18 @@
     if (!first.equals(second)) {
       throw new IOException(Messages.DEMO_ANSWERS_DIFFER);
     }
+    if (requestsSent() != sentBefore + 1) {
+      throw new IOException(Messages.DEMO_RAN_AGAIN);
+    }
     showEvents(Messages.DEMO_REPEATED);
   }
 
+  private long requestsSent() {
+    return zone.timeline().stream()
+        .filter(entry -> entry.event().getKind().equals("request-sent"))
+        .count();
+  }
+
   private JsonObject post(int index, JsonObject request) throws IOException {
     try (ApiClient client = zone.client(index, CUSTOMER_KEY)) {
       return Answers.requireDone(client.post(REQUESTS, request, "top-up-1"));
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/Messages.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/Messages.java
@@ -24,7 +24,7 @@
   static final String DEMO = "run a whole zone in this process and send it work";
 
   static final String NO_FAULTS = "no faults";
-  static final String STAND_INS_RUN = "stand-ins run; end them with an interrupt";
+  static final String STAND_INS_RUN = "stand-ins run; end them with SIGTERM";
   static final String NOT_A_KIND =
       "neither settings (an [instance] section) nor a contract (customer)";
   static final String NO_CONTRACTS = "no contracts (*.toml) found";
@@ -47,6 +47,7 @@
   static final String DEMO_REPEATED =
       "a non-idempotent request ran once; its repetition elsewhere got the same answer";
   static final String DEMO_JOB = "a batch job is finished";
+  static final String DEMO_RAN_AGAIN = "the repeated request was sent to a worker again";
   static final String DEMO_ANSWERS_DIFFER = "the repeated request got another answer";
 
   private Messages() {}
@@ -137,4 +138,8 @@
   static String demoTimeout(String goal) {
     return "waited too long for " + goal;
   }
+
+  static String cannotListen(int port, Exception reason) {
+    return "cannot listen at port " + port + ": " + reason.getMessage();
+  }
 }
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/StandInCommand.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/StandInCommand.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.pgm;
 
+import io.micronaut.http.server.exceptions.ServerStartupException;
+import java.io.IOException;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -114,19 +116,27 @@
   }
 
   @Override
-  public int call() throws InterruptedException {
+  public int call() throws IOException, InterruptedException {
     boolean needsOthers = roles.equals(Set.of(Role.WORKERS));
     if (needsOthers && (instanceList.isEmpty() || objectStore.isEmpty())) {
       throw new UsageException(Messages.WORKERS_NEED_LIST);
     }
     Logging.install(Level.INFO);
-    try (StandIns standIns = new StandIns(settings())) {
+    try (StandIns standIns = start()) {
       showAddresses(standIns);
       new CountDownLatch(1).await();
     }
     return ExitStatus.OK;
   }
 
+  private StandIns start() throws IOException {
+    try {
+      return new StandIns(settings());
+    } catch (ServerStartupException e) {
+      throw new IOException(Messages.cannotListen(port, e), e);
+    }
+  }
+
   private StandInSettings settings() {
     StandInSettings usual = StandInSettings.all(zones, workers);
     return new StandInSettings(
