Look for shards soon after an outage of the table service

Ruled out: quotas and the lease of the worker, which was held all the time. A scan now follows 2 s after the table service answers again, and the slow scan runs every 20 s: 84 entry instances make 4 reads a second of it.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardClaims.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ShardClaims.java
@@ -26,11 +26,14 @@
  */
 final class ShardClaims implements LoopSystem {
   /** Interval between scans when the live entry instances stay the same, in milliseconds. */
-  private static final long SCAN_MILLIS = 60_000;
+  private static final long SCAN_MILLIS = 20_000;
 
   /** Interval between looks at the live entry instances, in milliseconds. */
   private static final long LOOK_MILLIS = 500;
 
+  /** Wait for late writes before the scan that follows an outage of the store, in milliseconds. */
+  private static final long AFTER_OUTAGE_MILLIS = 2_000;
+
   /** Wait before a scan without an answer is repeated, in milliseconds. */
   private static final long RETRY_MILLIS = 1_000;
 
@@ -47,6 +50,7 @@
   private long nextLook = Long.MIN_VALUE;
   private long nextScan = Long.MIN_VALUE;
   private boolean scanning;
+  private boolean storeWasReachable = true;
 
   ShardClaims(
       InstanceSettings settings,
@@ -72,6 +76,7 @@
       return;
     }
     nextLook = now + LOOK_MILLIS;
+    scanAfterOutage(now);
     Set<Holder> present = new HashSet<>(candidates(now));
     if (!present.equals(live)) {
       live = present;
@@ -84,6 +89,15 @@
     }
   }
 
+  /** Looks early for shards whose hints were lost with the answers to late writes. */
+  private void scanAfterOutage(long now) {
+    boolean reachable = store.isReachable();
+    if (reachable && !storeWasReachable) {
+      nextScan = Math.min(nextScan, now + AFTER_OUTAGE_MILLIS);
+    }
+    storeWasReachable = reachable;
+  }
+
   /** Returns who may get the shards of a new job: those that own workers, if any do. */
   List<Holder> holdersOfNewShards(long now) {
     List<Holder> all = candidates(now);
