--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
@@ -109,6 +109,11 @@
     return Objects.requireNonNull(workers.get(name));
   }
 
+  /** Returns all entry instances of an availability zone. */
+  List<EntryNode> entriesOf(String zone) {
+    return entries.values().stream().filter(node -> node.zone.equals(zone)).toList();
+  }
+
   /** Returns the names of the entry instances that run and hold the lease of a worker. */
   List<String> holders(String worker) {
     return entries.values().stream()
