Run a zone of processes and end, kill and pause its entry instances

Also stop watching a connection once its answer is there: a caller that keeps one connection for all its calls would have left a listener for each.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Calls.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Calls.java
@@ -3,6 +3,8 @@
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.server.netty.NettyHttpRequest;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.LongFunction;
@@ -32,11 +34,11 @@
     return exchange.answer().thenApply(reply);
   }
 
+  /** Watches the connection until the answer is there, as it may carry many more calls. */
   private void watch(NettyHttpRequest<?> request, Exchanges.Exchange exchange) {
-    request
-        .getChannelHandlerContext()
-        .channel()
-        .closeFuture()
-        .addListener(closed -> exchanges.abandon(exchange.number()));
+    ChannelFuture closed = request.getChannelHandlerContext().channel().closeFuture();
+    ChannelFutureListener listener = done -> exchanges.abandon(exchange.number());
+    closed.addListener(listener);
+    var unused = exchange.answer().whenComplete((answer, error) -> closed.removeListener(listener));
   }
 }
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcessTest.java
@@ -0,0 +1,153 @@
+package org.hemlockpick.pgm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import jakarta.json.Json;
+import jakarta.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Ends and pauses processes of a zone while it serves. */
+class ZoneProcessTest {
+  private static final Path CONTRACT = Path.of("..", "examples", "contracts", "lantern.toml");
+  private static final String KEY = "demo-customer";
+  private static final String PATH = "/v1/customers/lantern/services/litepay";
+  private static final Duration PATIENCE = Duration.ofSeconds(40);
+  private static final int CALLERS = 4;
+  private static final int REQUESTS_PER_CALLER = 40;
+
+  private final ZoneProcesses zone;
+
+  ZoneProcessTest(@TempDir Path folder) throws IOException {
+    zone = new ZoneProcesses(folder);
+  }
+
+  @BeforeEach
+  void applyContract() throws Exception {
+    JsonObject change =
+        Json.createObjectBuilder()
+            .add("baseRevision", 0)
+            .add("operator", "test")
+            .add("text", Files.readString(CONTRACT))
+            .build();
+    await(() -> isDone(zone.operator(0), client -> client.put("/v1/contracts/lantern", change)));
+    for (int i = 0; i < ZoneProcesses.SIZE; i++) {
+      int index = i;
+      await(() -> serves(index));
+    }
+  }
+
+  @AfterEach
+  void close() {
+    zone.close();
+  }
+
+  @Test
+  void cutsOffNoRequestInAPlannedStop() throws Exception {
+    List<JsonObject> answers = new ArrayList<>();
+    ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+    try {
+      List<Future<List<JsonObject>>> running = new ArrayList<>();
+      for (int i = 0; i < CALLERS; i++) {
+        running.add(callers.submit(this::callUntilStopped));
+      }
+      zone.signal(1, "-TERM");
+      for (Future<List<JsonObject>> caller : running) {
+        answers.addAll(caller.get());
+      }
+    } finally {
+      callers.shutdownNow();
+    }
+
+    assertEquals(0, zone.exitStatus(1));
+    for (JsonObject answer : answers) {
+      assertTrue(
+          List.of("DONE", "STOPPING").contains(answer.getString("result")), answer::toString);
+    }
+    assertTrue(serves(0));
+  }
+
+  @Test
+  void servesOnAfterAnEntryInstanceWasKilled() throws Exception {
+    zone.signal(0, "-KILL");
+
+    await(() -> livePeers(1) == 1);
+    await(() -> serves(1) && serves(2));
+  }
+
+  @Test
+  void takesAPausedEntryInstanceBack() throws Exception {
+    zone.signal(0, "-STOP");
+    await(() -> livePeers(1) == 1);
+    await(() -> serves(1));
+
+    zone.signal(0, "-CONT");
+
+    await(() -> livePeers(1) == 2);
+    await(() -> serves(0));
+  }
+
+  /** Calls until the first answer that refuses or the last request; every answer must be whole. */
+  private List<JsonObject> callUntilStopped() throws IOException {
+    List<JsonObject> answers = new ArrayList<>();
+    try (ApiClient client = zone.client(1, KEY)) {
+      for (int i = 0; i < REQUESTS_PER_CALLER; i++) {
+        JsonObject answer = client.post(PATH, request());
+        answers.add(answer);
+        if (!Answers.isDone(answer)) {
+          return answers;
+        }
+      }
+    }
+    return answers;
+  }
+
+  private boolean serves(int index) throws IOException {
+    return isDone(zone.client(index, KEY), client -> client.post(PATH, request()));
+  }
+
+  private int livePeers(int index) throws IOException {
+    try (ApiClient client = zone.operator(index)) {
+      return client.get("/v1/status").getJsonObject("status").getJsonArray("livePeers").size();
+    }
+  }
+
+  private static boolean isDone(ApiClient opened, Call call) {
+    try (ApiClient client = opened) {
+      return Answers.isDone(call.send(client));
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private static JsonObject request() {
+    return Json.createObjectBuilder().add("idempotent", true).add("body", 1).build();
+  }
+
+  private static void await(Callable<Boolean> condition) throws Exception {
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    while (!condition.call()) {
+      assertTrue(System.nanoTime() < end, "the condition did not come true");
+      Thread.sleep(50);
+    }
+  }
+
+  /** Sends one call. */
+  @FunctionalInterface
+  private interface Call {
+    JsonObject send(ApiClient client) throws IOException;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcesses.java
@@ -0,0 +1,123 @@
+package org.hemlockpick.pgm;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Runs stand-ins and three entry instances as processes of their own. */
+final class ZoneProcesses implements AutoCloseable {
+  static final int SIZE = 3;
+
+  private static final String OPERATOR_KEY = "process-operator";
+  private static final long END_SECONDS = 40;
+
+  private final Path folder;
+  private final Process standIns;
+  private final Map<String, String> platform = new HashMap<>();
+  private final List<Integer> callerPorts = new ArrayList<>();
+  private final List<Integer> peerPorts = new ArrayList<>();
+  private final List<Process> entries = new ArrayList<>();
+
+  ZoneProcesses(Path folder) throws IOException {
+    this.folder = folder;
+    standIns = start("stand-ins", "stand-in", "--workers", "3");
+    readAddresses();
+    for (int i = 0; i < SIZE; i++) {
+      callerPorts.add(freePort());
+      peerPorts.add(freePort());
+    }
+    for (int i = 0; i < SIZE; i++) {
+      Path settings = Files.writeString(folder.resolve(name(i) + ".toml"), settings(i));
+      entries.add(start(name(i), "serve", "--settings", settings.toString()));
+    }
+  }
+
+  ApiClient operator(int index) throws IOException {
+    return client(index, OPERATOR_KEY);
+  }
+
+  ApiClient client(int index, String key) throws IOException {
+    return new ApiClient(URI.create("http://127.0.0.1:" + callerPorts.get(index)), key);
+  }
+
+  /** Sends a signal to an entry instance, like {@code -STOP}. */
+  void signal(int index, String signal) throws IOException, InterruptedException {
+    String pid = Long.toString(entries.get(index).pid());
+    new ProcessBuilder("kill", signal, pid).start().waitFor();
+  }
+
+  /** Returns the exit status of an entry instance once it has ended. */
+  int exitStatus(int index) throws InterruptedException {
+    Process process = entries.get(index);
+    if (!process.waitFor(END_SECONDS, TimeUnit.SECONDS)) {
+      throw new AssertionError(name(index) + " did not end");
+    }
+    return process.exitValue();
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(Process::destroyForcibly);
+    standIns.destroyForcibly();
+  }
+
+  private Process start(String log, String... args) throws IOException {
+    List<String> command =
+        new ArrayList<>(
+            List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Djava.util.logging.manager=org.jboss.logmanager.LogManager",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName()));
+    command.addAll(List.of(args));
+    File errors = folder.resolve(log + ".log").toFile();
+    return new ProcessBuilder(command).redirectError(errors).start();
+  }
+
+  private void readAddresses() throws IOException {
+    BufferedReader lines = standIns.inputReader();
+    String line = lines.readLine();
+    while (line != null && !line.equals(Messages.STAND_INS_RUN)) {
+      int space = line.indexOf(' ');
+      platform.put(line.substring(0, space), line.substring(space + 1));
+      line = lines.readLine();
+    }
+  }
+
+  private String settings(int index) {
+    StringBuilder text = new StringBuilder();
+    text.append("[instance]\nname = \"%s\"\nzone = \"zone-a\"\n".formatted(name(index)));
+    text.append("[listen]\ncallers = \"127.0.0.1:%d\"\n".formatted(callerPorts.get(index)));
+    text.append("peers = \"127.0.0.1:%d\"\n[platform]\n".formatted(peerPorts.get(index)));
+    for (String service : List.of("table-service", "object-store", "instance-list")) {
+      text.append("%s = \"%s\"\n".formatted(service, platform.get(service)));
+    }
+    text.append("[operators]\nkey-sha256 = [\"%s\"]\n".formatted(Digests.sha256(OPERATOR_KEY)));
+    for (int i = 0; i < SIZE; i++) {
+      text.append("[[roster]]\nname = \"%s\"\nzone = \"zone-a\"\n".formatted(name(i)));
+      text.append("peers = \"127.0.0.1:%d\"\n".formatted(peerPorts.get(i)));
+    }
+    return text.toString();
+  }
+
+  private static String name(int index) {
+    return "entry-a-" + (index + 1);
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+}
