Mend what a read-through of keys, leases and the list found

- A repetition of a request whose answer was too large to keep got 'done' with an empty body; it now gets ANSWER_NOT_KEPT.
- A key used for another request got the first one's answer; the row now holds a digest and the answer is KEY_REUSED.
- A worker missing from the list for 8 s counted as gone although a peer held it; claimed workers are now never gone.
- A worker gives a new epoch with every lease asked for anew, so that late calls of the former grant are refused; a refused request stays refused.
- A request that could not be placed held up those behind it.
- Jobs sent to a starting instance were refused as not authenticated.
- A planned stop did not wait for calls to the table service.

--- a/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerModel.java
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerModel.java
@@ -129,9 +129,7 @@
       if (!free && !same) {
         return refusal(now);
       }
-      if (free || !same) {
-        grantAnew(call);
-      }
+      grantAnew(call);
     } else if (!same || call.getEpoch() != epoch || free) {
       return refusal(now);
     }
@@ -161,10 +159,10 @@
       return Optional.of(reply(sequence, RequestResult.REFUSED_STALE));
     }
     if (leaving) {
-      return Optional.of(reply(sequence, RequestResult.REFUSED_LEAVING));
+      return Optional.of(refuse(sequence, RequestResult.REFUSED_LEAVING));
     }
     if (running.size() >= capacity.getSlots()) {
-      return Optional.of(reply(sequence, RequestResult.REFUSED_FULL));
+      return Optional.of(refuse(sequence, RequestResult.REFUSED_FULL));
     }
     running.put(key, call);
     return Optional.empty();
@@ -340,6 +338,12 @@
         .build();
   }
 
+  /** Refuses a request for good: late copies of it do not run either. */
+  private RequestReply refuse(long sequence, RequestResult result) {
+    fenced.add(sequence);
+    return reply(sequence, result);
+  }
+
   private static TaskStatus stopped(TaskStatus status) {
     return status.toBuilder().setPhase(TaskPhase.TASK_STOPPED).build();
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
@@ -132,7 +132,7 @@
     }
     EntryNode node = ready.get(world.conditions.random.nextInt(ready.size()));
     long exchange = newExchange();
-    String body = key + "#" + exchange;
+    String body = idempotent ? key + "#" + exchange : key + "#";
     long deadline = world.time.millis() + TIMEOUT_MILLIS;
     world.oracle.asked(new Oracle.Exchange(exchange, node.name, key, body, idempotent, deadline));
     CallerRequest.Builder request =
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/ListedWorkerTest.java
@@ -0,0 +1,42 @@
+package org.hemlockpick.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Shows how far the instance list is believed. */
+class ListedWorkerTest {
+  /** Longest interval of lease calls of one holder to a dead worker allows this many a second. */
+  private static final int MAX_CALLS_PER_SECOND = 10;
+
+  @Test
+  void workerThatIsMissingFromTheListButHeldKeepsItsTasks() {
+    Scenario scenario = Scenario.underLoad(71);
+    World world = scenario.world;
+    scenario.callers.submit(world.entry("zone0-0"), 40);
+    scenario.callers.submit(world.entry("zone0-1"), 40);
+    world.time.runFor(2_000);
+    world.workers.values().forEach(worker -> worker.listed = false);
+    world.time.runFor(60_000);
+    world.workers.values().forEach(worker -> worker.listed = true);
+    world.await(() -> world.openShards().isEmpty(), 120_000);
+
+    assertEquals(List.of(), scenario.finish());
+  }
+
+  @Test
+  void deadWorkerIsNotFloodedWithLeaseCalls() {
+    Scenario scenario = Scenario.underLoad(72);
+    World world = scenario.world;
+    WorkerNode worker = world.worker("worker0-0");
+    worker.kill();
+    int before = worker.calls;
+    world.time.runFor(10_000);
+
+    int calls = worker.calls - before;
+    assertTrue(calls <= 10 * MAX_CALLS_PER_SECOND, calls + " calls in 10 s");
+    assertEquals(List.of(), scenario.finish());
+  }
+}
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Oracle.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Oracle.java
@@ -25,6 +25,7 @@
   private final List<String> breaches = new ArrayList<>();
   private final Map<String, Integer> runs = new HashMap<>();
   private final Map<Long, Exchange> exchanges = new HashMap<>();
+  private final Map<String, List<Exchange>> byBody = new HashMap<>();
   private final Map<String, String> taskPlaces = new HashMap<>();
   private final Map<String, String> attemptPlaces = new HashMap<>();
   private final Map<String, String> stoppedAt = new HashMap<>();
@@ -61,6 +62,7 @@
 
   void asked(Exchange exchange) {
     exchanges.put(exchange.id, exchange);
+    byBody.computeIfAbsent(exchange.body, body -> new ArrayList<>()).add(exchange);
   }
 
   @Nullable Exchange exchange(long id) {
@@ -108,11 +110,12 @@
     String body = call.getBody().toStringUtf8();
     int count = runs.merge(body, 1, Integer::sum);
     boolean idempotent = body.startsWith("i");
-    String key = body.substring(0, body.indexOf('#'));
-    int keyCount = idempotent ? 1 : runs.merge("key " + key, 1, Integer::sum);
-    if (!idempotent && (count > 1 || keyCount > 1)) {
+    if (!idempotent && count > 1) {
       breach("non-idempotent " + body + " ran again at " + worker);
     }
+    if (allPromisedNotRun(body)) {
+      breach(body + " ran at " + worker + " after all its callers were told that it did not");
+    }
   }
 
   /** A task began to run at a worker's present start. */
@@ -184,15 +187,20 @@
     }
   }
 
-  /** Checks at the end that what was said not to have run did not run. */
+  /** Checks at the end that what nobody was told may have run did not run. */
   void checkNotRun() {
-    for (Exchange exchange : exchanges.values()) {
-      if (promisesNotRun(exchange.code) && runs.containsKey(exchange.body)) {
-        breach("exchange " + exchange.id + " ran although code " + exchange.code + " says not");
+    for (String body : runs.keySet()) {
+      if (allPromisedNotRun(body)) {
+        breach(body + " ran although all its callers were told that it did not");
       }
     }
   }
 
+  private boolean allPromisedNotRun(String body) {
+    List<Exchange> askers = byBody.getOrDefault(body, List.of());
+    return !askers.isEmpty() && askers.stream().allMatch(asker -> promisesNotRun(asker.code));
+  }
+
   void versionWentBack(String node, long from, long to) {
     breach(node + " went back from configuration " + from + " to " + to);
   }
@@ -210,9 +218,7 @@
   }
 
   private void checkBody(Exchange exchange, String body) {
-    String expected = exchange.idempotent ? "echo " + exchange.body : "echo " + exchange.key + "#";
-    boolean right = exchange.idempotent ? body.equals(expected) : body.startsWith(expected);
-    if (!right) {
+    if (!body.equals("echo " + exchange.body)) {
       breach("exchange " + exchange.id + " got the answer '" + body + "'");
     }
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/WorkerNode.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/WorkerNode.java
@@ -56,6 +56,9 @@
   /** How many requests and tasks were offered, whether they ran or not. */
   int offers;
 
+  /** How many calls were made, whether they arrived or not. */
+  int calls;
+
   private final VirtualTime time;
   private final Conditions conditions;
   private final Oracle oracle;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.hemlockpick.fakes.VirtualTime;
 import org.hemlockpick.lib.InstanceSettings;
@@ -145,6 +146,11 @@
     }
   }
 
+  /** Returns the answer to an exchange that the oracle does not follow. */
+  Optional<CallerAnswer> answer(long exchange) {
+    return operatorAnswers.stream().filter(a -> a.getExchange() == exchange).findFirst();
+  }
+
   /** Returns the keys of the shards in the table service that have unfinished tasks. */
   List<String> openShards() {
     RowScan scan = RowScan.newBuilder().setTable("shards").setLimit(1_000).build();
@@ -198,6 +204,7 @@
 
   private void callWorker(EntryNode node, WorkerCall call) {
     WorkerNode worker = worker(call.getWorker());
+    worker.calls++;
     if (call.getFreshConnection()) {
       worker.silentFor.remove(node.name);
     }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/KeyRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/KeyRecord.java
@@ -36,6 +36,7 @@
     instance_ = "";
     writeId_ = "";
     body_ = com.google.protobuf.ByteString.EMPTY;
+    requestDigest_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -191,6 +192,36 @@
     return expiresAtMillis_;
   }
 
+  public static final int REQUEST_DIGEST_FIELD_NUMBER = 8;
+  private com.google.protobuf.ByteString requestDigest_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * SHA-256 of the service and the body; a key belongs to one request.
+   * </pre>
+   *
+   * <code>bytes request_digest = 8;</code>
+   * @return The requestDigest.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getRequestDigest() {
+    return requestDigest_;
+  }
+
+  public static final int BODY_OMITTED_FIELD_NUMBER = 9;
+  private boolean bodyOmitted_ = false;
+  /**
+   * <pre>
+   * Set when the answer was too large to be kept.
+   * </pre>
+   *
+   * <code>bool body_omitted = 9;</code>
+   * @return The bodyOmitted.
+   */
+  @java.lang.Override
+  public boolean getBodyOmitted() {
+    return bodyOmitted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -226,6 +257,12 @@
     if (expiresAtMillis_ != 0L) {
       output.writeUInt64(7, expiresAtMillis_);
     }
+    if (!requestDigest_.isEmpty()) {
+      output.writeBytes(8, requestDigest_);
+    }
+    if (bodyOmitted_ != false) {
+      output.writeBool(9, bodyOmitted_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -261,6 +298,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(7, expiresAtMillis_);
     }
+    if (!requestDigest_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(8, requestDigest_);
+    }
+    if (bodyOmitted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, bodyOmitted_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -289,6 +334,10 @@
         .equals(other.getBody())) return false;
     if (getExpiresAtMillis()
         != other.getExpiresAtMillis()) return false;
+    if (!getRequestDigest()
+        .equals(other.getRequestDigest())) return false;
+    if (getBodyOmitted()
+        != other.getBodyOmitted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -316,6 +365,11 @@
     hash = (37 * hash) + EXPIRES_AT_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getExpiresAtMillis());
+    hash = (37 * hash) + REQUEST_DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestDigest().hashCode();
+    hash = (37 * hash) + BODY_OMITTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getBodyOmitted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -458,6 +512,8 @@
       code_ = 0;
       body_ = com.google.protobuf.ByteString.EMPTY;
       expiresAtMillis_ = 0L;
+      requestDigest_ = com.google.protobuf.ByteString.EMPTY;
+      bodyOmitted_ = false;
       return this;
     }
 
@@ -512,6 +568,12 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.expiresAtMillis_ = expiresAtMillis_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.requestDigest_ = requestDigest_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.bodyOmitted_ = bodyOmitted_;
+      }
     }
 
     @java.lang.Override
@@ -551,6 +613,12 @@
       if (other.getExpiresAtMillis() != 0L) {
         setExpiresAtMillis(other.getExpiresAtMillis());
       }
+      if (!other.getRequestDigest().isEmpty()) {
+        setRequestDigest(other.getRequestDigest());
+      }
+      if (other.getBodyOmitted() != false) {
+        setBodyOmitted(other.getBodyOmitted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -612,6 +680,16 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              requestDigest_ = input.readBytes();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
+            case 72: {
+              bodyOmitted_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -952,6 +1030,94 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString requestDigest_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * SHA-256 of the service and the body; a key belongs to one request.
+     * </pre>
+     *
+     * <code>bytes request_digest = 8;</code>
+     * @return The requestDigest.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getRequestDigest() {
+      return requestDigest_;
+    }
+    /**
+     * <pre>
+     * SHA-256 of the service and the body; a key belongs to one request.
+     * </pre>
+     *
+     * <code>bytes request_digest = 8;</code>
+     * @param value The requestDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestDigest(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      requestDigest_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * SHA-256 of the service and the body; a key belongs to one request.
+     * </pre>
+     *
+     * <code>bytes request_digest = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestDigest() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      requestDigest_ = getDefaultInstance().getRequestDigest();
+      onChanged();
+      return this;
+    }
+
+    private boolean bodyOmitted_ ;
+    /**
+     * <pre>
+     * Set when the answer was too large to be kept.
+     * </pre>
+     *
+     * <code>bool body_omitted = 9;</code>
+     * @return The bodyOmitted.
+     */
+    @java.lang.Override
+    public boolean getBodyOmitted() {
+      return bodyOmitted_;
+    }
+    /**
+     * <pre>
+     * Set when the answer was too large to be kept.
+     * </pre>
+     *
+     * <code>bool body_omitted = 9;</code>
+     * @param value The bodyOmitted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBodyOmitted(boolean value) {
+
+      bodyOmitted_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when the answer was too large to be kept.
+     * </pre>
+     *
+     * <code>bool body_omitted = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBodyOmitted() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      bodyOmitted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.KeyRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/KeyRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/KeyRecordOrBuilder.java
@@ -68,4 +68,24 @@
    * @return The expiresAtMillis.
    */
   long getExpiresAtMillis();
+
+  /**
+   * <pre>
+   * SHA-256 of the service and the body; a key belongs to one request.
+   * </pre>
+   *
+   * <code>bytes request_digest = 8;</code>
+   * @return The requestDigest.
+   */
+  com.google.protobuf.ByteString getRequestDigest();
+
+  /**
+   * <pre>
+   * Set when the answer was too large to be kept.
+   * </pre>
+   *
+   * <code>bool body_omitted = 9;</code>
+   * @return The bodyOmitted.
+   */
+  boolean getBodyOmitted();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Records.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Records.java
@@ -68,39 +68,40 @@
       "\n\rrecords.proto\022\013hemlockpick\"e\n\016Contract" +
       "Record\022\017\n\007version\030\001 \001(\004\022\020\n\010customer\030\002 \001(" +
       "\t\022\014\n\004text\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\020\n\010wri" +
-      "te_id\030\005 \001(\t\"\241\001\n\tKeyRecord\022$\n\005state\030\001 \001(\016" +
+      "te_id\030\005 \001(\t\"\317\001\n\tKeyRecord\022$\n\005state\030\001 \001(\016" +
       "2\025.hemlockpick.KeyState\022\020\n\010instance\030\002 \001(" +
       "\t\022\023\n\013incarnation\030\003 \001(\004\022\020\n\010write_id\030\004 \001(\t" +
       "\022\014\n\004code\030\005 \001(\r\022\014\n\004body\030\006 \001(\014\022\031\n\021expires_" +
-      "at_millis\030\007 \001(\004\"\320\001\n\007JobSpec\022\014\n\004name\030\001 \001(" +
-      "\t\022\022\n\ntask_count\030\002 \001(\r\022\014\n\004kind\030\003 \001(\t\022\022\n\nc" +
-      "pu_millis\030\004 \001(\r\022\021\n\tmemory_mb\030\005 \001(\r\022\024\n\014ac" +
-      "celerators\030\006 \001(\r\022\033\n\023declared_run_millis\030" +
-      "\007 \001(\r\022\032\n\022deadline_in_millis\030\010 \001(\004\022\016\n\006urg" +
-      "ent\030\t \001(\010\022\017\n\007payload\030\n \001(\014\"\206\002\n\tJobRecord" +
-      "\022\013\n\003job\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\014\n\004zone\030" +
-      "\003 \001(\t\022\"\n\004spec\030\004 \001(\0132\024.hemlockpick.JobSpe" +
-      "c\022\033\n\023submitted_at_millis\030\005 \001(\004\022\032\n\022deadli" +
-      "ne_at_millis\030\006 \001(\004\022$\n\005phase\030\007 \001(\0162\025.heml" +
-      "ockpick.JobPhase\022\016\n\006shards\030\010 \001(\r\022\026\n\016subm" +
-      "ission_key\030\t \001(\t\022\020\n\010write_id\030\n \001(\t\022\017\n\007pa" +
-      "yload\030\013 \001(\t\"\335\001\n\nTaskRecord\022\r\n\005index\030\001 \001(" +
-      "\r\022%\n\005state\030\002 \001(\0162\026.hemlockpick.TaskState" +
-      "\022\017\n\007attempt\030\003 \001(\r\022\016\n\006worker\030\004 \001(\t\022\014\n\004boo" +
-      "t\030\005 \001(\t\022\022\n\ncheckpoint\030\006 \001(\t\022\020\n\010failures\030" +
-      "\007 \001(\r\022\021\n\tfailed_on\030\010 \003(\t\022\021\n\tevictions\030\t " +
-      "\001(\r\022\016\n\006result\030\n \001(\014\022\016\n\006reason\030\013 \001(\t\"\217\001\n\013" +
-      "ShardRecord\022\013\n\003job\030\001 \001(\t\022\r\n\005shard\030\002 \001(\r\022" +
-      "\016\n\006holder\030\003 \001(\t\022\032\n\022holder_incarnation\030\004 " +
-      "\001(\004\022&\n\005tasks\030\005 \003(\0132\027.hemlockpick.TaskRec" +
-      "ord\022\020\n\010write_id\030\006 \001(\t*D\n\010KeyState\022\031\n\025KEY" +
-      "_STATE_UNSPECIFIED\020\000\022\017\n\013KEY_STARTED\020\001\022\014\n" +
-      "\010KEY_DONE\020\002*F\n\010JobPhase\022\031\n\025JOB_PHASE_UNS" +
-      "PECIFIED\020\000\022\014\n\010JOB_OPEN\020\001\022\021\n\rJOB_CANCELLE" +
-      "D\020\002*f\n\tTaskState\022\032\n\026TASK_STATE_UNSPECIFI" +
-      "ED\020\000\022\n\n\006QUEUED\020\001\022\014\n\010ASSIGNED\020\002\022\010\n\004DONE\020\003" +
-      "\022\n\n\006PARKED\020\004\022\r\n\tCANCELLED\020\005B\031\n\025org.hemlo" +
-      "ckpick.protoP\001b\006proto3"
+      "at_millis\030\007 \001(\004\022\026\n\016request_digest\030\010 \001(\014\022" +
+      "\024\n\014body_omitted\030\t \001(\010\"\320\001\n\007JobSpec\022\014\n\004nam" +
+      "e\030\001 \001(\t\022\022\n\ntask_count\030\002 \001(\r\022\014\n\004kind\030\003 \001(" +
+      "\t\022\022\n\ncpu_millis\030\004 \001(\r\022\021\n\tmemory_mb\030\005 \001(\r" +
+      "\022\024\n\014accelerators\030\006 \001(\r\022\033\n\023declared_run_m" +
+      "illis\030\007 \001(\r\022\032\n\022deadline_in_millis\030\010 \001(\004\022" +
+      "\016\n\006urgent\030\t \001(\010\022\017\n\007payload\030\n \001(\014\"\206\002\n\tJob" +
+      "Record\022\013\n\003job\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\014\n" +
+      "\004zone\030\003 \001(\t\022\"\n\004spec\030\004 \001(\0132\024.hemlockpick." +
+      "JobSpec\022\033\n\023submitted_at_millis\030\005 \001(\004\022\032\n\022" +
+      "deadline_at_millis\030\006 \001(\004\022$\n\005phase\030\007 \001(\0162" +
+      "\025.hemlockpick.JobPhase\022\016\n\006shards\030\010 \001(\r\022\026" +
+      "\n\016submission_key\030\t \001(\t\022\020\n\010write_id\030\n \001(\t" +
+      "\022\017\n\007payload\030\013 \001(\t\"\335\001\n\nTaskRecord\022\r\n\005inde" +
+      "x\030\001 \001(\r\022%\n\005state\030\002 \001(\0162\026.hemlockpick.Tas" +
+      "kState\022\017\n\007attempt\030\003 \001(\r\022\016\n\006worker\030\004 \001(\t\022" +
+      "\014\n\004boot\030\005 \001(\t\022\022\n\ncheckpoint\030\006 \001(\t\022\020\n\010fai" +
+      "lures\030\007 \001(\r\022\021\n\tfailed_on\030\010 \003(\t\022\021\n\tevicti" +
+      "ons\030\t \001(\r\022\016\n\006result\030\n \001(\014\022\016\n\006reason\030\013 \001(" +
+      "\t\"\217\001\n\013ShardRecord\022\013\n\003job\030\001 \001(\t\022\r\n\005shard\030" +
+      "\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\032\n\022holder_incarnat" +
+      "ion\030\004 \001(\004\022&\n\005tasks\030\005 \003(\0132\027.hemlockpick.T" +
+      "askRecord\022\020\n\010write_id\030\006 \001(\t*D\n\010KeyState\022" +
+      "\031\n\025KEY_STATE_UNSPECIFIED\020\000\022\017\n\013KEY_STARTE" +
+      "D\020\001\022\014\n\010KEY_DONE\020\002*F\n\010JobPhase\022\031\n\025JOB_PHA" +
+      "SE_UNSPECIFIED\020\000\022\014\n\010JOB_OPEN\020\001\022\021\n\rJOB_CA" +
+      "NCELLED\020\002*f\n\tTaskState\022\032\n\026TASK_STATE_UNS" +
+      "PECIFIED\020\000\022\n\n\006QUEUED\020\001\022\014\n\010ASSIGNED\020\002\022\010\n\004" +
+      "DONE\020\003\022\n\n\006PARKED\020\004\022\r\n\tCANCELLED\020\005B\031\n\025org" +
+      ".hemlockpick.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -117,7 +118,7 @@
     internal_static_hemlockpick_KeyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_KeyRecord_descriptor,
-        new java.lang.String[] { "State", "Instance", "Incarnation", "WriteId", "Code", "Body", "ExpiresAtMillis", });
+        new java.lang.String[] { "State", "Instance", "Incarnation", "WriteId", "Code", "Body", "ExpiresAtMillis", "RequestDigest", "BodyOmitted", });
     internal_static_hemlockpick_JobSpec_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_hemlockpick_JobSpec_fieldAccessorTable = new
--- a/org.hemlockpick/src/main/java/org/hemlockpick/errors/ResultCode.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/errors/ResultCode.java
@@ -27,6 +27,8 @@
   TOO_LARGE(104, Effect.NOT_RUN, 413, "the body is too large"),
   /** A non-idempotent request carries no idempotency key. */
   KEY_REQUIRED(105, Effect.NOT_RUN, 400, "a non-idempotent request needs an idempotency key"),
+  /** The idempotency key belongs to another request. */
+  KEY_REUSED(106, Effect.NOT_RUN, 422, "the idempotency key belongs to another request"),
 
   /** The customer has used up what its contract grants at this entry instance. */
   OVER_LIMIT(110, Effect.NOT_RUN, 429, "the limit of the contract is reached"),
@@ -48,6 +50,9 @@
   /** A request with the same idempotency key was started before and has no recorded answer yet. */
   IN_PROGRESS(202, Effect.UNKNOWN, 409, "a request with this idempotency key is in progress"),
 
+  /** A request with the same idempotency key ran; its answer was too large to be kept. */
+  ANSWER_NOT_KEPT(203, Effect.RAN, 410, "the request ran before; its answer was not kept"),
+
   /** No such job of this customer. */
   UNKNOWN_JOB(300, Effect.NOT_RUN, 404, "the customer has no such job"),
   /** The job asks for more than any worker could ever give. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskRunner.java
@@ -198,6 +198,6 @@
         .setWorker(worker.name())
         .setAddress(worker.address())
         .setTimeoutMillis((int) timing.workerTimeout().toMillis())
-        .setFreshConnection(worker.needsFreshConnection());
+        .setFreshConnection(worker.takeFreshConnection());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/loop/StoreCalls.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/loop/StoreCalls.java
@@ -51,6 +51,11 @@
     return reachable;
   }
 
+  /** Returns how many calls wait for their reply. */
+  public int openCalls() {
+    return calls.size();
+  }
+
   @Override
   public void run(long now) {
     calls.expire(now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
@@ -31,7 +31,12 @@
  * rendezvous hashing over the live entry instances of the availability zone.
  */
 public final class OwnershipSystem implements LoopSystem {
+  /** Wait before an unanswered request for a lease is repeated, in milliseconds. */
   private static final long RETRY_MILLIS = 300;
+
+  /** Wait before an unanswered renewal is repeated, in milliseconds. */
+  private static final long RENEWAL_RETRY_MILLIS = 100;
+
   private static final long UNCLAIMED_WAIT_MILLIS = 5_000;
   private static final long HANDOVER_SETTLE_MILLIS = 5_000;
   private static final long RELEASE_DRAIN_MILLIS = 2_000;
@@ -127,12 +132,12 @@
 
   @Override
   public void run(long now) {
-    for (Worker gone : workers.removeGone(now, 2 * timing.leaseTtl().toMillis())) {
-      outbox.event("worker-gone", gone.name(), "not listed and silent");
-      listeners.forEach(listener -> listener.gone(gone));
-    }
     List<Peer> alive = peers.aliveInZone(now);
     Set<String> claimed = claimedByPeers(alive);
+    for (Worker gone : workers.removeGone(now, 2 * timing.leaseTtl().toMillis(), claimed)) {
+      outbox.event("worker-gone", gone.name(), "not listed, silent and claimed by nobody");
+      listeners.forEach(listener -> listener.gone(gone));
+    }
     for (Worker worker : List.copyOf(workers.all())) {
       runWorker(worker, alive, claimed, now);
     }
@@ -219,7 +224,7 @@
             .setWorker(worker.name())
             .setAddress(worker.address())
             .setTimeoutMillis((int) timing.workerTimeout().toMillis())
-            .setFreshConnection(worker.needsFreshConnection())
+            .setFreshConnection(worker.takeFreshConnection())
             .setLease(lease);
     worker.beginLeaseCall();
     long epoch = worker.epoch();
@@ -264,7 +269,7 @@
   private void onNoAnswer(Worker worker, long epoch, boolean release, long now) {
     worker.distrustConnections();
     outbox.resetWorker(worker.name());
-    worker.endLeaseCall(now + (epoch == 0 ? RETRY_MILLIS : 0));
+    worker.endLeaseCall(now + (epoch == 0 ? RETRY_MILLIS : RENEWAL_RETRY_MILLIS));
     if (release && worker.epoch() == epoch) {
       lose(worker, "release not answered");
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
@@ -149,9 +149,11 @@
     freshConnection = true;
   }
 
-  /** Tells whether the open connections are not to be trusted. */
-  public boolean needsFreshConnection() {
-    return freshConnection;
+  /** Tells whether the next call must use a new connection; true once for each distrust. */
+  public boolean takeFreshConnection() {
+    boolean taken = freshConnection;
+    freshConnection = false;
+    return taken;
   }
 
   boolean isReleasing() {
@@ -239,7 +241,6 @@
 
   void answered(long now) {
     lastContact = now;
-    freshConnection = false;
   }
 
   void beginRelease(long now) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/WorkerTable.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/WorkerTable.java
@@ -71,13 +71,18 @@
     }
   }
 
-  /** Removes and returns the workers that are proved to be gone. */
-  List<Worker> removeGone(long now, long silenceMillis) {
+  /**
+   * Removes and returns the workers that are proved to be gone: not listed, silent and claimed by
+   * no live peer for some time.
+   */
+  List<Worker> removeGone(long now, long silenceMillis, Set<String> claimed) {
     List<Worker> gone = new ArrayList<>();
     for (Worker worker : workers.values()) {
       boolean unlisted = !worker.isListed() && now - worker.absentSince() >= silenceMillis;
       boolean silent = worker.lastContact() < now - silenceMillis;
-      if (unlisted && silent && !worker.isHeld(now)) {
+      boolean unclaimed =
+          !claimed.contains(worker.name()) && now - worker.unclaimedSince(now) >= silenceMillis;
+      if (unlisted && silent && unclaimed && !worker.isHeld(now)) {
         gone.add(worker);
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/AdmissionSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/AdmissionSystem.java
@@ -84,6 +84,14 @@
 
   /** Answers a request whose key was recorded before by another request. */
   void onDuplicate(Request request, KeyRecord earlier) {
+    if (!earlier.getRequestDigest().equals(request.digest())) {
+      finisher.finish(request, ResultCode.KEY_REUSED);
+      return;
+    }
+    if (earlier.getState() == KeyState.KEY_DONE && earlier.getBodyOmitted()) {
+      finisher.finish(request, ResultCode.ANSWER_NOT_KEPT);
+      return;
+    }
     if (earlier.getState() == KeyState.KEY_DONE) {
       finisher.finish(request, ResultCode.of(earlier.getCode()), earlier.getBody());
       return;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
@@ -84,7 +84,7 @@
             .setWorker(worker.name())
             .setAddress(worker.address())
             .setTimeoutMillis(request.remainingMillis(now))
-            .setFreshConnection(worker.needsFreshConnection())
+            .setFreshConnection(worker.takeFreshConnection())
             .setRequest(call);
     outbox.event("request-sent", request.label(), worker.name() + " #" + attempt.sequence());
     calls.send(workerCall, reply -> onReply(request, worker, attempt, reply));
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/FairQueue.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/FairQueue.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -62,15 +64,21 @@
     }
   }
 
-  /** Returns the request whose turn it is without removing it, or null when none waits. */
-  @Nullable Request peek() {
-    Lane first = null;
+  /** Returns the first request in turn that is eligible, or null when none is; removes nothing. */
+  @Nullable Request peek(Predicate<Request> eligible) {
+    Lane firstLane = null;
+    Request first = null;
     for (Lane lane : lanes.values()) {
-      if (first == null || lane.pass < first.pass) {
-        first = lane;
+      if (firstLane != null && firstLane.pass <= lane.pass) {
+        continue;
+      }
+      Optional<Request> candidate = lane.requests.stream().filter(eligible).findFirst();
+      if (candidate.isPresent()) {
+        firstLane = lane;
+        first = candidate.get();
       }
     }
-    return first == null ? null : first.requests.peekFirst();
+    return first;
   }
 
   /** Removes a request that got its turn and charges its customer for it. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/KeyJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/KeyJournal.java
@@ -40,7 +40,7 @@
   private static final long KEEP_MILLIS = 24 * 3_600_000L;
   private static final int MAX_RECORDED_BODY_BYTES = 4_096;
   private static final int MAX_WRITES = 200;
-  private static final int MAX_PENDING = 10_000;
+  private static final int MAX_PENDING_OUTCOMES = 10_000;
 
   /** A row that is to be written: an insert, an update or a delete. */
   private static final class Entry {
@@ -105,6 +105,7 @@
             .setIncarnation(outbox.incarnation())
             .setWriteId(nextWriteId())
             .setExpiresAtMillis(outbox.now() + KEEP_MILLIS)
+            .setRequestDigest(request.digest())
             .build();
     Entry entry = new Entry(key, request, record, 0);
     recording.put(key, entry);
@@ -132,18 +133,25 @@
             .setIncarnation(outbox.incarnation())
             .setWriteId(nextWriteId())
             .setCode(code.number())
-            .setExpiresAtMillis(outbox.now() + KEEP_MILLIS);
+            .setExpiresAtMillis(outbox.now() + KEEP_MILLIS)
+            .setRequestDigest(request.digest());
     if (body.size() <= MAX_RECORDED_BODY_BYTES) {
       record.setBody(body);
+    } else {
+      record.setBodyOmitted(true);
     }
     Entry entry = new Entry(key, null, record.build(), version);
     entry.delete = code.effect() == Effect.NOT_RUN;
-    pending.add(entry);
-    while (pending.size() > MAX_PENDING) {
-      pending.removeFirst();
+    if (outcomesPending() < MAX_PENDING_OUTCOMES) {
+      pending.add(entry);
     }
   }
 
+  /** Outcomes wait out an outage here; inserts leave with the deadline of their request. */
+  private long outcomesPending() {
+    return pending.size() - (long) recording.size();
+  }
+
   @Override
   public void run(long now) {
     if (committing || pending.isEmpty() || now < nextCommit) {
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/KeySweep.java
@@ -0,0 +1,97 @@
+package org.hemlockpick.internal.request;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockpick.internal.loop.LoopSystem;
+import org.hemlockpick.internal.loop.StoreCalls;
+import org.hemlockpick.internal.loop.Tables;
+import org.hemlockpick.internal.membership.Peer;
+import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.lib.InstanceSettings;
+import org.hemlockpick.proto.KeyRecord;
+import org.hemlockpick.proto.Row;
+import org.hemlockpick.proto.RowScan;
+import org.hemlockpick.proto.RowWrite;
+import org.hemlockpick.proto.StoreReply;
+import org.hemlockpick.proto.StoreStatus;
+import org.hemlockpick.proto.Transaction;
+import org.hemlockpick.util.Rendezvous;
+
+/**
+ * Deletes the rows of idempotency keys that have expired. One entry instance of all that are alive
+ * does it, a page at a time; two that both think so do no harm.
+ */
+final class KeySweep implements LoopSystem {
+  private static final long INTERVAL_MILLIS = 10_000;
+  private static final int PAGE_ROWS = 200;
+
+  private final InstanceSettings settings;
+  private final StoreCalls store;
+  private final PeerTable peers;
+  private long nextSweep;
+  private String after = "";
+  private boolean open;
+
+  KeySweep(InstanceSettings settings, StoreCalls store, PeerTable peers) {
+    this.settings = settings;
+    this.store = store;
+    this.peers = peers;
+  }
+
+  @Override
+  public void run(long now) {
+    if (nextSweep == 0) {
+      nextSweep = now + INTERVAL_MILLIS;
+    }
+    if (open || now < nextSweep) {
+      return;
+    }
+    nextSweep = now + INTERVAL_MILLIS;
+    if (!isChosen(now)) {
+      return;
+    }
+    open = true;
+    RowScan scan =
+        RowScan.newBuilder().setTable(Tables.KEYS).setAfter(after).setLimit(PAGE_ROWS).build();
+    store.scan(scan, reply -> onPage(reply, now));
+  }
+
+  private boolean isChosen(long now) {
+    List<String> candidates = new ArrayList<>();
+    candidates.add(settings.name());
+    peers.alive(now).stream().map(Peer::name).forEach(candidates::add);
+    return Rendezvous.rank(Tables.KEYS, candidates).get(0).equals(settings.name());
+  }
+
+  private void onPage(StoreReply reply, long now) {
+    open = false;
+    if (reply.getStatus() != StoreStatus.STORE_OK) {
+      return;
+    }
+    int rows = reply.getRowsCount();
+    after = rows < PAGE_ROWS ? "" : reply.getRows(rows - 1).getKey();
+    Transaction.Builder deletes = Transaction.newBuilder();
+    for (Row row : reply.getRowsList()) {
+      if (isExpired(row, now)) {
+        deletes.addWrites(
+            RowWrite.newBuilder()
+                .setTable(Tables.KEYS)
+                .setKey(row.getKey())
+                .setExpectedVersion(row.getVersion())
+                .setDelete(true));
+      }
+    }
+    if (deletes.getWritesCount() > 0) {
+      store.commit(deletes.build(), ignored -> {});
+    }
+  }
+
+  private static boolean isExpired(Row row, long now) {
+    try {
+      return KeyRecord.parseFrom(row.getValue()).getExpiresAtMillis() <= now;
+    } catch (InvalidProtocolBufferException e) {
+      return false;
+    }
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Request.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Request.java
@@ -1,6 +1,8 @@
 package org.hemlockpick.internal.request;
 
+import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -67,14 +69,23 @@
     return origin instanceof Origin.Forwarded;
   }
 
-  boolean isNeverSent() {
-    return sends == 0;
-  }
-
   String label() {
     return customer + "/" + service;
   }
 
+  /** Returns the SHA-256 digest of the service and the body. */
+  ByteString digest() {
+    byte[] digest =
+        Hashing.sha256()
+            .newHasher()
+            .putString(service, StandardCharsets.UTF_8)
+            .putByte((byte) 0)
+            .putBytes(body.toByteArray())
+            .hash()
+            .asBytes();
+    return ByteString.copyFrom(digest);
+  }
+
   int remainingMillis(long now) {
     return (int) Math.max(1, deadline - now);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RequestModule.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RequestModule.java
@@ -20,6 +20,7 @@
 public final class RequestModule implements LoopSystem {
   private final RequestTable requests = new RequestTable();
   private final KeyJournal keys;
+  private final KeySweep sweep;
   private final ForwardLedger ledger;
   private final AdmissionSystem admission;
   private final DispatchSystem dispatch;
@@ -41,6 +42,7 @@
       RandomGenerator random) {
     RetryBudget budget = new RetryBudget();
     keys = new KeyJournal(settings, outbox, store, this::onRecorded, this::onDuplicate);
+    sweep = new KeySweep(settings, store, peers);
     ledger = new ForwardLedger(outbox);
     finisher = new Finisher(outbox, requests, limits, keys, ledger, random);
     Waiting waiting = new Waiting(outbox, requests, contracts, finisher);
@@ -61,11 +63,6 @@
     admission.on(call);
   }
 
-  /** Refuses a request of a caller without looking at it further. */
-  public void refuse(CallerRequest call, ResultCode code) {
-    admission.refuse(call, code);
-  }
-
   /** Notes that a caller does not wait for its answer any more. */
   public void onCallerGone(long exchange) {
     Request request = requests.findExchange(exchange);
@@ -113,6 +110,7 @@
   public void run(long now) {
     dispatch.run(now);
     keys.run(now);
+    sweep.run(now);
     forwards.run(now);
     routing.run(now);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RoutingSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RoutingSystem.java
@@ -2,9 +2,11 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hemlockpick.errors.ResultCode;
 import org.hemlockpick.internal.loop.LoopSystem;
 import org.hemlockpick.internal.membership.Peer;
@@ -25,6 +27,9 @@
   /** Wait before a request may leave its availability zone, in milliseconds. */
   private static final long REMOTE_AFTER_MILLIS = 50;
 
+  /** Requests without a fitting peer after which a tick stops looking for peers. */
+  private static final int MAX_UNPLACEABLE = 4;
+
   /** Part of a request's time that it may wait for a slot. */
   private static final int WAIT_DIVISOR = 4;
 
@@ -59,10 +64,8 @@
   @Override
   public void run(long now) {
     refuseOverdue(now);
-    Request request = requests.waiting().peek();
-    while (request != null && place(request, now)) {
-      request = requests.waiting().peek();
-    }
+    placeAtWorkers(now);
+    placeAtPeers(now);
   }
 
   /** Returns the free slots of the workers held here. */
@@ -70,20 +73,36 @@
     return workers.all().stream().mapToInt(worker -> worker.freeSlots(now)).sum();
   }
 
-  private boolean place(Request request, long now) {
-    List<Worker> free = workers.all().stream().filter(worker -> worker.freeSlots(now) > 0).toList();
-    if (!free.isEmpty()) {
+  private void placeAtWorkers(long now) {
+    Request request = requests.waiting().peek(any -> true);
+    while (request != null) {
+      List<Worker> free =
+          workers.all().stream().filter(worker -> worker.freeSlots(now) > 0).toList();
+      if (free.isEmpty()) {
+        return;
+      }
       requests.waiting().serve(request);
       dispatch.send(request, policy.choose(preferUntried(free, request), now), now);
-      return true;
+      request = requests.waiting().peek(any -> true);
     }
-    Optional<Peer> peer = request.isForwarded() ? Optional.empty() : choosePeer(request, now);
-    if (peer.isEmpty()) {
-      return false;
+  }
+
+  /** Forwards requests of callers; forwarded ones wait here, since a forward goes one hop. */
+  private void placeAtPeers(long now) {
+    Set<Request> unplaceable = new HashSet<>();
+    while (unplaceable.size() < MAX_UNPLACEABLE) {
+      Request request = requests.waiting().peek(r -> !r.isForwarded() && !unplaceable.contains(r));
+      if (request == null) {
+        return;
+      }
+      Optional<Peer> peer = choosePeer(request, now);
+      if (peer.isEmpty()) {
+        unplaceable.add(request);
+        continue;
+      }
+      requests.waiting().serve(request);
+      forwards.forward(request, peer.get(), now);
     }
-    requests.waiting().serve(request);
-    forwards.forward(request, peer.get(), now);
-    return true;
   }
 
   private static List<Worker> preferUntried(List<Worker> free, Request request) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
@@ -24,6 +24,7 @@
 import org.hemlockpick.proto.CallerRequest;
 import org.hemlockpick.proto.Heartbeat;
 import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.JobSubmit;
 import org.hemlockpick.proto.Output;
 import org.hemlockpick.proto.PeerMessage;
 import org.hemlockpick.proto.StatusQuery;
@@ -41,6 +42,9 @@
   /** Time between the announcement of a planned stop and the first refusal, in milliseconds. */
   private static final long STOP_NOTICE_MILLIS = 1_500;
 
+  /** Time to come back after a refusal of a starting or stopping instance, in milliseconds. */
+  private static final long REFUSAL_RETRY_MILLIS = 500;
+
   /** Longest time that a planned stop waits for the journal, in milliseconds. */
   private static final long STOP_JOURNAL_MILLIS = 10_000;
 
@@ -69,7 +73,8 @@
    * @param settings settings of the entry instance
    * @param incarnation number of this start; greater than that of every earlier start under the
    *     same name
-   * @param clock source of time; only differences of its times are used
+   * @param clock source of time since the epoch; deadlines of jobs and of keys are kept in the
+   *     table service and compared with it
    * @param random source of random numbers
    */
   public EntryInstance(
@@ -180,9 +185,17 @@
     switch (input.getBodyCase()) {
       case CALLER_REQUEST -> onCallerRequest(input.getCallerRequest(), now);
       case CALLER_GONE -> requests.onCallerGone(input.getCallerGone().getExchange());
-      case JOB_SUBMIT -> batch.on(input.getJobSubmit());
-      case JOB_QUERY -> batch.on(input.getJobQuery());
-      case JOB_CANCEL -> batch.on(input.getJobCancel());
+      case JOB_SUBMIT -> onJobSubmit(input.getJobSubmit(), now);
+      case JOB_QUERY -> {
+        if (!refused(input.getJobQuery().getExchange(), now)) {
+          batch.on(input.getJobQuery());
+        }
+      }
+      case JOB_CANCEL -> {
+        if (!refused(input.getJobCancel().getExchange(), now)) {
+          batch.on(input.getJobCancel());
+        }
+      }
       case CONTRACT_APPLY -> contractSystem.on(input.getContractApply());
       case CONTRACT_QUERY -> contractSystem.on(input.getContractQuery());
       case STATUS_QUERY -> onStatusQuery(input.getStatusQuery());
@@ -199,15 +212,34 @@
   }
 
   private void onCallerRequest(CallerRequest call, long now) {
-    if (!contractSystem.isReady(now)) {
-      requests.refuse(call, ResultCode.NOT_READY);
-    } else if (stopOrderedAt >= 0 && now - stopOrderedAt >= STOP_NOTICE_MILLIS) {
-      requests.refuse(call, ResultCode.STOPPING);
-    } else {
+    if (!refused(call.getExchange(), now)) {
       requests.on(call);
     }
   }
 
+  private void onJobSubmit(JobSubmit submit, long now) {
+    if (!refused(submit.getExchange(), now)) {
+      batch.on(submit);
+    }
+  }
+
+  /** Refuses a call of a customer while this entry instance starts or stops. */
+  private boolean refused(long exchange, long now) {
+    if (!contractSystem.isReady(now)) {
+      refuse(exchange, ResultCode.NOT_READY);
+      return true;
+    }
+    if (stopOrderedAt >= 0 && now - stopOrderedAt >= STOP_NOTICE_MILLIS) {
+      refuse(exchange, ResultCode.STOPPING);
+      return true;
+    }
+    return false;
+  }
+
+  private void refuse(long exchange, ResultCode code) {
+    outbox.answer(exchange, code, code.text(), REFUSAL_RETRY_MILLIS);
+  }
+
   private void onPeerMessage(PeerMessage message) {
     if (!membership.on(message)) {
       return;
@@ -263,7 +295,8 @@
       return;
     }
     ownership.stop();
-    boolean journalDone = batch.isFlushed() || now - stopOrderedAt >= STOP_JOURNAL_MILLIS;
+    boolean settled = batch.isFlushed() && store.openCalls() == 0;
+    boolean journalDone = settled || now - stopOrderedAt >= STOP_JOURNAL_MILLIS;
     if (requests.openRequests() == 0 && ownership.holdsNothing(now) && journalDone) {
       stopped = true;
       outbox.event("stop-complete", settings.name(), "");
