--- a/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/TableModel.java
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/TableModel.java
@@ -34,6 +34,11 @@
     return reply.setCallId(call.getCallId()).build();
   }
 
+  /** Returns the version of a row; 0 when it is absent. */
+  public long version(String table, String key) {
+    return find(table, key).getVersion();
+  }
+
   /** Returns how many transactions were applied or refused by a conflict. */
   public long transactions() {
     return transactions;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Conditions.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Conditions.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Random;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 
 /** Holds the state of the paths between the processes and draws delays and losses. */
 final class Conditions {
@@ -11,6 +12,7 @@
   private static final int STORE_MILLIS = 6;
 
   final Random random;
+  @Nullable SeededFault seededFault;
   boolean storeDown;
   boolean storeSlow;
   boolean storeLosesAnswers;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/WorkerNode.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/WorkerNode.java
@@ -13,6 +13,7 @@
 import org.hemlockpick.proto.LeaseCall;
 import org.hemlockpick.proto.LeaseReply;
 import org.hemlockpick.proto.RequestCall;
+import org.hemlockpick.proto.RequestFate;
 import org.hemlockpick.proto.RequestReply;
 import org.hemlockpick.proto.RequestResult;
 import org.hemlockpick.proto.TaskPhase;
@@ -118,13 +119,32 @@
   }
 
   private void onLease(LeaseCall call, WorkerReply.Builder answer, Consumer<WorkerReply> reply) {
-    LeaseReply lease = model.lease(call);
+    LeaseReply lease = falsify(model.lease(call));
     if (lease.getGranted()) {
       call.getRecordedTasksList().forEach(oracle::taskRecorded);
     }
     reply.accept(answer.setLease(lease).build());
   }
 
+  private LeaseReply falsify(LeaseReply lease) {
+    if (conditions.seededFault == SeededFault.WORKER_HIDES_RUNNING_REQUESTS) {
+      return lease.toBuilder().clearRunningRequests().build();
+    }
+    if (conditions.seededFault != SeededFault.WORKER_DENIES_REQUESTS) {
+      return lease;
+    }
+    LeaseReply.Builder denying = lease.toBuilder();
+    denying
+        .getFencedBuilderList()
+        .forEach(
+            fenced -> {
+              if (fenced.getFate() == RequestFate.FINISHED) {
+                fenced.setFate(RequestFate.NEVER_SEEN);
+              }
+            });
+    return denying.build();
+  }
+
   private void onRequest(
       RequestCall call, WorkerReply.Builder answer, Consumer<WorkerReply> reply) {
     offers++;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
@@ -30,6 +30,7 @@
 import org.hemlockpick.proto.PeerMessage;
 import org.hemlockpick.proto.Row;
 import org.hemlockpick.proto.RowScan;
+import org.hemlockpick.proto.RowWrite;
 import org.hemlockpick.proto.StoreCall;
 import org.hemlockpick.proto.StoreReply;
 import org.hemlockpick.proto.WorkerCall;
@@ -255,7 +256,7 @@
     time.after(
         conditions.storeDelay(),
         () -> {
-          StoreReply reply = table.handle(call);
+          StoreReply reply = table.handle(falsify(call));
           boolean lost = conditions.storeLosesAnswers && conditions.chance(0.5);
           if (!lost && conditions.reachesPlatform(node.zone)) {
             deliver(node, start, conditions.storeDelay(), Input.newBuilder().setStoreReply(reply));
@@ -263,6 +264,20 @@
         });
   }
 
+  private StoreCall falsify(StoreCall call) {
+    if (!call.hasTransaction()) {
+      return call;
+    }
+    StoreCall.Builder falsified = call.toBuilder();
+    for (RowWrite.Builder write : falsified.getTransactionBuilder().getWritesBuilderList()) {
+      boolean ignored = conditions.seededFault == SeededFault.STORE_IGNORES_VERSIONS;
+      if (ignored && write.getTable().equals("keys")) {
+        write.setExpectedVersion(table.version(write.getTable(), write.getKey()));
+      }
+    }
+    return falsified.build();
+  }
+
   private void callObjects(EntryNode node, BlobCall call) {
     int start = node.starts();
     if (conditions.storeDown || !conditions.reachesPlatform(node.zone)) {
