--- a/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/StandInController.java
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/StandInController.java
@@ -5,7 +5,6 @@
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MediaType;
-import io.micronaut.http.annotation.Body;
 import io.micronaut.http.annotation.Consumes;
 import io.micronaut.http.annotation.Controller;
 import io.micronaut.http.annotation.Get;
@@ -14,7 +13,6 @@
 import io.micronaut.http.server.netty.NettyHttpRequest;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
-import org.jspecify.annotations.Nullable;
 
 /** Hands HTTP requests to the stand-in under whose prefix they fall. */
 @Controller
@@ -39,9 +37,12 @@
   }
 
   @Post("/{+path}")
-  CompletableFuture<HttpResponse<String>> post(
-      HttpRequest<?> request, @Body byte @Nullable [] body) {
-    return handle(request, body == null ? "" : new String(body, StandardCharsets.UTF_8));
+  CompletableFuture<HttpResponse<String>> post(HttpRequest<?> request, HttpRequest<byte[]> whole) {
+    return handle(request, whole.getBody().map(StandInController::text).orElse(""));
+  }
+
+  private static String text(byte[] body) {
+    return new String(body, StandardCharsets.UTF_8);
   }
 
   private static HttpResponse<String> notFound(HttpRequest<?> request) {
