--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/ChildProcess.java
@@ -0,0 +1,120 @@
+package org.hemlockpick.process;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.hemlockpick.pgm.Main;
+
+/** Runs one command of the program as a process of its own; none outlives the tests. */
+final class ChildProcess {
+  private static final long LIMIT_SECONDS = 60;
+  private static final List<String> JAVA_FLAGS =
+      List.of(
+          "-XX:+UseSerialGC",
+          "-XX:TieredStopAtLevel=1",
+          "-Xss512k",
+          "-Xmx192m",
+          "-Djava.util.logging.manager=org.jboss.logmanager.LogManager");
+  private static final Set<Process> running = ConcurrentHashMap.newKeySet();
+
+  static {
+    Runtime.getRuntime().addShutdownHook(new Thread(ChildProcess::killAll, "kill-children"));
+  }
+
+  private final Process process;
+  private final Path out;
+  private final Path log;
+
+  private ChildProcess(Process process, Path out, Path log) {
+    this.process = process;
+    this.out = out;
+    this.log = log;
+  }
+
+  /**
+   * Starts a command.
+   *
+   * @param folder where the output and the log are kept
+   * @param name name of the files; a process with the name of an earlier one appends to its log
+   * @param arguments arguments of the program
+   */
+  static ChildProcess start(Path folder, String name, String... arguments) throws IOException {
+    Path out = folder.resolve(name + ".out");
+    Path log = folder.resolve(name + ".log");
+    Process process =
+        new ProcessBuilder(command(arguments))
+            .redirectOutput(out.toFile())
+            .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+    running.add(process);
+    return new ChildProcess(process, out, log);
+  }
+
+  /** Returns what the process wrote to its standard output. */
+  String out() throws IOException {
+    return Files.readString(out);
+  }
+
+  Path log() {
+    return log;
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  /** Waits for the end and returns the exit status. */
+  int waitFor() {
+    int status = process.onExit().orTimeout(LIMIT_SECONDS, TimeUnit.SECONDS).join().exitValue();
+    running.remove(process);
+    return status;
+  }
+
+  /** Sends SIGTERM. */
+  void terminate() {
+    process.destroy();
+  }
+
+  /** Sends SIGKILL and waits for the end. */
+  void kill() {
+    process.destroyForcibly();
+    int unused = waitFor();
+  }
+
+  /** Sends SIGSTOP. */
+  void freeze() throws IOException, InterruptedException {
+    signal("-STOP");
+  }
+
+  /** Sends SIGCONT. */
+  void thaw() throws IOException, InterruptedException {
+    signal("-CONT");
+  }
+
+  private void signal(String signal) throws IOException, InterruptedException {
+    Process kill = new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
+    if (kill.waitFor() != 0) {
+      throw new AssertionError("kill " + signal + " failed");
+    }
+  }
+
+  private static List<String> command(String... arguments) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(JAVA_FLAGS);
+    command.add("-cp");
+    command.add(System.getProperty("java.class.path"));
+    command.add(Main.class.getName());
+    command.addAll(List.of(arguments));
+    return command;
+  }
+
+  private static void killAll() {
+    running.forEach(Process::destroyForcibly);
+  }
+}
--- a/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/RequestPlan.java
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/RequestPlan.java
@@ -9,16 +9,21 @@
  *
  * @param runMillis time until its answer, in milliseconds
  * @param fails whether it fails
+ * @param label name of the request on the time line; empty if it has none
  */
-record RequestPlan(long runMillis, boolean fails) {
+record RequestPlan(long runMillis, boolean fails, String label) {
 
-  /** Reads {@code sleepMillis} and {@code fail} from a body; what is missing is as usual. */
+  /**
+   * Reads {@code sleepMillis}, {@code fail} and {@code label} from a body; what is missing is as
+   * usual.
+   */
   static RequestPlan of(ByteString body, long usualMillis) {
     @Nullable JsonObject object = Payloads.object(body);
     if (object == null) {
-      return new RequestPlan(usualMillis, false);
+      return new RequestPlan(usualMillis, false, "");
     }
     long runMillis = object.getInt("sleepMillis", (int) usualMillis);
-    return new RequestPlan(runMillis, object.getBoolean("fail", false));
+    return new RequestPlan(
+        runMillis, object.getBoolean("fail", false), object.getString("label", ""));
   }
 }
--- a/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerStandIn.java
+++ b/org.hemlockpick.standin/src/main/java/org/hemlockpick/standin/WorkerStandIn.java
@@ -30,7 +30,8 @@
  * /v1/tasks/throttle with the messages of those names.
  *
  * <p>A request body that is a JSON object with {@code "fail": true} fails, one with {@code
- * "sleepMillis"} takes that long. A task payload may hold {@code "fail"} and {@code "runMillis"}.
+ * "sleepMillis"} takes that long, and its {@code "label"} is on the time line. A task payload may
+ * hold {@code "fail"} and {@code "runMillis"}.
  */
 public final class WorkerStandIn implements StandIn, AutoCloseable {
   private static final long TICK_MILLIS = 50;
@@ -123,11 +124,11 @@
   }
 
   private CompletableFuture<Reply> request(RequestCall call) {
-    Optional<RequestReply> refusal = offer(call);
+    RequestPlan plan = RequestPlan.of(call.getBody(), settings.serviceTime().toMillis());
+    Optional<RequestReply> refusal = offer(call, plan);
     if (refusal.isPresent()) {
       return done(refusal.get());
     }
-    RequestPlan plan = RequestPlan.of(call.getBody(), settings.serviceTime().toMillis());
     CompletableFuture<Reply> answer = new CompletableFuture<>();
     var unused =
         executor.schedule(
@@ -137,16 +138,16 @@
     return answer;
   }
 
-  private synchronized Optional<RequestReply> offer(RequestCall call) {
+  private synchronized Optional<RequestReply> offer(RequestCall call, RequestPlan plan) {
     Optional<RequestReply> refusal = model.offer(call);
     String outcome = refusal.map(reply -> reply.getResult().name()).orElse("request-started");
-    timeline.write(outcome, call.getCustomer(), subject(call));
+    timeline.write(outcome, subject(call), plan.label());
     return refusal;
   }
 
   private synchronized RequestReply finish(RequestCall call, RequestPlan plan) {
     RequestResult result = plan.fails() ? RequestResult.REQUEST_FAILED : RequestResult.REQUEST_DONE;
-    timeline.write(result.name(), call.getCustomer(), subject(call));
+    timeline.write(result.name(), subject(call), plan.label());
     return model.finish(call, result, Payloads.echo(settings.name(), call.getBody()));
   }
 
@@ -263,7 +264,8 @@
   }
 
   private static String subject(RequestCall call) {
-    return call.getService() + " " + call.getEpoch() + "/" + call.getSequence();
+    return String.format(
+        "%s/%s %d/%d", call.getCustomer(), call.getService(), call.getEpoch(), call.getSequence());
   }
 
   private static String subject(TaskRef task) {
