Measure what the library costs at given populations

docs/CAPACITY.md is to rest on slopes and not on estimates. The program runs one availability zone of three entry instances in virtual time with the models of the stand-ins, every input encoded and decoded as on a network, and prints heap, processor time, bytes and store calls for several sizes of each population.

--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/Capacity.java
@@ -0,0 +1,36 @@
+package org.hemlockpick.capacity;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+/** Prints the measurements behind {@code docs/CAPACITY.md}. */
+public final class Capacity {
+  private static final List<String> PARTS = List.of("memory", "tick", "messages", "store");
+
+  private Capacity() {}
+
+  /**
+   * Runs the named measurements.
+   *
+   * @param args some of "memory", "tick", "messages" and "store"; none for all
+   */
+  public static void main(String[] args) {
+    PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
+    List<String> parts = args.length == 0 ? PARTS : List.of(args);
+    if (!PARTS.containsAll(parts)) {
+      out.println("capacity: name some of " + String.join(", ", PARTS) + ", or nothing for all");
+      System.exit(2);
+    }
+    parts.forEach(part -> run(part, out));
+  }
+
+  private static void run(String part, PrintStream out) {
+    switch (part) {
+      case "memory" -> new MemorySlopes(out).print();
+      case "tick" -> new TickSlopes(out).print();
+      case "messages" -> new MessageSlopes(out).print();
+      default -> new StoreSlopes(out).print();
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/Node.java
@@ -0,0 +1,71 @@
+package org.hemlockpick.capacity;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import org.hemlockpick.lib.EntryInstance;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.Output;
+import org.jspecify.annotations.Nullable;
+
+/** Runs one entry instance, and measures its ticks and messages. */
+final class Node {
+  private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
+  final String name;
+  final Traffic traffic = new Traffic();
+  private final List<Long> tickNanos = new ArrayList<>();
+  private List<Input> inbox = new ArrayList<>();
+  private @Nullable EntryInstance instance;
+
+  Node(String name, EntryInstance instance) {
+    this.name = name;
+    this.instance = instance;
+  }
+
+  EntryInstance instance() {
+    return Objects.requireNonNull(instance);
+  }
+
+  /** Takes an input as it would come from the network, sharing no memory with its sender. */
+  void receive(Input.Builder input) {
+    try {
+      Input copy = Input.parseFrom(input.build().toByteArray());
+      traffic.received(copy);
+      inbox.add(copy);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("an encoded input cannot be decoded", e);
+    }
+  }
+
+  List<Output> tick() {
+    List<Input> inputs = inbox;
+    inbox = new ArrayList<>();
+    long before = THREADS.getCurrentThreadCpuTime();
+    List<Output> outputs = instance().tick(inputs);
+    tickNanos.add(THREADS.getCurrentThreadCpuTime() - before);
+    outputs.forEach(traffic::sent);
+    return outputs;
+  }
+
+  /** Begins a measurement. */
+  void clear() {
+    traffic.clear();
+    tickNanos.clear();
+  }
+
+  /** Returns the processor time of the ticks since {@link #clear}, in ascending order. */
+  List<Long> tickNanos() {
+    return tickNanos.stream().sorted().toList();
+  }
+
+  /** Lets go of the entry instance, so that its memory can be told from the rest. */
+  void forget() {
+    instance = null;
+    inbox.clear();
+    tickNanos.clear();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/StoreSlopes.java
@@ -0,0 +1,103 @@
+package org.hemlockpick.capacity;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Measures reads and writes at the table service at several loads of one zone. */
+final class StoreSlopes {
+  private static final int SECONDS = 60;
+  private static final int TASKS_PER_JOB = 16;
+  private static final long TASK_MILLIS = 20_000;
+  private static final long REQUEST_MILLIS = 100;
+  private static final long MILLIS = 1_000;
+
+  private final PrintStream out;
+
+  StoreSlopes(PrintStream out) {
+    this.out = out;
+  }
+
+  void print() {
+    idle();
+    for (int jobs : List.of(15, 55, 165)) {
+      StoreUse use = starts(jobs);
+      print("starts, " + jobs + " jobs of 16 tasks a minute", use, "start");
+    }
+    for (int perSecond : List.of(1, 10, 100)) {
+      print("non-idempotent requests, " + perSecond + " a second", requests(perSecond), "request");
+    }
+    for (int changes : List.of(0, 6, 60)) {
+      print("configuration changes, " + changes + " a minute", changes(changes), "change");
+    }
+  }
+
+  /** Runs jobs at an even rate and returns what the starts of their tasks cost. */
+  static StoreUse starts(int jobsPerMinute) {
+    Zone zone = new Zone(Population.ofTasks(0), TASK_MILLIS, 0);
+    submit(zone, jobsPerMinute);
+    zone.clear();
+    submit(zone, jobsPerMinute);
+    return StoreUse.of(zone, zone.starts(), SECONDS);
+  }
+
+  /** Sends non-idempotent requests at an even rate and returns what they cost. */
+  static StoreUse requests(int perSecond) {
+    Zone zone = new Zone(Population.ofRequests(0), 0, REQUEST_MILLIS);
+    zone.clear();
+    long count = 0;
+    for (int i = 0; i < SECONDS * perSecond; i++) {
+      zone.request(zone.nodes.get(i % Zone.ENTRIES), false);
+      zone.run(MILLIS / perSecond);
+      count++;
+    }
+    return StoreUse.of(zone, count, SECONDS);
+  }
+
+  private static void submit(Zone zone, int jobsPerMinute) {
+    for (int i = 0; i < jobsPerMinute; i++) {
+      zone.submit(TASKS_PER_JOB);
+      zone.run(SECONDS * MILLIS / jobsPerMinute);
+    }
+  }
+
+  private static StoreUse changes(int perMinute) {
+    Zone zone = new Zone(Population.ofContracts(430, 430), 0, 0);
+    zone.clear();
+    for (int i = 0; i < perMinute; i++) {
+      zone.apply(i, i + 1L);
+      zone.run(SECONDS * MILLIS / perMinute);
+    }
+    if (perMinute == 0) {
+      zone.run(SECONDS * MILLIS);
+    }
+    return StoreUse.of(zone, perMinute, SECONDS);
+  }
+
+  private void idle() {
+    Zone zone = new Zone(Population.ofTasks(650), 0, 0);
+    zone.clear();
+    zone.run(SECONDS * MILLIS);
+    print("idle, 650 running tasks in 41 jobs", StoreUse.of(zone, 0, SECONDS), "");
+  }
+
+  private void print(String title, StoreUse use, String unit) {
+    out.printf("%n## store: %s%n%n| kind | a second in the zone |%n| --- | ---: |%n", title);
+    Map<String, Double> kinds = new TreeMap<>(use.perSecond());
+    kinds.forEach((kind, count) -> out.printf(Locale.ROOT, "| %s | %.3f |%n", kind, count));
+    if (!unit.isEmpty()) {
+      out.printf(
+          Locale.ROOT,
+          "%n%d %ss: %.3f transactions, %.3f reads, %.3f rows written each%n",
+          use.units(),
+          unit,
+          use.writesEach(),
+          use.readsEach(),
+          use.rowsEach());
+    }
+    kinds.forEach(
+        (kind, count) -> out.printf(Locale.ROOT, "csv,store %s,%s,%.4f%n", title, kind, count));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/StoreUse.java
@@ -0,0 +1,51 @@
+package org.hemlockpick.capacity;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Tells what a zone asked of the table service.
+ *
+ * @param perSecond calls and rows a second by kind, all entry instances of the zone together
+ * @param units starts, requests or changes that the calls served
+ * @param seconds time in which it was counted
+ */
+record StoreUse(Map<String, Double> perSecond, long units, int seconds) {
+
+  static StoreUse of(Zone zone, long units, int seconds) {
+    Map<String, Double> sums = new TreeMap<>();
+    for (Node node : zone.nodes) {
+      node.traffic
+          .counts()
+          .forEach(
+              (kind, count) -> {
+                if (kind.startsWith("store ") || kind.startsWith("row ")) {
+                  sums.merge(kind, (double) count.messages() / seconds, Double::sum);
+                }
+              });
+    }
+    return new StoreUse(sums, units, seconds);
+  }
+
+  double writesEach() {
+    return each("store write");
+  }
+
+  /** Returns the reads for each unit without the polls for contracts. */
+  double readsEach() {
+    return each("store read") - each("store read config");
+  }
+
+  double rowsEach() {
+    return each("row written");
+  }
+
+  private double each(String prefix) {
+    double perSecondInAll =
+        perSecond.entrySet().stream()
+            .filter(entry -> entry.getKey().startsWith(prefix))
+            .mapToDouble(Map.Entry::getValue)
+            .sum();
+    return units == 0 ? 0 : perSecondInAll * seconds / units;
+  }
+}
