Rank the owners of a worker only when the candidates change

Each tick ranked the entry instances anew for every owned worker, and the sort hashed every candidate again at each comparison.

The ranking depends on the worker's name and the names of the candidates only, so equal candidates give the ranking that was computed anew before.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
@@ -20,7 +20,6 @@
 import org.hemlockpick.proto.RunningRequest;
 import org.hemlockpick.proto.WorkerCall;
 import org.hemlockpick.proto.WorkerReply;
-import org.hemlockpick.util.Rendezvous;
 
 /**
  * Acquires, renews and hands over the leases of workers.
@@ -45,6 +44,7 @@
   private final List<LeaseListener> listeners = new ArrayList<>();
   private final List<FenceSource> fences = new ArrayList<>();
   private final List<RecordedTasks> recorded = new ArrayList<>();
+  private final Preferences preferences = new Preferences();
   private Runnable releaseNotice = () -> {};
   private long lastSequence;
   private boolean stopping;
@@ -129,26 +129,28 @@
   public void run(long now) {
     for (Worker gone : workers.removeGone(now, 2 * timing.leaseTtl().toMillis())) {
       outbox.event("worker-gone", gone.name(), "not listed and silent");
+      preferences.forget(gone.name());
       listeners.forEach(listener -> listener.gone(gone));
     }
     List<Peer> alive = peers.aliveInZone(now);
+    preferences.setCandidates(candidates(alive));
     Set<String> claimed = claimedByPeers(alive);
     for (Worker worker : List.copyOf(workers.all())) {
-      runWorker(worker, alive, claimed, now);
+      runWorker(worker, claimed, now);
     }
   }
 
-  private void runWorker(Worker worker, List<Peer> alive, Set<String> claimed, long now) {
+  private void runWorker(Worker worker, Set<String> claimed, long now) {
     if (worker.epoch() != 0 && !worker.isHeld(now)) {
       lose(worker, "lease lapsed");
     }
     if (worker.epoch() == 0) {
-      if (worker.isLeaseCallDue(now) && shouldAcquire(worker, alive, claimed, now)) {
+      if (worker.isLeaseCallDue(now) && shouldAcquire(worker, claimed, now)) {
         sendLeaseCall(worker, false, now);
       }
       return;
     }
-    if (!worker.isReleasing() && shouldHandOver(worker, alive, now)) {
+    if (!worker.isReleasing() && shouldHandOver(worker, now)) {
       worker.beginRelease(now);
       worker.hasLeaseCallAt(now);
     }
@@ -157,24 +159,24 @@
     }
   }
 
-  private boolean shouldAcquire(Worker worker, List<Peer> alive, Set<String> claimed, long now) {
+  private boolean shouldAcquire(Worker worker, Set<String> claimed, long now) {
     if (stopping || claimed.contains(worker.name()) || !worker.isListed()) {
       return false;
     }
-    int rank = ranking(worker, alive).indexOf(settings.name());
+    int rank = preferences.ranking(worker.name()).indexOf(settings.name());
     return now - worker.unclaimedSince(now) >= rank * UNCLAIMED_WAIT_MILLIS;
   }
 
-  private boolean shouldHandOver(Worker worker, List<Peer> alive, long now) {
+  private boolean shouldHandOver(Worker worker, long now) {
     if (stopping) {
       return true;
     }
-    String preferred = ranking(worker, alive).get(0);
+    String preferred = preferences.ranking(worker.name()).get(0);
     Peer peer = peers.find(preferred);
     return peer != null && now - peer.aliveSince() >= HANDOVER_SETTLE_MILLIS;
   }
 
-  private List<String> ranking(Worker worker, List<Peer> alive) {
+  private List<String> candidates(List<Peer> alive) {
     List<String> candidates = new ArrayList<>();
     candidates.add(settings.name());
     for (Peer peer : alive) {
@@ -182,7 +184,7 @@
         candidates.add(peer.name());
       }
     }
-    return Rendezvous.rank(worker.name(), candidates);
+    return candidates;
   }
 
   private Set<String> claimedByPeers(List<Peer> alive) {
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Preferences.java
@@ -0,0 +1,29 @@
+package org.hemlockpick.internal.ownership;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hemlockpick.util.Rendezvous;
+
+/** Ranks the entry instances for each worker, anew only when the candidates change. */
+final class Preferences {
+  private final Map<String, List<String>> rankings = new HashMap<>();
+  private List<String> candidates = List.of();
+
+  /** Sets the names of the entry instances that may own workers. */
+  void setCandidates(List<String> present) {
+    if (!present.equals(candidates)) {
+      candidates = List.copyOf(present);
+      rankings.clear();
+    }
+  }
+
+  /** Returns the candidates for a worker, best first. */
+  List<String> ranking(String worker) {
+    return rankings.computeIfAbsent(worker, name -> Rendezvous.rank(name, candidates));
+  }
+
+  void forget(String worker) {
+    rankings.remove(worker);
+  }
+}
