--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Calls.java
@@ -0,0 +1,44 @@
+package org.hemlockpick.daemon;
+
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.server.netty.NettyHttpRequest;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.LongFunction;
+import org.hemlockpick.proto.CallerAnswer;
+import org.hemlockpick.proto.Input;
+
+/** Passes calls to the loop and gives it notice of callers that go away. */
+final class Calls {
+  private final Exchanges exchanges;
+
+  Calls(Exchanges exchanges) {
+    this.exchanges = exchanges;
+  }
+
+  /** Passes a call on; returns the response that is made from the loop's answer. */
+  CompletableFuture<HttpResponse<String>> pass(HttpRequest<?> request, LongFunction<Input> input) {
+    return pass(request, input, Replies::of);
+  }
+
+  /** Passes a call on; returns what is made from the loop's answer. */
+  <T> CompletableFuture<T> pass(
+      HttpRequest<?> request, LongFunction<Input> input, Function<CallerAnswer, T> reply) {
+    Exchanges.Exchange exchange = exchanges.begin(input);
+    if (request instanceof NettyHttpRequest<?> netty && !exchange.answer().isDone()) {
+      watch(netty, exchange);
+    }
+    return exchange.answer().thenApply(reply);
+  }
+
+  /** Watches the connection until the answer is there, as it may carry many more calls. */
+  private void watch(NettyHttpRequest<?> request, Exchanges.Exchange exchange) {
+    ChannelFuture closed = request.getChannelHandlerContext().channel().closeFuture();
+    ChannelFutureListener listener = done -> exchanges.abandon(exchange.number());
+    closed.addListener(listener);
+    var unused = exchange.answer().whenComplete((answer, error) -> closed.removeListener(listener));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Effects.java
@@ -0,0 +1,44 @@
+package org.hemlockpick.daemon;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import org.hemlockpick.proto.BlobCall;
+import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.proto.StoreCall;
+import org.hemlockpick.proto.WorkerCall;
+
+/** Carries out what the loop wants done outside of the process. No method blocks. */
+interface Effects extends AutoCloseable {
+
+  /**
+   * Opens the ends to the outside.
+   *
+   * @throws IOException if an address cannot be bound
+   */
+  void start() throws IOException;
+
+  /** Returns the port at which peers connect. */
+  int peersPort();
+
+  /** Replaces the addresses of the peers. */
+  void setPeers(Map<String, InetSocketAddress> addresses);
+
+  /** Sends a message to the peer that it names. */
+  void send(PeerMessage message);
+
+  /** Calls a worker. */
+  void call(WorkerCall call, long clock);
+
+  /** Calls the table service. */
+  void call(StoreCall call, long clock);
+
+  /** Calls the object store. */
+  void call(BlobCall call, long clock);
+
+  /** Closes the open connections to a worker. */
+  void reset(String worker);
+
+  @Override
+  void close();
+}
