Count messages to workers and the platform as they are sent, in JSON

The ports send JSON over HTTP. Counted as Protocol Buffers, leases, store calls and instance lists looked several times smaller than they are.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/MessageSlopes.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/MessageSlopes.java
@@ -25,6 +25,11 @@
     for (int size : List.of(0, 650, 1_950)) {
       table("tasks of the zone " + size, Population.ofTasks(size));
     }
+    Report list = new Report(out, "whole instance list in JSON", "instances", "bytes");
+    for (int size : List.of(54, 540, 1_584)) {
+      list.add(size, Traffic.json(Zone.list(size)));
+    }
+    list.print();
     out.printf("%n## encoded size of typical messages%n%n| kind | bytes |%n| --- | ---: |%n");
     TypicalMessages.events()
         .forEach((kind, message) -> out.printf("| %s | %d |%n", kind, message.getSerializedSize()));
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/Traffic.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/Traffic.java
@@ -1,13 +1,22 @@
 package org.hemlockpick.capacity;
 
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageOrBuilder;
+import com.google.protobuf.util.JsonFormat;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.Output;
 import org.hemlockpick.proto.PeerMessage;
 import org.hemlockpick.proto.StoreCall;
+import org.hemlockpick.proto.WorkerCall;
+import org.hemlockpick.proto.WorkerReply;
 
-/** Counts messages of one entry instance by kind. */
+/**
+ * Counts messages of one entry instance by kind: those between entry instances in the encoding of
+ * Protocol Buffers, and those to and from workers and the platform in JSON, without HTTP headers.
+ */
 final class Traffic {
 
   /**
@@ -24,6 +33,9 @@
     }
   }
 
+  private static final JsonFormat.Printer JSON =
+      JsonFormat.printer().omittingInsignificantWhitespace();
+
   static final String LOCAL_HEARTBEAT = "HEARTBEAT within the zone";
 
   private final Map<String, Count> counts = new TreeMap<>();
@@ -46,7 +58,7 @@
       case WORKER_CALL ->
           add(
               "worker sent " + output.getWorkerCall().getBodyCase(),
-              output.getWorkerCall().getSerializedSize());
+              json(body(output.getWorkerCall())));
       case STORE_CALL -> sent(output.getStoreCall());
       default -> {
         // Not between processes of the system or to the platform.
@@ -63,9 +75,9 @@
       case WORKER_REPLY ->
           add(
               "worker received " + input.getWorkerReply().getBodyCase(),
-              input.getWorkerReply().getSerializedSize());
-      case STORE_REPLY -> add("reply of the store", input.getStoreReply().getSerializedSize());
-      case INSTANCE_LIST -> add("instance list", input.getInstanceList().getSerializedSize());
+              json(body(input.getWorkerReply())));
+      case STORE_REPLY -> add("reply of the store", json(input.getStoreReply()));
+      case INSTANCE_LIST -> add("instance list", json(input.getInstanceList()));
       default -> {
         // From callers.
       }
@@ -76,17 +88,46 @@
     switch (call.getBodyCase()) {
       case TRANSACTION -> {
         String table = call.getTransaction().getWrites(0).getTable();
-        add("store write " + table, call.getSerializedSize());
+        add("store write " + table, json(call));
         call.getTransaction()
             .getWritesList()
-            .forEach(write -> add("row written " + write.getTable(), write.getSerializedSize()));
+            .forEach(write -> add("row written " + write.getTable(), json(write)));
       }
-      case READ -> add("store read " + call.getRead().getTable(), call.getSerializedSize());
-      case SCAN -> add("store read " + call.getScan().getTable(), call.getSerializedSize());
-      case BODY_NOT_SET -> add("store read nothing", call.getSerializedSize());
+      case READ -> add("store read " + call.getRead().getTable(), json(call));
+      case SCAN -> add("store read " + call.getScan().getTable(), json(call));
+      case BODY_NOT_SET -> add("store read nothing", json(call));
+    }
+  }
+
+  /** Returns the size of a message in JSON, in bytes. */
+  static int json(MessageOrBuilder message) {
+    try {
+      return JSON.print(message).getBytes(StandardCharsets.UTF_8).length;
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException("a message has no JSON form", e);
     }
   }
 
+  private static MessageOrBuilder body(WorkerCall call) {
+    return switch (call.getBodyCase()) {
+      case LEASE -> call.getLease();
+      case REQUEST -> call.getRequest();
+      case TASK_START -> call.getTaskStart();
+      case TASK_STOP -> call.getTaskStop();
+      case TASK_THROTTLE -> call.getTaskThrottle();
+      case BODY_NOT_SET -> call;
+    };
+  }
+
+  private static MessageOrBuilder body(WorkerReply reply) {
+    return switch (reply.getBodyCase()) {
+      case LEASE -> reply.getLease();
+      case REQUEST -> reply.getRequest();
+      case TASK -> reply.getTask();
+      case BODY_NOT_SET -> reply;
+    };
+  }
+
   /** Only heartbeats within the zone name workers. */
   private static String kind(PeerMessage message) {
     String kind = message.getBodyCase().name();
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/Zone.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/Zone.java
@@ -102,7 +102,7 @@
       workers.put(
           name, new WorkerModel(name, capacity, time, name + "-" + START_MILLIS, START_MILLIS));
     }
-    list = list();
+    list = list(population.workers());
     startEntries();
     run(15_000);
     populate();
@@ -351,9 +351,10 @@
     }
   }
 
-  private InstanceList list() {
+  /** Returns a whole list of so many instances. */
+  static InstanceList list(int instances) {
     InstanceList.Builder all = InstanceList.newBuilder();
-    for (int i = 0; i < population.workers(); i++) {
+    for (int i = 0; i < instances; i++) {
       all.addInstances(
           ListedInstance.newBuilder()
               .setName(Names.worker(i))
