Replay recorded inputs of an entry instance to the same outputs

A node of the world records its ticks; the inputs, through JSON and back, lead a new instance to the same outputs byte for byte, through lost messages, lost answers of the store, a worker's restart and a planned stop.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/EntryNode.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/EntryNode.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
-import java.util.random.RandomGenerator;
-import java.util.random.RandomGeneratorFactory;
 import org.hemlockpick.fakes.DriftingClock;
 import org.hemlockpick.fakes.VirtualTime;
 import org.hemlockpick.lib.EntryInstance;
@@ -12,6 +10,7 @@
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.Output;
 import org.hemlockpick.proto.StopOrder;
+import org.jspecify.annotations.Nullable;
 
 /** Runs one entry instance of the world: it can be killed, paused, restarted and stopped. */
 final class EntryNode {
@@ -29,9 +28,11 @@
   private final Oracle oracle;
   private final BiConsumer<EntryNode, Output> outputs;
   private List<Input> inbox = new ArrayList<>();
+  private DriftingClock clock;
   private EntryInstance instance;
   private int starts;
   private long version;
+  private @Nullable Recording recording;
 
   EntryNode(
       InstanceSettings settings,
@@ -46,6 +47,7 @@
     this.conditions = conditions;
     this.oracle = oracle;
     this.outputs = outputs;
+    this.clock = new DriftingClock(time, 0, 1.0);
     this.instance = start();
     scheduleTick();
   }
@@ -98,14 +100,25 @@
     receive(Input.newBuilder().setStopOrder(StopOrder.getDefaultInstance()).build(), starts);
   }
 
+  /** Restarts the node and records all that its loop takes in and gives out from then on. */
+  Recording restartRecorded() {
+    restart();
+    long seed = conditions.random.nextLong();
+    Recording begun = new Recording(settings, time.millis() + 1, time.millis(), seed);
+    clock = new DriftingClock(time, 0, 1.0);
+    instance = new EntryInstance(settings, begun.incarnation(), clock, Recording.random(seed));
+    recording = begun;
+    return begun;
+  }
+
   private EntryInstance start() {
     starts++;
+    recording = null;
     long offset = conditions.random.nextInt(100_000);
     double rate = 0.99 + conditions.random.nextInt(21) / 1_000.0;
-    RandomGenerator random =
-        RandomGeneratorFactory.of("L64X128MixRandom").create(conditions.random.nextLong());
+    clock = new DriftingClock(time, offset, rate);
     return new EntryInstance(
-        settings, time.millis() + 1, new DriftingClock(time, offset, rate), random);
+        settings, time.millis() + 1, clock, Recording.random(conditions.random.nextLong()));
   }
 
   private void scheduleTick() {
@@ -117,6 +130,9 @@
       List<Input> inputs = inbox;
       inbox = new ArrayList<>();
       List<Output> results = instance.tick(inputs);
+      if (recording != null) {
+        recording.add(clock.millis(), inputs, results);
+      }
       results.forEach(output -> outputs.accept(this, output));
       checkVersion();
     }
