--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/ListedWorkerTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/ListedWorkerTest.java
@@ -15,13 +15,17 @@
   void workerThatIsMissingFromTheListButHeldKeepsItsTasks() {
     Scenario scenario = Scenario.underLoad(71);
     World world = scenario.world;
-    scenario.callers.submit(world.entry("zone0-0"), 40);
-    scenario.callers.submit(world.entry("zone0-1"), 40);
-    world.time.runFor(2_000);
+    world.workers.values().forEach(worker -> worker.leastRunMillis = 120_000);
+    for (String name : List.of("zone0-0", "zone0-1", "zone0-2")) {
+      scenario.callers.submit(world.entry(name), 6);
+    }
+    world.time.runFor(5_000);
+    world.entry("zone0-0").kill();
+    world.time.runFor(15_000);
     world.workers.values().forEach(worker -> worker.listed = false);
-    world.time.runFor(60_000);
+    world.time.runFor(90_000);
     world.workers.values().forEach(worker -> worker.listed = true);
-    world.await(() -> world.openShards().isEmpty(), 120_000);
+    world.await(() -> world.openShards().isEmpty(), 400_000);
 
     assertEquals(List.of(), scenario.finish());
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/WorkerNode.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/WorkerNode.java
@@ -53,6 +53,7 @@
   boolean listed = true;
   boolean dead;
   boolean failsEverything;
+  long leastRunMillis;
 
   /** How many requests and tasks were offered, whether they ran or not. */
   int offers;
@@ -216,7 +217,7 @@
   }
 
   private void run(WorkerModel start, TaskStatus status) {
-    long runTime = 300L + conditions.random.nextInt(4_000);
+    long runTime = leastRunMillis + 300L + conditions.random.nextInt(4_000);
     time.after(
         runTime,
         () -> {
