Show the path of a task in the time line

The demo printed nothing of a job but its submission, because batch work made no events for its tasks. Starts, stops and ends of attempts are events now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ReportReader.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/ReportReader.java
@@ -187,6 +187,7 @@
       return;
     }
     TaskRecord next = next(task, status);
+    outbox.event("task-ended", Rows.label(status.getTask()), status.getPhase().name());
     shards.change(task, next);
     if (status.getPhase() == TaskPhase.TASK_DONE) {
       quarantine.succeeded(worker.name(), task.shard.job);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Rows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/Rows.java
@@ -4,6 +4,7 @@
 import org.hemlockpick.proto.JobRecord;
 import org.hemlockpick.proto.Row;
 import org.hemlockpick.proto.ShardRecord;
+import org.hemlockpick.proto.TaskRef;
 
 /** Names and parses the rows of batch state. */
 final class Rows {
@@ -43,4 +44,9 @@
       throw new IllegalStateException("the row of shard " + row.getKey() + " is damaged", e);
     }
   }
+
+  /** Returns the name of an attempt for the time line: job, index and attempt. */
+  static String label(TaskRef ref) {
+    return ref.getJob() + "/" + ref.getIndex() + "@" + ref.getAttempt();
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskRunner.java
@@ -129,6 +129,7 @@
             .build();
     task.nextStartAt = now + timing.workerTimeout().toMillis() + RETRY_MILLIS;
     load.beginStart(ref, job.need());
+    outbox.event("task-sent", Rows.label(ref), worker.name());
     calls.send(
         call(worker).setTaskStart(start),
         reply -> onStartReply(worker, start.getEpoch(), task, ref, reply));
@@ -175,6 +176,7 @@
 
   private void sendStop(Worker worker, WorkerLoad load, TaskRef ref, long now) {
     load.stops.put(ref, now);
+    outbox.event("task-stop-sent", Rows.label(ref), worker.name());
     TaskStopCall stop =
         TaskStopCall.newBuilder()
             .setEpoch(worker.epoch())
