--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.hemlockpick.fakes.VirtualTime;
 import org.hemlockpick.lib.InstanceSettings;
@@ -29,6 +30,7 @@
 import org.hemlockpick.proto.PeerMessage;
 import org.hemlockpick.proto.Row;
 import org.hemlockpick.proto.RowScan;
+import org.hemlockpick.proto.RowWrite;
 import org.hemlockpick.proto.StoreCall;
 import org.hemlockpick.proto.StoreReply;
 import org.hemlockpick.proto.WorkerCall;
@@ -145,6 +147,11 @@
     }
   }
 
+  /** Returns the answer to an exchange that the oracle does not follow. */
+  Optional<CallerAnswer> answer(long exchange) {
+    return operatorAnswers.stream().filter(a -> a.getExchange() == exchange).findFirst();
+  }
+
   /** Returns the keys of the shards in the table service that have unfinished tasks. */
   List<String> openShards() {
     RowScan scan = RowScan.newBuilder().setTable("shards").setLimit(1_000).build();
@@ -198,6 +205,7 @@
 
   private void callWorker(EntryNode node, WorkerCall call) {
     WorkerNode worker = worker(call.getWorker());
+    worker.calls++;
     if (call.getFreshConnection()) {
       worker.silentFor.remove(node.name);
     }
@@ -248,7 +256,7 @@
     time.after(
         conditions.storeDelay(),
         () -> {
-          StoreReply reply = table.handle(call);
+          StoreReply reply = table.handle(falsify(call));
           boolean lost = conditions.storeLosesAnswers && conditions.chance(0.5);
           if (!lost && conditions.reachesPlatform(node.zone)) {
             deliver(node, start, conditions.storeDelay(), Input.newBuilder().setStoreReply(reply));
@@ -256,6 +264,20 @@
         });
   }
 
+  private StoreCall falsify(StoreCall call) {
+    if (!call.hasTransaction()) {
+      return call;
+    }
+    StoreCall.Builder falsified = call.toBuilder();
+    for (RowWrite.Builder write : falsified.getTransactionBuilder().getWritesBuilderList()) {
+      boolean ignored = conditions.seededFault == SeededFault.STORE_IGNORES_VERSIONS;
+      if (ignored && write.getTable().equals("keys")) {
+        write.setExpectedVersion(table.version(write.getTable(), write.getKey()));
+      }
+    }
+    return falsified.build();
+  }
+
   private void callObjects(EntryNode node, BlobCall call) {
     int start = node.starts();
     if (conditions.storeDown || !conditions.reachesPlatform(node.zone)) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
@@ -20,7 +20,6 @@
 import org.hemlockpick.proto.RunningRequest;
 import org.hemlockpick.proto.WorkerCall;
 import org.hemlockpick.proto.WorkerReply;
-import org.hemlockpick.util.Rendezvous;
 
 /**
  * Acquires, renews and hands over the leases of workers.
@@ -31,7 +30,12 @@
  * rendezvous hashing over the live entry instances of the availability zone.
  */
 public final class OwnershipSystem implements LoopSystem {
+  /** Wait before an unanswered request for a lease is repeated, in milliseconds. */
   private static final long RETRY_MILLIS = 300;
+
+  /** Wait before an unanswered renewal is repeated, in milliseconds. */
+  private static final long RENEWAL_RETRY_MILLIS = 100;
+
   private static final long UNCLAIMED_WAIT_MILLIS = 5_000;
   private static final long HANDOVER_SETTLE_MILLIS = 5_000;
   private static final long RELEASE_DRAIN_MILLIS = 2_000;
@@ -45,6 +49,7 @@
   private final List<LeaseListener> listeners = new ArrayList<>();
   private final List<FenceSource> fences = new ArrayList<>();
   private final List<RecordedTasks> recorded = new ArrayList<>();
+  private final Preferences preferences = new Preferences();
   private Runnable releaseNotice = () -> {};
   private long lastSequence;
   private boolean stopping;
@@ -127,28 +132,30 @@
 
   @Override
   public void run(long now) {
-    for (Worker gone : workers.removeGone(now, 2 * timing.leaseTtl().toMillis())) {
-      outbox.event("worker-gone", gone.name(), "not listed and silent");
-      listeners.forEach(listener -> listener.gone(gone));
-    }
     List<Peer> alive = peers.aliveInZone(now);
+    preferences.setCandidates(candidates(alive));
     Set<String> claimed = claimedByPeers(alive);
+    for (Worker gone : workers.removeGone(now, 2 * timing.leaseTtl().toMillis(), claimed)) {
+      outbox.event("worker-gone", gone.name(), "not listed, silent and claimed by nobody");
+      preferences.forget(gone.name());
+      listeners.forEach(listener -> listener.gone(gone));
+    }
     for (Worker worker : List.copyOf(workers.all())) {
-      runWorker(worker, alive, claimed, now);
+      runWorker(worker, claimed, now);
     }
   }
 
-  private void runWorker(Worker worker, List<Peer> alive, Set<String> claimed, long now) {
+  private void runWorker(Worker worker, Set<String> claimed, long now) {
     if (worker.epoch() != 0 && !worker.isHeld(now)) {
       lose(worker, "lease lapsed");
     }
     if (worker.epoch() == 0) {
-      if (worker.isLeaseCallDue(now) && shouldAcquire(worker, alive, claimed, now)) {
+      if (worker.isLeaseCallDue(now) && shouldAcquire(worker, claimed, now)) {
         sendLeaseCall(worker, false, now);
       }
       return;
     }
-    if (!worker.isReleasing() && shouldHandOver(worker, alive, now)) {
+    if (!worker.isReleasing() && shouldHandOver(worker, now)) {
       worker.beginRelease(now);
       worker.hasLeaseCallAt(now);
     }
@@ -157,24 +164,24 @@
     }
   }
 
-  private boolean shouldAcquire(Worker worker, List<Peer> alive, Set<String> claimed, long now) {
+  private boolean shouldAcquire(Worker worker, Set<String> claimed, long now) {
     if (stopping || claimed.contains(worker.name()) || !worker.isListed()) {
       return false;
     }
-    int rank = ranking(worker, alive).indexOf(settings.name());
+    int rank = preferences.ranking(worker.name()).indexOf(settings.name());
     return now - worker.unclaimedSince(now) >= rank * UNCLAIMED_WAIT_MILLIS;
   }
 
-  private boolean shouldHandOver(Worker worker, List<Peer> alive, long now) {
+  private boolean shouldHandOver(Worker worker, long now) {
     if (stopping) {
       return true;
     }
-    String preferred = ranking(worker, alive).get(0);
+    String preferred = preferences.ranking(worker.name()).get(0);
     Peer peer = peers.find(preferred);
     return peer != null && now - peer.aliveSince() >= HANDOVER_SETTLE_MILLIS;
   }
 
-  private List<String> ranking(Worker worker, List<Peer> alive) {
+  private List<String> candidates(List<Peer> alive) {
     List<String> candidates = new ArrayList<>();
     candidates.add(settings.name());
     for (Peer peer : alive) {
@@ -182,7 +189,7 @@
         candidates.add(peer.name());
       }
     }
-    return Rendezvous.rank(worker.name(), candidates);
+    return candidates;
   }
 
   private Set<String> claimedByPeers(List<Peer> alive) {
@@ -219,7 +226,7 @@
             .setWorker(worker.name())
             .setAddress(worker.address())
             .setTimeoutMillis((int) timing.workerTimeout().toMillis())
-            .setFreshConnection(worker.needsFreshConnection())
+            .setFreshConnection(worker.takeFreshConnection())
             .setLease(lease);
     worker.beginLeaseCall();
     long epoch = worker.epoch();
@@ -264,7 +271,7 @@
   private void onNoAnswer(Worker worker, long epoch, boolean release, long now) {
     worker.distrustConnections();
     outbox.resetWorker(worker.name());
-    worker.endLeaseCall(now + (epoch == 0 ? RETRY_MILLIS : 0));
+    worker.endLeaseCall(now + (epoch == 0 ? RETRY_MILLIS : RENEWAL_RETRY_MILLIS));
     if (release && worker.epoch() == epoch) {
       lose(worker, "release not answered");
     }
