--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/CommandLineTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/CommandLineTest.java
@@ -81,6 +81,13 @@
     assertEquals("", console.out());
   }
 
+  @Test
+  void namesTheHelpOfTheProgramForAnUnknownCommand() {
+    assertEquals(2, console.run("no-such-command"));
+
+    assertTrue(console.err().strip().endsWith("; see hemlockpick --help"), console.err());
+  }
+
   @Test
   void refusesSettingsWithFaults(@TempDir Path folder) throws Exception {
     Path file = Files.writeString(folder.resolve("a.toml"), "[instance]\nname = 1\n");
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
@@ -1,6 +1,8 @@
 package org.hemlockpick.pgm;
 
 import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.BiFunction;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
@@ -9,6 +11,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.jspecify.annotations.Nullable;
 
 /** Parses arguments and runs the command that they name. */
 public final class CommandLine {
@@ -16,6 +19,7 @@
   private static final String NAME = "command";
 
   private final Console console;
+  private final Set<String> names = new HashSet<>();
   private final ArgumentParser parser;
 
   /** Creates a command line that writes to a console. */
@@ -66,22 +70,23 @@
     }
   }
 
-  private static void add(
+  private void add(
       Subparsers commands,
       String name,
       String help,
       Description description,
       BiFunction<Namespace, Console, Command> factory) {
+    names.add(name);
     Subparser command = commands.addParser(name).help(help).description(help);
     description.addTo(command);
     command.setDefault(FACTORY, factory);
   }
 
-  private static String commandOf(String... args) {
-    return args.length > 0 && args[0].matches("[a-z-]+") ? args[0] : "";
+  private String commandOf(String... args) {
+    return args.length > 0 && names.contains(args[0]) ? args[0] : "";
   }
 
-  private static String oneLine(@org.jspecify.annotations.Nullable String message) {
+  private static String oneLine(@Nullable String message) {
     return String.valueOf(message).replaceAll("\\s*\\R\\s*", " ").strip();
   }
 
