Answer callers whose inputs the ending loop has not seen

In one run of the tests a planned stop answered a request with 'outcome unknown: the process ends'. Cause: the daemon closed its exchanges while inputs still waited in the queue, and the loop's thread dropped what it had just taken. Ruled out: the library, which had answered all it had seen. New exchanges are now refused first, as not run, and the thread ticks over the rest of the queue before it ends.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
@@ -147,9 +147,10 @@
       return;
     }
     closed = true;
+    exchanges.refuseNew();
+    loop.close();
     exchanges.close();
     api.close();
-    loop.close();
     effects.close();
     if (trace != null) {
       trace.close();
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Exchanges.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Exchanges.java
@@ -22,7 +22,7 @@
   private final InputQueue queue;
   private final AtomicLong lastNumber = new AtomicLong();
   private final Map<Long, CompletableFuture<CallerAnswer>> open = new ConcurrentHashMap<>();
-  private volatile boolean closed;
+  private boolean refusing;
 
   /**
    * Creates a table without exchanges.
@@ -38,11 +38,11 @@
    *
    * @param input makes the input from the number of the exchange
    */
-  Exchange begin(LongFunction<Input> input) {
+  synchronized Exchange begin(LongFunction<Input> input) {
     long number = lastNumber.incrementAndGet();
     CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
     open.put(number, answer);
-    if (closed) {
+    if (refusing) {
       refuse(number, ResultCode.STOPPING, Messages.CLOSED);
     } else if (!queue.offer(input.apply(number))) {
       refuse(number, ResultCode.OVERLOADED, Messages.QUEUE_FULL);
@@ -67,9 +67,14 @@
     queue.put(Input.newBuilder().setCallerGone(gone).build());
   }
 
+  /** Refuses every new exchange from now on; none reaches the queue afterwards. */
+  synchronized void refuseNew() {
+    refusing = true;
+  }
+
   /** Answers every open exchange: what became of it is not known any more. */
   void close() {
-    closed = true;
+    refuseNew();
     open.keySet().forEach(number -> refuse(number, ResultCode.OUTCOME_UNKNOWN, Messages.CLOSED));
   }
 
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/LoopThread.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/LoopThread.java
@@ -19,6 +19,10 @@
 
   private static final Logger log = Logger.getLogger(LoopThread.class);
   private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** Most ticks after the thread was told to end; inputs of the platform may go on coming. */
+  private static final int MAX_LAST_TICKS = 16;
+
   private static final long JOIN_MILLIS = 2_000;
 
   private final InputQueue queue;
@@ -66,7 +70,7 @@
     return thread.isAlive() && System.nanoTime() - lastTickNanos < SILENCE_NANOS;
   }
 
-  /** Ends the thread after its present tick. */
+  /** Ends the thread after a last tick over what waits in the queue. */
   void close() {
     closed = true;
     thread.interrupt();
@@ -78,11 +82,24 @@
   }
 
   private void run() {
-    while (!closed) {
-      List<Input> inputs = queue.take(MAX_PAUSE_MILLIS);
-      if (closed || !tick(inputs)) {
+    boolean turning = true;
+    while (turning && !closed) {
+      turning = tick(queue.take(MAX_PAUSE_MILLIS));
+    }
+    if (turning) {
+      tickRest();
+    }
+  }
+
+  /** Takes what waits, so that callers whose inputs no tick has seen yet get the loop's answer. */
+  private void tickRest() {
+    Thread.interrupted();
+    List<Input> rest = queue.take(0);
+    for (int i = 0; i < MAX_LAST_TICKS && !rest.isEmpty(); i++) {
+      if (!tick(rest)) {
         return;
       }
+      rest = queue.take(0);
     }
   }
 
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/LoopThreadTest.java
@@ -0,0 +1,111 @@
+package org.hemlockpick.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.InstantSource;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.proto.CallerRequest;
+import org.hemlockpick.proto.Input;
+import org.hemlockpick.proto.Output;
+import org.junit.jupiter.api.Test;
+
+/** Shows what becomes of callers while the loop's thread ends. */
+class LoopThreadTest {
+  private static final long AMPLE_SECONDS = 30;
+
+  private final InputQueue queue = new InputQueue();
+  private final Exchanges exchanges = new Exchanges(queue);
+  private final FakeLoop loop = new FakeLoop();
+  private final CountDownLatch firstTick = new CountDownLatch(1);
+  private final CountDownLatch release = new CountDownLatch(1);
+
+  private final LoopThread thread =
+      new LoopThread(
+          "test",
+          queue,
+          new HeldLoop(),
+          new TickClock(0),
+          InstantSource.system(),
+          this::carryOut,
+          (now, nanos, inputs, outputs) -> {},
+          error -> {});
+
+  @Test
+  void callersThatWaitWhenTheThreadIsToldToEndGetTheLoopsAnswer() throws InterruptedException {
+    thread.start();
+    assertTrue(firstTick.await(AMPLE_SECONDS, TimeUnit.SECONDS));
+    List<Exchanges.Exchange> waiting = Stream.generate(this::ask).limit(3).toList();
+
+    exchanges.refuseNew();
+    Thread closer = new Thread(thread::close);
+    closer.start();
+    release.countDown();
+    closer.join();
+    exchanges.close();
+
+    for (Exchanges.Exchange exchange : waiting) {
+      assertEquals(ResultCode.DONE.number(), exchange.answer().join().getCode());
+    }
+  }
+
+  @Test
+  void callersThatComeAfterwardsAreRefusedAsNotRun() {
+    exchanges.refuseNew();
+
+    assertEquals(ResultCode.STOPPING.number(), ask().answer().join().getCode());
+    assertEquals(0, queue.length());
+  }
+
+  private Exchanges.Exchange ask() {
+    return exchanges.begin(
+        number ->
+            Input.newBuilder()
+                .setCallerRequest(CallerRequest.newBuilder().setExchange(number))
+                .build());
+  }
+
+  private void carryOut(Output output) {
+    if (output.hasCallerAnswer()) {
+      exchanges.complete(output.getCallerAnswer());
+    }
+  }
+
+  /** Holds its first tick until released. */
+  private final class HeldLoop implements Loop {
+    @Override
+    public List<Output> tick(List<Input> inputs) {
+      firstTick.countDown();
+      awaitRelease();
+      return loop.tick(inputs);
+    }
+
+    @Override
+    public boolean isReady() {
+      return loop.isReady();
+    }
+
+    @Override
+    public boolean isStopped() {
+      return loop.isStopped();
+    }
+
+    private void awaitRelease() {
+      boolean interrupted = false;
+      while (release.getCount() > 0) {
+        try {
+          release.await();
+        } catch (InterruptedException e) {
+          interrupted = true;
+        }
+      }
+      if (interrupted) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+}
