--- a/org.hemlockpick/src/main/java/org/hemlockpick/errors/package-info.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/errors/package-info.java
@@ -1,4 +1,4 @@
-/** Numbered result codes and the exceptions of the library. */
+/** Numbered result codes and the messages of the library. */
 @NullMarked
 package org.hemlockpick.errors;
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/membership/package-info.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/membership/package-info.java
@@ -1,4 +1,4 @@
-/** Which entry instances and workers exist, which are alive and which are leaving. */
+/** Which other entry instances are alive, and what they say about themselves. */
 @NullMarked
 package org.hemlockpick.internal.membership;
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
@@ -20,6 +20,9 @@
  * occupies its slots, and the newest report.
  */
 public final class Worker {
+  /** Connections left for lease calls and batch calls of the owner and of those who ask for it. */
+  static final int RESERVED_CONNECTIONS = 8;
+
   private final String name;
   private String address;
   private String rack;
@@ -117,9 +120,6 @@
     return Math.max(0, limit - slotsUsed());
   }
 
-  /** Connections left for lease calls and batch calls of the owner and of those who ask for it. */
-  static final int RESERVED_CONNECTIONS = 8;
-
   /** Returns the attempts whose answers are awaited, oldest first. */
   public Collection<Attempt> openAttempts() {
     return Collections.unmodifiableCollection(open.values());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
@@ -15,7 +15,6 @@
 import org.hemlockpick.proto.CallFate;
 import org.hemlockpick.proto.FencedRequest;
 import org.hemlockpick.proto.RequestCall;
-import org.hemlockpick.proto.RequestFate;
 import org.hemlockpick.proto.RequestReply;
 import org.hemlockpick.proto.RequestResult;
 import org.hemlockpick.proto.WorkerCall;
@@ -112,8 +111,7 @@
   public void fenced(Worker worker, FencedRequest fenced) {
     Request request = requests.findSequence(fenced.getSequence());
     if (request == null || !worker.name().equals(request.worker)) {
-      settleOrphan(worker, fenced);
-      return;
+      return; // The owner's system settles attempts that no request awaits any more.
     }
     switch (fenced.getFate()) {
       case NEVER_SEEN -> onNeverSeen(request, worker);
@@ -215,12 +213,6 @@
     }
   }
 
-  private static void settleOrphan(Worker worker, FencedRequest fenced) {
-    if (fenced.getFate() == RequestFate.NEVER_SEEN || fenced.getFate() == RequestFate.FINISHED) {
-      worker.settle(fenced.getSequence());
-    }
-  }
-
   private void retryOrGiveUp(Request request, Worker worker) {
     request.mayHaveRun = true;
     if (budget.tryTake()) {
