Decide a repetition within the retry budget in one place

Dispatch and forwards each marked the request, asked the budget and queued or gave up; Waiting does it for both now. Behaviour is the same. Two methods that nothing called are gone, and the lease call that is brought forward is named so.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/OwnershipSystem.java
@@ -96,7 +96,7 @@
 
   /** Makes the next lease call to a worker go out at once. */
   public void renewSoon(Worker worker) {
-    worker.hasLeaseCallAt(outbox.now());
+    worker.bringLeaseCallForward(outbox.now());
   }
 
   /** Stops awaiting the answer to an attempt; its slot stays occupied until proved free. */
@@ -157,7 +157,7 @@
     }
     if (!worker.isReleasing() && shouldHandOver(worker, now)) {
       worker.beginRelease(now);
-      worker.hasLeaseCallAt(now);
+      worker.bringLeaseCallForward(now);
     }
     if (worker.isLeaseCallDue(now)) {
       sendLeaseCall(worker, worker.isReleasing() && isDrained(worker, now), now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/ownership/Worker.java
@@ -13,7 +13,6 @@
 import org.hemlockpick.proto.RunningRequest;
 import org.hemlockpick.proto.TaskRef;
 import org.hemlockpick.proto.TaskStatus;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Holds what this entry instance knows of one worker of its availability zone: the lease, what
@@ -218,7 +217,7 @@
       unclaimedSince = -1;
     } else if (unclaimedSince < 0) {
       unclaimedSince = now;
-      hasLeaseCallAt(now);
+      bringLeaseCallForward(now);
     }
   }
 
@@ -235,7 +234,7 @@
     this.nextLeaseCall = nextLeaseCall;
   }
 
-  void hasLeaseCallAt(long time) {
+  void bringLeaseCallForward(long time) {
     nextLeaseCall = Math.min(nextLeaseCall, time);
   }
 
@@ -303,8 +302,4 @@
                                 r.getSequence() == attempt.sequence()
                                     && r.getEpoch() == attempt.epoch()));
   }
-
-  @Nullable Attempt findOpen(long sequence) {
-    return open.get(sequence);
-  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
@@ -39,7 +39,6 @@
   private final WorkerCalls calls;
   private final OwnershipSystem ownership;
   private final RequestTable requests;
-  private final RetryBudget budget;
   private final Waiting waiting;
   private final Finisher finisher;
 
@@ -48,14 +47,12 @@
       WorkerCalls calls,
       OwnershipSystem ownership,
       RequestTable requests,
-      RetryBudget budget,
       Waiting waiting,
       Finisher finisher) {
     this.outbox = outbox;
     this.calls = calls;
     this.ownership = ownership;
     this.requests = requests;
-    this.budget = budget;
     this.waiting = waiting;
     this.finisher = finisher;
   }
@@ -214,18 +211,19 @@
   }
 
   private void retryOrGiveUp(Request request, Worker worker) {
-    request.mayHaveRun = true;
-    if (budget.tryTake()) {
-      sendElsewhere(request, worker);
-    } else {
-      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
-    }
+    leave(request, worker);
+    waiting.retryOrGiveUp(request);
   }
 
   private void sendElsewhere(Request request, Worker worker) {
+    leave(request, worker);
+    waiting.addAgain(request);
+  }
+
+  /** Makes late news of the worker's attempt not concern the request, and others be tried first. */
+  private void leave(Request request, Worker worker) {
     requests.clearSequence(request);
     request.excludedWorkers.add(worker.name());
-    waiting.addAgain(request);
   }
 
   private void distrust(Worker worker) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/FairQueue.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/FairQueue.java
@@ -42,10 +42,6 @@
     return lane == null ? 0 : lane.requests.size();
   }
 
-  int customers() {
-    return lanes.size();
-  }
-
   void add(Request request, int weight) {
     Lane lane = lanes.computeIfAbsent(request.customer, name -> new Lane(weight, virtualTime));
     lane.weight = Math.max(1, weight);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/ForwardSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/ForwardSystem.java
@@ -26,7 +26,6 @@
   private final PeerTable peers;
   private final RequestTable requests;
   private final ForwardLedger ledger;
-  private final RetryBudget budget;
   private final Waiting waiting;
   private final Finisher finisher;
   private long lastForward;
@@ -36,14 +35,12 @@
       PeerTable peers,
       RequestTable requests,
       ForwardLedger ledger,
-      RetryBudget budget,
       Waiting waiting,
       Finisher finisher) {
     this.outbox = outbox;
     this.peers = peers;
     this.requests = requests;
     this.ledger = ledger;
-    this.budget = budget;
     this.waiting = waiting;
     this.finisher = finisher;
   }
@@ -145,15 +142,10 @@
   }
 
   private void retryOrGiveUp(Request request) {
-    request.mayHaveRun = true;
     if (request.peer != null) {
       request.excludedPeers.add(request.peer);
     }
-    if (budget.tryTake()) {
-      waiting.addAgain(request);
-    } else {
-      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN, ByteString.EMPTY);
-    }
+    waiting.retryOrGiveUp(request);
   }
 
   private void send(Request request, long now) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RequestModule.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RequestModule.java
@@ -45,12 +45,12 @@
     sweep = new KeySweep(settings, store, peers);
     ledger = new ForwardLedger(outbox);
     finisher = new Finisher(outbox, requests, limits, keys, ledger, random);
-    Waiting waiting = new Waiting(outbox, requests, contracts, finisher);
+    Waiting waiting = new Waiting(outbox, requests, contracts, budget, finisher);
     admission =
         new AdmissionSystem(
             outbox, store, peers, contracts, limits, requests, keys, budget, waiting, finisher);
-    dispatch = new DispatchSystem(outbox, calls, ownership, requests, budget, waiting, finisher);
-    forwards = new ForwardSystem(outbox, peers, requests, ledger, budget, waiting, finisher);
+    dispatch = new DispatchSystem(outbox, calls, ownership, requests, waiting, finisher);
+    forwards = new ForwardSystem(outbox, peers, requests, ledger, waiting, finisher);
     RoutingPolicy policy = new TwoChoicesRouting(random);
     routing =
         new RoutingSystem(settings, peers, workers, requests, policy, dispatch, forwards, finisher);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Waiting.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Waiting.java
@@ -13,12 +13,19 @@
   private final Outbox outbox;
   private final RequestTable requests;
   private final ContractTable contracts;
+  private final RetryBudget budget;
   private final Finisher finisher;
 
-  Waiting(Outbox outbox, RequestTable requests, ContractTable contracts, Finisher finisher) {
+  Waiting(
+      Outbox outbox,
+      RequestTable requests,
+      ContractTable contracts,
+      RetryBudget budget,
+      Finisher finisher) {
     this.outbox = outbox;
     this.requests = requests;
     this.contracts = contracts;
+    this.budget = budget;
     this.finisher = finisher;
   }
 
@@ -30,6 +37,16 @@
     requests.waiting().add(request, contract == null ? 1 : contract.weight());
   }
 
+  /** Repeats an idempotent request whose newest attempt may have run, if the budget allows it. */
+  void retryOrGiveUp(Request request) {
+    request.mayHaveRun = true;
+    if (budget.tryTake()) {
+      addAgain(request);
+    } else {
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
+    }
+  }
+
   /** Queues a request again whose newest attempt did not run or may be repeated. */
   void addAgain(Request request) {
     if (request.sends >= MAX_SENDS) {
