--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiServer.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiServer.java
@@ -6,13 +6,14 @@
 import io.micronaut.runtime.graceful.GracefulShutdownCapable;
 import io.micronaut.runtime.server.EmbeddedServer;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeoutException;
 import org.jboss.logging.Logger;
 
-/** Serves callers and operators over HTTP. */
-final class ApiServer implements AutoCloseable {
+/** Serves HTTP with the controllers whose parts are given. */
+public final class ApiServer implements AutoCloseable {
   private static final long MAX_BODY_BYTES = 8L * 1024 * 1024;
   private static final int THREADS = 2;
   private static final long GRACE_MILLIS = 1_000;
@@ -27,22 +28,42 @@
   }
 
   /**
-   * Starts to serve.
+   * Starts to serve callers and operators at one address.
    *
    * @param address address to listen at; port 0 for any free one
    * @param parts what the controllers need
    */
   static ApiServer start(InetSocketAddress address, Object... parts) {
-    Map<String, Object> properties =
+    return start(
         Map.of(
             "micronaut.server.host",
             address.getHostString(),
             "micronaut.server.port",
-            address.getPort() == 0 ? -1 : address.getPort(),
-            "micronaut.server.max-request-size",
-            MAX_BODY_BYTES,
-            "micronaut.netty.event-loops.default.num-threads",
-            THREADS);
+            address.getPort() == 0 ? -1 : address.getPort()),
+        parts);
+  }
+
+  /**
+   * Starts to serve at several addresses.
+   *
+   * @param listeners addresses to listen at, by names
+   * @param parts what the controllers need
+   */
+  public static ApiServer listen(Map<String, InetSocketAddress> listeners, Object... parts) {
+    Map<String, Object> properties = new HashMap<>();
+    listeners.forEach(
+        (name, address) -> {
+          String prefix = "micronaut.server.netty.listeners." + name + ".";
+          properties.put(prefix + "host", address.getHostString());
+          properties.put(prefix + "port", address.getPort());
+        });
+    return start(properties, parts);
+  }
+
+  private static ApiServer start(Map<String, Object> addresses, Object... parts) {
+    Map<String, Object> properties = new HashMap<>(addresses);
+    properties.put("micronaut.server.max-request-size", MAX_BODY_BYTES);
+    properties.put("micronaut.netty.event-loops.default.num-threads", THREADS);
     ApplicationContext context =
         ApplicationContext.builder()
             .deduceEnvironment(false)
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
@@ -0,0 +1,36 @@
+package org.hemlockpick.daemon;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+/**
+ * Settings of an entry instance that runs on a platform.
+ *
+ * @param name name of the entry instance
+ * @param zone availability zone
+ * @param callers address at which callers connect
+ * @param readiness address at which the platform asks for readiness
+ * @param metrics address at which metrics are served
+ * @param tableService host and port of the table service
+ * @param workerLeaseMillis longest lease that workers grant
+ * @param stopMillis longest time that a worker takes to stop a run
+ * @param statusKeepMillis least time for which the state of an ended job is kept
+ * @param graceMillis time from the signal to stop until the process is killed
+ */
+public record CellDaemonSettings(
+    String name,
+    String zone,
+    InetSocketAddress callers,
+    InetSocketAddress readiness,
+    InetSocketAddress metrics,
+    String tableService,
+    long workerLeaseMillis,
+    long stopMillis,
+    long statusKeepMillis,
+    long graceMillis) {
+
+  /** Returns the listeners of the process by their names. */
+  public Map<String, InetSocketAddress> listeners() {
+    return Map.of("callers", callers, "readiness", readiness, "metrics", metrics);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
@@ -0,0 +1,92 @@
+package org.hemlockpick.daemon;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+
+/** Reads the settings of an entry instance that runs on a platform. */
+public final class CellSettingsReader {
+  private static final String CELL = "cell";
+  private static final Duration LEAST = Duration.ofMillis(1);
+  private static final Duration MOST = Duration.ofHours(1);
+
+  private final Faults faults;
+  private final TomlSections sections;
+
+  private CellSettingsReader(String file, TomlParseResult toml) {
+    this.faults = new Faults(file);
+    this.sections = new TomlSections(faults, toml);
+  }
+
+  /** Tells whether a file holds settings of this kind; false if it cannot be read. */
+  public static boolean isFor(Path file) {
+    try {
+      return Toml.parse(file).contains(CELL);
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /**
+   * Reads a settings file.
+   *
+   * @param file file to read
+   * @return the settings, or every fault that was found in the order of the lines
+   */
+  public static Either<List<Fault>, CellDaemonSettings> read(Path file) {
+    try {
+      return new CellSettingsReader(file.toString(), Toml.parse(file)).read();
+    } catch (IOException e) {
+      return Either.left(
+          List.of(new Fault(file.toString(), 1, "", Messages.unreadable(e.toString()))));
+    }
+  }
+
+  private Either<List<Fault>, CellDaemonSettings> read() {
+    if (sections.hasSyntaxFaults()) {
+      return Either.left(faults.sorted());
+    }
+    Section instance = sections.get("instance");
+    String name = instance.name("name");
+    String zone = instance.name("zone");
+    instance.refuseUnknownKeys();
+    Section listen = sections.get("listen");
+    InetSocketAddress callers = listen.address("callers");
+    InetSocketAddress readiness = listen.address("readiness");
+    InetSocketAddress metrics = listen.address("metrics");
+    listen.refuseUnknownKeys();
+    Section cell = sections.get(CELL);
+    InetSocketAddress store = cell.address("table-service");
+    Duration lease = cell.duration("worker-lease", Duration.ofSeconds(6), LEAST, MOST);
+    Duration stop = cell.duration("worker-stop", Duration.ofSeconds(1), LEAST, MOST);
+    Duration keep = cell.duration("status-keep", Duration.ofMinutes(2), LEAST, MOST);
+    Duration grace = cell.duration("stop-grace", Duration.ofSeconds(6), LEAST, MOST);
+    cell.refuseUnknownKeys();
+    sections.refuseUnknown();
+    if (!faults.isEmpty()) {
+      return Either.left(faults.sorted());
+    }
+    return Either.right(
+        new CellDaemonSettings(
+            Objects.requireNonNull(name),
+            Objects.requireNonNull(zone),
+            Objects.requireNonNull(callers),
+            Objects.requireNonNull(readiness),
+            Objects.requireNonNull(metrics),
+            text(Objects.requireNonNull(store)),
+            lease.toMillis(),
+            stop.toMillis(),
+            keep.toMillis(),
+            grace.toMillis()));
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getHostString() + ":" + address.getPort();
+  }
+}
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Logging.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Logging.java
@@ -4,10 +4,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 import org.jboss.logmanager.handlers.FileHandler;
 
@@ -17,6 +17,8 @@
   private static final List<Logger> LIBRARIES =
       List.of(Logger.getLogger("io.micronaut"), Logger.getLogger("io.netty"));
 
+  private static final int QUEUED_LINES = 4_096;
+
   private static final Logger TIMELINE = Logger.getLogger(TimelineLog.LOGGER_NAME);
 
   private Logging() {}
@@ -27,12 +29,29 @@
    * @param least least level that is written
    */
   public static void install(Level least) {
+    install(least, new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, new JsonLineFormatter()));
+  }
+
+  /**
+   * Replaces the handlers of all logs by one to the standard output stream that never blocks: lines
+   * that find its queue full are dropped.
+   *
+   * @param least least level that is written
+   */
+  public static void installUnblocking(Level least) {
+    AsyncHandler handler = new AsyncHandler(QUEUED_LINES);
+    handler.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+    handler.addHandler(
+        new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new JsonLineFormatter()));
+    install(least, handler);
+  }
+
+  private static void install(Level least, Handler handler) {
     Logger root = Logger.getLogger("");
-    for (Handler handler : root.getHandlers()) {
-      root.removeHandler(handler);
+    for (Handler former : root.getHandlers()) {
+      root.removeHandler(former);
     }
-    Formatter formatter = new JsonLineFormatter();
-    root.addHandler(new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, formatter));
+    root.addHandler(handler);
     root.setLevel(least);
     LIBRARIES.forEach(library -> library.setLevel(Level.WARNING));
   }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -45,6 +45,7 @@
   static final String NOT_A_BOOLEAN = "must be true or false";
   static final String FIELD_MISSING = "is missing";
   static final String FIELD_UNKNOWN = "is unknown";
+  static final String ACTION_FAILED = "an action of the loop failed";
   static final String TICK_FAILED = "the loop ends: a tick failed on inputs {0}";
   static final String OUTPUT_FAILED = "an output of kind {0} could not be carried out";
 
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
@@ -17,7 +17,6 @@
 import org.jspecify.annotations.Nullable;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
-import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
@@ -30,11 +29,12 @@
 
   private final Faults faults;
   private final TomlParseResult toml;
-  private final Set<String> known = new HashSet<>();
+  private final TomlSections sections;
 
   private SettingsReader(String file, TomlParseResult toml) {
     this.faults = new Faults(file);
     this.toml = toml;
+    this.sections = new TomlSections(faults, toml);
   }
 
   /**
@@ -68,21 +68,16 @@
   }
 
   private Either<List<Fault>, Settings> read() {
-    if (toml.hasErrors()) {
-      toml.errors().forEach(this::addSyntaxFault);
+    if (sections.hasSyntaxFaults()) {
       return Either.left(faults.sorted());
     }
     Settings settings = readSections();
-    refuseUnknownSections();
+    sections.refuseUnknown();
     return settings == null || !faults.isEmpty()
         ? Either.left(faults.sorted())
         : Either.right(settings);
   }
 
-  private void addSyntaxFault(TomlParseError error) {
-    faults.add(error.position().line(), "", String.valueOf(error.getMessage()));
-  }
-
   private @Nullable Settings readSections() {
     Section instance = section("instance");
     String name = instance.name("name");
@@ -120,24 +115,7 @@
   }
 
   private Section section(String name) {
-    known.add(name);
-    Object value = toml.get(List.of(name));
-    TomlPosition position = toml.inputPositionOf(List.of(name));
-    int line = position == null ? 1 : position.line();
-    if (value == null || value instanceof TomlTable) {
-      return new Section(faults, name, (TomlTable) value, line);
-    }
-    faults.add(line, name, Messages.NOT_A_TABLE);
-    return new Section(faults, name, null, line);
-  }
-
-  private void refuseUnknownSections() {
-    for (String name : toml.keySet()) {
-      TomlPosition position = toml.inputPositionOf(List.of(name));
-      if (!known.contains(name) && position != null) {
-        faults.add(position.line(), name, Messages.UNKNOWN_SECTION);
-      }
-    }
+    return sections.get(name);
   }
 
   private Settings.@Nullable Platform readPlatform() {
@@ -201,7 +179,7 @@
   }
 
   private Map<Seat, InetSocketAddress> readRoster() {
-    known.add("roster");
+    sections.allow("roster");
     Map<Seat, InetSocketAddress> roster = new LinkedHashMap<>();
     Object value = toml.get(List.of("roster"));
     if (value == null) {
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/TomlSections.java
@@ -0,0 +1,59 @@
+package org.hemlockpick.daemon;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/** Finds the sections of a settings file and reports those that nobody asked for. */
+final class TomlSections {
+  private final Faults faults;
+  private final TomlParseResult toml;
+  private final Set<String> known = new HashSet<>();
+
+  TomlSections(Faults faults, TomlParseResult toml) {
+    this.faults = faults;
+    this.toml = toml;
+  }
+
+  /** Reports the syntax errors of the file; returns whether there are any. */
+  boolean hasSyntaxFaults() {
+    toml.errors()
+        .forEach(
+            error -> faults.add(error.position().line(), "", String.valueOf(error.getMessage())));
+    return toml.hasErrors();
+  }
+
+  /** Returns a section; an empty one if the file lacks it. */
+  Section get(String name) {
+    known.add(name);
+    Object value = toml.get(List.of(name));
+    int line = line(name);
+    if (value == null || value instanceof TomlTable) {
+      return new Section(faults, name, (TomlTable) value, line);
+    }
+    faults.add(line, name, Messages.NOT_A_TABLE);
+    return new Section(faults, name, null, line);
+  }
+
+  /** Takes note that a key of the file is read by other means. */
+  void allow(String name) {
+    known.add(name);
+  }
+
+  /** Reports every section that nobody asked for. */
+  void refuseUnknown() {
+    for (String name : toml.keySet()) {
+      if (!known.contains(name)) {
+        faults.add(line(name), name, Messages.UNKNOWN_SECTION);
+      }
+    }
+  }
+
+  private int line(String name) {
+    TomlPosition position = toml.inputPositionOf(List.of(name));
+    return position == null ? 1 : position.line();
+  }
+}
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
@@ -7,11 +7,13 @@
 import java.util.logging.Level;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.hemlockpick.daemon.CellSettingsReader;
 import org.hemlockpick.daemon.EntryDaemon;
 import org.hemlockpick.daemon.Fault;
 import org.hemlockpick.daemon.Logging;
 import org.hemlockpick.daemon.Settings;
 import org.hemlockpick.daemon.SettingsReader;
+import org.hemlockpick.platform.PlatformDaemon;
 
 /** Serves as an entry instance until it is stopped by a signal or an operator. */
 final class ServeCommand implements Command {
@@ -38,11 +40,24 @@
   }
 
   @Override
-  public int call() throws IOException {
+  public int call() throws IOException, InterruptedException {
+    if (CellSettingsReader.isFor(settings)) {
+      return serveCell();
+    }
     var read = SettingsReader.read(settings);
     return read.isLeft() ? refuse(read.getLeft()) : serve(read.get());
   }
 
+  private int serveCell() throws InterruptedException {
+    var read = CellSettingsReader.read(settings);
+    if (read.isLeft()) {
+      return refuse(read.getLeft());
+    }
+    Logging.installUnblocking(Level.INFO);
+    PlatformDaemon.run(read.get());
+    return ExitStatus.OK;
+  }
+
   private int refuse(List<Fault> faults) {
     faults.forEach(console.err()::println);
     return ExitStatus.USAGE;
--- /dev/null
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
@@ -0,0 +1,192 @@
+package org.hemlockpick.transport.http;
+
+import io.micronaut.http.HttpMethod;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpRequest;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.UnknownHostException;
+import java.nio.channels.UnresolvedAddressException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.hemlockpick.proto.CallFate;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+
+/** Sends calls to one address and tells what became of each; never sends a call twice. */
+public final class HttpEndpoint {
+  private final HttpTransport transport;
+  private final String address;
+  private final int maxInFlight;
+
+  private Connections connections;
+  private int inFlight;
+
+  /**
+   * Creates an endpoint without connections.
+   *
+   * @param transport what all endpoints share
+   * @param address host and port
+   * @param maxInFlight bound on the calls in flight and so on the open connections
+   */
+  public HttpEndpoint(HttpTransport transport, String address, int maxInFlight) {
+    this.transport = transport;
+    this.address = address;
+    this.maxInFlight = maxInFlight;
+    this.connections = new Connections(transport.newClient(maxInFlight));
+  }
+
+  String address() {
+    return address;
+  }
+
+  /** Makes the next call use a new connection; calls in flight keep theirs. */
+  void reset() {
+    Connections old;
+    synchronized (this) {
+      old = connections;
+      connections = new Connections(transport.newClient(maxInFlight));
+    }
+    old.retire();
+  }
+
+  /** Closes the connections once the calls in flight have ended. */
+  public void close() {
+    connections().retire();
+  }
+
+  /** Sends a call; the handler is called once, on any thread. */
+  public void send(HttpCall call, Consumer<HttpAnswer> handler) {
+    Connections used = begin();
+    if (used == null) {
+      handler.accept(HttpAnswer.notSent());
+      return;
+    }
+    URI uri = URI.create("http://" + address + call.path());
+    MutableHttpRequest<byte[]> request =
+        HttpRequest.create(HttpMethod.valueOf(call.method().name()), uri.toString());
+    if (call.body().length > 0) {
+      request.body(call.body()).contentType(MediaType.APPLICATION_JSON_TYPE);
+    }
+    request.accept(MediaType.APPLICATION_JSON_TYPE);
+    call.headers().forEach(request::header);
+    new Exchange(used, handler).start(request, call.timeoutMillis());
+  }
+
+  private synchronized @Nullable Connections begin() {
+    if (inFlight >= maxInFlight) {
+      return null;
+    }
+    inFlight++;
+    connections.begin();
+    return connections;
+  }
+
+  private void end(Connections used) {
+    synchronized (this) {
+      inFlight--;
+    }
+    used.end();
+  }
+
+  private synchronized Connections connections() {
+    return connections;
+  }
+
+  private void resetUnlessReplaced(Connections used) {
+    if (connections() == used) {
+      reset();
+    }
+  }
+
+  private static HttpAnswer answer(HttpResponse<byte[]> response) {
+    byte[] body = response.body();
+    return new HttpAnswer(
+        CallFate.ANSWERED,
+        response.code(),
+        body == null ? new byte[0] : body,
+        HttpTransport.clock(response.getHeaders()));
+  }
+
+  /** Only a failure to connect proves that no byte was sent. */
+  private static HttpAnswer failure(Throwable thrown) {
+    for (Throwable t = thrown; t != null; t = t.getCause()) {
+      if (t instanceof ConnectException
+          || t instanceof UnknownHostException
+          || t instanceof UnresolvedAddressException) {
+        return HttpAnswer.notSent();
+      }
+    }
+    return HttpAnswer.lost();
+  }
+
+  /** One call in flight, from its sending to its only answer. */
+  private final class Exchange implements Subscriber<HttpResponse<byte[]>> {
+    private final Connections used;
+    private final Consumer<HttpAnswer> handler;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private volatile @Nullable Subscription subscription;
+    private volatile @Nullable Future<?> timeout;
+
+    Exchange(Connections used, Consumer<HttpAnswer> handler) {
+      this.used = used;
+      this.handler = handler;
+    }
+
+    void start(MutableHttpRequest<?> request, long timeoutMillis) {
+      timeout = transport.loop().schedule(this::expire, timeoutMillis, TimeUnit.MILLISECONDS);
+      used.client().exchange(request, byte[].class).subscribe(this);
+    }
+
+    @Override
+    public void onSubscribe(Subscription started) {
+      subscription = started;
+      started.request(1);
+    }
+
+    @Override
+    public void onNext(HttpResponse<byte[]> response) {
+      end(answer(response));
+    }
+
+    @Override
+    public void onError(Throwable thrown) {
+      end(failure(thrown));
+    }
+
+    @Override
+    public void onComplete() {
+      end(HttpAnswer.lost());
+    }
+
+    private void expire() {
+      if (ended.get()) {
+        return;
+      }
+      // The connection may have gone silent for good, and others with it.
+      resetUnlessReplaced(used);
+      end(HttpAnswer.lost());
+      Subscription started = subscription;
+      if (started != null) {
+        started.cancel();
+      }
+    }
+
+    private void end(HttpAnswer answer) {
+      if (!ended.compareAndSet(false, true)) {
+        return;
+      }
+      Future<?> pending = timeout;
+      if (pending != null) {
+        pending.cancel(false);
+      }
+      HttpEndpoint.this.end(used);
+      handler.accept(answer);
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
@@ -0,0 +1,290 @@
+package org.hemlockpick.cell;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.function.Consumer;
+import org.hemlockpick.cell.TableService.Outcome;
+import org.hemlockpick.cell.TableService.ReadResult;
+import org.hemlockpick.cell.TableService.TransactionResult;
+import org.hemlockpick.cell.Transaction.Condition;
+import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.errors.ResultCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Answers callers out of the table service: stores jobs and cancellations, reads states. Any entry
+ * instance can do it, whether it holds the cell or not.
+ */
+final class CallerDesk {
+  /** Longest time for which a call that has certainly not run is tried again. */
+  private static final long RETRY_SPAN_MILLIS = 300;
+
+  private static final long RETRY_PAUSE_MILLIS = 60;
+
+  /** Longest time for which a call of unknown outcome is settled. */
+  private static final long SETTLE_SPAN_MILLIS = 2_000;
+
+  /** Part of the caller's time that is left for the answer's way. */
+  private static final long ANSWER_MILLIS = 150;
+
+  /** When a caller may come back while the table service does not answer. */
+  private static final long COME_BACK_MILLIS = 1_000;
+
+  private final CellSettings settings;
+  private final TableService store;
+  private final LoopClock clock;
+  private final DecisionLog log;
+  private final Queue<Retry> retries = new ArrayDeque<>();
+  private int open;
+
+  CallerDesk(CellSettings settings, TableService store, LoopClock clock, DecisionLog log) {
+    this.settings = settings;
+    this.store = store;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Returns the number of calls without an answer. */
+  int open() {
+    return open;
+  }
+
+  /** Stores a job; the same identifier again is the same job. */
+  void submit(Submission job, long timeoutMillis, Consumer<CallerReply> handler) {
+    new Submit(job, timeoutMillis, handler).send();
+  }
+
+  /** Stores the wish to cancel a job. */
+  void cancel(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+    new Cancel(job, timeoutMillis, handler).send();
+  }
+
+  /** Reads the state of a job. */
+  void state(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+    new Query(job, timeoutMillis, handler).send();
+  }
+
+  /** Sends again what has waited long enough. */
+  void run() {
+    long now = clock.monotonicMillis();
+    List<Call> due = new ArrayList<>();
+    while (!retries.isEmpty() && retries.element().at() <= now) {
+      due.add(retries.remove().call());
+    }
+    due.forEach(Call::send);
+  }
+
+  private record Retry(long at, Call call) {}
+
+  /** One call of a caller, until its answer. */
+  private abstract class Call {
+    final String job;
+    private final Consumer<CallerReply> handler;
+    private final long begunAt = clock.monotonicMillis();
+    private final long settleUntil;
+    private boolean uncertain;
+
+    Call(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+      this.job = job;
+      this.handler = handler;
+      this.settleUntil =
+          begunAt + Math.min(SETTLE_SPAN_MILLIS, Math.max(0, timeoutMillis - ANSWER_MILLIS));
+      open++;
+    }
+
+    abstract void send();
+
+    abstract String kind();
+
+    long timeout() {
+      return Math.max(1, Math.min(CellTiming.STORE_TIMEOUT, settleUntil - clock.monotonicMillis()));
+    }
+
+    void answer(CallerReply reply) {
+      open--;
+      long took = clock.monotonicMillis() - begunAt;
+      log.decided(kind(), job, outcome(reply), took + " ms");
+      handler.accept(reply);
+    }
+
+    /** Tries again what certainly was not carried out, or gives up. */
+    void onNotDone() {
+      long now = clock.monotonicMillis();
+      long until = uncertain ? settleUntil : Math.min(settleUntil, begunAt + RETRY_SPAN_MILLIS);
+      if (now + RETRY_PAUSE_MILLIS < until) {
+        retries.add(new Retry(now + RETRY_PAUSE_MILLIS, this));
+      } else {
+        giveUp();
+      }
+    }
+
+    /** Tries again what may have been carried out, or gives up. */
+    void onUnknown(boolean mayHaveWritten) {
+      uncertain |= mayHaveWritten;
+      onNotDone();
+    }
+
+    private void giveUp() {
+      answer(
+          uncertain
+              ? CallerReply.refused(ResultCode.OUTCOME_UNKNOWN, COME_BACK_MILLIS)
+              : CallerReply.refused(ResultCode.STORE_UNREACHABLE, COME_BACK_MILLIS));
+    }
+
+    private String outcome(CallerReply reply) {
+      JobState state = reply.state();
+      return state == null ? reply.code().name() : state.name();
+    }
+  }
+
+  private final class Submit extends Call {
+    private final ByteString value;
+
+    Submit(Submission submission, long timeoutMillis, Consumer<CallerReply> handler) {
+      super(submission.id(), timeoutMillis, handler);
+      this.value = JobRows.encode(submission);
+    }
+
+    @Override
+    String kind() {
+      return "submit";
+    }
+
+    @Override
+    void send() {
+      var row = JobRows.submission(job);
+      Transaction transaction =
+          new Transaction(
+              settings.cell(),
+              List.of(new Condition(row, 0)),
+              List.of(new Write(row, value)),
+              List.of());
+      store.transact(transaction, timeout(), this::onResult);
+    }
+
+    private void onResult(TransactionResult result) {
+      switch (result.outcome()) {
+        // In a conflict the job is there: this call comes again, or its first answer was lost.
+        case COMMITTED, CONFLICT -> answer(CallerReply.of(ResultCode.DONE));
+        case NOT_DONE -> onNotDone();
+        case UNKNOWN -> onUnknown(true);
+      }
+    }
+  }
+
+  /** What the rows of a job say. */
+  private record Rows(
+      @Nullable StoredRow submission, @Nullable JobState progress, boolean isCanceled) {
+
+    static Rows of(ReadResult result) {
+      StoredRow submission = null;
+      JobState progress = null;
+      boolean canceled = false;
+      for (StoredRow row : result.rows()) {
+        JobRows.Kind kind = JobRows.kind(row.key()).orElse(null);
+        if (kind == JobRows.Kind.SUBMISSION) {
+          submission = row;
+        } else if (kind == JobRows.Kind.CANCELLATION) {
+          canceled = true;
+        } else if (kind == JobRows.Kind.PROGRESS) {
+          progress =
+              JobRows.progress(row.value())
+                  .map(record -> JobRows.state(record.getState()))
+                  .orElse(progress);
+        }
+      }
+      return new Rows(submission, progress, canceled);
+    }
+
+    JobState state() {
+      if (progress != null && progress.isFinal()) {
+        return progress;
+      }
+      if (isCanceled) {
+        return JobState.CANCELED;
+      }
+      return progress == null ? JobState.QUEUED : progress;
+    }
+  }
+
+  private final class Query extends Call {
+    Query(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+      super(job, timeoutMillis, handler);
+    }
+
+    @Override
+    String kind() {
+      return "state";
+    }
+
+    @Override
+    void send() {
+      store.read(JobRows.range(settings.cell(), job), timeout(), this::onRead);
+    }
+
+    private void onRead(ReadResult result) {
+      if (!result.isWhole()) {
+        onNotDone();
+        return;
+      }
+      Rows rows = Rows.of(result);
+      answer(
+          rows.submission() == null
+              ? CallerReply.of(ResultCode.UNKNOWN_JOB)
+              : CallerReply.of(rows.state()));
+    }
+  }
+
+  private final class Cancel extends Call {
+    Cancel(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+      super(job, timeoutMillis, handler);
+    }
+
+    @Override
+    String kind() {
+      return "cancel";
+    }
+
+    @Override
+    void send() {
+      store.read(JobRows.range(settings.cell(), job), timeout(), this::onRead);
+    }
+
+    private void onRead(ReadResult result) {
+      if (!result.isWhole()) {
+        onNotDone();
+        return;
+      }
+      Rows rows = Rows.of(result);
+      StoredRow submission = rows.submission();
+      if (submission == null) {
+        answer(CallerReply.of(ResultCode.UNKNOWN_JOB));
+      } else if (rows.state().isFinal()) {
+        answer(CallerReply.of(ResultCode.DONE));
+      } else {
+        write(submission.version());
+      }
+    }
+
+    private void write(long version) {
+      Transaction transaction =
+          new Transaction(
+              settings.cell(),
+              List.of(new Condition(JobRows.submission(job), version)),
+              List.of(new Write(JobRows.cancellation(job), ByteString.EMPTY)),
+              List.of());
+      store.transact(transaction, timeout(), this::onWritten);
+    }
+
+    private void onWritten(TransactionResult result) {
+      if (result.outcome() == Outcome.COMMITTED) {
+        answer(CallerReply.of(ResultCode.DONE));
+      } else {
+        onUnknown(result.outcome() == Outcome.UNKNOWN);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -0,0 +1,261 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.hemlockpick.cell.TableService.Outcome;
+import org.hemlockpick.cell.TableService.TransactionResult;
+import org.hemlockpick.cell.Transaction.Condition;
+import org.hemlockpick.cell.Transaction.RowName;
+import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.proto.CellRecord;
+import org.hemlockpick.proto.RosterRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Writes what the holder of a cell has to keep. Every transaction rewrites the row of the lease
+ * under the condition that nobody else has, so that it renews the lease and a former holder writes
+ * nothing. At most one transaction is under way.
+ */
+final class CellJournal {
+  /** Most rows in one transaction, one of them that of the lease. */
+  private static final int MAX_ROWS = 90;
+
+  private static final long RETRY_PAUSE_MILLIS = 100;
+
+  private final CellSettings settings;
+  private final TableService store;
+  private final LoopClock clock;
+  private final Supplier<CellRecord> lease;
+  private final Listener listener;
+
+  private Set<Job> changed = new LinkedHashSet<>();
+  private Set<Job> sentJobs = Set.of();
+  private List<Runnable> waiting = new ArrayList<>();
+  private List<Runnable> sentWaiting = List.of();
+  private List<RowName> removals = new ArrayList<>();
+  private @Nullable RosterRecord roster;
+  private @Nullable RosterRecord sentRoster;
+
+  private long version;
+  private boolean underWay;
+  private boolean ended;
+  private boolean releasing;
+  private long sentAt;
+  private long nextAt;
+  private long surelyHeldFrom;
+  private boolean sure = true;
+  private boolean reachable = true;
+
+  /**
+   * Creates the journal of a holder.
+   *
+   * @param version version of the lease's row
+   * @param acquiredFrom time on the steady clock at which the lease was asked for
+   */
+  CellJournal(
+      CellSettings settings,
+      TableService store,
+      LoopClock clock,
+      long version,
+      long acquiredFrom,
+      Supplier<CellRecord> lease,
+      Listener listener) {
+    this.settings = settings;
+    this.store = store;
+    this.clock = clock;
+    this.version = version;
+    this.surelyHeldFrom = acquiredFrom;
+    this.sentAt = acquiredFrom;
+    this.lease = lease;
+    this.listener = listener;
+  }
+
+  /** Hears of the end of the lease. */
+  interface Listener {
+    /** Takes note that another holds the cell. */
+    void onDeposed(String reason);
+
+    /** Takes note that the table service stopped or began to answer. */
+    void onReachable(boolean answers);
+
+    /** Takes note that the cell was given up as wanted. */
+    void onReleased();
+  }
+
+  /** Has the progress of a job written with the next transaction. */
+  void touch(Job job) {
+    changed.add(job);
+  }
+
+  /** Has the list of the workers that may run tasks written with the next transaction. */
+  void setRoster(RosterRecord newest) {
+    roster = newest;
+  }
+
+  /** Has the rows of a job removed. */
+  void remove(String job) {
+    removals.add(JobRows.submission(job));
+    removals.add(JobRows.progress(job));
+    removals.add(JobRows.cancellation(job));
+  }
+
+  /** Runs an action once everything that was handed in so far is stored; at once if it is. */
+  void whenStored(Runnable action) {
+    boolean clean = changed.isEmpty() && roster == null && !underWay;
+    if (clean) {
+      action.run();
+      return;
+    }
+    waiting.add(action);
+  }
+
+  /** Gives the cell up once everything is stored. */
+  void release() {
+    releasing = true;
+    nextAt = 0;
+  }
+
+  /** Ends the journal: nothing is written any more, and no order may be given. */
+  void close() {
+    ended = true;
+  }
+
+  /** Tells whether orders may be given: the lease was renewed a short time ago. */
+  boolean isSure() {
+    return !ended && sure && clock.monotonicMillis() - surelyHeldFrom < CellTiming.HOLDER_LEASE;
+  }
+
+  /** Demands a renewal before any further order, as the process may have been suspended. */
+  void doubt() {
+    sure = false;
+    nextAt = 0;
+  }
+
+  void run() {
+    long now = clock.monotonicMillis();
+    boolean due = hasChanges() || releasing || now - sentAt >= CellTiming.RENEWAL || !sure;
+    if (!ended && !underWay && due && now >= nextAt) {
+      send(now);
+    }
+  }
+
+  private boolean hasChanges() {
+    return !changed.isEmpty() || roster != null || !waiting.isEmpty() || !removals.isEmpty();
+  }
+
+  private void send(long now) {
+    boolean last = releasing && !hasChanges();
+    Transaction transaction = gather(last);
+    underWay = true;
+    sentAt = now;
+    store.transact(
+        transaction, CellTiming.STORE_TIMEOUT, result -> onResult(result, now, transaction, last));
+  }
+
+  private Transaction gather(boolean last) {
+    List<Write> writes = new ArrayList<>();
+    CellRecord record = lease.get();
+    RowName leaseRow = CellRows.lease(settings.cell());
+    writes.add(new Write(leaseRow, record.toBuilder().setReleased(last).build().toByteString()));
+    sentRoster = roster;
+    roster = null;
+    if (sentRoster != null) {
+      writes.add(new Write(CellRows.roster(settings.cell()), sentRoster.toByteString()));
+    }
+    sentJobs = new LinkedHashSet<>();
+    Set<Job> rest = new LinkedHashSet<>();
+    for (Job job : changed) {
+      if (writes.size() < MAX_ROWS) {
+        sentJobs.add(job);
+        writes.add(new Write(JobRows.progress(job.id()), JobRows.encode(job)));
+      } else {
+        rest.add(job);
+      }
+    }
+    changed = rest;
+    // What waits for a job that was left out waits for the transaction after this.
+    sentWaiting = rest.isEmpty() ? waiting : List.of();
+    waiting = rest.isEmpty() ? new ArrayList<>() : waiting;
+    int room = Math.min(removals.size(), MAX_ROWS - writes.size());
+    List<RowName> removed = new ArrayList<>(removals.subList(0, Math.max(0, room)));
+    removals = new ArrayList<>(removals.subList(removed.size(), removals.size()));
+    return new Transaction(
+        settings.cell(), List.of(new Condition(leaseRow, version)), writes, removed);
+  }
+
+  private void onResult(
+      TransactionResult result, long startedAt, Transaction transaction, boolean last) {
+    underWay = false;
+    long now = clock.monotonicMillis();
+    setReachable(result.outcome() != Outcome.UNKNOWN && result.outcome() != Outcome.NOT_DONE);
+    switch (result.outcome()) {
+      case COMMITTED -> onCommitted(result.version(), startedAt, now, last);
+      case CONFLICT -> onConflict(result, transaction, now);
+      case NOT_DONE, UNKNOWN -> {
+        putBack(transaction);
+        nextAt = now + RETRY_PAUSE_MILLIS;
+      }
+    }
+  }
+
+  private void onCommitted(long newVersion, long startedAt, long now, boolean last) {
+    version = newVersion;
+    surelyHeldFrom = startedAt;
+    sure = true;
+    nextAt = Math.max(startedAt + CellTiming.COMMIT_PAUSE, now);
+    sentJobs = Set.of();
+    sentRoster = null;
+    List<Runnable> stored = sentWaiting;
+    sentWaiting = List.of();
+    stored.forEach(Runnable::run);
+    if (last) {
+      ended = true;
+      listener.onReleased();
+    }
+  }
+
+  /** A conflict comes from another holder, or from a write of our own whose answer was lost. */
+  private void onConflict(TransactionResult result, Transaction transaction, long now) {
+    for (StoredRow row : result.current()) {
+      CellRecord record = CellRows.lease(row.value()).orElse(null);
+      boolean ours =
+          record != null
+              && record.getHolder().equals(settings.holder())
+              && record.getGeneration() == lease.get().getGeneration()
+              && !record.getReleased();
+      if (row.key().equals(settings.cell()) && ours) {
+        version = row.version();
+        putBack(transaction);
+        nextAt = now;
+        return;
+      }
+    }
+    ended = true;
+    listener.onDeposed("the row of the lease has another holder");
+  }
+
+  private void putBack(Transaction transaction) {
+    Set<Job> all = new LinkedHashSet<>(sentJobs);
+    all.addAll(changed);
+    changed = all;
+    List<Runnable> actions = new ArrayList<>(sentWaiting);
+    actions.addAll(waiting);
+    waiting = actions;
+    sentWaiting = List.of();
+    sentJobs = Set.of();
+    if (roster == null) {
+      roster = sentRoster;
+    }
+    removals.addAll(transaction.removals());
+  }
+
+  private void setReachable(boolean answers) {
+    if (reachable != answers) {
+      reachable = answers;
+      listener.onReachable(answers);
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -0,0 +1,215 @@
+package org.hemlockpick.cell;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.hemlockpick.cell.TableService.Outcome;
+import org.hemlockpick.cell.TableService.ReadResult;
+import org.hemlockpick.cell.TableService.TransactionResult;
+import org.hemlockpick.cell.Transaction.Condition;
+import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.proto.CellRecord;
+import org.hemlockpick.proto.QueueLength;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Watches the lease of a cell and takes it when nobody renews it. The version of the row with which
+ * it was taken is the fencing token: it is higher than that of every holder before.
+ */
+final class CellLease {
+  /** Slower entry instances leave the cell to those that are closer to the table service. */
+  private static final int CLAIM_DELAY_ROUND_TRIPS = 12;
+
+  private static final long MAX_CLAIM_DELAY_MILLIS = 600;
+  private static final double JITTER = 0.2;
+
+  private final CellSettings settings;
+  private final TableService store;
+  private final LoopClock clock;
+  private final RandomGenerator random;
+  private final Listener listener;
+
+  private boolean reading;
+  private boolean claiming;
+  private boolean holding;
+  private boolean stopped;
+  private long nextLookAt;
+  private long seenVersion = -1;
+  private long changedAt;
+  private long claimFrom = Long.MAX_VALUE;
+  private long roundTrip = CellTiming.STORE_TIMEOUT;
+  private long lastAnswerAt = Long.MIN_VALUE / 2;
+  private @Nullable CellRecord seen;
+  private ImmutableMap<String, Integer> waiting = ImmutableMap.of();
+
+  CellLease(
+      CellSettings settings,
+      TableService store,
+      LoopClock clock,
+      RandomGenerator random,
+      Listener listener) {
+    this.settings = settings;
+    this.store = store;
+    this.clock = clock;
+    this.random = random;
+    this.listener = listener;
+  }
+
+  /** Hears of the lease. */
+  interface Listener {
+    /** Takes the cell. */
+    void onAcquired(Acquired acquired);
+  }
+
+  /**
+   * A lease that was taken.
+   *
+   * @param version version of the row, which is the fencing token
+   * @param askedAt time on the steady clock before the row was written
+   * @param generation number of holders before this one
+   * @param renewedAt time on the steady clock when the last renewal of the holder before was seen
+   */
+  record Acquired(long version, long askedAt, int generation, long renewedAt) {}
+
+  /** Returns the numbers of waiting jobs that the holder told last, by queue. */
+  ImmutableMap<String, Integer> waiting() {
+    return waiting;
+  }
+
+  /** Returns the time on the steady clock of the table service's last answer. */
+  long lastAnswerAt() {
+    return lastAnswerAt;
+  }
+
+  /** Goes back to watching after the lease was lost. */
+  void onLost() {
+    holding = false;
+    seenVersion = -1;
+    nextLookAt = 0;
+  }
+
+  /** Takes no lease any more. */
+  void stop() {
+    stopped = true;
+  }
+
+  void run() {
+    long now = clock.monotonicMillis();
+    if (holding || reading || claiming) {
+      return;
+    }
+    if (now >= claimFrom && !stopped) {
+      claim(now);
+      return;
+    }
+    if (now >= nextLookAt) {
+      look(now);
+    }
+  }
+
+  private void look(long now) {
+    reading = true;
+    long pause = CellTiming.POLL;
+    nextLookAt = now + pause + (long) (random.nextDouble() * JITTER * pause);
+    store.read(
+        CellRows.leaseRange(settings.cell()),
+        CellTiming.STORE_TIMEOUT,
+        result -> onRead(result, now));
+  }
+
+  private void onRead(ReadResult result, long askedAt) {
+    reading = false;
+    if (!result.isWhole()) {
+      claimFrom = Long.MAX_VALUE;
+      // Time in which the lease could not be watched does not count against its holder.
+      changedAt = clock.monotonicMillis();
+      return;
+    }
+    long now = clock.monotonicMillis();
+    lastAnswerAt = now;
+    roundTrip = now - askedAt;
+    if (result.rows().isEmpty()) {
+      see(0, null, now);
+      claimFrom = Math.min(claimFrom, now + claimDelay());
+      return;
+    }
+    StoredRow row = result.rows().get(0);
+    see(row.version(), CellRows.lease(row.value()).orElse(null), now);
+    judge(now);
+  }
+
+  private void judge(long now) {
+    CellRecord record = seen;
+    boolean free =
+        record == null
+            || record.getReleased()
+            || record.getHolder().equals(settings.holder())
+            || now - changedAt >= CellTiming.TAKEOVER;
+    if (!free) {
+      claimFrom = Long.MAX_VALUE;
+      return;
+    }
+    claimFrom = Math.min(claimFrom, now + claimDelay());
+    nextLookAt = Math.max(claimFrom + 1, nextLookAt);
+  }
+
+  private long claimDelay() {
+    return Math.min(MAX_CLAIM_DELAY_MILLIS, roundTrip * CLAIM_DELAY_ROUND_TRIPS)
+        + random.nextInt(20);
+  }
+
+  private void see(long version, @Nullable CellRecord record, long now) {
+    if (version != seenVersion) {
+      seenVersion = version;
+      changedAt = now;
+    }
+    seen = record;
+    if (record == null) {
+      return;
+    }
+    ImmutableMap.Builder<String, Integer> lengths = ImmutableMap.builder();
+    for (QueueLength length : record.getWaitingList()) {
+      lengths.put(length.getQueue(), length.getWaiting());
+    }
+    waiting = lengths.buildKeepingLast();
+  }
+
+  private void claim(long now) {
+    claiming = true;
+    claimFrom = Long.MAX_VALUE;
+    int generation = seen == null ? 0 : seen.getGeneration() + 1;
+    CellRecord record =
+        CellRecord.newBuilder()
+            .setFormat(JobRows.FORMAT)
+            .setHolder(settings.holder())
+            .setGeneration(generation)
+            .addAllWaiting(seen == null ? List.of() : seen.getWaitingList())
+            .build();
+    var row = CellRows.lease(settings.cell());
+    long renewedAt = changedAt;
+    Transaction transaction =
+        new Transaction(
+            settings.cell(),
+            List.of(new Condition(row, Math.max(0, seenVersion))),
+            List.of(new Write(row, record.toByteString())),
+            List.of());
+    store.transact(
+        transaction,
+        CellTiming.STORE_TIMEOUT,
+        result -> onClaimed(result, now, generation, renewedAt));
+  }
+
+  private void onClaimed(TransactionResult result, long askedAt, int generation, long renewedAt) {
+    claiming = false;
+    nextLookAt = 0;
+    if (result.outcome() != Outcome.COMMITTED) {
+      return;
+    }
+    if (stopped) {
+      // The row is left to lapse: nothing was done under this lease.
+      return;
+    }
+    holding = true;
+    listener.onAcquired(new Acquired(result.version(), askedAt, generation, renewedAt));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
@@ -0,0 +1,208 @@
+package org.hemlockpick.cell;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.hemlockpick.errors.ResultCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One entry instance on a platform: answers callers, and schedules the jobs of the cell while it
+ * holds the cell's lease. All methods are called on one thread, on which the ports answer as well.
+ */
+public final class CellNode {
+  /** Time without an answer of the table service after which callers are sent elsewhere. */
+  private static final long STORE_SILENCE_MILLIS = 2_200;
+
+  private static final long COME_BACK_MILLIS = 1_000;
+
+  private final CellSettings settings;
+  private final TableService store;
+  private final WorkerPort workers;
+  private final ConfigurationSource source;
+  private final LoopClock clock;
+  private final DecisionLog log;
+  private final ConfigurationWatch configuration;
+  private final CellLease lease;
+  private final CallerDesk desk;
+  private @Nullable CellHolder holder;
+  private boolean stopping;
+  private boolean reachable = true;
+  private long lastWall;
+  private long lastMonotonic;
+
+  /**
+   * Creates an entry instance that does nothing until its first tick.
+   *
+   * @param settings settings
+   * @param store the platform's table service
+   * @param workers calls to workers
+   * @param source reads the platform's rows
+   * @param clock time
+   * @param log takes decisions
+   * @param random source of randomness
+   */
+  public CellNode(
+      CellSettings settings,
+      TableService store,
+      WorkerPort workers,
+      ConfigurationSource source,
+      LoopClock clock,
+      DecisionLog log,
+      RandomGenerator random) {
+    this.settings = settings;
+    this.store = store;
+    this.workers = workers;
+    this.source = source;
+    this.clock = clock;
+    this.log = log;
+    this.configuration = new ConfigurationWatch(store, source, clock, log);
+    this.lease = new CellLease(settings, store, clock, random, this::onAcquired);
+    this.desk = new CallerDesk(settings, store, clock, log);
+    this.lastWall = clock.wallMillis();
+    this.lastMonotonic = clock.monotonicMillis();
+  }
+
+  /** Does what is due. */
+  public void tick() {
+    watchClocks();
+    configuration.run();
+    lease.run();
+    CellHolder current = holder;
+    if (current != null) {
+      current.run();
+    }
+    desk.run();
+  }
+
+  /** Tells whether callers should be sent here. */
+  public boolean isReady() {
+    long answered = Math.max(configuration.lastAnswerAt(), lease.lastAnswerAt());
+    boolean fresh = clock.monotonicMillis() - answered < STORE_SILENCE_MILLIS;
+    return !stopping && configuration.current() != null && fresh;
+  }
+
+  /** Tells whether this entry instance holds the cell. */
+  public boolean isHolder() {
+    return holder != null;
+  }
+
+  /** Returns the configuration in force; empty if none is known yet. */
+  public Optional<Configuration> configuration() {
+    return Optional.ofNullable(configuration.current());
+  }
+
+  /** Begins the planned stop: gives the cell up, and answers the calls that still come. */
+  public void beginStop() {
+    stopping = true;
+    lease.stop();
+    CellHolder current = holder;
+    if (current != null) {
+      current.release();
+    }
+  }
+
+  /** Tells whether the planned stop has begun. */
+  public boolean isStopping() {
+    return stopping;
+  }
+
+  /** Tells whether the cell was given up and every call has its answer. */
+  public boolean isIdle() {
+    return holder == null && desk.open() == 0;
+  }
+
+  /**
+   * Accepts a job.
+   *
+   * @param timeoutMillis time for which the caller waits
+   * @param handler takes the answer, once
+   */
+  public void submit(Submission job, long timeoutMillis, Consumer<CallerReply> handler) {
+    desk.submit(job, timeoutMillis, handler);
+  }
+
+  /**
+   * Cancels a job.
+   *
+   * @param timeoutMillis time for which the caller waits
+   * @param handler takes the answer, once
+   */
+  public void cancel(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+    desk.cancel(job, timeoutMillis, handler);
+  }
+
+  /**
+   * Tells the state of a job.
+   *
+   * @param timeoutMillis time for which the caller waits
+   * @param handler takes the answer, once
+   */
+  public void state(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+    desk.state(job, timeoutMillis, handler);
+  }
+
+  /** Returns the number of accepted jobs of a queue of which no task has started. */
+  public CallerReply waiting(String queue) {
+    CellHolder current = holder;
+    if (current != null) {
+      return CallerReply.waiting(current.waiting().getOrDefault(queue, 0));
+    }
+    if (lease.lastAnswerAt() < 0) {
+      return CallerReply.refused(ResultCode.NOT_READY, COME_BACK_MILLIS);
+    }
+    return CallerReply.waiting(lease.waiting().getOrDefault(queue, 0));
+  }
+
+  /** A steady clock may stand still while the process is suspended; the time of day does not. */
+  private void watchClocks() {
+    long wall = clock.wallMillis();
+    long monotonic = clock.monotonicMillis();
+    long difference = (wall - lastWall) - (monotonic - lastMonotonic);
+    lastWall = wall;
+    lastMonotonic = monotonic;
+    if (Math.abs(difference) < CellTiming.SUSPENSION) {
+      return;
+    }
+    log.decided("clock", settings.instance(), "jumped", difference + " ms against steady clock");
+    CellHolder current = holder;
+    if (current != null) {
+      current.doubt();
+    }
+  }
+
+  private void onAcquired(CellLease.Acquired acquired) {
+    log.decided(
+        "cell",
+        settings.cell(),
+        "held",
+        "token " + acquired.version() + ", generation " + acquired.generation());
+    holder =
+        new CellHolder(
+            settings,
+            acquired,
+            store,
+            workers,
+            source,
+            configuration::current,
+            clock,
+            log,
+            new HolderListener());
+  }
+
+  private final class HolderListener implements CellHolder.Listener {
+    @Override
+    public void onEnded() {
+      holder = null;
+      lease.onLost();
+    }
+
+    @Override
+    public void onReachable(boolean answers) {
+      if (answers != reachable) {
+        reachable = answers;
+        log.decided("store", settings.cell(), answers ? "regained" : "lost", "transactions");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellRows.java
@@ -0,0 +1,56 @@
+package org.hemlockpick.cell;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.hemlockpick.cell.Transaction.RowName;
+import org.hemlockpick.proto.CellRecord;
+import org.hemlockpick.proto.RosterRecord;
+
+/** Names and reads the rows of a cell in the table service. */
+final class CellRows {
+  static final String TABLE = "cells";
+
+  private static final String ROSTER = "/roster";
+  private static final String BEHIND_ALL = "/~";
+
+  private CellRows() {}
+
+  static RowName lease(String cell) {
+    return new RowName(TABLE, cell);
+  }
+
+  static RowName roster(String cell) {
+    return new RowName(TABLE, cell + ROSTER);
+  }
+
+  /** Returns the range of the row with the lease alone. */
+  static TableService.Range leaseRange(String cell) {
+    return new TableService.Range(TABLE, cell, cell, cell + "/");
+  }
+
+  /** Returns the range of all rows of a cell. */
+  static TableService.Range range(String cell) {
+    return new TableService.Range(TABLE, cell, cell, cell + BEHIND_ALL);
+  }
+
+  /** Returns the lease; empty if the bytes cannot be read. */
+  static Optional<CellRecord> lease(ByteString value) {
+    try {
+      CellRecord record = CellRecord.parseFrom(value);
+      return record.getFormat() == JobRows.FORMAT ? Optional.of(record) : Optional.empty();
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the roster; empty if the bytes cannot be read. */
+  static Optional<RosterRecord> roster(ByteString value) {
+    try {
+      RosterRecord record = RosterRecord.parseFrom(value);
+      return record.getFormat() == JobRows.FORMAT ? Optional.of(record) : Optional.empty();
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
@@ -0,0 +1,25 @@
+package org.hemlockpick.cell;
+
+/**
+ * Settings of an entry instance's part in a cell. Times are in milliseconds.
+ *
+ * @param instance name of the entry instance
+ * @param incarnation distinguishes this process from earlier ones of the same name
+ * @param cell name of the cell; also the part of its rows
+ * @param workerLeaseMillis length of the lease of what runs on a worker
+ * @param stopMillis longest time that a worker takes to stop a run
+ * @param statusKeepMillis least time for which the state of an ended job is kept
+ */
+public record CellSettings(
+    String instance,
+    String incarnation,
+    String cell,
+    long workerLeaseMillis,
+    long stopMillis,
+    long statusKeepMillis) {
+
+  /** Returns the name under which this process holds the cell. */
+  String holder() {
+    return instance + "/" + incarnation;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
@@ -0,0 +1,30 @@
+package org.hemlockpick.cell;
+
+/** Holds the times of a cell's lease, in milliseconds. */
+final class CellTiming {
+  /** Pause between two looks at the cell's lease. */
+  static final long POLL = 500;
+
+  /** Longest pause between two writes of the holder. */
+  static final long RENEWAL = 600;
+
+  /** Least pause between two writes of the holder; gathers what is to be stored. */
+  static final long COMMIT_PAUSE = 25;
+
+  /** Time without a renewal after which another entry instance takes the cell. */
+  static final long TAKEOVER = 2_500;
+
+  /**
+   * Time after the last renewal for which the holder goes on giving orders. Longer than a usual
+   * outage of the table service; while it is away nobody can take the cell.
+   */
+  static final long HOLDER_LEASE = 8_000;
+
+  /** Difference of the two clocks by which a suspension of the process shows. */
+  static final long SUSPENSION = 400;
+
+  /** Time limit of a call to the table service. */
+  static final long STORE_TIMEOUT = 1_000;
+
+  private CellTiming() {}
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationSource.java
@@ -0,0 +1,22 @@
+package org.hemlockpick.cell;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+
+/** Reads the platform's rows, whose form the platform sets. */
+public interface ConfigurationSource {
+  /** Returns the table of the operator's rows. */
+  String operatorTable();
+
+  /** Returns the key of the configuration in the operator's table. */
+  String configurationKey();
+
+  /** Returns the configuration in a row's value; empty if it cannot be read. */
+  Optional<Configuration> configuration(ByteString value);
+
+  /** Returns the table with the list of workers. */
+  String workerTable();
+
+  /** Returns the worker in a row of the list; empty if the row names none to use. */
+  Optional<WorkerEntry> worker(String key, ByteString value);
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/DecisionLog.java
@@ -0,0 +1,15 @@
+package org.hemlockpick.cell;
+
+/** Takes what is decided, for the log. Must not block. */
+@FunctionalInterface
+public interface DecisionLog {
+  /**
+   * Writes a decision.
+   *
+   * @param kind short name of the kind of decision
+   * @param subject identifier of the job, task, worker or instance it is about
+   * @param outcome what was decided
+   * @param reason the inputs that decided it, with their age or version
+   */
+  void decided(String kind, String subject, String outcome, String reason);
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainSystem.java
@@ -0,0 +1,44 @@
+package org.hemlockpick.cell;
+
+/** Moves tasks off workers that are about to leave, unless they end before. */
+final class DrainSystem {
+  /** Part of the remaining time that is left for the stop itself, in milliseconds. */
+  private static final long MARGIN_MILLIS = 300;
+
+  private final CellSettings settings;
+  private final TaskRunner runner;
+  private final RunTimes times;
+  private final LoopClock clock;
+
+  DrainSystem(CellSettings settings, TaskRunner runner, RunTimes times, LoopClock clock) {
+    this.settings = settings;
+    this.runner = runner;
+    this.times = times;
+    this.clock = clock;
+  }
+
+  /** Looks at a worker that has just reported. */
+  void onReport(Worker worker) {
+    if (!worker.entry().draining()) {
+      return;
+    }
+    for (Run run : worker.runs()) {
+      if (run.state() == Run.State.RUNNING && !endsInTime(run, worker)) {
+        runner.stop(run, "its worker leaves");
+      }
+    }
+  }
+
+  private boolean endsInTime(Run run, Worker worker) {
+    if (run.step().lasting()) {
+      return false;
+    }
+    long left = worker.entry().remainingMillis() - settings.stopMillis() - MARGIN_MILLIS;
+    long elapsed = clock.monotonicMillis() - run.startedAt();
+    long whole = times.expected(run.task().step());
+    if (run.percent() > 0) {
+      whole = elapsed * 100 / run.percent();
+    }
+    return whole - elapsed <= left;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -0,0 +1,183 @@
+package org.hemlockpick.cell;
+
+import org.hemlockpick.cell.WorkerPort.HoldCall;
+import org.hemlockpick.cell.WorkerPort.HoldReply;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps a call to every worker under way that extends the lease of what runs there and brings its
+ * reports. An end is confirmed to the worker once it is stored.
+ */
+final class HoldSystem {
+  /** Wait of a worker with runs for an end, in milliseconds. */
+  private static final long WAIT_MILLIS = 1_000;
+
+  /** Wait where reports of latency are wanted as well. */
+  private static final long SERVING_WAIT_MILLIS = 600;
+
+  /** Pause between two looks at a worker without runs. */
+  private static final long IDLE_PAUSE_MILLIS = 3_000;
+
+  /** Pause before a worker that has ends which are not stored yet is asked again. */
+  private static final long UNSTORED_PAUSE_MILLIS = 400;
+
+  private static final long RETRY_MILLIS = 250;
+
+  private final CellSettings settings;
+  private final long token;
+  private final WorkerPort port;
+  private final TaskRunner runner;
+  private final CellJournal journal;
+  private final LoopClock clock;
+  private final DecisionLog log;
+  private final Listener listener;
+
+  /** Hears of the answers. */
+  interface Listener {
+    /** Takes note that a worker answers to the own fencing token for the first time. */
+    void onFirstReport(Worker worker);
+
+    /** Takes note that a worker has seen a higher fencing token. */
+    void onFenced(Worker worker);
+
+    /** Takes note that a worker started anew or was replaced: nothing that ran there is left. */
+    void onOtherBoot(Worker worker, boolean sameId);
+
+    /** Takes note that runs were reported. */
+    void onReport(Worker worker);
+  }
+
+  HoldSystem(
+      CellSettings settings,
+      long token,
+      WorkerPort port,
+      TaskRunner runner,
+      CellJournal journal,
+      LoopClock clock,
+      DecisionLog log,
+      Listener listener) {
+    this.settings = settings;
+    this.token = token;
+    this.port = port;
+    this.runner = runner;
+    this.journal = journal;
+    this.clock = clock;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  void run(Iterable<Worker> workers) {
+    if (!journal.isSure()) {
+      return;
+    }
+    long now = clock.monotonicMillis();
+    for (Worker worker : workers) {
+      if (!worker.isHolding() && now >= worker.nextHoldAt()) {
+        hold(worker, now);
+      }
+    }
+  }
+
+  private void hold(Worker worker, long now) {
+    boolean extend = !worker.runs().isEmpty() && worker.hasClock() && worker.holdFailures() == 0;
+    @Nullable Long until =
+        extend ? (Long) worker.grantLease(now, settings.workerLeaseMillis()) : null;
+    long wait = wait(worker);
+    worker.setHolding(true);
+    port.hold(
+        worker.target(),
+        new HoldCall(token, worker.recordedEnd(), until, wait),
+        reply -> onReply(worker, reply, now));
+  }
+
+  private static long wait(Worker worker) {
+    boolean atOnce =
+        worker.runs().isEmpty()
+            || !worker.hasClock()
+            || worker.recordedEnd() < worker.lastEnd()
+            || needsProof(worker);
+    if (atOnce) {
+      return 0;
+    }
+    return worker.hasServing() ? SERVING_WAIT_MILLIS : WAIT_MILLIS;
+  }
+
+  /** Tells whether a run was stopped, and only a report can tell whether it was there at all. */
+  private static boolean needsProof(Worker worker) {
+    for (Run run : worker.runs()) {
+      if (run.state() == Run.State.STOPPING && run.knownSince() != Long.MAX_VALUE) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void onReply(Worker worker, HoldReply reply, long askedAt) {
+    long now = clock.monotonicMillis();
+    worker.setHolding(false);
+    switch (reply.outcome()) {
+      case ACCEPTED -> onReport(worker, reply, askedAt, now);
+      case FENCED -> listener.onFenced(worker);
+      case OTHER_BOOT -> {
+        worker.setNextHoldAt(now + RETRY_MILLIS);
+        listener.onOtherBoot(worker, false);
+      }
+      default -> onFailure(worker, reply, now);
+    }
+  }
+
+  private void onFailure(Worker worker, HoldReply reply, long now) {
+    if (worker.holdFailures() == 0) {
+      log.decided("worker", worker.id(), "not reached", reply.outcome().name());
+    }
+    worker.addHoldFailure();
+    worker.setNextHoldAt(now + RETRY_MILLIS);
+  }
+
+  private void onReport(Worker worker, HoldReply reply, long askedAt, long now) {
+    long born = worker.entry().bornMillis();
+    if (reply.bornMillis() != 0 && born != 0 && reply.bornMillis() != born) {
+      worker.setNextHoldAt(now);
+      if (reply.bornMillis() > born) {
+        listener.onOtherBoot(worker, true);
+        worker.update(worker.entry().bornAt(reply.bornMillis()));
+      }
+      return;
+    }
+    if (worker.holdFailures() > 0) {
+      log.decided("worker", worker.id(), "reached again", worker.holdFailures() + " failed calls");
+    }
+    worker.answered(now);
+    worker.sawClock(reply.clockMillis(), now);
+    long before = worker.lastEnd();
+    runner.onReport(worker, reply, askedAt);
+    if (!worker.isFenced()) {
+      worker.setFenced();
+      listener.onFirstReport(worker);
+    }
+    listener.onReport(worker);
+    worker.setNextHoldAt(now + pause(worker));
+    if (worker.lastEnd() > before || worker.recordedEnd() < worker.lastEnd()) {
+      confirm(worker);
+    }
+  }
+
+  private static long pause(Worker worker) {
+    if (worker.recordedEnd() < worker.lastEnd()) {
+      return UNSTORED_PAUSE_MILLIS;
+    }
+    return worker.runs().isEmpty() ? IDLE_PAUSE_MILLIS : needsProof(worker) ? 50 : 0;
+  }
+
+  private void confirm(Worker worker) {
+    long end = worker.lastEnd();
+    long born = worker.entry().bornMillis();
+    journal.whenStored(
+        () -> {
+          if (worker.entry().bornMillis() == born && worker.lastEnd() >= end) {
+            worker.setRecordedEnd(end);
+            worker.setNextHoldAt(Math.min(worker.nextHoldAt(), clock.monotonicMillis()));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -0,0 +1,151 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import org.hemlockpick.proto.ProgressRecord;
+import org.hemlockpick.proto.StepProgress;
+import org.hemlockpick.proto.TaskNote;
+
+/** A job of the cell. */
+final class Job {
+  private final Submission submission;
+  private final boolean inherited;
+  private final List<StepRun> stepRuns = new ArrayList<>();
+  private int openOccurrences;
+  private JobState state = JobState.QUEUED;
+  private boolean canceled;
+  private long endedAtMillis;
+
+  /**
+   * Creates a job without progress.
+   *
+   * @param inherited whether tasks of it may have been started by another holder
+   */
+  Job(Submission submission, boolean inherited) {
+    this.submission = submission;
+    this.inherited = inherited;
+  }
+
+  String id() {
+    return submission.id();
+  }
+
+  Submission submission() {
+    return submission;
+  }
+
+  boolean isInherited() {
+    return inherited;
+  }
+
+  JobState state() {
+    return state;
+  }
+
+  void setState(JobState newState) {
+    state = newState;
+  }
+
+  /** Ends the job. */
+  void end(JobState last, long wallMillis) {
+    state = last;
+    endedAtMillis = wallMillis;
+  }
+
+  long endedAtMillis() {
+    return endedAtMillis;
+  }
+
+  /** Tells whether the caller has canceled it; runs may still have to be stopped. */
+  boolean isCanceled() {
+    return canceled;
+  }
+
+  void cancel() {
+    canceled = true;
+  }
+
+  /** Returns the steps of all occurrences that were opened, in order. */
+  List<StepRun> stepRuns() {
+    return stepRuns;
+  }
+
+  /** Opens the occurrences whose time has come. */
+  void openDue(long wallMillis) {
+    while (openOccurrences < submission.occurrences()
+        && (!submission.isTimed() || wallMillis >= submission.dueAtMillis(openOccurrences))) {
+      open(openOccurrences);
+    }
+  }
+
+  /** Tells whether a step may start: all that it depends on is done. */
+  boolean isOpen(StepRun run) {
+    int first = run.occurrence() * submission.steps().size();
+    for (int dependency : run.step().dependsOn()) {
+      if (!stepRuns.get(first + dependency).isDone()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Tells whether all tasks of all occurrences are done. */
+  boolean isDone() {
+    return openOccurrences == submission.occurrences()
+        && stepRuns.stream().allMatch(StepRun::isDone);
+  }
+
+  /** Finds a task of an occurrence that is open. */
+  Optional<Task> task(TaskId id) {
+    int steps = submission.steps().size();
+    if (id.occurrence() >= openOccurrences || id.step() >= steps) {
+      return Optional.empty();
+    }
+    List<Task> tasks = stepRuns.get(id.occurrence() * steps + id.step()).tasks();
+    return id.index() < tasks.size() ? Optional.of(tasks.get(id.index())) : Optional.empty();
+  }
+
+  /** Takes over what the last holder stored. */
+  void restore(ProgressRecord record) {
+    state = JobRows.state(record.getState());
+    endedAtMillis = record.getEndedAtMillis();
+    if (state.isFinal()) {
+      return;
+    }
+    for (StepProgress progress : record.getStepsList()) {
+      restore(progress);
+    }
+  }
+
+  private void restore(StepProgress progress) {
+    int steps = submission.steps().size();
+    if (progress.getOccurrence() >= submission.occurrences() || progress.getStep() >= steps) {
+      return;
+    }
+    while (openOccurrences <= progress.getOccurrence()) {
+      open(openOccurrences);
+    }
+    StepRun run = stepRuns.get(progress.getOccurrence() * steps + progress.getStep());
+    BitSet done = BitSet.valueOf(progress.getDone().toByteArray());
+    done.stream()
+        .filter(index -> index < run.tasks().size())
+        .forEach(index -> run.complete(run.tasks().get(index)));
+    for (TaskNote note : progress.getNotesList()) {
+      if (note.getIndex() < run.tasks().size()) {
+        Task task = run.tasks().get(note.getIndex());
+        task.setFailures(note.getFailures());
+        task.setCheckpoint(note.getCheckpoint());
+      }
+    }
+  }
+
+  private void open(int occurrence) {
+    List<Step> steps = submission.steps();
+    for (int i = 0; i < steps.size(); i++) {
+      stepRuns.add(new StepRun(this, occurrence, i, steps.get(i)));
+    }
+    openOccurrences = occurrence + 1;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
@@ -0,0 +1,139 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.jspecify.annotations.Nullable;
+
+/** Changes the state of jobs by what becomes of their tasks, and has the changes stored. */
+final class JobKeeper {
+  /** Pause before a task that failed is started again. */
+  private static final long RETRY_PAUSE_MILLIS = 20;
+
+  private final JobTable jobs;
+  private final CellJournal journal;
+  private final LoopClock clock;
+  private final DecisionLog log;
+  private final RunTimes times;
+
+  JobKeeper(JobTable jobs, CellJournal journal, LoopClock clock, DecisionLog log, RunTimes times) {
+    this.jobs = jobs;
+    this.journal = journal;
+    this.clock = clock;
+    this.log = log;
+    this.times = times;
+  }
+
+  /** Takes note that a task of a job has started. */
+  void onStarted(Job job) {
+    if (job.state() == JobState.QUEUED) {
+      job.setState(JobState.RUNNING);
+      journal.touch(job);
+    }
+  }
+
+  /**
+   * Takes note of the end of a run.
+   *
+   * @param task task of the run
+   * @param attempt number of the attempt
+   * @param worker worker that it was on
+   * @param run the run if it is known
+   */
+  void onEnded(
+      Task task,
+      int attempt,
+      Worker worker,
+      EndKind kind,
+      String checkpoint,
+      @Nullable Run run,
+      int maxAttempts) {
+    task.sawAttempt(attempt);
+    if (task.isDone() || task.job().state().isFinal()) {
+      return;
+    }
+    switch (kind) {
+      case DONE -> onDone(task, worker, run);
+      case FAILED -> onFailed(task, worker, checkpoint, maxAttempts);
+      case STOPPED, LAPSED, BROKEN, ALONE -> keep(task, checkpoint);
+    }
+  }
+
+  /** Cancels a job; its runs are stopped elsewhere. */
+  void cancel(Job job) {
+    if (job.isCanceled()) {
+      return;
+    }
+    job.cancel();
+    if (!job.state().isFinal()) {
+      end(job, JobState.CANCELED, "canceled by the caller");
+    }
+  }
+
+  private void onDone(Task task, Worker worker, @Nullable Run run) {
+    worker.health().onDone();
+    StepRun step = task.step();
+    if (run != null) {
+      times.add(task, clock.monotonicMillis() - run.startedAt());
+    }
+    if (step.step().lasting()) {
+      return;
+    }
+    if (step.step().gang()) {
+      step.completeAll();
+    } else {
+      step.complete(task);
+    }
+    Job job = task.job();
+    journal.touch(job);
+    if (job.isDone()) {
+      end(job, JobState.COMPLETED, "all tasks are done");
+    }
+  }
+
+  private void onFailed(Task task, Worker worker, String checkpoint, int maxAttempts) {
+    if (worker.health().onFailed(clock.monotonicMillis())) {
+      log.decided("worker", worker.id(), "paused", "runs on it fail one after the other");
+    }
+    Job job = task.job();
+    StepRun step = task.step();
+    List<Task> members = step.step().gang() ? step.tasks() : List.of(task);
+    members.forEach(member -> member.addFailure(worker.id()));
+    task.setCheckpoint(checkpoint);
+    task.setNotBefore(clock.monotonicMillis() + RETRY_PAUSE_MILLIS);
+    journal.touch(job);
+    if (!step.step().lasting() && task.failures() >= maxAttempts) {
+      end(job, JobState.FAILED, task.id() + " failed " + task.failures() + " times");
+    }
+  }
+
+  private void keep(Task task, String checkpoint) {
+    if (!checkpoint.isEmpty()) {
+      task.setCheckpoint(checkpoint);
+      journal.touch(task.job());
+    }
+  }
+
+  private void end(Job job, JobState state, String reason) {
+    job.end(state, clock.wallMillis());
+    jobs.close(job);
+    times.forget(job);
+    journal.touch(job);
+    log.decided("job", job.id(), state.name(), reason);
+  }
+
+  /** Removes jobs that ended long ago, with their rows. */
+  void forget(long keepMillis) {
+    long before = clock.wallMillis() - keepMillis;
+    List<Job> old = new ArrayList<>();
+    for (Job job : jobs.all()) {
+      if (job.state().isFinal() && job.endedAtMillis() < before) {
+        old.add(job);
+      }
+    }
+    for (Job job : old) {
+      journal.remove(job.id());
+      jobs.remove(job);
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -0,0 +1,222 @@
+package org.hemlockpick.cell;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import org.hemlockpick.cell.Transaction.RowName;
+import org.hemlockpick.proto.JobStateRecord;
+import org.hemlockpick.proto.ProgressRecord;
+import org.hemlockpick.proto.StepProgress;
+import org.hemlockpick.proto.StepRecord;
+import org.hemlockpick.proto.SubmissionRecord;
+import org.hemlockpick.proto.TaskNote;
+
+/** Names and converts the rows of jobs in the table service. */
+final class JobRows {
+  static final String TABLE = "jobs";
+
+  /** Version of the rows' layout; rows of another one are refused. */
+  static final int FORMAT = 1;
+
+  private static final String SUBMISSION = "/s";
+  private static final String PROGRESS = "/p";
+  private static final String CANCELLATION = "/c";
+  private static final String BEHIND_ALL = "/~";
+
+  private JobRows() {}
+
+  /** What a row of a job holds. */
+  enum Kind {
+    SUBMISSION,
+    PROGRESS,
+    CANCELLATION
+  }
+
+  static RowName submission(String job) {
+    return new RowName(TABLE, job + SUBMISSION);
+  }
+
+  static RowName progress(String job) {
+    return new RowName(TABLE, job + PROGRESS);
+  }
+
+  static RowName cancellation(String job) {
+    return new RowName(TABLE, job + CANCELLATION);
+  }
+
+  /** Returns the range of all rows of a job. */
+  static TableService.Range range(String part, String job) {
+    return new TableService.Range(TABLE, part, job + "/", job + BEHIND_ALL);
+  }
+
+  /** Returns the job that a key belongs to; empty for a key of another form. */
+  static Optional<String> job(String key) {
+    int slash = key.lastIndexOf('/');
+    return slash <= 0 ? Optional.empty() : Optional.of(key.substring(0, slash));
+  }
+
+  /** Returns what the row of a key holds; empty for a key of another form. */
+  static Optional<Kind> kind(String key) {
+    if (key.endsWith(SUBMISSION)) {
+      return Optional.of(Kind.SUBMISSION);
+    }
+    if (key.endsWith(PROGRESS)) {
+      return Optional.of(Kind.PROGRESS);
+    }
+    return key.endsWith(CANCELLATION) ? Optional.of(Kind.CANCELLATION) : Optional.empty();
+  }
+
+  static ByteString encode(Submission job) {
+    SubmissionRecord.Builder record =
+        SubmissionRecord.newBuilder()
+            .setFormat(FORMAT)
+            .setQueue(job.queue())
+            .setSpec(job.spec())
+            .setFirstStartAtMillis(job.firstStartAtMillis())
+            .setIntervalMillis(job.intervalMillis())
+            .setRepeatCount(job.repeatCount())
+            .setAcceptedAtMillis(job.acceptedAtMillis());
+    job.steps().forEach(step -> record.addSteps(encode(step)));
+    return record.build().toByteString();
+  }
+
+  /** Returns the submission; empty if the bytes cannot be read. */
+  static Optional<Submission> submission(String job, ByteString value) {
+    try {
+      SubmissionRecord record = SubmissionRecord.parseFrom(value);
+      if (record.getFormat() != FORMAT) {
+        return Optional.empty();
+      }
+      return Optional.of(
+          new Submission(
+              job,
+              record.getQueue(),
+              record.getSpec(),
+              record.getStepsList().stream().map(JobRows::step).toList(),
+              record.getFirstStartAtMillis(),
+              record.getIntervalMillis(),
+              record.getRepeatCount(),
+              record.getAcceptedAtMillis()));
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the progress; empty if the bytes cannot be read. */
+  static Optional<ProgressRecord> progress(ByteString value) {
+    try {
+      ProgressRecord record = ProgressRecord.parseFrom(value);
+      return record.getFormat() == FORMAT ? Optional.of(record) : Optional.empty();
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+
+  static ByteString encode(Job job) {
+    ProgressRecord.Builder record =
+        ProgressRecord.newBuilder()
+            .setFormat(FORMAT)
+            .setState(record(job.state()))
+            .setEndedAtMillis(job.endedAtMillis());
+    if (!job.state().isFinal()) {
+      job.stepRuns().stream()
+          .filter(StepRun::hasProgress)
+          .forEach(run -> record.addSteps(encode(run)));
+    }
+    return record.build().toByteString();
+  }
+
+  static JobState state(JobStateRecord record) {
+    return switch (record) {
+      case JOB_RUNNING -> JobState.RUNNING;
+      case JOB_COMPLETED -> JobState.COMPLETED;
+      case JOB_FAILED -> JobState.FAILED;
+      case JOB_CANCELED -> JobState.CANCELED;
+      default -> JobState.QUEUED;
+    };
+  }
+
+  private static JobStateRecord record(JobState state) {
+    return switch (state) {
+      case QUEUED -> JobStateRecord.JOB_QUEUED;
+      case RUNNING -> JobStateRecord.JOB_RUNNING;
+      case COMPLETED -> JobStateRecord.JOB_COMPLETED;
+      case FAILED -> JobStateRecord.JOB_FAILED;
+      case CANCELED -> JobStateRecord.JOB_CANCELED;
+    };
+  }
+
+  private static StepProgress encode(StepRun run) {
+    BitSet done = new BitSet(run.tasks().size());
+    StepProgress.Builder progress =
+        StepProgress.newBuilder().setOccurrence(run.occurrence()).setStep(run.number());
+    for (Task task : run.tasks()) {
+      done.set(task.index(), task.isDone());
+      if (task.isWorthNoting()) {
+        progress.addNotes(
+            TaskNote.newBuilder()
+                .setIndex(task.index())
+                .setFailures(task.failures())
+                .setCheckpoint(task.checkpoint()));
+      }
+    }
+    return progress.setDone(ByteString.copyFrom(done.toByteArray())).build();
+  }
+
+  private static StepRecord encode(Step step) {
+    StepRecord.Builder record =
+        StepRecord.newBuilder()
+            .setCount(step.count())
+            .setCpuMillis((int) step.demand().cpuMillis())
+            .setMemoryMb((int) step.demand().memoryMb())
+            .setGpus((int) step.demand().gpus())
+            .setEstimateMillis(step.estimateMillis())
+            .addAllDependsOn(step.dependsOn())
+            .setCheckpoints(step.checkpoints())
+            .setGang(step.gang())
+            .setRackLocal(step.rackLocal())
+            .setMaxPerWorker(step.maxPerWorker())
+            .setSpeculative(step.speculative())
+            .setLasting(step.lasting())
+            .setImage(step.image())
+            .setTailTargetMillis(step.tailTargetMillis())
+            .setFiller(step.filler());
+    String label = step.requiredLabel();
+    if (label != null) {
+      record.setRequiredLabel(label);
+    }
+    String rack = step.preferredRack();
+    if (rack != null) {
+      record.setPreferredRack(rack);
+    }
+    Integer unavailable = step.maxUnavailable();
+    if (unavailable != null) {
+      // Zero stands for no bound.
+      record.setMaxUnavailable(unavailable + 1);
+    }
+    return record.build();
+  }
+
+  private static Step step(StepRecord record) {
+    List<Integer> dependsOn = record.getDependsOnList();
+    return new Step(
+        record.getCount(),
+        new Amounts(record.getCpuMillis(), record.getMemoryMb(), record.getGpus()),
+        record.getEstimateMillis(),
+        dependsOn,
+        record.getCheckpoints(),
+        record.getGang(),
+        record.getRackLocal(),
+        record.getRequiredLabel().isEmpty() ? null : record.getRequiredLabel(),
+        record.getPreferredRack().isEmpty() ? null : record.getPreferredRack(),
+        record.getMaxPerWorker(),
+        record.getSpeculative(),
+        record.getLasting(),
+        record.getImage(),
+        record.getTailTargetMillis(),
+        record.getFiller(),
+        record.getMaxUnavailable() == 0 ? null : record.getMaxUnavailable() - 1);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobTable.java
@@ -0,0 +1,49 @@
+package org.hemlockpick.cell;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** The jobs of the cell by their identifiers, those that have ended included for a while. */
+final class JobTable {
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, Job> open = new LinkedHashMap<>();
+
+  @Nullable Job get(String id) {
+    return jobs.get(id);
+  }
+
+  void add(Job job) {
+    jobs.put(job.id(), job);
+    if (!job.state().isFinal()) {
+      open.put(job.id(), job);
+    }
+  }
+
+  /** Moves a job that has ended out of the open ones. */
+  void close(Job job) {
+    open.remove(job.id());
+  }
+
+  void remove(Job job) {
+    jobs.remove(job.id());
+    open.remove(job.id());
+  }
+
+  /** Returns all jobs, in the order in which they came. */
+  Collection<Job> all() {
+    return jobs.values();
+  }
+
+  /** Returns the jobs that have not ended, in the order in which they came. */
+  Collection<Job> open() {
+    return open.values();
+  }
+
+  Optional<Task> task(TaskId id) {
+    Job job = jobs.get(id.job());
+    return job == null ? Optional.empty() : job.task(id);
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -0,0 +1,96 @@
+package org.hemlockpick.cell;
+
+import org.hemlockpick.cell.WorkerPort.OrderOutcome;
+
+/**
+ * Slows the fillers of a worker down when a serving task beside them comes near its latency target,
+ * and lets them go faster again step by step.
+ */
+final class PaceSystem {
+  /** Share of the target from which fillers are slowed down, in percent. */
+  private static final int SLOW_DOWN_PERCENT = 85;
+
+  /** Share of the target below which fillers may go faster, in percent. */
+  private static final int SPEED_UP_PERCENT = 60;
+
+  private static final int FULL = 100;
+  private static final int LEAST = 10;
+  private static final int SPEED_UP_STEP = 20;
+
+  /** Time for which a change is left to show in the reports. */
+  private static final long SETTLE_MILLIS = 700;
+
+  private static final long SPEED_UP_PAUSE_MILLIS = 1_500;
+
+  private final long token;
+  private final WorkerPort port;
+  private final LoopClock clock;
+  private final DecisionLog log;
+
+  PaceSystem(long token, WorkerPort port, LoopClock clock, DecisionLog log) {
+    this.token = token;
+    this.port = port;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Looks at a worker that has just reported. */
+  void onReport(Worker worker) {
+    long now = clock.monotonicMillis();
+    long load = worstLoad(worker);
+    int pace = worker.fillerPace();
+    long settled = now - worker.paceChangedAt();
+    if (load >= SLOW_DOWN_PERCENT && pace > 0 && settled >= SETTLE_MILLIS) {
+      change(worker, slower(pace, load), load, now);
+    } else if (load < SPEED_UP_PERCENT && pace < FULL && settled >= SPEED_UP_PAUSE_MILLIS) {
+      change(worker, Math.min(FULL, pace + SPEED_UP_STEP), load, now);
+    }
+    apply(worker);
+  }
+
+  private static int slower(int pace, long load) {
+    int half = load >= FULL ? pace / 4 : pace / 2;
+    return half < LEAST ? 0 : half;
+  }
+
+  private void change(Worker worker, int pace, long load, long now) {
+    log.decided(
+        "pace",
+        worker.id(),
+        "fillers at " + pace + "%",
+        "worst serving task at " + load + "% of its target, before " + worker.fillerPace() + "%");
+    worker.setFillerPace(pace, now);
+  }
+
+  /** Returns the highest tail latency of a serving task, in percent of its target. */
+  private static long worstLoad(Worker worker) {
+    long worst = 0;
+    for (Run run : worker.runs()) {
+      if (run.step().isServing()) {
+        worst = Math.max(worst, run.gauge() * 100 / run.step().tailTargetMillis());
+      }
+    }
+    return worst;
+  }
+
+  private void apply(Worker worker) {
+    for (Run run : worker.runs()) {
+      boolean differs = run.step().filler() && run.pace() != worker.fillerPace();
+      if (differs && run.state() == Run.State.RUNNING) {
+        int before = run.pace();
+        int pace = worker.fillerPace();
+        run.setPace(pace);
+        port.pace(
+            worker.target(),
+            run.name(),
+            pace,
+            token,
+            reply -> {
+              if (reply.outcome() != OrderOutcome.ACCEPTED) {
+                run.setPace(before);
+              }
+            });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -0,0 +1,193 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+
+/** Gives room to the tasks that are ready, in the order of a policy. */
+final class Planner {
+  /** Most orders to start that are sent in one tick; bounds its length. */
+  private static final int MAX_STARTS = 150;
+
+  private final JobTable jobs;
+  private final WorkerTable workers;
+  private final TaskRunner runner;
+  private final OrderPolicy order;
+  private final PlacementPolicy placement;
+  private final LoopClock clock;
+
+  /** Returns the queue of a job; null if it is in no configuration. */
+  private final Function<Job, @Nullable Queue> queues;
+
+  Planner(
+      JobTable jobs,
+      WorkerTable workers,
+      TaskRunner runner,
+      OrderPolicy order,
+      PlacementPolicy placement,
+      LoopClock clock,
+      Function<Job, @Nullable Queue> queues) {
+    this.jobs = jobs;
+    this.workers = workers;
+    this.runner = runner;
+    this.order = order;
+    this.placement = placement;
+    this.clock = clock;
+    this.queues = queues;
+  }
+
+  /**
+   * Starts what can be started.
+   *
+   * @param inheritedToo whether it is certain where the tasks of inherited jobs run
+   */
+  void run(boolean inheritedToo) {
+    long wall = clock.wallMillis();
+    long now = clock.monotonicMillis();
+    List<Ready> ready = new ArrayList<>();
+    for (Job job : jobs.open()) {
+      Queue queue = queues.apply(job);
+      if (queue == null || (job.isInherited() && !inheritedToo)) {
+        continue;
+      }
+      job.openDue(wall);
+      addReady(job, queue, now, wall, ready);
+    }
+    ready.sort(Comparator.comparing(Ready::rank));
+    place(ready, now);
+  }
+
+  private void addReady(Job job, Queue queue, long now, long wall, List<Ready> ready) {
+    for (StepRun step : job.stepRuns()) {
+      if (!step.isDone() && hasReady(step, now) && job.isOpen(step)) {
+        ready.add(new Ready(step, queue, order.rank(step, queue, wall)));
+      }
+    }
+  }
+
+  private static boolean hasReady(StepRun step, long now) {
+    for (Task task : step.tasks()) {
+      if (task.isReady(now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void place(List<Ready> ready, long now) {
+    Set<Shape> full = new HashSet<>();
+    int starts = 0;
+    for (Ready entry : ready) {
+      Step step = entry.step().step();
+      Shape shape = new Shape(entry.queue().service(), step.demand(), step.filler());
+      if (starts >= MAX_STARTS || (isPlain(step) && full.contains(shape))) {
+        continue;
+      }
+      int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, now);
+      starts += Math.abs(placed);
+      if (placed < 0 && isPlain(step)) {
+        full.add(shape);
+      }
+    }
+  }
+
+  private static boolean isPlain(Step step) {
+    return step.requiredLabel() == null && step.maxPerWorker() == 0;
+  }
+
+  /** Places what has room; returns the number of starts, negative if a task found none. */
+  private int placeTasks(Ready entry, long now) {
+    int placed = 0;
+    for (Task task : entry.step().tasks()) {
+      if (!task.isReady(now)) {
+        continue;
+      }
+      Worker worker = placement.choose(task, candidates(task, entry.queue(), now));
+      if (worker == null) {
+        return -placed - 1;
+      }
+      runner.start(task, worker);
+      placed++;
+    }
+    return placed;
+  }
+
+  /** Places all members of a gang or none. */
+  private int placeGang(Ready entry, long now) {
+    List<Task> tasks = entry.step().tasks();
+    for (Task task : tasks) {
+      if (!task.isReady(now)) {
+        return 0;
+      }
+    }
+    // Room is tried out with runs that are never sent.
+    List<Worker> places = new ArrayList<>();
+    List<Run> trials = new ArrayList<>();
+    for (Task task : tasks) {
+      Worker worker = placement.choose(task, candidates(task, entry.queue(), now));
+      if (worker == null) {
+        break;
+      }
+      Run trial = new Run(task, 0, worker, Run.State.STARTING, now);
+      worker.add(trial);
+      trials.add(trial);
+      places.add(worker);
+    }
+    trials.forEach(trial -> trial.worker().remove(trial));
+    if (places.size() < tasks.size()) {
+      return -1;
+    }
+    runner.startGang(tasks, places);
+    return tasks.size();
+  }
+
+  private List<Worker> candidates(Task task, Queue queue, long now) {
+    List<Worker> candidates = new ArrayList<>();
+    for (Worker worker : workers.all()) {
+      if (mayRun(task, queue, worker, now)) {
+        candidates.add(worker);
+      }
+    }
+    return candidates;
+  }
+
+  private static boolean mayRun(Task task, Queue queue, Worker worker, long now) {
+    Step step = task.step().step();
+    if (!worker.isOpen(now) || !worker.entry().service().equals(queue.service())) {
+      return false;
+    }
+    if (!step.reserved().fitsInto(worker.free())) {
+      return false;
+    }
+    String label = step.requiredLabel();
+    if (label != null && !worker.entry().labels().contains(label)) {
+      return false;
+    }
+    if (step.maxPerWorker() > 0 && task.step().countAt(worker) >= step.maxPerWorker()) {
+      return false;
+    }
+    return isTrusted(task, queue, worker, now);
+  }
+
+  /** A suspect worker gets one run as a test, and never the last attempt of a task. */
+  private static boolean isTrusted(Task task, Queue queue, Worker worker, long now) {
+    WorkerHealth health = worker.health();
+    if (health.isPaused(now)) {
+      return false;
+    }
+    boolean last = task.failures() + 1 >= queue.maxAttempts() && !task.step().step().lasting();
+    if (last && task.failures() > 0 && health.isDoubtful()) {
+      return false;
+    }
+    return !health.isSuspect() || worker.runs().isEmpty();
+  }
+
+  private record Ready(StepRun step, Queue queue, OrderPolicy.Rank rank) {}
+
+  /** What tasks have in common of which none fits if one does not. */
+  private record Shape(String service, Amounts demand, boolean filler) {}
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunTimes.java
@@ -0,0 +1,57 @@
+package org.hemlockpick.cell;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Learns how long tasks take. Declared run times are far off, so the mean of the tasks of a queue
+ * that have ended is weighed against them, and the tasks of the same step that have ended go first.
+ */
+final class RunTimes {
+  /** Weight of a new run time in the mean of its queue. */
+  private static final double WEIGHT = 0.05;
+
+  /** Number of ended tasks of a step from which their mean is used alone. */
+  private static final int ENOUGH = 2;
+
+  private final Map<String, Double> queueMeans = new HashMap<>();
+  private final Map<StepRun, Sum> steps = new HashMap<>();
+
+  void add(Task task, long millis) {
+    queueMeans.merge(
+        task.job().submission().queue(),
+        (double) millis,
+        (mean, newest) -> mean + WEIGHT * (newest - mean));
+    steps.computeIfAbsent(task.step(), step -> new Sum()).add(millis);
+  }
+
+  /** Returns how long a task of a step is expected to take, in milliseconds. */
+  long expected(StepRun step) {
+    Sum sum = steps.get(step);
+    if (sum != null && sum.count >= ENOUGH) {
+      return sum.millis / sum.count;
+    }
+    return expected(step.job().submission().queue(), step.step());
+  }
+
+  /** Returns how long a task of a step that has not begun is expected to take, in milliseconds. */
+  long expected(String queue, Step step) {
+    Double mean = queueMeans.get(queue);
+    return mean == null ? step.estimateMillis() : (long) (0.5 * mean + 0.5 * step.estimateMillis());
+  }
+
+  /** Forgets the steps of a job. */
+  void forget(Job job) {
+    job.stepRuns().forEach(steps::remove);
+  }
+
+  private static final class Sum {
+    private int count;
+    private long millis;
+
+    void add(long taken) {
+      count++;
+      millis += taken;
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackOrder.java
@@ -0,0 +1,55 @@
+package org.hemlockpick.cell;
+
+import java.util.List;
+
+/**
+ * Puts urgent queues first, then what can still be in time, by the latest start; then what can
+ * still be late, then the rest.
+ */
+final class SlackOrder implements OrderPolicy {
+  /** A job earns something until it has taken this many times its objective. */
+  private static final int LATE_FACTOR = 3;
+
+  private static final int GROUPS_PER_PRIORITY = 3;
+
+  private final RunTimes times;
+
+  SlackOrder(RunTimes times) {
+    this.times = times;
+  }
+
+  @Override
+  public Rank rank(StepRun step, Queue queue, long wallMillis) {
+    Submission job = step.job().submission();
+    long due = job.dueAtMillis(step.occurrence());
+    if (job.isLasting()) {
+      return new Rank(queue.priority() * GROUPS_PER_PRIORITY, due + queue.latencyTargetMillis());
+    }
+    long whole = longestChain(job, queue, 0);
+    long objective = (long) (queue.slackFactor() * whole) + queue.latencyTargetMillis();
+    long rest = longestChain(job, queue, step.number());
+    long latestStart = due + objective - rest;
+    int lateness = 0;
+    if (wallMillis > latestStart) {
+      lateness = wallMillis > due + LATE_FACTOR * objective - rest ? 2 : 1;
+    }
+    int group = queue.priority() * GROUPS_PER_PRIORITY + lateness;
+    return new Rank(group, latestStart);
+  }
+
+  /** Returns the expected time of the longest chain of steps that begins at a step or later. */
+  private long longestChain(Submission job, Queue queue, int from) {
+    List<Step> steps = job.steps();
+    long[] chain = new long[steps.size()];
+    long longest = 0;
+    for (int i = from; i < steps.size(); i++) {
+      long before = 0;
+      for (int dependency : steps.get(i).dependsOn()) {
+        before = Math.max(before, dependency >= from ? chain[dependency] : 0);
+      }
+      chain[i] = before + times.expected(queue.name(), steps.get(i));
+      longest = Math.max(longest, chain[i]);
+    }
+    return longest;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/StallSystem.java
@@ -0,0 +1,46 @@
+package org.hemlockpick.cell;
+
+/** Finds runs that make no progress, stops them and lets them run elsewhere. */
+final class StallSystem {
+  /** Least time without progress that counts as a standstill, in milliseconds. */
+  private static final long LEAST_MILLIS = 2_500;
+
+  /** A task of several seconds moves by a percent less often. */
+  private static final double EXPECTED_SHARE = 0.5;
+
+  private final TaskRunner runner;
+  private final RunTimes times;
+  private final LoopClock clock;
+  private final DecisionLog log;
+
+  StallSystem(TaskRunner runner, RunTimes times, LoopClock clock, DecisionLog log) {
+    this.runner = runner;
+    this.times = times;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Looks at a worker that has just reported. */
+  void onReport(Worker worker) {
+    long now = clock.monotonicMillis();
+    for (Run run : worker.runs()) {
+      if (isStalled(run, now)) {
+        if (worker.health().onStalled(now)) {
+          log.decided("worker", worker.id(), "paused", "a run makes no progress");
+        }
+        run.task().avoid(worker.id());
+        runner.stop(run, "no progress since " + (now - run.progressAt()) + " ms");
+      }
+    }
+  }
+
+  private boolean isStalled(Run run, long now) {
+    Step step = run.step();
+    boolean idle = step.filler() && (run.pace() < 100 || run.gauge() == 0);
+    if (run.state() != Run.State.RUNNING || step.lasting() || step.gang() || idle) {
+      return false;
+    }
+    long expected = times.expected(run.task().step());
+    return now - run.progressAt() > Math.max(LEAST_MILLIS, (long) (expected * EXPECTED_SHARE));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -0,0 +1,124 @@
+package org.hemlockpick.cell;
+
+import org.jspecify.annotations.Nullable;
+
+/** A task of a job: what is known of it, and its run if it has one. */
+final class Task {
+  private final StepRun step;
+  private final int index;
+  private boolean done;
+  private int failures;
+  private int lastAttempt;
+  private String checkpoint = "";
+  private @Nullable Run run;
+
+  /** Worker at which it failed last; another one is tried first. */
+  private @Nullable String failedAt;
+
+  /** Time on the steady clock before which it is not started. */
+  private long notBefore;
+
+  Task(StepRun step, int index) {
+    this.step = step;
+    this.index = index;
+  }
+
+  StepRun step() {
+    return step;
+  }
+
+  Job job() {
+    return step.job();
+  }
+
+  int index() {
+    return index;
+  }
+
+  TaskId id() {
+    return new TaskId(job().id(), step.occurrence(), step.number(), index);
+  }
+
+  boolean isDone() {
+    return done;
+  }
+
+  void setDone() {
+    done = true;
+    checkpoint = "";
+  }
+
+  int failures() {
+    return failures;
+  }
+
+  void setFailures(int count) {
+    failures = count;
+  }
+
+  void addFailure(String worker) {
+    failures++;
+    failedAt = worker;
+  }
+
+  @Nullable String failedAt() {
+    return failedAt;
+  }
+
+  void avoid(String worker) {
+    failedAt = worker;
+  }
+
+  String checkpoint() {
+    return checkpoint;
+  }
+
+  /** Keeps a checkpoint; an empty one leaves the last. */
+  void setCheckpoint(String newest) {
+    if (!newest.isEmpty()) {
+      checkpoint = newest;
+    }
+  }
+
+  @Nullable Run run() {
+    return run;
+  }
+
+  void setRun(@Nullable Run newRun) {
+    run = newRun;
+    if (newRun != null) {
+      lastAttempt = Math.max(lastAttempt, newRun.attempt());
+    }
+  }
+
+  /** Notes an attempt that another holder made. */
+  void sawAttempt(int attempt) {
+    lastAttempt = Math.max(lastAttempt, attempt);
+  }
+
+  /**
+   * Returns the number of the next attempt.
+   *
+   * @param first least number that this holder may use
+   */
+  int nextAttempt(int first) {
+    return Math.max(lastAttempt + 1, first);
+  }
+
+  long notBefore() {
+    return notBefore;
+  }
+
+  void setNotBefore(long monotonicMillis) {
+    notBefore = monotonicMillis;
+  }
+
+  boolean isReady(long nowMillis) {
+    return !done && run == null && nowMillis >= notBefore;
+  }
+
+  /** Tells whether more than whether it is done must be stored. */
+  boolean isWorthNoting() {
+    return !done && (failures > 0 || !checkpoint.isEmpty());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -0,0 +1,353 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.hemlockpick.cell.WorkerPort.EndReport;
+import org.hemlockpick.cell.WorkerPort.HoldReply;
+import org.hemlockpick.cell.WorkerPort.OrderOutcome;
+import org.hemlockpick.cell.WorkerPort.OrderReply;
+import org.hemlockpick.cell.WorkerPort.RunName;
+import org.hemlockpick.cell.WorkerPort.RunReport;
+import org.hemlockpick.cell.WorkerPort.StartOrder;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Gives orders to workers and settles what becomes of each run. A run whose order has no answer
+ * keeps its room, and its task is not started again, until a later report of the worker, another
+ * boot or the end of the worker's lease proves that it is gone.
+ */
+final class TaskRunner {
+  /** Orders to start a run until it is stopped for want of an answer; the order is idempotent. */
+  private static final int MAX_START_ORDERS = 3;
+
+  private static final long STOP_REPEAT_MILLIS = 400;
+  private static final long NO_ROOM_PAUSE_MILLIS = 250;
+  private static final long UNHEALTHY_PAUSE_MILLIS = 1_000;
+  private static final long MALFORMED_PAUSE_MILLIS = 2_000;
+
+  private final CellSettings settings;
+  private final long token;
+  private final int firstAttempt;
+  private final WorkerPort port;
+  private final JobTable jobs;
+  private final JobKeeper keeper;
+  private final CellJournal journal;
+  private final LoopClock clock;
+  private final DecisionLog log;
+  private final Context context;
+
+  /** What the runner needs of the holder. */
+  interface Context {
+    /** Returns the most failed runs of a task of a job. */
+    int maxAttempts(Job job);
+
+    /** Takes note that a worker has seen a higher fencing token. */
+    void onFenced(Worker worker);
+
+    /** Takes note that room or tasks have changed, so that tasks may be placed. */
+    void onChange();
+  }
+
+  TaskRunner(
+      CellSettings settings,
+      long token,
+      int firstAttempt,
+      WorkerPort port,
+      JobTable jobs,
+      JobKeeper keeper,
+      CellJournal journal,
+      LoopClock clock,
+      DecisionLog log,
+      Context context) {
+    this.settings = settings;
+    this.token = token;
+    this.firstAttempt = firstAttempt;
+    this.port = port;
+    this.jobs = jobs;
+    this.keeper = keeper;
+    this.journal = journal;
+    this.clock = clock;
+    this.log = log;
+    this.context = context;
+  }
+
+  /** Starts a task at a worker. */
+  void start(Task task, Worker worker) {
+    start(task, worker, task.nextAttempt(firstAttempt), task.checkpoint());
+  }
+
+  /** Starts all tasks of a gang with one attempt and one checkpoint. */
+  void startGang(List<Task> tasks, List<Worker> places) {
+    int attempt = 0;
+    String checkpoint = "";
+    for (Task task : tasks) {
+      attempt = Math.max(attempt, task.nextAttempt(firstAttempt));
+      checkpoint = checkpoint.isEmpty() ? task.checkpoint() : checkpoint;
+    }
+    for (int i = 0; i < tasks.size(); i++) {
+      start(tasks.get(i), places.get(i), attempt, checkpoint);
+    }
+  }
+
+  private void start(Task task, Worker worker, int attempt, String checkpoint) {
+    Run run = new Run(task, attempt, worker, Run.State.STARTING, clock.monotonicMillis());
+    task.setRun(run);
+    worker.add(run);
+    log.decided(
+        "start",
+        run.name().task().toString(),
+        worker.id(),
+        "attempt " + attempt + ", free cpu " + worker.freeCpu());
+    sendStart(run, checkpoint);
+  }
+
+  private void sendStart(Run run, String checkpoint) {
+    Worker worker = run.worker();
+    long now = clock.monotonicMillis();
+    long until = worker.grantLease(now, settings.workerLeaseMillis());
+    run.countStart();
+    StartOrder order =
+        new StartOrder(run.name(), run.task().job().submission().spec(), until, token, checkpoint);
+    port.start(worker.target(), order, reply -> onStartReply(run, checkpoint, reply));
+  }
+
+  private void onStartReply(Run run, String checkpoint, OrderReply reply) {
+    Worker worker = run.worker();
+    long now = clock.monotonicMillis();
+    worker.sawClock(reply.clockMillis(), now);
+    if (!isKnown(run)) {
+      return;
+    }
+    switch (reply.outcome()) {
+      case ACCEPTED -> onAccepted(run, now);
+      case FENCED -> {
+        drop(run, reply.outcome());
+        context.onFenced(worker);
+      }
+      case NO_ROOM -> {
+        worker.closeUntil(now + NO_ROOM_PAUSE_MILLIS);
+        dropUnlessRepeated(run, reply.outcome());
+      }
+      case UNHEALTHY -> {
+        worker.closeUntil(now + UNHEALTHY_PAUSE_MILLIS);
+        dropUnlessRepeated(run, reply.outcome());
+      }
+      case MALFORMED, NO_TICKET -> {
+        run.task().setNotBefore(now + MALFORMED_PAUSE_MILLIS);
+        dropUnlessRepeated(run, reply.outcome());
+      }
+      case LATE, OUTDATED, NOT_SENT, OTHER_BOOT -> {
+        worker.closeUntil(now + NO_ROOM_PAUSE_MILLIS);
+        worker.setNextHoldAt(now);
+        dropUnlessRepeated(run, reply.outcome());
+      }
+      case LOST -> onStartLost(run, checkpoint, now);
+    }
+  }
+
+  private void onAccepted(Run run, long now) {
+    if (run.state() == Run.State.STARTING) {
+      run.setState(Run.State.RUNNING);
+      run.setKnownSince(now);
+      keeper.onStarted(run.task().job());
+    }
+  }
+
+  /** An earlier order for the run may still be under way if this was not the first. */
+  private void dropUnlessRepeated(Run run, OrderOutcome outcome) {
+    if (run.startsSent() > 1 && outcome != OrderOutcome.OTHER_BOOT) {
+      stop(run, "the answer to the first order is missing");
+      return;
+    }
+    drop(run, outcome);
+  }
+
+  private void onStartLost(Run run, String checkpoint, long now) {
+    run.worker().setNextHoldAt(now);
+    boolean again =
+        run.state() == Run.State.STARTING
+            && run.startsSent() < MAX_START_ORDERS
+            && journal.isSure();
+    log.decided(
+        "start", run.name().task().toString(), "no answer", run.worker().id() + ", again " + again);
+    if (again) {
+      sendStart(run, checkpoint);
+    } else {
+      stop(run, "no answer to the order");
+    }
+  }
+
+  /** Stops a run; its room stays taken until it is certain that it is gone. */
+  void stop(Run run, String reason) {
+    if (run.state() != Run.State.STOPPING) {
+      run.setState(Run.State.STOPPING);
+      run.setKnownSince(Long.MAX_VALUE);
+      log.decided("stop", run.name().task().toString(), run.worker().id(), reason);
+    }
+    sendStop(run);
+  }
+
+  private void sendStop(Run run) {
+    long now = clock.monotonicMillis();
+    if (now - run.stopSentAt() < STOP_REPEAT_MILLIS) {
+      return;
+    }
+    run.setStopSentAt(now);
+    port.stop(run.worker().target(), run.name(), token, reply -> onStopReply(run, reply));
+  }
+
+  private void onStopReply(Run run, OrderReply reply) {
+    long now = clock.monotonicMillis();
+    run.worker().sawClock(reply.clockMillis(), now);
+    if (!isKnown(run)) {
+      return;
+    }
+    switch (reply.outcome()) {
+      case ACCEPTED -> {
+        run.setKnownSince(now);
+        run.worker().setNextHoldAt(now);
+      }
+      case FENCED -> context.onFenced(run.worker());
+      default -> run.worker().setNextHoldAt(now);
+    }
+  }
+
+  /** Repeats orders to stop that have no answer, and stops what belongs to no open job. */
+  void run(Iterable<Worker> workers) {
+    for (Worker worker : workers) {
+      for (Run run : new ArrayList<>(worker.runs())) {
+        if (run.state() == Run.State.STOPPING) {
+          if (run.knownSince() == Long.MAX_VALUE) {
+            sendStop(run);
+          }
+        } else if (run.task().job().state().isFinal() || run.task().isDone()) {
+          stop(run, "its job or task has ended");
+        }
+      }
+    }
+  }
+
+  /**
+   * Takes the report of a worker.
+   *
+   * @param askedAt time on the steady clock at which it was asked for
+   */
+  void onReport(Worker worker, HoldReply reply, long askedAt) {
+    long now = clock.monotonicMillis();
+    reply.ended().stream()
+        .filter(end -> end.number() > worker.lastEnd())
+        .forEach(end -> onEnd(worker, end));
+    Set<RunName> reported = new HashSet<>();
+    for (RunReport report : reply.running()) {
+      reported.add(report.run());
+      onRunning(worker, report, askedAt, now);
+    }
+    for (Run run : new ArrayList<>(worker.runs())) {
+      if (!reported.contains(run.name()) && askedAt > run.knownSince()) {
+        onGone(run, "the worker does not report it");
+      }
+    }
+  }
+
+  private void onEnd(Worker worker, EndReport end) {
+    worker.setLastEnd(end.number());
+    Run run = worker.run(end.run()).orElse(null);
+    Task task = run != null ? run.task() : jobs.task(end.run().task()).orElse(null);
+    if (task == null) {
+      log.decided("end", end.run().task().toString(), "unknown task", end.kind().name());
+      return;
+    }
+    log.decided(
+        "end",
+        end.run().task().toString(),
+        end.kind().name(),
+        "attempt " + end.run().attempt() + " at " + worker.id());
+    keeper.onEnded(
+        task,
+        end.run().attempt(),
+        worker,
+        end.kind(),
+        end.checkpoint(),
+        run,
+        context.maxAttempts(task.job()));
+    if (run != null) {
+      remove(run);
+    }
+  }
+
+  private void onRunning(Worker worker, RunReport report, long askedAt, long now) {
+    Run run = worker.run(report.run()).orElse(null);
+    if (run == null) {
+      run = adopt(worker, report.run());
+    }
+    if (run == null) {
+      port.stop(worker.target(), report.run(), token, reply -> {});
+      return;
+    }
+    run.report(report, now);
+    if (run.state() == Run.State.STARTING) {
+      run.setState(Run.State.RUNNING);
+      run.setKnownSince(askedAt);
+      keeper.onStarted(run.task().job());
+    }
+  }
+
+  /** Takes over a run that another holder started; null if it must not go on. */
+  private @Nullable Run adopt(Worker worker, RunName name) {
+    Task task = jobs.task(name.task()).orElse(null);
+    if (task == null || task.isDone() || task.job().state().isFinal() || task.run() != null) {
+      log.decided("run", name.task().toString(), "not adopted", worker.id());
+      return null;
+    }
+    Run run = new Run(task, name.attempt(), worker, Run.State.RUNNING, clock.monotonicMillis());
+    run.setKnownSince(clock.monotonicMillis());
+    task.setRun(run);
+    worker.add(run);
+    log.decided("run", name.task().toString(), "adopted", worker.id());
+    return run;
+  }
+
+  /** Takes note that a run has certainly ended without a report of its end. */
+  void onGone(Run run, String reason) {
+    log.decided("end", run.name().task().toString(), "gone", run.worker().id() + ", " + reason);
+    keeper.onEnded(
+        run.task(),
+        run.attempt(),
+        run.worker(),
+        EndKind.LAPSED,
+        "",
+        run,
+        context.maxAttempts(run.task().job()));
+    remove(run);
+  }
+
+  private void drop(Run run, OrderOutcome outcome) {
+    log.decided(
+        "start", run.name().task().toString(), outcome.name(), "refused by " + run.worker().id());
+    if (run.step().gang()) {
+      // The other members would wait in vain.
+      for (Task member : run.task().step().tasks()) {
+        Run other = member.run();
+        if (other != null && other != run) {
+          stop(other, "a member of its gang was refused");
+        }
+      }
+    }
+    remove(run);
+  }
+
+  private void remove(Run run) {
+    run.worker().remove(run);
+    if (run.task().run() == run) {
+      run.task().setRun(null);
+    }
+    context.onChange();
+  }
+
+  private static boolean isKnown(Run run) {
+    return run.worker().run(run.name()).orElse(null) == run;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -0,0 +1,267 @@
+package org.hemlockpick.cell;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hemlockpick.cell.WorkerPort.RunName;
+import org.hemlockpick.cell.WorkerPort.Target;
+import org.jspecify.annotations.Nullable;
+
+/** A worker that the cell gives tasks to. */
+final class Worker {
+  /** A worker's clock may be slow by this share. */
+  private static final double SLOWEST_CLOCK = 0.98;
+
+  /** Time on top of a lease until its end is taken as certain, in milliseconds. */
+  private static final long LAPSE_MARGIN_MILLIS = 100;
+
+  private final Map<RunName, Run> runs = new LinkedHashMap<>();
+  private WorkerEntry entry;
+  private boolean listed = true;
+  private boolean fenced;
+  private boolean onRoster;
+
+  private long clockMillis;
+  private long clockAt = Long.MIN_VALUE;
+  private long leaseUntil;
+
+  private long lastEnd;
+  private long recordedEnd;
+
+  private boolean holding;
+  private long nextHoldAt;
+  private long lastAnswerAt = Long.MIN_VALUE / 2;
+  private int holdFailures;
+
+  private Amounts reserved = Amounts.NONE;
+  private long fillerCpu;
+  private long closedUntil = Long.MIN_VALUE;
+  private final WorkerHealth health = new WorkerHealth();
+
+  /** Share of their speed at which fillers work here, in percent. */
+  private int fillerPace = 100;
+
+  private long paceChangedAt = Long.MIN_VALUE / 2;
+
+  Worker(WorkerEntry entry) {
+    this.entry = entry;
+  }
+
+  String id() {
+    return entry.id();
+  }
+
+  WorkerEntry entry() {
+    return entry;
+  }
+
+  Target target() {
+    return new Target(entry.id(), entry.address());
+  }
+
+  /** Takes a newer entry of the platform's list. */
+  void update(WorkerEntry newer) {
+    entry = newer;
+    listed = true;
+  }
+
+  boolean isListed() {
+    return listed;
+  }
+
+  void setUnlisted() {
+    listed = false;
+  }
+
+  /** Forgets what belongs to an earlier boot. */
+  void reboot() {
+    fenced = false;
+    clockAt = Long.MIN_VALUE;
+    leaseUntil = 0;
+    lastEnd = 0;
+    recordedEnd = 0;
+    holdFailures = 0;
+    fillerPace = 100;
+  }
+
+  /**
+   * Tells whether it has answered to the own fencing token, so that no earlier holder can use it.
+   */
+  boolean isFenced() {
+    return fenced;
+  }
+
+  void setFenced() {
+    fenced = true;
+  }
+
+  /** Tells whether a later holder would know from the table service that tasks may run here. */
+  boolean isOnRoster() {
+    return onRoster;
+  }
+
+  void setOnRoster(boolean stored) {
+    onRoster = stored;
+  }
+
+  void sawClock(long workerMillis, long nowMillis) {
+    if (workerMillis > 0) {
+      clockMillis = workerMillis;
+      clockAt = nowMillis;
+    }
+  }
+
+  boolean hasClock() {
+    return clockAt != Long.MIN_VALUE;
+  }
+
+  /** Returns the end of a lease on the worker's clock and notes that it may be in force. */
+  long grantLease(long nowMillis, long leaseMillis) {
+    long until = clockMillis + (nowMillis - clockAt) + leaseMillis;
+    leaseUntil = Math.max(leaseUntil, until);
+    return until;
+  }
+
+  /** Tells whether every lease that was ever named to it has certainly ended. */
+  boolean isLapsed(long nowMillis) {
+    if (!hasClock()) {
+      return true;
+    }
+    long least = clockMillis + (long) ((nowMillis - clockAt) * SLOWEST_CLOCK);
+    return least >= leaseUntil + LAPSE_MARGIN_MILLIS;
+  }
+
+  long lastEnd() {
+    return lastEnd;
+  }
+
+  void setLastEnd(long number) {
+    lastEnd = Math.max(lastEnd, number);
+  }
+
+  /** Returns the number up to which the ends are recorded in the table service. */
+  long recordedEnd() {
+    return recordedEnd;
+  }
+
+  void setRecordedEnd(long number) {
+    recordedEnd = Math.max(recordedEnd, number);
+  }
+
+  boolean isHolding() {
+    return holding;
+  }
+
+  void setHolding(boolean underWay) {
+    holding = underWay;
+  }
+
+  long nextHoldAt() {
+    return nextHoldAt;
+  }
+
+  void setNextHoldAt(long nowMillis) {
+    nextHoldAt = nowMillis;
+  }
+
+  long lastAnswerAt() {
+    return lastAnswerAt;
+  }
+
+  void answered(long nowMillis) {
+    lastAnswerAt = nowMillis;
+    holdFailures = 0;
+  }
+
+  int holdFailures() {
+    return holdFailures;
+  }
+
+  void addHoldFailure() {
+    holdFailures++;
+  }
+
+  Collection<Run> runs() {
+    return runs.values();
+  }
+
+  Optional<Run> run(RunName name) {
+    return Optional.ofNullable(runs.get(name));
+  }
+
+  void add(Run run) {
+    runs.put(run.name(), run);
+    reserved = reserved.plus(run.step().reserved());
+    fillerCpu += run.step().filler() ? run.step().demand().cpuMillis() : 0;
+  }
+
+  void remove(Run run) {
+    if (runs.remove(run.name()) == null) {
+      return;
+    }
+    reserved = reserved.minus(run.step().reserved());
+    fillerCpu -= run.step().filler() ? run.step().demand().cpuMillis() : 0;
+  }
+
+  /** Returns the room that no run has reserved. */
+  Amounts free() {
+    return entry.capacity().minus(reserved);
+  }
+
+  /** Returns the processor time that neither reservations nor fillers want. */
+  long freeCpu() {
+    return entry.capacity().cpuMillis() - reserved.cpuMillis() - fillerCpu;
+  }
+
+  boolean hasServing() {
+    for (Run run : runs.values()) {
+      if (run.step().isServing()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Takes no new task until a time on the steady clock. */
+  void closeUntil(long untilMillis) {
+    closedUntil = Math.max(closedUntil, untilMillis);
+  }
+
+  /** Tells whether it may be given tasks. */
+  boolean isOpen(long nowMillis) {
+    return listed
+        && fenced
+        && onRoster
+        && !entry.draining()
+        && holdFailures == 0
+        && nowMillis >= closedUntil
+        && hasClock();
+  }
+
+  WorkerHealth health() {
+    return health;
+  }
+
+  int fillerPace() {
+    return fillerPace;
+  }
+
+  void setFillerPace(int percent, long nowMillis) {
+    fillerPace = percent;
+    paceChangedAt = nowMillis;
+  }
+
+  long paceChangedAt() {
+    return paceChangedAt;
+  }
+
+  @Nullable String rack() {
+    for (String label : entry.labels()) {
+      if (label.startsWith("r")) {
+        return label;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerTable.java
@@ -0,0 +1,27 @@
+package org.hemlockpick.cell;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/** The workers of the cell by their identifiers. */
+final class WorkerTable {
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+
+  Collection<Worker> all() {
+    return workers.values();
+  }
+
+  @Nullable Worker get(String id) {
+    return workers.get(id);
+  }
+
+  void add(Worker worker) {
+    workers.put(worker.id(), worker);
+  }
+
+  void remove(Worker worker) {
+    workers.remove(worker.id());
+  }
+}
