--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -153,10 +153,10 @@
             workers,
             runner,
             new SlackOrder(times),
-            new MostFreePlacement(),
+            new SeparatingPlacement(),
             clock,
             this::queue);
-    this.pace = new PaceSystem(token, port, clock, log);
+    this.pace = new PaceSystem(token, port, runner, clock, log);
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
   }
@@ -579,6 +579,18 @@
         });
   }
 
+  /** Returns the most processor time that is free at a worker without serving tasks. */
+  private long fillerRoom() {
+    long now = clock.monotonicMillis();
+    long most = 0;
+    for (Worker worker : workers.all()) {
+      if (worker.isOpen(now) && !worker.hasServing()) {
+        most = Math.max(most, worker.freeCpu());
+      }
+    }
+    return most;
+  }
+
   private CellRecord record() {
     CellRecord.Builder record =
         CellRecord.newBuilder()
@@ -657,7 +669,7 @@
     @Override
     public void onReport(Worker worker) {
       changed = true;
-      pace.onReport(worker);
+      pace.onReport(worker, fillerRoom());
       stalls.onReport(worker);
       drains.onReport(worker);
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -22,20 +22,29 @@
 
   private static final long SPEED_UP_PAUSE_MILLIS = 1_500;
 
+  /** Share of their speed below which fillers had better run elsewhere, in percent. */
+  private static final int MOVE_PERCENT = 30;
+
   private final long token;
   private final WorkerPort port;
+  private final TaskRunner runner;
   private final LoopClock clock;
   private final DecisionLog log;
 
-  PaceSystem(long token, WorkerPort port, LoopClock clock, DecisionLog log) {
+  PaceSystem(long token, WorkerPort port, TaskRunner runner, LoopClock clock, DecisionLog log) {
     this.token = token;
     this.port = port;
+    this.runner = runner;
     this.clock = clock;
     this.log = log;
   }
 
-  /** Looks at a worker that has just reported. */
-  void onReport(Worker worker) {
+  /**
+   * Looks at a worker that has just reported.
+   *
+   * @param roomElsewhere processor time that fillers could have at a worker without serving tasks
+   */
+  void onReport(Worker worker, long roomElsewhere) {
     long now = clock.monotonicMillis();
     long load = worstLoad(worker);
     int pace = worker.fillerPace();
@@ -46,6 +55,21 @@
       change(worker, Math.min(FULL, pace + SPEED_UP_STEP), load, now);
     }
     apply(worker);
+    if (worker.fillerPace() <= MOVE_PERCENT) {
+      move(worker, roomElsewhere);
+    }
+  }
+
+  /** Moves a filler that keeps its work to where it can run at full speed. */
+  private void move(Worker worker, long roomElsewhere) {
+    for (Run run : worker.runs()) {
+      Step step = run.step();
+      boolean movable = step.filler() && step.checkpoints() && run.state() == Run.State.RUNNING;
+      if (movable && step.demand().cpuMillis() <= roomElsewhere) {
+        runner.stop(run, "slowed down to " + worker.fillerPace() + "%");
+        return;
+      }
+    }
   }
 
   private static int slower(int pace, long load) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -214,6 +214,11 @@
     return entry.capacity().cpuMillis() - reserved.cpuMillis() - fillerCpu;
   }
 
+  /** Returns the processor time that its fillers want. */
+  long fillerCpu() {
+    return fillerCpu;
+  }
+
   boolean hasServing() {
     for (Run run : runs.values()) {
       if (run.step().isServing()) {
