--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
@@ -1,10 +1,12 @@
 package org.hemlockpick.transport.http;
 
+import io.micronaut.core.type.Argument;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.MediaType;
 import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
 import java.net.ConnectException;
 import java.net.URI;
 import java.net.UnknownHostException;
@@ -14,12 +16,16 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.hemlockpick.proto.CallFate;
+import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
 /** Sends calls to one address and tells what became of each; never sends a call twice. */
 public final class HttpEndpoint {
+  private static final Logger log = Logger.getLogger(HttpEndpoint.class);
+  private static final Argument<byte[]> BYTES = Argument.of(byte[].class);
+
   private final HttpTransport transport;
   private final String address;
   private final int maxInFlight;
@@ -104,8 +110,8 @@
     }
   }
 
-  private static HttpAnswer answer(HttpResponse<byte[]> response) {
-    byte[] body = response.body();
+  private static HttpAnswer answer(HttpResponse<?> response) {
+    byte[] body = response.getBody(BYTES).orElse(null);
     return new HttpAnswer(
         CallFate.ANSWERED,
         response.code(),
@@ -140,7 +146,7 @@
 
     void start(MutableHttpRequest<?> request, long timeoutMillis) {
       timeout = transport.loop().schedule(this::expire, timeoutMillis, TimeUnit.MILLISECONDS);
-      used.client().exchange(request, byte[].class).subscribe(this);
+      used.client().exchange(request, BYTES, BYTES).subscribe(this);
     }
 
     @Override
@@ -156,6 +162,12 @@
 
     @Override
     public void onError(Throwable thrown) {
+      if (thrown instanceof HttpClientResponseException refused) {
+        // The client throws whatever is no success, as it tells no error from another.
+        end(answer(refused.getResponse()));
+        return;
+      }
+      log.debugf(thrown, "call to %s failed", address);
       end(failure(thrown));
     }
 
