Give fillers an allowance beside serving tasks

An allowance for each worker, which grows while tails are low and shrinks at once when one comes near its target, lets fillers have what serving tasks leave.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -51,6 +51,7 @@
   private final JobTable jobs = new JobTable();
   private final WorkerTable workers = new WorkerTable();
   private final RunTimes times = new RunTimes();
+  private final FillerWeights weights = new FillerWeights();
   private final CellJournal journal;
   private final JobKeeper keeper;
   private final TaskRunner runner;
@@ -153,10 +154,10 @@
             workers,
             runner,
             new SlackOrder(times),
-            new SeparatingPlacement(),
+            new SeparatingPlacement(weights),
             clock,
             this::queue);
-    this.pace = new PaceSystem(token, port, runner, clock, log);
+    this.pace = new PaceSystem(token, port, runner, weights, clock, log);
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -1,40 +1,54 @@
 package org.hemlockpick.cell;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 
 /**
- * Slows the fillers of a worker down when a serving task beside them comes near its latency target,
- * and lets them go faster again step by step.
+ * Keeps an allowance of processor time for the fillers of each worker with serving tasks. It
+ * shrinks at once when a serving task comes near its latency target and grows step by step while
+ * all stay well below. Fillers beyond the allowance are slowed down, and moved if they can run
+ * elsewhere.
  */
 final class PaceSystem {
-  /** Share of the target from which fillers are slowed down, in percent. */
-  private static final int SLOW_DOWN_PERCENT = 85;
+  /** Share of the target from which the allowance shrinks, in percent. */
+  private static final int SHRINK_PERCENT = 80;
 
-  /** Share of the target below which fillers may go faster, in percent. */
-  private static final int SPEED_UP_PERCENT = 60;
+  /** Share of the target below which the allowance may grow, in percent. */
+  private static final int GROW_PERCENT = 66;
 
   private static final int FULL = 100;
-  private static final int LEAST = 10;
-  private static final int SPEED_UP_STEP = 20;
+  private static final double SHRINK = 0.7;
+  private static final double SHRINK_OVER_TARGET = 0.35;
+  private static final long GROW_MILLICORES = 5_000;
 
-  /** Time for which a change is left to show in the reports. */
-  private static final long SETTLE_MILLIS = 700;
+  /** Least change of the pace that is worth an order, in percent. */
+  private static final int LEAST_CHANGE = 8;
 
-  private static final long SPEED_UP_PAUSE_MILLIS = 1_500;
+  /** Time for which a change is left to show in the reports. */
+  private static final long SETTLE_MILLIS = 650;
 
   /** Share of their speed below which fillers had better run elsewhere, in percent. */
-  private static final int MOVE_PERCENT = 30;
+  private static final int MOVE_PERCENT = 35;
 
   private final long token;
   private final WorkerPort port;
   private final TaskRunner runner;
+  private final FillerWeights weights;
   private final LoopClock clock;
   private final DecisionLog log;
 
-  PaceSystem(long token, WorkerPort port, TaskRunner runner, LoopClock clock, DecisionLog log) {
+  PaceSystem(
+      long token,
+      WorkerPort port,
+      TaskRunner runner,
+      FillerWeights weights,
+      LoopClock clock,
+      DecisionLog log) {
     this.token = token;
     this.port = port;
     this.runner = runner;
+    this.weights = weights;
     this.clock = clock;
     this.log = log;
   }
@@ -45,45 +59,73 @@
    * @param roomElsewhere processor time that fillers could have at a worker without serving tasks
    */
   void onReport(Worker worker, long roomElsewhere) {
+    if (worker.hasServing()) {
+      adapt(worker);
+    }
+    int pace = pace(worker);
+    apply(worker, pace);
+    if (pace <= MOVE_PERCENT) {
+      move(worker, pace, roomElsewhere);
+    }
+  }
+
+  private void adapt(Worker worker) {
     long now = clock.monotonicMillis();
     long load = worstLoad(worker);
-    int pace = worker.fillerPace();
-    long settled = now - worker.paceChangedAt();
-    if (load >= SLOW_DOWN_PERCENT && pace > 0 && settled >= SETTLE_MILLIS) {
-      change(worker, slower(pace, load), load, now);
-    } else if (load < SPEED_UP_PERCENT && pace < FULL && settled >= SPEED_UP_PAUSE_MILLIS) {
-      change(worker, Math.min(FULL, pace + SPEED_UP_STEP), load, now);
+    long allowance = worker.fillerAllowance();
+    long used = Math.min(allowance, usage(worker));
+    if (now - worker.allowanceChangedAt() < SETTLE_MILLIS) {
+      return;
     }
-    apply(worker);
-    if (worker.fillerPace() <= MOVE_PERCENT) {
-      move(worker, roomElsewhere);
+    if (load >= SHRINK_PERCENT && used > 0) {
+      images(worker).forEach(weights::disturbed);
+      set(worker, (long) (used * (load >= FULL ? SHRINK_OVER_TARGET : SHRINK)), load, now);
+    } else if (load < GROW_PERCENT && used * 2 >= allowance) {
+      images(worker).forEach(weights::tolerated);
+      set(worker, allowance + GROW_MILLICORES, load, now);
     }
   }
 
-  /** Moves a filler that keeps its work to where it can run at full speed. */
-  private void move(Worker worker, long roomElsewhere) {
+  private void set(Worker worker, long wanted, long load, long now) {
+    long allowance = Math.min(wanted, worker.entry().capacity().cpuMillis());
+    if (allowance < worker.fillerAllowance()) {
+      log.decided(
+          "pace",
+          worker.id(),
+          "fillers get " + allowance + " millicores",
+          "worst serving task at " + load + "% of its target, had " + worker.fillerAllowance());
+    }
+    worker.setFillerAllowance(allowance, now);
+  }
+
+  /** Returns the weighed processor time that the fillers of a worker want. */
+  private long usage(Worker worker) {
+    long sum = 0;
     for (Run run : worker.runs()) {
-      Step step = run.step();
-      boolean movable = step.filler() && step.checkpoints() && run.state() == Run.State.RUNNING;
-      if (movable && step.demand().cpuMillis() <= roomElsewhere) {
-        runner.stop(run, "slowed down to " + worker.fillerPace() + "%");
-        return;
+      if (run.step().filler()) {
+        sum += weights.weigh(run.step());
       }
     }
+    return sum;
   }
 
-  private static int slower(int pace, long load) {
-    int half = load >= FULL ? pace / 4 : pace / 2;
-    return half < LEAST ? 0 : half;
+  private static Set<String> images(Worker worker) {
+    Set<String> images = new HashSet<>();
+    for (Run run : worker.runs()) {
+      if (run.step().filler()) {
+        images.add(run.step().image());
+      }
+    }
+    return images;
   }
 
-  private void change(Worker worker, int pace, long load, long now) {
-    log.decided(
-        "pace",
-        worker.id(),
-        "fillers at " + pace + "%",
-        "worst serving task at " + load + "% of its target, before " + worker.fillerPace() + "%");
-    worker.setFillerPace(pace, now);
+  /** Returns the share of their speed that the allowance leaves to the fillers, in percent. */
+  private int pace(Worker worker) {
+    long usage = usage(worker);
+    if (!worker.hasServing() || usage <= worker.fillerAllowance()) {
+      return FULL;
+    }
+    return (int) (worker.fillerAllowance() * FULL / usage);
   }
 
   /** Returns the highest tail latency of a serving task, in percent of its target. */
@@ -91,30 +133,46 @@
     long worst = 0;
     for (Run run : worker.runs()) {
       if (run.step().isServing()) {
-        worst = Math.max(worst, run.gauge() * 100 / run.step().tailTargetMillis());
+        worst = Math.max(worst, run.gauge() * FULL / run.step().tailTargetMillis());
       }
     }
     return worst;
   }
 
-  private void apply(Worker worker) {
+  /** Moves a filler that keeps its work to where it can run at full speed. */
+  private void move(Worker worker, int pace, long roomElsewhere) {
     for (Run run : worker.runs()) {
-      boolean differs = run.step().filler() && run.pace() != worker.fillerPace();
-      if (differs && run.state() == Run.State.RUNNING) {
-        int before = run.pace();
-        int pace = worker.fillerPace();
-        run.setPace(pace);
-        port.pace(
-            worker.target(),
-            run.name(),
-            pace,
-            token,
-            reply -> {
-              if (reply.outcome() != OrderOutcome.ACCEPTED) {
-                run.setPace(before);
-              }
-            });
+      Step step = run.step();
+      boolean movable = step.filler() && step.checkpoints() && run.state() == Run.State.RUNNING;
+      if (movable && step.demand().cpuMillis() <= roomElsewhere) {
+        runner.stop(run, "slowed down to " + pace + "%");
+        return;
       }
     }
   }
+
+  private void apply(Worker worker, int pace) {
+    for (Run run : worker.runs()) {
+      int difference = Math.abs(run.pace() - pace);
+      boolean matters = difference >= LEAST_CHANGE || (difference > 0 && pace == FULL);
+      if (run.step().filler() && run.state() == Run.State.RUNNING && matters) {
+        send(run, pace);
+      }
+    }
+  }
+
+  private void send(Run run, int pace) {
+    int before = run.pace();
+    run.setPace(pace);
+    port.pace(
+        run.worker().target(),
+        run.name(),
+        pace,
+        token,
+        reply -> {
+          if (reply.outcome() != OrderOutcome.ACCEPTED) {
+            run.setPace(before);
+          }
+        });
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -16,6 +16,9 @@
   /** Time on top of a lease until its end is taken as certain, in milliseconds. */
   private static final long LAPSE_MARGIN_MILLIS = 100;
 
+  /** Processor time for fillers beside serving tasks until reports tell more, in millicores. */
+  private static final long FIRST_ALLOWANCE = 8_000;
+
   private final Map<RunName, Run> runs = new LinkedHashMap<>();
   private WorkerEntry entry;
   private boolean listed = true;
@@ -39,10 +42,9 @@
   private long closedUntil = Long.MIN_VALUE;
   private final WorkerHealth health = new WorkerHealth();
 
-  /** Share of their speed at which fillers work here, in percent. */
-  private int fillerPace = 100;
+  private long fillerAllowance = FIRST_ALLOWANCE;
 
-  private long paceChangedAt = Long.MIN_VALUE / 2;
+  private long allowanceChangedAt = Long.MIN_VALUE / 2;
 
   Worker(WorkerEntry entry) {
     this.entry = entry;
@@ -82,7 +84,7 @@
     lastEnd = 0;
     recordedEnd = 0;
     holdFailures = 0;
-    fillerPace = 100;
+    fillerAllowance = FIRST_ALLOWANCE;
   }
 
   /**
@@ -219,6 +221,15 @@
     return fillerCpu;
   }
 
+  /** Returns the processor time that serving tasks have reserved. */
+  long servingCpu() {
+    long sum = 0;
+    for (Run run : runs.values()) {
+      sum += run.step().isServing() ? run.step().demand().cpuMillis() : 0;
+    }
+    return sum;
+  }
+
   boolean hasServing() {
     for (Run run : runs.values()) {
       if (run.step().isServing()) {
@@ -248,17 +259,18 @@
     return health;
   }
 
-  int fillerPace() {
-    return fillerPace;
+  /** Returns the weighed processor time that fillers may have beside serving tasks. */
+  long fillerAllowance() {
+    return fillerAllowance;
   }
 
-  void setFillerPace(int percent, long nowMillis) {
-    fillerPace = percent;
-    paceChangedAt = nowMillis;
+  void setFillerAllowance(long millicores, long nowMillis) {
+    fillerAllowance = millicores;
+    allowanceChangedAt = nowMillis;
   }
 
-  long paceChangedAt() {
-    return paceChangedAt;
+  long allowanceChangedAt() {
+    return allowanceChangedAt;
   }
 
   @Nullable String rack() {
