--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -580,18 +580,6 @@
         });
   }
 
-  /** Returns the most processor time that is free at a worker without serving tasks. */
-  private long fillerRoom() {
-    long now = clock.monotonicMillis();
-    long most = 0;
-    for (Worker worker : workers.all()) {
-      if (worker.isOpen(now) && !worker.hasServing()) {
-        most = Math.max(most, worker.freeCpu());
-      }
-    }
-    return most;
-  }
-
   private CellRecord record() {
     CellRecord.Builder record =
         CellRecord.newBuilder()
@@ -670,7 +658,7 @@
     @Override
     public void onReport(Worker worker) {
       changed = true;
-      pace.onReport(worker, fillerRoom());
+      pace.onReport(worker, planner::isPlaceable);
       stalls.onReport(worker);
       drains.onReport(worker);
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/FillerWeights.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/FillerWeights.java
@@ -8,8 +8,8 @@
  * other images: 1 is the usual strength.
  */
 final class FillerWeights {
-  private static final double RAISE = 1.12;
-  private static final double LOWER = 0.97;
+  private static final double RAISE = 1.08;
+  private static final double LOWER = 0.98;
   private static final double LEAST = 0.3;
   private static final double MOST = 4;
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 
 /**
@@ -17,16 +18,21 @@
   /** Share of the target below which the allowance may grow, in percent. */
   private static final int GROW_PERCENT = 66;
 
+  /** Share of the target that the allowance aims at, in percent. */
+  private static final int AIM_PERCENT = 72;
+
+  /** Usual tail latency without fillers, in percent of the target. */
+  private static final int BASE_PERCENT = 32;
+
   private static final int FULL = 100;
-  private static final double SHRINK = 0.7;
-  private static final double SHRINK_OVER_TARGET = 0.35;
-  private static final long GROW_MILLICORES = 5_000;
+  private static final double GROW = 1.25;
+  private static final long GROW_MILLICORES = 3_000;
 
   /** Least change of the pace that is worth an order, in percent. */
   private static final int LEAST_CHANGE = 8;
 
   /** Time for which a change is left to show in the reports. */
-  private static final long SETTLE_MILLIS = 650;
+  private static final long SETTLE_MILLIS = 800;
 
   /** Share of their speed below which fillers had better run elsewhere, in percent. */
   private static final int MOVE_PERCENT = 35;
@@ -56,16 +62,16 @@
   /**
    * Looks at a worker that has just reported.
    *
-   * @param roomElsewhere processor time that fillers could have at a worker without serving tasks
+   * @param isPlaceable tells whether a task would find room at another worker
    */
-  void onReport(Worker worker, long roomElsewhere) {
+  void onReport(Worker worker, Predicate<Task> isPlaceable) {
     if (worker.hasServing()) {
       adapt(worker);
     }
     int pace = pace(worker);
     apply(worker, pace);
     if (pace <= MOVE_PERCENT) {
-      move(worker, pace, roomElsewhere);
+      move(worker, pace, isPlaceable);
     }
   }
 
@@ -79,10 +85,11 @@
     }
     if (load >= SHRINK_PERCENT && used > 0) {
       images(worker).forEach(weights::disturbed);
-      set(worker, (long) (used * (load >= FULL ? SHRINK_OVER_TARGET : SHRINK)), load, now);
+      // The excess over the usual latency is taken as proportional to what the fillers use.
+      set(worker, used * (AIM_PERCENT - BASE_PERCENT) / (load - BASE_PERCENT), load, now);
     } else if (load < GROW_PERCENT && used * 2 >= allowance) {
       images(worker).forEach(weights::tolerated);
-      set(worker, allowance + GROW_MILLICORES, load, now);
+      set(worker, (long) (allowance * GROW) + GROW_MILLICORES, load, now);
     }
   }
 
@@ -140,11 +147,11 @@
   }
 
   /** Moves a filler that keeps its work to where it can run at full speed. */
-  private void move(Worker worker, int pace, long roomElsewhere) {
+  private void move(Worker worker, int pace, Predicate<Task> isPlaceable) {
     for (Run run : worker.runs()) {
       Step step = run.step();
       boolean movable = step.filler() && step.checkpoints() && run.state() == Run.State.RUNNING;
-      if (movable && step.demand().cpuMillis() <= roomElsewhere) {
+      if (movable && isPlaceable.test(run.task())) {
         runner.stop(run, "slowed down to " + pace + "%");
         return;
       }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -145,6 +145,18 @@
     return tasks.size();
   }
 
+  /** Tells whether a task that runs would find room at another worker. */
+  boolean isPlaceable(Task task) {
+    Queue queue = queues.apply(task.job());
+    if (queue == null) {
+      return false;
+    }
+    List<Worker> candidates = candidates(task, queue, clock.monotonicMillis());
+    Run run = task.run();
+    candidates.removeIf(worker -> run != null && worker == run.worker());
+    return placement.choose(task, candidates) != null;
+  }
+
   private List<Worker> candidates(Task task, Queue queue, long now) {
     List<Worker> candidates = new ArrayList<>();
     for (Worker worker : workers.all()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -17,7 +17,7 @@
   private static final long LAPSE_MARGIN_MILLIS = 100;
 
   /** Processor time for fillers beside serving tasks until reports tell more, in millicores. */
-  private static final long FIRST_ALLOWANCE = 8_000;
+  private static final long FIRST_ALLOWANCE = 16_000;
 
   private final Map<RunName, Run> runs = new LinkedHashMap<>();
   private WorkerEntry entry;
