--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -32,6 +32,7 @@
   private static final long FEED_WAIT_MILLIS = 1_000;
   private static final long FEED_TIMEOUT_MILLIS = FEED_WAIT_MILLIS + 500;
   private static final long PLAN_PAUSE_MILLIS = 100;
+  private static final long LOAD_REPORT_PAUSE_MILLIS = 2_000;
   private static final long FORGET_PAUSE_MILLIS = 5_000;
 
   /** Numbers of attempts that one holder may use for a task. */
@@ -87,6 +88,7 @@
   private long nextRegistryAt;
   private long nextPlanAt;
   private long nextForgetAt;
+  private long nextLoadReportAt;
   private boolean changed = true;
   private boolean rosterChanged;
 
@@ -211,12 +213,29 @@
       nextPlanAt = now + PLAN_PAUSE_MILLIS;
       planner.run(located);
     }
+    if (now >= nextLoadReportAt) {
+      nextLoadReportAt = now + LOAD_REPORT_PAUSE_MILLIS;
+      log.decided("load", settings.cell(), LoadReport.of(workers.all(), now), waitingTasks());
+    }
     if (now >= nextForgetAt) {
       nextForgetAt = now + FORGET_PAUSE_MILLIS;
       keeper.forget(settings.statusKeepMillis());
     }
   }
 
+  private String waitingTasks() {
+    long now = clock.monotonicMillis();
+    long waiting = 0;
+    for (Job job : jobs.open()) {
+      for (StepRun step : job.stepRuns()) {
+        if (!step.isDone() && job.isOpen(step)) {
+          waiting += step.tasks().stream().filter(task -> task.isReady(now)).count();
+        }
+      }
+    }
+    return jobs.open().size() + " open jobs, " + waiting + " tasks wait for room";
+  }
+
   // Jobs
 
   private void load(long now) {
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LoadReport.java
@@ -0,0 +1,48 @@
+package org.hemlockpick.cell;
+
+import java.util.Locale;
+
+/** Says in one line how full the workers are. */
+final class LoadReport {
+  private LoadReport() {}
+
+  /** Returns the load of some workers: cores in whole numbers. */
+  static String of(Iterable<Worker> workers, long nowMillis) {
+    long capacity = 0;
+    long reserved = 0;
+    long serving = 0;
+    long fillers = 0;
+    long used = 0;
+    long allowed = 0;
+    int open = 0;
+    int runs = 0;
+    for (Worker worker : workers) {
+      open += worker.isOpen(nowMillis) ? 1 : 0;
+      runs += worker.runs().size();
+      capacity += worker.entry().capacity().cpuMillis();
+      reserved += worker.entry().capacity().cpuMillis() - worker.free().cpuMillis();
+      serving += worker.servingCpu();
+      fillers += worker.fillerCpu();
+      allowed += worker.hasServing() ? worker.fillerAllowance() : 0;
+      for (Run run : worker.runs()) {
+        used += run.step().filler() ? run.gauge() : 0;
+      }
+    }
+    return String.format(
+        Locale.ROOT,
+        "%d open, %d runs, cores: %d in all, %d reserved, %d of them serving; fillers want %d, use"
+            + " %d, allowed beside serving %d",
+        open,
+        runs,
+        cores(capacity),
+        cores(reserved),
+        cores(serving),
+        cores(fillers),
+        cores(used),
+        cores(allowed));
+  }
+
+  private static long cores(long millicores) {
+    return millicores / 1_000;
+  }
+}
