Learn interference by pair of images

Coefficients for each pair, learned from the reports, now decide where a filler goes and which one is slowed down; serving tasks of one image share workers.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -52,7 +52,7 @@
   private final JobTable jobs = new JobTable();
   private final WorkerTable workers = new WorkerTable();
   private final RunTimes times = new RunTimes();
-  private final FillerWeights weights = new FillerWeights();
+  private final Interference interference = new Interference();
   private final CellJournal journal;
   private final JobKeeper keeper;
   private final TaskRunner runner;
@@ -156,10 +156,10 @@
             workers,
             runner,
             new SlackOrder(times),
-            new SeparatingPlacement(weights),
+            new InterferencePlacement(interference),
             clock,
             this::queue);
-    this.pace = new PaceSystem(token, port, runner, weights, clock, log);
+    this.pace = new PaceSystem(token, port, runner, interference, clock, log);
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SeparatingPlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferencePlacement.java
@@ -3,34 +3,36 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Keeps fillers and serving tasks apart as far as there is room. Serving tasks fill up the workers
- * that have some already. Fillers go to the other workers first, those that disturb most before
- * all; beside serving tasks they get no more than the worker's allowance. All other tasks, which
- * disturb nobody, take the room that is left beside serving tasks first.
+ * Places fillers where the serving tasks beside them stay well below their targets. Serving tasks
+ * of one image share workers, so that every filler finds workers whose serving tasks it does not
+ * disturb. All other tasks, which disturb nobody, go where most processor time is free.
  */
-final class SeparatingPlacement implements PlacementPolicy {
+final class InterferencePlacement implements PlacementPolicy {
+  /** Expected tail up to which a filler is placed, as a share of the target. */
+  private static final double MOST_EXPECTED = 0.75;
+
   /** Share of the processor time that a filler wants which must be free, in percent. */
   private static final int FILLER_SHARE_PERCENT = 70;
 
-  /** Share of its reservation that a serving task uses at most as a rule, in percent. */
-  private static final int SERVING_USE_PERCENT = 65;
+  /** Share of its reservation that a serving task uses as a rule, in percent. */
+  private static final int SERVING_USE_PERCENT = 60;
 
-  /** Weight up to which a filler counts as harmless. */
-  private static final double LIGHT = 0.9;
+  /** What the whole target of a serving task counts for against free processors, in millicores. */
+  private static final double TAIL_PENALTY = 20_000;
 
   /** Advantage of a worker of the better kind, in millicores: more than any worker has. */
   private static final long KIND_BONUS = 1_000_000;
 
   /** Advantage of the preferred rack. */
-  private static final long RACK_BONUS = 2 * KIND_BONUS;
+  private static final long RACK_BONUS = 3 * KIND_BONUS;
 
   /** Disadvantage of a worker at which runs have failed. */
-  private static final long DOUBT_PENALTY = 4 * KIND_BONUS;
+  private static final long DOUBT_PENALTY = 6 * KIND_BONUS;
 
-  private final FillerWeights weights;
+  private final Interference interference;
 
-  SeparatingPlacement(FillerWeights weights) {
-    this.weights = weights;
+  InterferencePlacement(Interference interference) {
+    this.interference = interference;
   }
 
   @Override
@@ -53,10 +55,7 @@
 
   private boolean takesFiller(Step step, Worker worker) {
     long wanted = step.demand().cpuMillis() * FILLER_SHARE_PERCENT / 100;
-    if (unusedCpu(worker) < wanted) {
-      return false;
-    }
-    return !worker.hasServing() || weights.weigh(step) <= allowanceLeft(worker);
+    return unusedCpu(worker) >= wanted && interference.predictWith(worker, step) <= MOST_EXPECTED;
   }
 
   /** Returns the processor time that is likely left to one more filler. */
@@ -64,16 +63,6 @@
     return worker.freeCpu() + worker.servingCpu() * (100 - SERVING_USE_PERCENT) / 100;
   }
 
-  private long allowanceLeft(Worker worker) {
-    long left = worker.fillerAllowance();
-    for (Run run : worker.runs()) {
-      if (run.step().filler()) {
-        left -= weights.weigh(run.step());
-      }
-    }
-    return left;
-  }
-
   private long score(Task task, Step step, Worker worker) {
     long score = kindScore(step, worker);
     String rack = step.preferredRack();
@@ -89,18 +78,28 @@
 
   private long kindScore(Step step, Worker worker) {
     if (step.isServing()) {
-      return servingScore(worker);
+      return servingScore(step, worker);
     }
-    if (!step.filler()) {
-      return worker.freeCpu() + (worker.hasServing() ? KIND_BONUS : 0);
+    if (step.filler()) {
+      double tail = interference.predictWith(worker, step);
+      return unusedCpu(worker) - (long) (tail * TAIL_PENALTY);
     }
-    boolean light = weights.weight(step.image()) <= LIGHT;
-    long score = worker.hasServing() ? allowanceLeft(worker) : unusedCpu(worker);
-    return worker.hasServing() == light ? score + KIND_BONUS : score;
+    return worker.freeCpu();
   }
 
-  /** Prefers a worker with serving tasks, the fullest first, then one with few fillers. */
-  private static long servingScore(Worker worker) {
-    return worker.hasServing() ? KIND_BONUS - worker.freeCpu() : -worker.fillerCpu();
+  /** Prefers the fullest worker of its image, then one without serving tasks and few fillers. */
+  private static long servingScore(Step step, Worker worker) {
+    boolean same = false;
+    boolean other = false;
+    for (Run run : worker.runs()) {
+      if (run.step().isServing()) {
+        same |= run.step().image().equals(step.image());
+        other |= !run.step().image().equals(step.image());
+      }
+    }
+    if (same) {
+      return (other ? KIND_BONUS : 2 * KIND_BONUS) - worker.freeCpu();
+    }
+    return -worker.fillerCpu() - (other ? KIND_BONUS : 0);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LoadReport.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LoadReport.java
@@ -13,7 +13,7 @@
     long serving = 0;
     long fillers = 0;
     long used = 0;
-    long allowed = 0;
+    int slowed = 0;
     int open = 0;
     int runs = 0;
     for (Worker worker : workers) {
@@ -23,7 +23,7 @@
       reserved += worker.entry().capacity().cpuMillis() - worker.free().cpuMillis();
       serving += worker.servingCpu();
       fillers += worker.fillerCpu();
-      allowed += worker.hasServing() ? worker.fillerAllowance() : 0;
+      slowed += worker.fillerPaces().isEmpty() ? 0 : 1;
       for (Run run : worker.runs()) {
         used += run.step().filler() ? run.gauge() : 0;
       }
@@ -31,7 +31,7 @@
     return String.format(
         Locale.ROOT,
         "%d open, %d runs, cores: %d in all, %d reserved, %d of them serving; fillers want %d, use"
-            + " %d, allowed beside serving %d",
+            + " %d, slowed down at %d workers",
         open,
         runs,
         cores(capacity),
@@ -39,7 +39,7 @@
         cores(serving),
         cores(fillers),
         cores(used),
-        cores(allowed));
+        slowed);
   }
 
   private static long cores(long millicores) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -1,46 +1,49 @@
 package org.hemlockpick.cell;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Keeps an allowance of processor time for the fillers of each worker with serving tasks. It
- * shrinks at once when a serving task comes near its latency target and grows step by step while
- * all stay well below. Fillers beyond the allowance are slowed down, and moved if they can run
- * elsewhere.
+ * Slows fillers down when a serving task beside them comes near its latency target: those of the
+ * images that are to blame. They are let go faster step by step, and moved if another worker takes
+ * them at full speed.
  */
 final class PaceSystem {
-  /** Share of the target from which the allowance shrinks, in percent. */
-  private static final int SHRINK_PERCENT = 80;
+  /** Tail from which fillers are slowed down, as a share of the target. */
+  private static final double SLOW_DOWN = 0.85;
 
-  /** Share of the target below which the allowance may grow, in percent. */
-  private static final int GROW_PERCENT = 66;
+  /** Tail that slowing down aims at. */
+  private static final double AIM = 0.7;
 
-  /** Share of the target that the allowance aims at, in percent. */
-  private static final int AIM_PERCENT = 72;
-
-  /** Usual tail latency without fillers, in percent of the target. */
-  private static final int BASE_PERCENT = 32;
+  /** Tail below which fillers may go faster. */
+  private static final double SPEED_UP = 0.62;
 
   private static final int FULL = 100;
-  private static final double GROW = 1.25;
-  private static final long GROW_MILLICORES = 3_000;
+  private static final double FASTER = 1.3;
+  private static final int FASTER_PERCENT = 10;
+
+  /** Share of the largest contribution from which an image is to blame too. */
+  private static final double BLAME = 0.3;
+
+  /** Factor of the pace when no image is known to be to blame. */
+  private static final double UNKNOWN_BLAME = 0.6;
 
   /** Least change of the pace that is worth an order, in percent. */
-  private static final int LEAST_CHANGE = 8;
+  private static final int LEAST_CHANGE = 6;
 
   /** Time for which a change is left to show in the reports. */
   private static final long SETTLE_MILLIS = 800;
 
   /** Share of their speed below which fillers had better run elsewhere, in percent. */
-  private static final int MOVE_PERCENT = 35;
+  private static final int MOVE_PERCENT = 50;
 
   private final long token;
   private final WorkerPort port;
   private final TaskRunner runner;
-  private final FillerWeights weights;
+  private final Interference interference;
   private final LoopClock clock;
   private final DecisionLog log;
 
@@ -48,13 +51,13 @@
       long token,
       WorkerPort port,
       TaskRunner runner,
-      FillerWeights weights,
+      Interference interference,
       LoopClock clock,
       DecisionLog log) {
     this.token = token;
     this.port = port;
     this.runner = runner;
-    this.weights = weights;
+    this.interference = interference;
     this.clock = clock;
     this.log = log;
   }
@@ -65,104 +68,110 @@
    * @param isPlaceable tells whether a task would find room at another worker
    */
   void onReport(Worker worker, Predicate<Task> isPlaceable) {
-    if (worker.hasServing()) {
-      adapt(worker);
-    }
-    int pace = pace(worker);
-    apply(worker, pace);
-    if (pace <= MOVE_PERCENT) {
-      move(worker, pace, isPlaceable);
+    interference.learn(worker);
+    long now = clock.monotonicMillis();
+    if (now - worker.paceChangedAt() >= SETTLE_MILLIS) {
+      adapt(worker, now);
     }
+    apply(worker);
+    move(worker, isPlaceable);
   }
 
-  private void adapt(Worker worker) {
-    long now = clock.monotonicMillis();
-    long load = worstLoad(worker);
-    long allowance = worker.fillerAllowance();
-    long used = Math.min(allowance, usage(worker));
-    if (now - worker.allowanceChangedAt() < SETTLE_MILLIS) {
+  private void adapt(Worker worker, long now) {
+    Run worst = worst(worker);
+    if (worst == null) {
+      if (!worker.fillerPaces().isEmpty()) {
+        worker.setFillerPaces(Map.of(), now);
+      }
       return;
     }
-    if (load >= SHRINK_PERCENT && used > 0) {
-      images(worker).forEach(weights::disturbed);
-      // The excess over the usual latency is taken as proportional to what the fillers use.
-      set(worker, used * (AIM_PERCENT - BASE_PERCENT) / (load - BASE_PERCENT), load, now);
-    } else if (load < GROW_PERCENT && used * 2 >= allowance) {
-      images(worker).forEach(weights::tolerated);
-      set(worker, (long) (allowance * GROW) + GROW_MILLICORES, load, now);
+    double load = Interference.load(worst);
+    Map<String, Double> wanted = Interference.wanted(worker);
+    if (load >= SLOW_DOWN && !wanted.isEmpty()) {
+      slowDown(worker, worst, load, wanted, now);
+    } else if (load < SPEED_UP && !worker.fillerPaces().isEmpty()) {
+      speedUp(worker, now);
     }
   }
 
-  private void set(Worker worker, long wanted, long load, long now) {
-    long allowance = Math.min(wanted, worker.entry().capacity().cpuMillis());
-    if (allowance < worker.fillerAllowance()) {
-      log.decided(
-          "pace",
-          worker.id(),
-          "fillers get " + allowance + " millicores",
-          "worst serving task at " + load + "% of its target, had " + worker.fillerAllowance());
-    }
-    worker.setFillerAllowance(allowance, now);
-  }
-
-  /** Returns the weighed processor time that the fillers of a worker want. */
-  private long usage(Worker worker) {
-    long sum = 0;
+  private static @Nullable Run worst(Worker worker) {
+    Run worst = null;
     for (Run run : worker.runs()) {
-      if (run.step().filler()) {
-        sum += weights.weigh(run.step());
+      if (run.step().isServing()
+          && (worst == null || Interference.load(run) > Interference.load(worst))) {
+        worst = run;
       }
     }
-    return sum;
+    return worst;
   }
 
-  private static Set<String> images(Worker worker) {
-    Set<String> images = new HashSet<>();
-    for (Run run : worker.runs()) {
-      if (run.step().filler()) {
-        images.add(run.step().image());
+  private void slowDown(
+      Worker worker, Run worst, double load, Map<String, Double> wanted, long now) {
+    String serving = worst.step().image();
+    Map<String, Double> parts = new HashMap<>();
+    double sum = 0;
+    double most = 0;
+    for (Map.Entry<String, Double> entry : wanted.entrySet()) {
+      double part = interference.coefficient(serving, entry.getKey()) * entry.getValue();
+      parts.put(entry.getKey(), part);
+      sum += part;
+      most = Math.max(most, part);
+    }
+    double excess = load - AIM;
+    double factor = sum < excess / 2 ? UNKNOWN_BLAME : Math.max(0, 1 - excess / sum);
+    Map<String, Integer> paces = new HashMap<>(worker.fillerPaces());
+    for (Map.Entry<String, Double> part : parts.entrySet()) {
+      if (part.getValue() >= BLAME * most) {
+        int pace = (int) (paces.getOrDefault(part.getKey(), FULL) * factor);
+        paces.put(part.getKey(), pace);
       }
     }
-    return images;
+    worker.setFillerPaces(paces, now);
+    log.decided(
+        "pace",
+        worker.id(),
+        "fillers at " + paces,
+        serving + " at " + Math.round(load * FULL) + "% of its target, parts " + parts);
   }
 
-  /** Returns the share of their speed that the allowance leaves to the fillers, in percent. */
-  private int pace(Worker worker) {
-    long usage = usage(worker);
-    if (!worker.hasServing() || usage <= worker.fillerAllowance()) {
-      return FULL;
-    }
-    return (int) (worker.fillerAllowance() * FULL / usage);
+  private static void speedUp(Worker worker, long now) {
+    Map<String, Integer> paces = new HashMap<>();
+    worker
+        .fillerPaces()
+        .forEach(
+            (image, pace) -> {
+              int faster = (int) (pace * FASTER) + FASTER_PERCENT;
+              if (faster < FULL) {
+                paces.put(image, faster);
+              }
+            });
+    worker.setFillerPaces(paces, now);
   }
 
-  /** Returns the highest tail latency of a serving task, in percent of its target. */
-  private static long worstLoad(Worker worker) {
-    long worst = 0;
-    for (Run run : worker.runs()) {
-      if (run.step().isServing()) {
-        worst = Math.max(worst, run.gauge() * FULL / run.step().tailTargetMillis());
-      }
+  /** Moves fillers that are slow here to where they can run at full speed, one at a time. */
+  private void move(Worker worker, Predicate<Task> isPlaceable) {
+    if (worker.fillerPaces().isEmpty()) {
+      return;
     }
-    return worst;
-  }
-
-  /** Moves a filler that keeps its work to where it can run at full speed. */
-  private void move(Worker worker, int pace, Predicate<Task> isPlaceable) {
     for (Run run : worker.runs()) {
       Step step = run.step();
       boolean movable = step.filler() && step.checkpoints() && run.state() == Run.State.RUNNING;
-      if (movable && isPlaceable.test(run.task())) {
+      int pace = worker.fillerPaces().getOrDefault(step.image(), FULL);
+      if (movable && pace <= MOVE_PERCENT && isPlaceable.test(run.task())) {
         runner.stop(run, "slowed down to " + pace + "%");
         return;
       }
     }
   }
 
-  private void apply(Worker worker, int pace) {
+  private void apply(Worker worker) {
     for (Run run : worker.runs()) {
+      if (!run.step().filler() || run.state() != Run.State.RUNNING) {
+        continue;
+      }
+      int pace = worker.fillerPaces().getOrDefault(run.step().image(), FULL);
       int difference = Math.abs(run.pace() - pace);
-      boolean matters = difference >= LEAST_CHANGE || (difference > 0 && pace == FULL);
-      if (run.step().filler() && run.state() == Run.State.RUNNING && matters) {
+      if (difference >= LEAST_CHANGE || (difference > 0 && pace == FULL)) {
         send(run, pace);
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -16,9 +16,6 @@
   /** Time on top of a lease until its end is taken as certain, in milliseconds. */
   private static final long LAPSE_MARGIN_MILLIS = 100;
 
-  /** Processor time for fillers beside serving tasks until reports tell more, in millicores. */
-  private static final long FIRST_ALLOWANCE = 16_000;
-
   private final Map<RunName, Run> runs = new LinkedHashMap<>();
   private WorkerEntry entry;
   private boolean listed = true;
@@ -42,9 +39,9 @@
   private long closedUntil = Long.MIN_VALUE;
   private final WorkerHealth health = new WorkerHealth();
 
-  private long fillerAllowance = FIRST_ALLOWANCE;
+  private Map<String, Integer> fillerPaces = Map.of();
 
-  private long allowanceChangedAt = Long.MIN_VALUE / 2;
+  private long paceChangedAt = Long.MIN_VALUE / 2;
 
   Worker(WorkerEntry entry) {
     this.entry = entry;
@@ -84,7 +81,7 @@
     lastEnd = 0;
     recordedEnd = 0;
     holdFailures = 0;
-    fillerAllowance = FIRST_ALLOWANCE;
+    fillerPaces = Map.of();
   }
 
   /**
@@ -259,18 +256,18 @@
     return health;
   }
 
-  /** Returns the weighed processor time that fillers may have beside serving tasks. */
-  long fillerAllowance() {
-    return fillerAllowance;
+  /** Returns the share of their speed that fillers of an image work at, in percent; else 100. */
+  Map<String, Integer> fillerPaces() {
+    return fillerPaces;
   }
 
-  void setFillerAllowance(long millicores, long nowMillis) {
-    fillerAllowance = millicores;
-    allowanceChangedAt = nowMillis;
+  void setFillerPaces(Map<String, Integer> percents, long nowMillis) {
+    fillerPaces = Map.copyOf(percents);
+    paceChangedAt = nowMillis;
   }
 
-  long allowanceChangedAt() {
-    return allowanceChangedAt;
+  long paceChangedAt() {
+    return paceChangedAt;
   }
 
   @Nullable String rack() {
