Learn interference from reports that tell enough

Reports with little use now count for little, and a prediction that was too low is corrected faster than one too high.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -15,8 +15,14 @@
   /** Coefficient of a pair that was never seen together. */
   private static final double FIRST_COEFFICIENT = 1.5;
 
-  /** Share of the error of a prediction by which one report corrects it. */
-  private static final double RATE = 0.3;
+  /** Share of the error by which a report corrects a prediction that was too low. */
+  private static final double RISE_RATE = 0.7;
+
+  /** Share of the error by which a report corrects a prediction that was too high. */
+  private static final double FALL_RATE = 0.25;
+
+  /** Use of the processors below which a report says little, so that noise is not learned. */
+  private static final double TELLING_USE = 0.08;
 
   /** Largest coefficient; bounds what a single report can claim. */
   private static final double MOST = 40;
@@ -58,7 +64,8 @@
       squares += share * share;
     }
     Map<String, Double> row = coefficients.computeIfAbsent(serving, image -> new HashMap<>());
-    double scale = RATE * error / (squares + LEAST_USE * LEAST_USE);
+    double rate = error > 0 ? RISE_RATE : FALL_RATE;
+    double scale = rate * error / (squares + TELLING_USE * TELLING_USE);
     use.forEach(
         (filler, share) -> {
           double corrected = coefficient(serving, filler) + scale * share;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -40,6 +40,9 @@
   /** Share of their speed below which fillers had better run elsewhere, in percent. */
   private static final int MOVE_PERCENT = 50;
 
+  /** Work of a task without checkpoints that is given up for a move at most, in percent. */
+  private static final int MOST_LOST_PERCENT = 30;
+
   private final long token;
   private final WorkerPort port;
   private final TaskRunner runner;
@@ -118,6 +121,10 @@
       most = Math.max(most, part);
     }
     double excess = load - AIM;
+    if (sum < excess / 2 && load < 1) {
+      // The load of the serving task itself explains it better.
+      return;
+    }
     double factor = sum < excess / 2 ? UNKNOWN_BLAME : Math.max(0, 1 - excess / sum);
     Map<String, Integer> paces = new HashMap<>(worker.fillerPaces());
     for (Map.Entry<String, Double> part : parts.entrySet()) {
@@ -155,7 +162,8 @@
     }
     for (Run run : worker.runs()) {
       Step step = run.step();
-      boolean movable = step.filler() && step.checkpoints() && run.state() == Run.State.RUNNING;
+      boolean cheap = step.checkpoints() || run.percent() < MOST_LOST_PERCENT;
+      boolean movable = step.filler() && cheap && run.state() == Run.State.RUNNING;
       int pace = worker.fillerPaces().getOrDefault(step.image(), FULL);
       if (movable && pace <= MOVE_PERCENT && isPlaceable.test(run.task())) {
         runner.stop(run, "slowed down to " + pace + "%");
