Leave the swing of serving tasks out of what fillers are blamed for

Small errors are not learned upward, and a high tail that no coefficient explains is answered only when it stays.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -13,7 +13,7 @@
  */
 final class Interference {
   /** Coefficient of a pair that was never seen together. */
-  private static final double FIRST_COEFFICIENT = 1.5;
+  private static final double FIRST_COEFFICIENT = 0.8;
 
   /** Share of the error by which a report corrects a prediction that was too low. */
   private static final double RISE_RATE = 0.7;
@@ -30,6 +30,9 @@
   /** Largest error that is learned from at once, in shares of the target. */
   private static final double MOST_ERROR = 3;
 
+  /** Error that the load of the serving task itself explains, in shares of the target. */
+  private static final double USUAL_SWING = 0.3;
+
   /** Use of the processors below which a report says nothing about fillers. */
   private static final double LEAST_USE = 0.01;
 
@@ -59,6 +62,9 @@
   private void correct(String serving, double load, Map<String, Double> use) {
     double predicted = predict(serving, use);
     double error = Math.max(-MOST_ERROR, Math.min(MOST_ERROR, load - predicted));
+    if (error > 0) {
+      error = Math.max(0, error - USUAL_SWING);
+    }
     double squares = 0;
     for (double share : use.values()) {
       squares += share * share;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -13,21 +13,24 @@
  */
 final class PaceSystem {
   /** Tail from which fillers are slowed down, as a share of the target. */
-  private static final double SLOW_DOWN = 0.85;
+  private static final double SLOW_DOWN = 0.95;
 
   /** Tail that slowing down aims at. */
   private static final double AIM = 0.7;
 
   /** Tail below which fillers may go faster. */
-  private static final double SPEED_UP = 0.62;
+  private static final double SPEED_UP = 0.75;
 
   private static final int FULL = 100;
-  private static final double FASTER = 1.3;
+  private static final double FASTER = 1.5;
   private static final int FASTER_PERCENT = 10;
 
   /** Share of the largest contribution from which an image is to blame too. */
   private static final double BLAME = 0.3;
 
+  /** Share of the excess that known coefficients must explain for an answer at once. */
+  private static final double EXPLAINED = 0.3;
+
   /** Factor of the pace when no image is known to be to blame. */
   private static final double UNKNOWN_BLAME = 0.6;
 
@@ -38,7 +41,7 @@
   private static final long SETTLE_MILLIS = 800;
 
   /** Share of their speed below which fillers had better run elsewhere, in percent. */
-  private static final int MOVE_PERCENT = 50;
+  private static final int MOVE_PERCENT = 35;
 
   /** Work of a task without checkpoints that is given up for a move at most, in percent. */
   private static final int MOST_LOST_PERCENT = 30;
@@ -92,7 +95,10 @@
     Map<String, Double> wanted = Interference.wanted(worker);
     if (load >= SLOW_DOWN && !wanted.isEmpty()) {
       slowDown(worker, worst, load, wanted, now);
-    } else if (load < SPEED_UP && !worker.fillerPaces().isEmpty()) {
+    } else if (load < SLOW_DOWN) {
+      worker.resetUnexplained();
+    }
+    if (load < SPEED_UP && !worker.fillerPaces().isEmpty()) {
       speedUp(worker, now);
     }
   }
@@ -121,11 +127,12 @@
       most = Math.max(most, part);
     }
     double excess = load - AIM;
-    if (sum < excess / 2 && load < 1) {
-      // The load of the serving task itself explains it better.
+    boolean explained = sum >= EXPLAINED * excess;
+    if (!explained && worker.countUnexplained() < 2) {
+      // The load of the serving task itself may explain it.
       return;
     }
-    double factor = sum < excess / 2 ? UNKNOWN_BLAME : Math.max(0, 1 - excess / sum);
+    double factor = explained ? Math.max(0, 1 - excess / sum) : UNKNOWN_BLAME;
     Map<String, Integer> paces = new HashMap<>(worker.fillerPaces());
     for (Map.Entry<String, Double> part : parts.entrySet()) {
       if (part.getValue() >= BLAME * most) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -41,6 +41,8 @@
 
   private Map<String, Integer> fillerPaces = Map.of();
 
+  private int unexplained;
+
   private long paceChangedAt = Long.MIN_VALUE / 2;
 
   Worker(WorkerEntry entry) {
@@ -266,6 +268,15 @@
     paceChangedAt = nowMillis;
   }
 
+  /** Counts a report of a high tail that no known coefficient explains; returns how many. */
+  int countUnexplained() {
+    return ++unexplained;
+  }
+
+  void resetUnexplained() {
+    unexplained = 0;
+  }
+
   long paceChangedAt() {
     return paceChangedAt;
   }
