Judge pairs of images as harmful or not

Traces of reports show what the linear model missed: a harmful filler lets the tail of a serving task grow to ten times its target, but only while that task's own load is high, and the tail then takes two seconds to fall. Each pair now has a probability of harm, raised by tails that grow past their target and lowered by calm reports; harmful fillers are moved at once.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -159,7 +159,7 @@
             new InterferencePlacement(interference),
             clock,
             this::queue);
-    this.pace = new PaceSystem(token, port, runner, interference, clock, log);
+    this.pace = new PaceSystem(token, port, runner, interference, log);
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -13,7 +13,7 @@
   private static final long WAIT_MILLIS = 1_000;
 
   /** Wait where reports of latency are wanted as well. */
-  private static final long SERVING_WAIT_MILLIS = 600;
+  private static final long SERVING_WAIT_MILLIS = 450;
 
   /** Pause between two looks at a worker without runs. */
   private static final long IDLE_PAUSE_MILLIS = 3_000;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -4,107 +4,122 @@
 import java.util.Map;
 
 /**
- * Learns how much the fillers of each image raise the tail latency of serving tasks of each image.
+ * Learns which fillers harm which serving tasks, by the images of both.
  *
- * <p>The tail of a serving task, as a share of its target, is taken as a base plus the sum over the
- * images of fillers beside it of a coefficient times the share of the worker's processors that they
- * use. Each report corrects the coefficients in proportion to what each image used, so that they
- * follow changes within a few reports.
+ * <p>A filler either harms the serving tasks of an image or hardly matters to them; harm shows as a
+ * tail latency that grows to several times its target while the load of the serving task is high.
+ * For each pair the probability of harm is kept. A tail that grows past its target raises it for
+ * the fillers beside it, more for those that were suspect already; calm reports lower it.
  */
 final class Interference {
-  /** Coefficient of a pair that was never seen together. */
-  private static final double FIRST_COEFFICIENT = 0.8;
+  /** Probability from which a pair counts as harmful. */
+  static final double HARMFUL = 0.4;
 
-  /** Share of the error by which a report corrects a prediction that was too low. */
-  private static final double RISE_RATE = 0.7;
+  private static final double FIRST = 0.15;
+  private static final double LEAST = 0.01;
+  private static final double MOST = 0.99;
 
-  /** Share of the error by which a report corrects a prediction that was too high. */
-  private static final double FALL_RATE = 0.25;
+  /** Probability that a harmful filler shows in one report, as the load is not always high. */
+  private static final double SHOWS = 0.6;
 
-  /** Use of the processors below which a report says little, so that noise is not learned. */
-  private static final double TELLING_USE = 0.08;
+  /** Probability that a tail grows past its target without any harmful filler. */
+  private static final double OWN_SWING = 0.04;
 
-  /** Largest coefficient; bounds what a single report can claim. */
-  private static final double MOST = 40;
+  /** The same for a tail of twice its target. */
+  private static final double OWN_LARGE_SWING = 0.004;
 
-  /** Largest error that is learned from at once, in shares of the target. */
-  private static final double MOST_ERROR = 3;
+  private static final double LARGE = 2;
 
-  /** Error that the load of the serving task itself explains, in shares of the target. */
-  private static final double USUAL_SWING = 0.3;
+  /** Growth since the last report from which a tail counts as growing. */
+  private static final double GROWTH = 1.05;
 
-  /** Use of the processors below which a report says nothing about fillers. */
-  private static final double LEAST_USE = 0.01;
+  /** Tail below which a report is calm, as a share of the target. */
+  private static final double CALM = 0.6;
 
-  private static final double FIRST_BASE = 0.4;
-  private static final double BASE_RATE = 0.02;
+  /** Factor of the odds of harm for a calm report. */
+  private static final double CALM_FACTOR = 0.93;
 
-  private final Map<String, Map<String, Double>> coefficients = new HashMap<>();
-  private final Map<String, Double> bases = new HashMap<>();
+  /** Share of a worker's processors that fillers of an image must use to be seen in a report. */
+  private static final double SEEN_USE = 0.02;
+
+  private final Map<String, Map<String, Double>> harm = new HashMap<>();
+
+  /** Returns the probability that fillers of an image harm serving tasks of another. */
+  double harm(String serving, String filler) {
+    Map<String, Double> row = harm.get(serving);
+    return row == null ? FIRST : row.getOrDefault(filler, FIRST);
+  }
+
+  /** Returns the highest probability that a filler harms a serving task of a worker. */
+  double risk(Worker worker, String filler) {
+    double risk = 0;
+    for (Run run : worker.runs()) {
+      if (run.step().isServing()) {
+        risk = Math.max(risk, harm(run.step().image(), filler));
+      }
+    }
+    return risk;
+  }
 
   /** Learns from a worker that has just reported. */
   void learn(Worker worker) {
     Map<String, Double> use = use(worker);
-    double total = use.values().stream().mapToDouble(Double::doubleValue).sum();
+    use.values().removeIf(share -> share < SEEN_USE);
+    if (use.isEmpty()) {
+      return;
+    }
     for (Run run : worker.runs()) {
       if (!run.step().isServing() || run.gauge() <= 0) {
         continue;
       }
-      double load = load(run);
-      if (total < LEAST_USE) {
-        bases.merge(run.step().image(), load, (base, newest) -> base + BASE_RATE * (newest - base));
-      } else {
-        correct(run.step().image(), load, use);
+      if (isGrowing(run) && load(run) >= 1) {
+        blame(run, use);
+      } else if (load(run) < CALM) {
+        use.keySet().forEach(filler -> calm(run.step().image(), filler));
       }
     }
   }
 
-  private void correct(String serving, double load, Map<String, Double> use) {
-    double predicted = predict(serving, use);
-    double error = Math.max(-MOST_ERROR, Math.min(MOST_ERROR, load - predicted));
-    if (error > 0) {
-      error = Math.max(0, error - USUAL_SWING);
-    }
-    double squares = 0;
-    for (double share : use.values()) {
-      squares += share * share;
-    }
-    Map<String, Double> row = coefficients.computeIfAbsent(serving, image -> new HashMap<>());
-    double rate = error > 0 ? RISE_RATE : FALL_RATE;
-    double scale = rate * error / (squares + TELLING_USE * TELLING_USE);
-    use.forEach(
-        (filler, share) -> {
-          double corrected = coefficient(serving, filler) + scale * share;
-          row.put(filler, Math.max(0, Math.min(MOST, corrected)));
-        });
-  }
-
   /** Returns the tail of a serving task as a share of its target, as last reported. */
   static double load(Run run) {
     return (double) run.gauge() / run.step().tailTargetMillis();
   }
 
-  /** Returns the tail that is expected of serving tasks of an image, as a share of the target. */
-  double predict(String serving, Map<String, Double> use) {
-    double sum = base(serving);
-    for (Map.Entry<String, Double> entry : use.entrySet()) {
-      sum += coefficient(serving, entry.getKey()) * entry.getValue();
+  /** Tells whether the tail of a serving task has grown since the report before. */
+  static boolean isGrowing(Run run) {
+    return run.gauge() > run.gaugeBefore() * GROWTH;
+  }
+
+  /** Spreads the blame by the rule of Bayes, each filler being harmful independently of others. */
+  private void blame(Run run, Map<String, Double> use) {
+    String serving = run.step().image();
+    double own = load(run) >= LARGE ? OWN_LARGE_SWING : OWN_SWING;
+    double quiet = 1 - own;
+    for (String filler : use.keySet()) {
+      quiet *= 1 - SHOWS * harm(serving, filler);
     }
-    return sum;
+    Map<String, Double> posterior = new HashMap<>();
+    for (String filler : use.keySet()) {
+      double before = harm(serving, filler);
+      double quietIfHarmful = quiet / (1 - SHOWS * before) * (1 - SHOWS);
+      posterior.put(filler, before * (1 - quietIfHarmful) / (1 - quiet));
+    }
+    posterior.forEach((filler, value) -> set(serving, filler, value));
   }
 
-  /** Returns the rise of the tail for each whole worker that fillers of an image use. */
-  double coefficient(String serving, String filler) {
-    Map<String, Double> row = coefficients.get(serving);
-    return row == null ? FIRST_COEFFICIENT : row.getOrDefault(filler, FIRST_COEFFICIENT);
+  private void calm(String serving, String filler) {
+    double before = harm(serving, filler);
+    double odds = before / (1 - before) * CALM_FACTOR;
+    set(serving, filler, odds / (1 + odds));
   }
 
-  private double base(String serving) {
-    return bases.getOrDefault(serving, FIRST_BASE);
+  private void set(String serving, String filler, double value) {
+    harm.computeIfAbsent(serving, image -> new HashMap<>())
+        .put(filler, Math.max(LEAST, Math.min(MOST, value)));
   }
 
   /** Returns the share of a worker's processors that fillers use, by image, as last reported. */
-  static Map<String, Double> use(Worker worker) {
+  private static Map<String, Double> use(Worker worker) {
     Map<String, Double> use = new HashMap<>();
     double capacity = worker.entry().capacity().cpuMillis();
     for (Run run : worker.runs()) {
@@ -114,31 +129,4 @@
     }
     return use;
   }
-
-  /** Returns the share of a worker's processors that its fillers want at their pace, by image. */
-  static Map<String, Double> wanted(Worker worker) {
-    Map<String, Double> wanted = new HashMap<>();
-    double capacity = worker.entry().capacity().cpuMillis();
-    for (Run run : worker.runs()) {
-      if (run.step().filler()) {
-        double share = run.step().demand().cpuMillis() * run.pace() / 100.0 / capacity;
-        wanted.merge(run.step().image(), share, Double::sum);
-      }
-    }
-    return wanted;
-  }
-
-  /** Returns the highest tail that is expected at a worker if one more filler runs there. */
-  double predictWith(Worker worker, Step filler) {
-    Map<String, Double> wanted = wanted(worker);
-    double capacity = worker.entry().capacity().cpuMillis();
-    wanted.merge(filler.image(), filler.demand().cpuMillis() / capacity, Double::sum);
-    double worst = 0;
-    for (Run run : worker.runs()) {
-      if (run.step().isServing()) {
-        worst = Math.max(worst, predict(run.step().image(), wanted));
-      }
-    }
-    return worst;
-  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferencePlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferencePlacement.java
@@ -3,22 +3,19 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Places fillers where the serving tasks beside them stay well below their targets. Serving tasks
- * of one image share workers, so that every filler finds workers whose serving tasks it does not
- * disturb. All other tasks, which disturb nobody, go where most processor time is free.
+ * Places fillers where they harm no serving task, as far as is known. Serving tasks of one image
+ * share workers, so that every filler finds workers whose serving tasks it does not disturb. All
+ * other tasks, which disturb nobody, go where most processor time is free.
  */
 final class InterferencePlacement implements PlacementPolicy {
-  /** Expected tail up to which a filler is placed, as a share of the target. */
-  private static final double MOST_EXPECTED = 0.75;
-
   /** Share of the processor time that a filler wants which must be free, in percent. */
   private static final int FILLER_SHARE_PERCENT = 70;
 
   /** Share of its reservation that a serving task uses as a rule, in percent. */
   private static final int SERVING_USE_PERCENT = 60;
 
-  /** What the whole target of a serving task counts for against free processors, in millicores. */
-  private static final double TAIL_PENALTY = 20_000;
+  /** What certain harm would count for against free processors, in millicores. */
+  private static final double HARM_PENALTY = 100_000;
 
   /** Advantage of a worker of the better kind, in millicores: more than any worker has. */
   private static final long KIND_BONUS = 1_000_000;
@@ -55,7 +52,8 @@
 
   private boolean takesFiller(Step step, Worker worker) {
     long wanted = step.demand().cpuMillis() * FILLER_SHARE_PERCENT / 100;
-    return unusedCpu(worker) >= wanted && interference.predictWith(worker, step) <= MOST_EXPECTED;
+    return unusedCpu(worker) >= wanted
+        && interference.risk(worker, step.image()) < Interference.HARMFUL;
   }
 
   /** Returns the processor time that is likely left to one more filler. */
@@ -81,14 +79,14 @@
       return servingScore(step, worker);
     }
     if (step.filler()) {
-      double tail = interference.predictWith(worker, step);
-      return unusedCpu(worker) - (long) (tail * TAIL_PENALTY);
+      double risk = interference.risk(worker, step.image());
+      return unusedCpu(worker) - (long) (risk * HARM_PENALTY);
     }
     return worker.freeCpu();
   }
 
   /** Prefers the fullest worker of its image, then one without serving tasks and few fillers. */
-  private static long servingScore(Step step, Worker worker) {
+  private long servingScore(Step step, Worker worker) {
     boolean same = false;
     boolean other = false;
     for (Run run : worker.runs()) {
@@ -100,6 +98,19 @@
     if (same) {
       return (other ? KIND_BONUS : 2 * KIND_BONUS) - worker.freeCpu();
     }
-    return -worker.fillerCpu() - (other ? KIND_BONUS : 0);
+    return -harmfulCpu(step, worker) - (other ? KIND_BONUS : 0);
+  }
+
+  /** Returns the processor time of fillers that would have to leave, and some of all others. */
+  private long harmfulCpu(Step step, Worker worker) {
+    long sum = 0;
+    for (Run run : worker.runs()) {
+      if (run.step().filler()) {
+        long cpu = run.step().demand().cpuMillis();
+        double harm = interference.harm(step.image(), run.step().image());
+        sum += harm >= Interference.HARMFUL ? cpu : (long) (harm * cpu);
+      }
+    }
+    return sum;
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LoadReport.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LoadReport.java
@@ -23,15 +23,15 @@
       reserved += worker.entry().capacity().cpuMillis() - worker.free().cpuMillis();
       serving += worker.servingCpu();
       fillers += worker.fillerCpu();
-      slowed += worker.fillerPaces().isEmpty() ? 0 : 1;
       for (Run run : worker.runs()) {
         used += run.step().filler() ? run.gauge() : 0;
+        slowed += run.pace() < 100 ? 1 : 0;
       }
     }
     return String.format(
         Locale.ROOT,
         "%d open, %d runs, cores: %d in all, %d reserved, %d of them serving; fillers want %d, use"
-            + " %d, slowed down at %d workers",
+            + " %d, %d runs slowed down",
         open,
         runs,
         cores(capacity),
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -1,47 +1,23 @@
 package org.hemlockpick.cell;
 
-import java.util.HashMap;
-import java.util.Map;
 import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Slows fillers down when a serving task beside them comes near its latency target: those of the
- * images that are to blame. They are let go faster step by step, and moved if another worker takes
- * them at full speed.
+ * Keeps fillers from harming serving tasks beside them. Fillers of a harmful image are moved away,
+ * or stand still while a serving task is near its latency target. When a tail is over its target
+ * and no image is known to be harmful, all fillers of the worker are slowed down for a while.
  */
 final class PaceSystem {
-  /** Tail from which fillers are slowed down, as a share of the target. */
-  private static final double SLOW_DOWN = 0.95;
-
-  /** Tail that slowing down aims at. */
-  private static final double AIM = 0.7;
-
-  /** Tail below which fillers may go faster. */
-  private static final double SPEED_UP = 0.75;
-
   private static final int FULL = 100;
-  private static final double FASTER = 1.5;
-  private static final int FASTER_PERCENT = 10;
-
-  /** Share of the largest contribution from which an image is to blame too. */
-  private static final double BLAME = 0.3;
-
-  /** Share of the excess that known coefficients must explain for an answer at once. */
-  private static final double EXPLAINED = 0.3;
-
-  /** Factor of the pace when no image is known to be to blame. */
-  private static final double UNKNOWN_BLAME = 0.6;
+  private static final int HALF = 50;
 
-  /** Least change of the pace that is worth an order, in percent. */
-  private static final int LEAST_CHANGE = 6;
+  /** Tail above which fillers of a harmful image stand still, as a share of the target. */
+  private static final double NEAR = 0.55;
 
-  /** Time for which a change is left to show in the reports. */
-  private static final long SETTLE_MILLIS = 800;
-
-  /** Share of their speed below which fillers had better run elsewhere, in percent. */
-  private static final int MOVE_PERCENT = 35;
+  /** Tail from which fillers are moved even if no other worker has room for them. */
+  private static final double OVER = 0.95;
 
   /** Work of a task without checkpoints that is given up for a move at most, in percent. */
   private static final int MOST_LOST_PERCENT = 30;
@@ -50,21 +26,14 @@
   private final WorkerPort port;
   private final TaskRunner runner;
   private final Interference interference;
-  private final LoopClock clock;
   private final DecisionLog log;
 
   PaceSystem(
-      long token,
-      WorkerPort port,
-      TaskRunner runner,
-      Interference interference,
-      LoopClock clock,
-      DecisionLog log) {
+      long token, WorkerPort port, TaskRunner runner, Interference interference, DecisionLog log) {
     this.token = token;
     this.port = port;
     this.runner = runner;
     this.interference = interference;
-    this.clock = clock;
     this.log = log;
   }
 
@@ -75,32 +44,41 @@
    */
   void onReport(Worker worker, Predicate<Task> isPlaceable) {
     interference.learn(worker);
-    long now = clock.monotonicMillis();
-    if (now - worker.paceChangedAt() >= SETTLE_MILLIS) {
-      adapt(worker, now);
+    Run worst = worst(worker);
+    double load = worst == null ? 0 : Interference.load(worst);
+    boolean isGrowing = worst != null && load >= 1 && Interference.isGrowing(worst);
+    boolean isKnown = hasHarmful(worker);
+    for (Run run : worker.runs()) {
+      if (run.step().filler() && run.state() == Run.State.RUNNING) {
+        decide(run, load, isGrowing && !isKnown, isPlaceable);
+      }
     }
-    apply(worker);
-    move(worker, isPlaceable);
   }
 
-  private void adapt(Worker worker, long now) {
-    Run worst = worst(worker);
-    if (worst == null) {
-      if (!worker.fillerPaces().isEmpty()) {
-        worker.setFillerPaces(Map.of(), now);
+  private boolean hasHarmful(Worker worker) {
+    for (Run run : worker.runs()) {
+      if (run.step().filler() && isHarmful(run)) {
+        return true;
       }
-      return;
     }
-    double load = Interference.load(worst);
-    Map<String, Double> wanted = Interference.wanted(worker);
-    if (load >= SLOW_DOWN && !wanted.isEmpty()) {
-      slowDown(worker, worst, load, wanted, now);
-    } else if (load < SLOW_DOWN) {
-      worker.resetUnexplained();
+    return false;
+  }
+
+  private boolean isHarmful(Run run) {
+    return interference.risk(run.worker(), run.step().image()) >= Interference.HARMFUL;
+  }
+
+  private void decide(Run run, double load, boolean isUnexplained, Predicate<Task> isPlaceable) {
+    if (!isHarmful(run)) {
+      setPace(run, isUnexplained ? HALF : load < OVER ? FULL : run.pace(), load);
+      return;
     }
-    if (load < SPEED_UP && !worker.fillerPaces().isEmpty()) {
-      speedUp(worker, now);
+    boolean isCheap = run.step().checkpoints() || run.percent() < MOST_LOST_PERCENT;
+    if (isCheap && (load >= OVER || isPlaceable.test(run.task()))) {
+      runner.stop(run, "harms serving tasks, worst at " + percent(load) + "% of its target");
+      return;
     }
+    setPace(run, load >= NEAR ? 0 : HALF, load);
   }
 
   private static @Nullable Run worst(Worker worker) {
@@ -114,85 +92,15 @@
     return worst;
   }
 
-  private void slowDown(
-      Worker worker, Run worst, double load, Map<String, Double> wanted, long now) {
-    String serving = worst.step().image();
-    Map<String, Double> parts = new HashMap<>();
-    double sum = 0;
-    double most = 0;
-    for (Map.Entry<String, Double> entry : wanted.entrySet()) {
-      double part = interference.coefficient(serving, entry.getKey()) * entry.getValue();
-      parts.put(entry.getKey(), part);
-      sum += part;
-      most = Math.max(most, part);
-    }
-    double excess = load - AIM;
-    boolean explained = sum >= EXPLAINED * excess;
-    if (!explained && worker.countUnexplained() < 2) {
-      // The load of the serving task itself may explain it.
+  private void setPace(Run run, int pace, double load) {
+    if (run.pace() == pace) {
       return;
     }
-    double factor = explained ? Math.max(0, 1 - excess / sum) : UNKNOWN_BLAME;
-    Map<String, Integer> paces = new HashMap<>(worker.fillerPaces());
-    for (Map.Entry<String, Double> part : parts.entrySet()) {
-      if (part.getValue() >= BLAME * most) {
-        int pace = (int) (paces.getOrDefault(part.getKey(), FULL) * factor);
-        paces.put(part.getKey(), pace);
-      }
-    }
-    worker.setFillerPaces(paces, now);
     log.decided(
         "pace",
-        worker.id(),
-        "fillers at " + paces,
-        serving + " at " + Math.round(load * FULL) + "% of its target, parts " + parts);
-  }
-
-  private static void speedUp(Worker worker, long now) {
-    Map<String, Integer> paces = new HashMap<>();
-    worker
-        .fillerPaces()
-        .forEach(
-            (image, pace) -> {
-              int faster = (int) (pace * FASTER) + FASTER_PERCENT;
-              if (faster < FULL) {
-                paces.put(image, faster);
-              }
-            });
-    worker.setFillerPaces(paces, now);
-  }
-
-  /** Moves fillers that are slow here to where they can run at full speed, one at a time. */
-  private void move(Worker worker, Predicate<Task> isPlaceable) {
-    if (worker.fillerPaces().isEmpty()) {
-      return;
-    }
-    for (Run run : worker.runs()) {
-      Step step = run.step();
-      boolean cheap = step.checkpoints() || run.percent() < MOST_LOST_PERCENT;
-      boolean movable = step.filler() && cheap && run.state() == Run.State.RUNNING;
-      int pace = worker.fillerPaces().getOrDefault(step.image(), FULL);
-      if (movable && pace <= MOVE_PERCENT && isPlaceable.test(run.task())) {
-        runner.stop(run, "slowed down to " + pace + "%");
-        return;
-      }
-    }
-  }
-
-  private void apply(Worker worker) {
-    for (Run run : worker.runs()) {
-      if (!run.step().filler() || run.state() != Run.State.RUNNING) {
-        continue;
-      }
-      int pace = worker.fillerPaces().getOrDefault(run.step().image(), FULL);
-      int difference = Math.abs(run.pace() - pace);
-      if (difference >= LEAST_CHANGE || (difference > 0 && pace == FULL)) {
-        send(run, pace);
-      }
-    }
-  }
-
-  private void send(Run run, int pace) {
+        run.name().task().toString(),
+        pace + "% at " + run.worker().id(),
+        "worst serving task at " + percent(load) + "% of its target");
     int before = run.pace();
     run.setPace(pace);
     port.pace(
@@ -206,4 +114,8 @@
           }
         });
   }
+
+  private static long percent(double share) {
+    return Math.round(share * FULL);
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -25,6 +25,7 @@
   private int percent;
   private long progressAt;
   private long gauge;
+  private long gaugeBefore;
   private int pace = 100;
 
   Run(Task task, int attempt, Worker worker, State state, long nowMillis) {
@@ -103,6 +104,7 @@
       percent = report.percent();
       progressAt = nowMillis;
     }
+    gaugeBefore = gauge;
     gauge = report.gauge();
     task.setCheckpoint(report.checkpoint());
   }
@@ -121,6 +123,11 @@
     return gauge;
   }
 
+  /** Returns the gauge of the report before; 0 if there was none. */
+  long gaugeBefore() {
+    return gaugeBefore;
+  }
+
   int pace() {
     return pace;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -39,12 +39,6 @@
   private long closedUntil = Long.MIN_VALUE;
   private final WorkerHealth health = new WorkerHealth();
 
-  private Map<String, Integer> fillerPaces = Map.of();
-
-  private int unexplained;
-
-  private long paceChangedAt = Long.MIN_VALUE / 2;
-
   Worker(WorkerEntry entry) {
     this.entry = entry;
   }
@@ -83,7 +77,6 @@
     lastEnd = 0;
     recordedEnd = 0;
     holdFailures = 0;
-    fillerPaces = Map.of();
   }
 
   /**
@@ -258,29 +251,6 @@
     return health;
   }
 
-  /** Returns the share of their speed that fillers of an image work at, in percent; else 100. */
-  Map<String, Integer> fillerPaces() {
-    return fillerPaces;
-  }
-
-  void setFillerPaces(Map<String, Integer> percents, long nowMillis) {
-    fillerPaces = Map.copyOf(percents);
-    paceChangedAt = nowMillis;
-  }
-
-  /** Counts a report of a high tail that no known coefficient explains; returns how many. */
-  int countUnexplained() {
-    return ++unexplained;
-  }
-
-  void resetUnexplained() {
-    unexplained = 0;
-  }
-
-  long paceChangedAt() {
-    return paceChangedAt;
-  }
-
   @Nullable String rack() {
     for (String label : entry.labels()) {
       if (label.startsWith("r")) {
