--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/CallerCodecTest.java
@@ -0,0 +1,88 @@
+package org.hemlockpick.platform;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.hemlockpick.cell.Amounts;
+import org.hemlockpick.cell.CallerReply;
+import org.hemlockpick.cell.JobState;
+import org.hemlockpick.cell.Step;
+import org.hemlockpick.cell.Submission;
+import org.hemlockpick.errors.ResultCode;
+import org.junit.jupiter.api.Test;
+
+class CallerCodecTest {
+  private static Optional<Submission> read(String body) {
+    return CallerCodec.submission("5c0e7a21d94b36f8", "queue", body.getBytes(UTF_8), 77);
+  }
+
+  @Test
+  void readsStepsWithTheirNeeds() {
+    Submission job =
+        read("{\"spec\":\"s\",\"phases\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+                + "\"estimate_ms\":900,\"affinity\":\"r1-3\"},{\"count\":20,\"cpu\":2000,"
+                + "\"mem_mb\":1024,\"depends_on\":[0],\"checkpointing\":true,"
+                + "\"fill_count\":true,\"image\":\"i\"}]}")
+            .orElseThrow();
+    Step first = job.steps().get(0);
+    Step second = job.steps().get(1);
+    assertEquals(4, first.count());
+    assertEquals(new Amounts(500, 256, 0), first.demand());
+    assertEquals("r1-3", first.preferredRack());
+    assertNull(first.requiredLabel());
+    assertEquals(List.of(0), second.dependsOn());
+    assertTrue(second.checkpoints());
+    assertTrue(second.filler());
+    assertEquals(77, job.acceptedAtMillis());
+  }
+
+  @Test
+  void readsTasksThatLast() {
+    Step step =
+        read("{\"spec\":\"s\",\"phases\":[{\"count\":1,\"cpu\":1,\"mem_mb\":1,"
+                + "\"long_running\":true,\"target_ms\":50,\"max_unavailable\":0}]}")
+            .orElseThrow()
+            .steps()
+            .get(0);
+    assertTrue(step.isServing());
+    assertEquals(0, step.maxUnavailable());
+  }
+
+  @Test
+  void refusesWhatIsNoJob() {
+    assertTrue(read("").isEmpty());
+    assertTrue(read("[]").isEmpty());
+    assertTrue(read("{\"phases\":[]}").isEmpty());
+    assertTrue(read("{\"phases\":[{\"count\":0}]}").isEmpty());
+    assertTrue(read("{\"phases\":[{\"count\":1,\"depends_on\":[0]}]}").isEmpty());
+    assertTrue(read("{\"phases\":[{\"count\":1000000000}]}").isEmpty());
+    assertTrue(read("{\"phases\":[7]}").isEmpty());
+  }
+
+  @Test
+  void tellsIdentifiersFromOtherPaths() {
+    assertTrue(CallerCodec.isJobId("5c0e7a21d94b36f8"));
+    assertFalse(CallerCodec.isJobId("5c0e7a21d94b36f"));
+    assertFalse(CallerCodec.isJobId("5c0e7a21d94b36f8/x"));
+  }
+
+  @Test
+  void writesStatesAndQueues() {
+    CallerReply canceled = new CallerReply(ResultCode.DONE, JobState.CANCELED, 0, 0);
+    assertEquals("{\"state\":\"cancelled\"}", new String(CallerCodec.body(canceled), UTF_8));
+    CallerReply waiting = new CallerReply(ResultCode.DONE, null, 12, 0);
+    assertEquals("{\"pending\":12}", new String(CallerCodec.body(waiting), UTF_8));
+  }
+
+  @Test
+  void saysThatAJobIsGone() {
+    assertEquals(410, CallerCodec.status(ResultCode.UNKNOWN_JOB));
+    assertEquals(503, CallerCodec.status(ResultCode.STORE_UNREACHABLE));
+    assertEquals(504, CallerCodec.status(ResultCode.OUTCOME_UNKNOWN));
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformRowsTest.java
@@ -0,0 +1,73 @@
+package org.hemlockpick.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.util.Optional;
+import org.hemlockpick.cell.Amounts;
+import org.hemlockpick.cell.Configuration;
+import org.hemlockpick.cell.WorkerEntry;
+import org.junit.jupiter.api.Test;
+
+class PlatformRowsTest {
+  private final PlatformRows rows = new PlatformRows();
+
+  private Optional<WorkerEntry> worker(String json) {
+    return rows.worker("i-7f3a91c2", ByteString.copyFromUtf8(json));
+  }
+
+  @Test
+  void readsAWorker() {
+    WorkerEntry worker =
+        worker(
+                "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"kgn-a\","
+                    + "\"state\":\"draining\",\"remaining_ms\":2100,\"born\":5,"
+                    + "\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0},"
+                    + "\"labels\":[\"a\",\"r1-3\"],\"seq\":4}")
+            .orElseThrow();
+    assertEquals(new Amounts(16_000, 32_768, 0), worker.capacity());
+    assertTrue(worker.draining());
+    assertEquals(2_100, worker.remainingMillis());
+    assertEquals(5, worker.bornMillis());
+    assertTrue(worker.labels().contains("r1-3"));
+  }
+
+  @Test
+  void passesOverEntriesOfOtherWriters() {
+    assertTrue(worker("").isEmpty());
+    assertTrue(worker("\u0000\u0001").isEmpty());
+    assertTrue(worker("{\"service\":3,\"address\":\"a\",\"state\":\"ready\"}").isEmpty());
+    assertTrue(
+        worker("{\"service\":\"s\",\"address\":\"a\",\"state\":\"odd\",\"capacity\":{}}")
+            .isEmpty());
+    assertTrue(
+        worker("{\"service\":\"s\",\"address\":\"a\",\"state\":\"ready\",\"capacity\":9}")
+            .isEmpty());
+  }
+
+  @Test
+  void readsAConfigurationAndItsRoutes() {
+    Configuration configuration =
+        rows.configuration(
+                ByteString.copyFromUtf8(
+                    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"a.example\","
+                        + "\"path_prefix\":\"/x/\",\"service\":\"s\",\"max_attempts\":3,"
+                        + "\"slack_factor\":1.5,\"target_latency_ms\":400},{\"name\":\"q\","
+                        + "\"host\":\"a.example\",\"path_prefix\":\"/x/y/\",\"service\":\"s\"},"
+                        + "{\"name\":\"bad\"}],\"services\":[{\"name\":\"s\","
+                        + "\"enforce_capacity\":true}],\"limits\":{\"max_body_bytes\":1000}}"))
+            .orElseThrow();
+    assertEquals(2, configuration.queues().size());
+    assertEquals("r", configuration.route("a.example", "/x/1").orElseThrow().name());
+    assertEquals("q", configuration.route("a.example", "/x/y/1").orElseThrow().name());
+    assertTrue(configuration.route("b.example", "/x/1").isEmpty());
+    assertEquals(1_000, configuration.maxBodyBytes());
+  }
+
+  @Test
+  void refusesWhatIsNoConfiguration() {
+    assertTrue(rows.configuration(ByteString.copyFromUtf8("{}")).isEmpty());
+    assertTrue(rows.configuration(ByteString.copyFromUtf8("nonsense")).isEmpty());
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the translation between the library and the users' platform. */
+@NullMarked
+package org.hemlockpick.platform;
+
+import org.jspecify.annotations.NullMarked;
