--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
@@ -59,6 +59,18 @@
     assertClean();
   }
 
+  @Test
+  void processThatIsStartedAgainTakesItsCellBackAtOnce() {
+    world.time.runFor(SETTLED);
+    CellWorld.Node node = world.holder();
+    node.kill();
+    world.time.runFor(200);
+    node.start();
+    world.time.runFor(400);
+    assertEquals(node, world.holder());
+    assertClean();
+  }
+
   @Test
   void holderThatWakesLateGivesNoOrders() {
     world.workers.runMillis = 2_000;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -143,7 +143,7 @@
     boolean free =
         record == null
             || record.getReleased()
-            || record.getHolder().equals(settings.holder())
+            || settings.isOwnName(record.getHolder())
             || now - changedAt >= CellTiming.TAKEOVER;
     if (!free) {
       claimFrom = Long.MAX_VALUE;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
@@ -18,6 +18,14 @@
     long stopMillis,
     long statusKeepMillis) {
 
+  /**
+   * Tells whether a holder is this process or one before it under the same name, which has ended:
+   * an entry instance runs as one process.
+   */
+  boolean isOwnName(String holder) {
+    return holder.startsWith(instance + "/");
+  }
+
   /** Returns the name under which this process holds the cell. */
   String holder() {
     return instance + "/" + incarnation;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
@@ -12,7 +12,7 @@
   static final long COMMIT_PAUSE = 25;
 
   /** Time without a renewal after which another entry instance takes the cell. */
-  static final long TAKEOVER = 2_500;
+  static final long TAKEOVER = 2_000;
 
   /**
    * Time after the last renewal for which the holder goes on giving orders. Longer than a usual
