--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ExplainCommandTest.java
@@ -0,0 +1,56 @@
+package org.hemlockpick.pgm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExplainCommandTest {
+  private final RecordedConsole console = new RecordedConsole();
+
+  @TempDir private Path folder = Path.of("");
+
+  private Path log(String name, String... lines) throws IOException {
+    return Files.write(folder.resolve(name), List.of(lines));
+  }
+
+  private static String line(String time, String instance, String kind, String subject) {
+    return """
+        {"timestamp":"%s","instance":"%s","kind":"%s","subject":"%s","outcome":"FAILED",\
+        "reason":"it failed 3 times"}"""
+        .formatted(time, instance, kind, subject);
+  }
+
+  @Test
+  void gathersTheLinesOfOneJobOverAllLogs() throws IOException {
+    Path first =
+        log(
+            "1.log",
+            line("T03", "entry-1", "job", "abc"),
+            line("T02", "entry-1", "end", "abc.0.1.7"),
+            line("T02", "entry-1", "end", "abcd.0.1.7"));
+    Path second = log("2.log", "noise", line("T01", "entry-2", "submit", "abc"));
+
+    assertEquals(0, console.run("explain", "abc", first.toString(), second.toString()));
+
+    List<String> lines = console.out().lines().toList();
+    assertEquals(4, lines.size());
+    assertTrue(lines.get(0).contains("submit"));
+    assertTrue(lines.get(1).contains("abc.0.1.7"));
+    assertEquals("abc ended as FAILED, as decided by entry-1: it failed 3 times", lines.get(3));
+  }
+
+  @Test
+  void saysThatNoLineIsAboutAJob() throws IOException {
+    Path log = log("1.log", line("T01", "entry-1", "job", "abc"));
+
+    assertEquals(1, console.run("explain", "xyz", log.toString()));
+
+    assertTrue(console.err().contains("xyz"), console.err());
+  }
+}
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
@@ -38,6 +38,7 @@
     add(commands, "status", Messages.STATUS, StatusCommand::describe, StatusCommand::of);
     add(commands, "drain", Messages.DRAIN, DrainCommand::describe, DrainCommand::of);
     add(commands, "timeline", Messages.TIMELINE, TimelineCommand::describe, TimelineCommand::of);
+    add(commands, "explain", Messages.EXPLAIN, ExplainCommand::describe, ExplainCommand::of);
     add(commands, "replay", Messages.REPLAY, ReplayCommand::describe, ReplayCommand::of);
     add(commands, "stand-in", Messages.STAND_IN, StandInCommand::describe, StandInCommand::of);
     add(commands, "demo", Messages.DEMO, DemoCommand::describe, DemoCommand::of);
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/Messages.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/Messages.java
@@ -19,6 +19,7 @@
   static final String STATUS = "show what an entry instance knows";
   static final String DRAIN = "begin the planned stop of an entry instance";
   static final String TIMELINE = "merge logs into one time line in causal order";
+  static final String EXPLAIN = "gather what was decided about one job, over several logs";
   static final String REPLAY = "run a recorded trace again and compare its outputs";
   static final String STAND_IN = "run stand-ins for the platform, for tests and trials";
   static final String DEMO = "run a whole zone in this process and send it work";
@@ -142,4 +143,32 @@
   static String cannotListen(int port, Exception reason) {
     return "cannot listen at port " + port + ": " + reason.getMessage();
   }
+
+  static String noLinesAbout(String id) {
+    return "hemlockpick: no line of these logs is about " + id;
+  }
+
+  static String settled(String id, DecisionLine line) {
+    return id
+        + " ended as "
+        + line.outcome()
+        + ", as decided by "
+        + line.instance()
+        + ": "
+        + line.reason();
+  }
+
+  static String answered(String id, DecisionLine line) {
+    return id
+        + " was never seen by a holder; its last answer was "
+        + line.outcome()
+        + " by "
+        + line.instance()
+        + " after "
+        + line.reason();
+  }
+
+  static String notSettled(String id, DecisionLine line) {
+    return id + " has not ended; the newest line is: " + line;
+  }
 }
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/TimelineCommand.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/TimelineCommand.java
@@ -1,11 +1,6 @@
 package org.hemlockpick.pgm;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.nio.charset.CodingErrorAction;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -57,7 +52,7 @@
   public int call() throws IOException {
     List<TimelineEntry> entries = new ArrayList<>();
     for (Path file : files) {
-      read(file, entries);
+      LogFiles.read(file, line -> read(line, entries));
     }
     Collections.sort(entries);
     for (TimelineEntry entry : entries) {
@@ -69,21 +64,6 @@
     return ExitStatus.OK;
   }
 
-  private void read(Path file, List<TimelineEntry> entries) throws IOException {
-    if (!Files.isReadable(file)) {
-      throw new IOException(Messages.noSuchFile(file));
-    }
-    var decoder =
-        StandardCharsets.UTF_8
-            .newDecoder()
-            .onMalformedInput(CodingErrorAction.REPLACE)
-            .onUnmappableCharacter(CodingErrorAction.REPLACE);
-    try (BufferedReader lines =
-        new BufferedReader(new InputStreamReader(Files.newInputStream(file), decoder))) {
-      lines.lines().forEach(line -> read(line, entries));
-    }
-  }
-
   private void read(String line, List<TimelineEntry> entries) {
     TimelineEntry.parse(line).ifPresentOrElse(entries::add, () -> passedOver++);
   }
