--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ExplainCommandTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ExplainCommandTest.java
@@ -45,6 +45,19 @@
     assertEquals("abc ended as FAILED, as decided by entry-1: it failed 3 times", lines.get(3));
   }
 
+  @Test
+  void comparesTimesAndNotTheirTexts() throws IOException {
+    Path log =
+        log(
+            "1.log",
+            line("2026-03-08T08:52:51.23783115Z", "entry-1", "job", "abc"),
+            line("2026-03-08T08:52:51.237770603Z", "entry-1", "start", "abc.0.0.1"));
+
+    assertEquals(0, console.run("explain", "abc", log.toString()));
+
+    assertTrue(console.out().lines().toList().get(0).contains("abc.0.0.1"), console.out());
+  }
+
   @Test
   void saysThatNoLineIsAboutAJob() throws IOException {
     Path log = log("1.log", line("T01", "entry-1", "job", "abc"));
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DecisionLine.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DecisionLine.java
@@ -5,6 +5,8 @@
 import jakarta.json.JsonObject;
 import jakarta.json.JsonReader;
 import java.io.StringReader;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
 import java.util.Comparator;
 import java.util.Optional;
 
@@ -22,7 +24,8 @@
     String timestamp, String instance, String kind, String subject, String outcome, String reason) {
 
   /** Order of the times of day; clocks of instances may differ by some milliseconds. */
-  static final Comparator<DecisionLine> ORDER = Comparator.comparing(DecisionLine::timestamp);
+  static final Comparator<DecisionLine> ORDER =
+      Comparator.comparing(DecisionLine::instant).thenComparing(DecisionLine::timestamp);
 
   /**
    * Returns the decision in a line; empty if it holds none. Text before the object is passed over.
@@ -50,6 +53,15 @@
     }
   }
 
+  /** Returns the time of day; that of 1970 if the text holds none. */
+  private Instant instant() {
+    try {
+      return Instant.parse(timestamp);
+    } catch (DateTimeParseException e) {
+      return Instant.EPOCH;
+    }
+  }
+
   /** Tells whether it is about a job or one of its tasks. */
   boolean isAbout(String id) {
     return subject.equals(id) || subject.startsWith(id + ".");
