--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -156,7 +156,7 @@
             workers,
             runner,
             new SlackOrder(times),
-            new InterferencePlacement(interference),
+            new InterferencePlacement(interference, workers.all()),
             clock,
             this::queue);
     this.pace = new PaceSystem(token, port, runner, interference, log);
