--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -156,7 +156,7 @@
             workers,
             runner,
             new SlackOrder(times),
-            new InterferencePlacement(interference, workers.all()),
+            new InterferencePlacement(interference),
             clock,
             this::queue);
     this.pace = new PaceSystem(token, port, runner, interference, log);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -15,9 +15,6 @@
   /** Probability from which a pair counts as harmful. */
   static final double HARMFUL = 0.4;
 
-  /** Probability below which a pair counts as harmless. */
-  static final double PROVEN = 0.1;
-
   private static final double FIRST = 0.15;
   private static final double LEAST = 0.01;
   private static final double MOST = 0.99;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferencePlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferencePlacement.java
@@ -26,20 +26,10 @@
   /** Disadvantage of a worker at which runs have failed. */
   private static final long DOUBT_PENALTY = 6 * KIND_BONUS;
 
-  /** Most workers at which a filler of an image that may be harmful is tried at once. */
-  private static final int MAX_TRIALS = 3;
-
   private final Interference interference;
-  private final Iterable<Worker> workers;
-
-  /**
-   * Creates a policy.
-   *
-   * @param workers all workers, as they are at each choice
-   */
-  InterferencePlacement(Interference interference, Iterable<Worker> workers) {
+
+  InterferencePlacement(Interference interference) {
     this.interference = interference;
-    this.workers = workers;
   }
 
   @Override
@@ -62,41 +52,8 @@
 
   private boolean takesFiller(Step step, Worker worker) {
     long wanted = step.demand().cpuMillis() * FILLER_SHARE_PERCENT / 100;
-    if (unusedCpu(worker) < wanted) {
-      return false;
-    }
-    double risk = interference.risk(worker, step.image());
-    return risk < Interference.PROVEN || (risk < Interference.HARMFUL && mayTry(step, worker));
-  }
-
-  /**
-   * Tells whether a filler that may be harmful is tried at a worker: where no other one is, so that
-   * the reports tell which it was, and at few workers at once.
-   */
-  private boolean mayTry(Step step, Worker worker) {
-    for (Run run : worker.runs()) {
-      boolean other = run.step().filler() && !run.step().image().equals(step.image());
-      if (other && interference.risk(worker, run.step().image()) >= Interference.PROVEN) {
-        return false;
-      }
-    }
-    int trials = 0;
-    for (Worker tried : workers) {
-      boolean isTrial = tried != worker && hasFiller(tried, step.image());
-      if (isTrial && interference.risk(tried, step.image()) >= Interference.PROVEN) {
-        trials++;
-      }
-    }
-    return trials < MAX_TRIALS;
-  }
-
-  private static boolean hasFiller(Worker worker, String image) {
-    for (Run run : worker.runs()) {
-      if (run.step().filler() && run.step().image().equals(image)) {
-        return true;
-      }
-    }
-    return false;
+    return unusedCpu(worker) >= wanted
+        && interference.risk(worker, step.image()) < Interference.HARMFUL;
   }
 
   /** Returns the processor time that is likely left to one more filler. */
