Keep new fillers off workers whose serving tasks are near their target

A serving task's load swings slowly, so that its tail climbs before it runs away; until now fillers were still added then.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Learns which fillers harm which serving tasks, by the images of both.
@@ -85,6 +86,23 @@
     return (double) run.gauge() / run.step().tailTargetMillis();
   }
 
+  /** Returns the highest tail of a serving task on a worker, as a share of its target. */
+  static double worstLoad(Worker worker) {
+    Run worst = worst(worker);
+    return worst == null ? 0 : load(worst);
+  }
+
+  /** Returns the serving task on a worker whose tail is highest; null if there is none. */
+  static @Nullable Run worst(Worker worker) {
+    Run worst = null;
+    for (Run run : worker.runs()) {
+      if (run.step().isServing() && (worst == null || load(run) > load(worst))) {
+        worst = run;
+      }
+    }
+    return worst;
+  }
+
   /** Tells whether the tail of a serving task has grown since the report before. */
   static boolean isGrowing(Run run) {
     return run.gauge() > run.gaugeBefore() * GROWTH;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferencePlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferencePlacement.java
@@ -8,6 +8,11 @@
  * other tasks, which disturb nobody, go where most processor time is free.
  */
 final class InterferencePlacement implements PlacementPolicy {
+  /**
+   * Tail of a serving task from which its worker gets no more fillers, as a share of the target.
+   */
+  private static final double MOST_LOAD = 0.6;
+
   /** Share of the processor time that a filler wants which must be free, in percent. */
   private static final int FILLER_SHARE_PERCENT = 70;
 
@@ -53,6 +58,7 @@
   private boolean takesFiller(Step step, Worker worker) {
     long wanted = step.demand().cpuMillis() * FILLER_SHARE_PERCENT / 100;
     return unusedCpu(worker) >= wanted
+        && Interference.worstLoad(worker) < MOST_LOAD
         && interference.risk(worker, step.image()) < Interference.HARMFUL;
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -2,7 +2,6 @@
 
 import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Keeps fillers from harming serving tasks beside them. Fillers of a harmful image are moved away,
@@ -16,6 +15,12 @@
   /** Tail above which fillers of a harmful image stand still, as a share of the target. */
   private static final double NEAR = 0.55;
 
+  /** Tail from which all fillers are slowed down if it grows, as a share of the target. */
+  private static final double HIGH = 0.8;
+
+  /** Tail below which they go at full speed again. */
+  private static final double CALM = 0.6;
+
   /** Tail from which fillers are moved even if no other worker has room for them. */
   private static final double OVER = 0.95;
 
@@ -44,9 +49,9 @@
    */
   void onReport(Worker worker, Predicate<Task> isPlaceable) {
     interference.learn(worker);
-    Run worst = worst(worker);
+    Run worst = Interference.worst(worker);
     double load = worst == null ? 0 : Interference.load(worst);
-    boolean isGrowing = worst != null && load >= 1 && Interference.isGrowing(worst);
+    boolean isGrowing = worst != null && load >= HIGH && Interference.isGrowing(worst);
     boolean isKnown = hasHarmful(worker);
     for (Run run : worker.runs()) {
       if (run.step().filler() && run.state() == Run.State.RUNNING) {
@@ -70,7 +75,7 @@
 
   private void decide(Run run, double load, boolean isUnexplained, Predicate<Task> isPlaceable) {
     if (!isHarmful(run)) {
-      setPace(run, isUnexplained ? HALF : load < OVER ? FULL : run.pace(), load);
+      setPace(run, isUnexplained ? HALF : load < CALM ? FULL : run.pace(), load);
       return;
     }
     boolean isCheap = run.step().checkpoints() || run.percent() < MOST_LOST_PERCENT;
@@ -81,17 +86,6 @@
     setPace(run, load >= NEAR ? 0 : HALF, load);
   }
 
-  private static @Nullable Run worst(Worker worker) {
-    Run worst = null;
-    for (Run run : worker.runs()) {
-      if (run.step().isServing()
-          && (worst == null || Interference.load(run) > Interference.load(worst))) {
-        worst = run;
-      }
-    }
-    return worst;
-  }
-
   private void setPace(Run run, int pace, double load) {
     if (run.pace() == pace) {
       return;
