--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
@@ -174,6 +174,92 @@
     assertClean();
   }
 
+  /** The tasks of the lost worker and of one that restarts after the take-over run again soon. */
+  @Test
+  void workersThatWereLostBeforeATakeOverHoldUpTheirOwnTasksOnly() {
+    world.workers.runMillis = 30_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(8));
+    world.time.runFor(1_000);
+    world.workers.get("w1").cut = true;
+    world.store.remove("workers", "w1");
+    world.time.runFor(2_500);
+    world.holder().kill();
+    world.time.runFor(CellTiming.TAKEOVER + 1_000);
+    world.workers.get("w2").restart();
+    world.list("w2");
+    world.time.runFor(3_500);
+    assertEquals(12, world.workers.starts.size(), () -> String.join("\n", world.log));
+    assertClean();
+  }
+
+  /** The task that a restart ends was found at its worker, so that it can be nowhere else. */
+  @Test
+  void taskThatWasFoundIsStartedAgainWhileAnotherWorkerIsSilentSinceTheTakeOver() {
+    world.workers.runMillis = 30_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(8));
+    world.time.runFor(1_000);
+    world.workers.get("w1").cut = true;
+    world.holder().kill();
+    world.time.runFor(CellTiming.TAKEOVER + 1_000);
+    world.workers.get("w2").restart();
+    world.list("w2");
+    world.time.runFor(3_500);
+    assertEquals(10, world.workers.starts.size(), () -> String.join("\n", world.log));
+    assertClean();
+  }
+
+  /** The new holder has granted it no lease yet, but the former one has. */
+  @Test
+  void tasksOfAWorkerThatIsNotListedGoOnThroughATakeOver() {
+    world.workers.runMillis = 8_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(8));
+    world.time.runFor(1_000);
+    world.store.remove("workers", "w1");
+    world.time.runFor(600);
+    world.holder().kill();
+    world.time.runFor(20_000);
+    assertEquals(8, world.workers.starts.size(), () -> String.join("\n", world.log));
+    assertClean();
+  }
+
+  /** A worker that left after it was drained is no reason to wait. */
+  @Test
+  void workerThatLeftIdleHoldsUpNoTakeOver() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(8));
+    world.time.runFor(3_000);
+    world.workers.get("w1").cut = true;
+    world.store.remove("workers", "w1");
+    world.time.runFor(1_500);
+    world.submit(0, "b", step(2), step(2, 0));
+    world.time.runFor(100);
+    world.holder().kill();
+    world.time.runFor(CellTiming.TAKEOVER + 4_000);
+    assertEquals(JobState.COMPLETED, world.state("b"), () -> String.join("\n", world.log));
+    assertClean();
+  }
+
+  /** A worker tells of an end until it is confirmed, also to the next holder. */
+  @Test
+  void failureIsCountedOnceThoughTwoHoldersHearOfIt() {
+    world.workers.failing = 1;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(1));
+    for (int count = 1; count <= 5; count++) {
+      while (world.failures("a") < count) {
+        world.time.runFor(5);
+      }
+      CellWorld.Node holder = world.holder();
+      holder.kill();
+      holder.start();
+    }
+    assertEquals(5, world.workers.starts.size(), () -> String.join("\n", world.log));
+    assertClean();
+  }
+
   private void assertClean() {
     assertEquals(List.of(), world.workers.breaches, () -> String.join("\n", world.log));
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -12,6 +12,8 @@
 import java.util.SplittableRandom;
 import org.hemlockpick.errors.ResultCode;
 import org.hemlockpick.fakes.VirtualTime;
+import org.hemlockpick.proto.ProgressRecord;
+import org.hemlockpick.proto.TaskNote;
 import org.jspecify.annotations.Nullable;
 
 /** Entry instances with a table service and workers, in virtual time. */
@@ -29,7 +31,6 @@
   final FakeWorkers workers;
   final List<Node> nodes = new ArrayList<>();
   final List<String> log = new ArrayList<>();
-  private final Map<String, CallerReply> answers = new LinkedHashMap<>();
   private final Map<String, Submission> accepted = new LinkedHashMap<>();
   private final SplittableRandom random;
   private int incarnations;
@@ -99,9 +100,7 @@
         2_000,
         reply -> {
           answered[0] = true;
-          if (reply.code() == ResultCode.DONE) {
-            answers.put(job.id(), reply);
-          } else {
+          if (reply.code() != ResultCode.DONE) {
             time.after(200, () -> attempt(index + 1, job));
           }
         });
@@ -115,8 +114,20 @@
     }
   }
 
-  boolean isAccepted(String id) {
-    return answers.containsKey(id);
+  /** Returns how many failures of the tasks of a job are stored. */
+  int failures(String id) {
+    return store
+        .value("jobs", id + "/p")
+        .flatMap(JobRows::progress)
+        .map(record -> sumOfFailures(record))
+        .orElse(0);
+  }
+
+  private static int sumOfFailures(ProgressRecord record) {
+    return record.getStepsList().stream()
+        .flatMap(step -> step.getNotesList().stream())
+        .mapToInt(TaskNote::getFailures)
+        .sum();
   }
 
   /** Asks a node that is up for the state of a job. */
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -60,6 +61,11 @@
     write(new Name(table, "", key), value, ++version);
   }
 
+  /** Returns the value of a row of the cell; empty if there is none. */
+  Optional<ByteString> value(String table, String key) {
+    return Optional.ofNullable(rows.get(new Name(table, "c0", key))).map(Row::value);
+  }
+
   void remove(String table, String key) {
     Name name = new Name(table, "", key);
     if (rows.remove(name) != null) {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceTest.java
@@ -52,7 +52,7 @@
   private Run run(Worker worker, String image, boolean serving) {
     Submission submission =
         new Submission("j" + ++jobs, "q", "", List.of(step(image, serving)), 0, 0, 0, 0);
-    Job job = new Job(submission, false);
+    Job job = new Job(submission, 0, false);
     job.openDue(0);
     Task task = job.stepRuns().get(0).tasks().get(0);
     Run run = new Run(task, 1, worker, Run.State.RUNNING, 0);
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
@@ -95,27 +95,29 @@
       "\003(\0132\027.hemlockpick.StepRecord\022\035\n\025first_st" +
       "art_at_millis\030\005 \001(\004\022\027\n\017interval_millis\030\006" +
       " \001(\004\022\024\n\014repeat_count\030\007 \001(\r\022\032\n\022accepted_a" +
-      "t_millis\030\010 \001(\004\"?\n\010TaskNote\022\r\n\005index\030\001 \001(" +
-      "\r\022\020\n\010failures\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\"" +
-      "d\n\014StepProgress\022\022\n\noccurrence\030\001 \001(\r\022\014\n\004s" +
-      "tep\030\002 \001(\r\022\014\n\004done\030\003 \001(\014\022$\n\005notes\030\004 \003(\0132\025" +
-      ".hemlockpick.TaskNote\"\217\001\n\016ProgressRecord" +
-      "\022\016\n\006format\030\001 \001(\r\022*\n\005state\030\002 \001(\0162\033.hemloc" +
-      "kpick.JobStateRecord\022(\n\005steps\030\003 \003(\0132\031.he" +
-      "mlockpick.StepProgress\022\027\n\017ended_at_milli" +
-      "s\030\004 \001(\004\"-\n\013QueueLength\022\r\n\005queue\030\001 \001(\t\022\017\n" +
-      "\007waiting\030\002 \001(\r\"}\n\nCellRecord\022\016\n\006format\030\001" +
-      " \001(\r\022\016\n\006holder\030\002 \001(\t\022\022\n\ngeneration\030\003 \001(\r" +
-      "\022\020\n\010released\030\004 \001(\010\022)\n\007waiting\030\005 \003(\0132\030.he" +
-      "mlockpick.QueueLength\"C\n\013RosterEntry\022\016\n\006" +
-      "worker\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007add" +
-      "ress\030\003 \001(\t\"I\n\014RosterRecord\022\016\n\006format\030\001 \001" +
-      "(\r\022)\n\007workers\030\002 \003(\0132\030.hemlockpick.Roster" +
-      "Entry*\201\001\n\016JobStateRecord\022\031\n\025JOB_STATE_UN" +
-      "SPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_RUNNI" +
-      "NG\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAILED\020\004\022" +
-      "\020\n\014JOB_CANCELED\020\005B\031\n\025org.hemlockpick.pro" +
-      "toP\001b\006proto3"
+      "t_millis\030\010 \001(\004\"W\n\010TaskNote\022\r\n\005index\030\001 \001(" +
+      "\r\022\020\n\010failures\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022" +
+      "\026\n\016failed_attempt\030\004 \001(\r\"d\n\014StepProgress\022" +
+      "\022\n\noccurrence\030\001 \001(\r\022\014\n\004step\030\002 \001(\r\022\014\n\004don" +
+      "e\030\003 \001(\014\022$\n\005notes\030\004 \003(\0132\025.hemlockpick.Tas" +
+      "kNote\"\217\001\n\016ProgressRecord\022\016\n\006format\030\001 \001(\r" +
+      "\022*\n\005state\030\002 \001(\0162\033.hemlockpick.JobStateRe" +
+      "cord\022(\n\005steps\030\003 \003(\0132\031.hemlockpick.StepPr" +
+      "ogress\022\027\n\017ended_at_millis\030\004 \001(\004\"-\n\013Queue" +
+      "Length\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\r\"}" +
+      "\n\nCellRecord\022\016\n\006format\030\001 \001(\r\022\016\n\006holder\030\002" +
+      " \001(\t\022\022\n\ngeneration\030\003 \001(\r\022\020\n\010released\030\004 \001" +
+      "(\010\022)\n\007waiting\030\005 \003(\0132\030.hemlockpick.QueueL" +
+      "ength\"b\n\013RosterEntry\022\016\n\006worker\030\001 \001(\t\022\023\n\013" +
+      "born_millis\030\002 \001(\004\022\017\n\007address\030\003 \001(\t\022\016\n\006si" +
+      "lent\030\004 \001(\010\022\r\n\005tasks\030\005 \003(\t\"Z\n\014RosterRecor" +
+      "d\022\016\n\006format\030\001 \001(\r\022)\n\007workers\030\002 \003(\0132\030.hem" +
+      "lockpick.RosterEntry\022\017\n\007located\030\003 \001(\010*\201\001" +
+      "\n\016JobStateRecord\022\031\n\025JOB_STATE_UNSPECIFIE" +
+      "D\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\r" +
+      "JOB_COMPLETED\020\003\022\016\n\nJOB_FAILED\020\004\022\020\n\014JOB_C" +
+      "ANCELED\020\005B\031\n\025org.hemlockpick.protoP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -138,7 +140,7 @@
     internal_static_hemlockpick_TaskNote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_TaskNote_descriptor,
-        new java.lang.String[] { "Index", "Failures", "Checkpoint", });
+        new java.lang.String[] { "Index", "Failures", "Checkpoint", "FailedAttempt", });
     internal_static_hemlockpick_StepProgress_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_hemlockpick_StepProgress_fieldAccessorTable = new
@@ -168,13 +170,13 @@
     internal_static_hemlockpick_RosterEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterEntry_descriptor,
-        new java.lang.String[] { "Worker", "BornMillis", "Address", });
+        new java.lang.String[] { "Worker", "BornMillis", "Address", "Silent", "Tasks", });
     internal_static_hemlockpick_RosterRecord_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_hemlockpick_RosterRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterRecord_descriptor,
-        new java.lang.String[] { "Format", "Workers", });
+        new java.lang.String[] { "Format", "Workers", "Located", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterEntry.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterEntry.java
@@ -30,6 +30,8 @@
   private RosterEntry() {
     worker_ = "";
     address_ = "";
+    tasks_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -134,6 +136,74 @@
     }
   }
 
+  public static final int SILENT_FIELD_NUMBER = 4;
+  private boolean silent_ = false;
+  /**
+   * <pre>
+   * Whether the holder cannot reach it and orders nothing there until this row says otherwise.
+   * </pre>
+   *
+   * <code>bool silent = 4;</code>
+   * @return The silent.
+   */
+  @java.lang.Override
+  public boolean getSilent() {
+    return silent_;
+  }
+
+  public static final int TASKS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList tasks_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Tasks that may run there; only for a silent worker, else any may.
+   * </pre>
+   *
+   * <code>repeated string tasks = 5;</code>
+   * @return A list containing the tasks.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getTasksList() {
+    return tasks_;
+  }
+  /**
+   * <pre>
+   * Tasks that may run there; only for a silent worker, else any may.
+   * </pre>
+   *
+   * <code>repeated string tasks = 5;</code>
+   * @return The count of tasks.
+   */
+  public int getTasksCount() {
+    return tasks_.size();
+  }
+  /**
+   * <pre>
+   * Tasks that may run there; only for a silent worker, else any may.
+   * </pre>
+   *
+   * <code>repeated string tasks = 5;</code>
+   * @param index The index of the element to return.
+   * @return The tasks at the given index.
+   */
+  public java.lang.String getTasks(int index) {
+    return tasks_.get(index);
+  }
+  /**
+   * <pre>
+   * Tasks that may run there; only for a silent worker, else any may.
+   * </pre>
+   *
+   * <code>repeated string tasks = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the tasks at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getTasksBytes(int index) {
+    return tasks_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -157,6 +227,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, address_);
     }
+    if (silent_ != false) {
+      output.writeBool(4, silent_);
+    }
+    for (int i = 0; i < tasks_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, tasks_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -176,6 +252,18 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, address_);
     }
+    if (silent_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, silent_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < tasks_.size(); i++) {
+        dataSize += computeStringSizeNoTag(tasks_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getTasksList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -197,6 +285,10 @@
         != other.getBornMillis()) return false;
     if (!getAddress()
         .equals(other.getAddress())) return false;
+    if (getSilent()
+        != other.getSilent()) return false;
+    if (!getTasksList()
+        .equals(other.getTasksList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -215,6 +307,13 @@
         getBornMillis());
     hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
     hash = (53 * hash) + getAddress().hashCode();
+    hash = (37 * hash) + SILENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSilent());
+    if (getTasksCount() > 0) {
+      hash = (37 * hash) + TASKS_FIELD_NUMBER;
+      hash = (53 * hash) + getTasksList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -349,6 +448,9 @@
       worker_ = "";
       bornMillis_ = 0L;
       address_ = "";
+      silent_ = false;
+      tasks_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -391,6 +493,13 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.address_ = address_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.silent_ = silent_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        tasks_.makeImmutable();
+        result.tasks_ = tasks_;
+      }
     }
 
     @java.lang.Override
@@ -418,6 +527,19 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (other.getSilent() != false) {
+        setSilent(other.getSilent());
+      }
+      if (!other.tasks_.isEmpty()) {
+        if (tasks_.isEmpty()) {
+          tasks_ = other.tasks_;
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureTasksIsMutable();
+          tasks_.addAll(other.tasks_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -459,6 +581,17 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              silent_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 42: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureTasksIsMutable();
+              tasks_.add(s);
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -652,6 +785,197 @@
       return this;
     }
 
+    private boolean silent_ ;
+    /**
+     * <pre>
+     * Whether the holder cannot reach it and orders nothing there until this row says otherwise.
+     * </pre>
+     *
+     * <code>bool silent = 4;</code>
+     * @return The silent.
+     */
+    @java.lang.Override
+    public boolean getSilent() {
+      return silent_;
+    }
+    /**
+     * <pre>
+     * Whether the holder cannot reach it and orders nothing there until this row says otherwise.
+     * </pre>
+     *
+     * <code>bool silent = 4;</code>
+     * @param value The silent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSilent(boolean value) {
+
+      silent_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the holder cannot reach it and orders nothing there until this row says otherwise.
+     * </pre>
+     *
+     * <code>bool silent = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSilent() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      silent_ = false;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList tasks_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureTasksIsMutable() {
+      if (!tasks_.isModifiable()) {
+        tasks_ = new com.google.protobuf.LazyStringArrayList(tasks_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @return A list containing the tasks.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getTasksList() {
+      tasks_.makeImmutable();
+      return tasks_;
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @return The count of tasks.
+     */
+    public int getTasksCount() {
+      return tasks_.size();
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @param index The index of the element to return.
+     * @return The tasks at the given index.
+     */
+    public java.lang.String getTasks(int index) {
+      return tasks_.get(index);
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the tasks at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getTasksBytes(int index) {
+      return tasks_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The tasks to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTasks(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureTasksIsMutable();
+      tasks_.set(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @param value The tasks to add.
+     * @return This builder for chaining.
+     */
+    public Builder addTasks(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureTasksIsMutable();
+      tasks_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @param values The tasks to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllTasks(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureTasksIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, tasks_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTasks() {
+      tasks_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000010);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tasks that may run there; only for a silent worker, else any may.
+     * </pre>
+     *
+     * <code>repeated string tasks = 5;</code>
+     * @param value The bytes of the tasks to add.
+     * @return This builder for chaining.
+     */
+    public Builder addTasksBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureTasksIsMutable();
+      tasks_.add(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.RosterEntry)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterEntryOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterEntryOrBuilder.java
@@ -39,4 +39,55 @@
    */
   com.google.protobuf.ByteString
       getAddressBytes();
+
+  /**
+   * <pre>
+   * Whether the holder cannot reach it and orders nothing there until this row says otherwise.
+   * </pre>
+   *
+   * <code>bool silent = 4;</code>
+   * @return The silent.
+   */
+  boolean getSilent();
+
+  /**
+   * <pre>
+   * Tasks that may run there; only for a silent worker, else any may.
+   * </pre>
+   *
+   * <code>repeated string tasks = 5;</code>
+   * @return A list containing the tasks.
+   */
+  java.util.List<java.lang.String>
+      getTasksList();
+  /**
+   * <pre>
+   * Tasks that may run there; only for a silent worker, else any may.
+   * </pre>
+   *
+   * <code>repeated string tasks = 5;</code>
+   * @return The count of tasks.
+   */
+  int getTasksCount();
+  /**
+   * <pre>
+   * Tasks that may run there; only for a silent worker, else any may.
+   * </pre>
+   *
+   * <code>repeated string tasks = 5;</code>
+   * @param index The index of the element to return.
+   * @return The tasks at the given index.
+   */
+  java.lang.String getTasks(int index);
+  /**
+   * <pre>
+   * Tasks that may run there; only for a silent worker, else any may.
+   * </pre>
+   *
+   * <code>repeated string tasks = 5;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the tasks at the given index.
+   */
+  com.google.protobuf.ByteString
+      getTasksBytes(int index);
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecord.java
@@ -100,6 +100,21 @@
     return workers_.get(index);
   }
 
+  public static final int LOCATED_FIELD_NUMBER = 3;
+  private boolean located_ = false;
+  /**
+   * <pre>
+   * Whether no entry stems from a holder before the one that wrote this.
+   * </pre>
+   *
+   * <code>bool located = 3;</code>
+   * @return The located.
+   */
+  @java.lang.Override
+  public boolean getLocated() {
+    return located_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -120,6 +135,9 @@
     for (int i = 0; i < workers_.size(); i++) {
       output.writeMessage(2, workers_.get(i));
     }
+    if (located_ != false) {
+      output.writeBool(3, located_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -137,6 +155,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, workers_.get(i));
     }
+    if (located_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, located_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -156,6 +178,8 @@
         != other.getFormat()) return false;
     if (!getWorkersList()
         .equals(other.getWorkersList())) return false;
+    if (getLocated()
+        != other.getLocated()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -173,6 +197,9 @@
       hash = (37 * hash) + WORKERS_FIELD_NUMBER;
       hash = (53 * hash) + getWorkersList().hashCode();
     }
+    hash = (37 * hash) + LOCATED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLocated());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -316,6 +343,7 @@
         workersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000002);
+      located_ = false;
       return this;
     }
 
@@ -365,6 +393,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.format_ = format_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.located_ = located_;
+      }
     }
 
     @java.lang.Override
@@ -408,6 +439,9 @@
           }
         }
       }
+      if (other.getLocated() != false) {
+        setLocated(other.getLocated());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -452,6 +486,11 @@
               }
               break;
             } // case 18
+            case 24: {
+              located_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -741,6 +780,50 @@
       return workersBuilder_;
     }
 
+    private boolean located_ ;
+    /**
+     * <pre>
+     * Whether no entry stems from a holder before the one that wrote this.
+     * </pre>
+     *
+     * <code>bool located = 3;</code>
+     * @return The located.
+     */
+    @java.lang.Override
+    public boolean getLocated() {
+      return located_;
+    }
+    /**
+     * <pre>
+     * Whether no entry stems from a holder before the one that wrote this.
+     * </pre>
+     *
+     * <code>bool located = 3;</code>
+     * @param value The located to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLocated(boolean value) {
+
+      located_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether no entry stems from a holder before the one that wrote this.
+     * </pre>
+     *
+     * <code>bool located = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLocated() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      located_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.RosterRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecordOrBuilder.java
@@ -39,4 +39,14 @@
    */
   org.hemlockpick.proto.RosterEntryOrBuilder getWorkersOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Whether no entry stems from a holder before the one that wrote this.
+   * </pre>
+   *
+   * <code>bool located = 3;</code>
+   * @return The located.
+   */
+  boolean getLocated();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
@@ -109,6 +109,21 @@
     }
   }
 
+  public static final int FAILED_ATTEMPT_FIELD_NUMBER = 4;
+  private int failedAttempt_ = 0;
+  /**
+   * <pre>
+   * Number of the newest attempt that counts among the failures.
+   * </pre>
+   *
+   * <code>uint32 failed_attempt = 4;</code>
+   * @return The failedAttempt.
+   */
+  @java.lang.Override
+  public int getFailedAttempt() {
+    return failedAttempt_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -132,6 +147,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 3, checkpoint_);
     }
+    if (failedAttempt_ != 0) {
+      output.writeUInt32(4, failedAttempt_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -152,6 +170,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(3, checkpoint_);
     }
+    if (failedAttempt_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, failedAttempt_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -173,6 +195,8 @@
         != other.getFailures()) return false;
     if (!getCheckpoint()
         .equals(other.getCheckpoint())) return false;
+    if (getFailedAttempt()
+        != other.getFailedAttempt()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -190,6 +214,8 @@
     hash = (53 * hash) + getFailures();
     hash = (37 * hash) + CHECKPOINT_FIELD_NUMBER;
     hash = (53 * hash) + getCheckpoint().hashCode();
+    hash = (37 * hash) + FAILED_ATTEMPT_FIELD_NUMBER;
+    hash = (53 * hash) + getFailedAttempt();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -328,6 +354,7 @@
       index_ = 0;
       failures_ = 0;
       checkpoint_ = "";
+      failedAttempt_ = 0;
       return this;
     }
 
@@ -370,6 +397,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.checkpoint_ = checkpoint_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.failedAttempt_ = failedAttempt_;
+      }
     }
 
     @java.lang.Override
@@ -395,6 +425,9 @@
         bitField0_ |= 0x00000004;
         onChanged();
       }
+      if (other.getFailedAttempt() != 0) {
+        setFailedAttempt(other.getFailedAttempt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -436,6 +469,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 26
+            case 32: {
+              failedAttempt_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -589,6 +627,50 @@
       return this;
     }
 
+    private int failedAttempt_ ;
+    /**
+     * <pre>
+     * Number of the newest attempt that counts among the failures.
+     * </pre>
+     *
+     * <code>uint32 failed_attempt = 4;</code>
+     * @return The failedAttempt.
+     */
+    @java.lang.Override
+    public int getFailedAttempt() {
+      return failedAttempt_;
+    }
+    /**
+     * <pre>
+     * Number of the newest attempt that counts among the failures.
+     * </pre>
+     *
+     * <code>uint32 failed_attempt = 4;</code>
+     * @param value The failedAttempt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailedAttempt(int value) {
+
+      failedAttempt_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the newest attempt that counts among the failures.
+     * </pre>
+     *
+     * <code>uint32 failed_attempt = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailedAttempt() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      failedAttempt_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.TaskNote)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
@@ -33,4 +33,14 @@
    */
   com.google.protobuf.ByteString
       getCheckpointBytes();
+
+  /**
+   * <pre>
+   * Number of the newest attempt that counts among the failures.
+   * </pre>
+   *
+   * <code>uint32 failed_attempt = 4;</code>
+   * @return The failedAttempt.
+   */
+  int getFailedAttempt();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -128,6 +128,15 @@
     return !ended && sure && clock.monotonicMillis() - surelyHeldFrom < CellTiming.HOLDER_LEASE;
   }
 
+  /**
+   * Tells whether a later holder is certain to find the row of a job when it reads the jobs: the
+   * lease was renewed after the row was written, or so lately that nobody has taken it since.
+   */
+  boolean covers(long rowVersion) {
+    long sinceRenewal = clock.monotonicMillis() - surelyHeldFrom;
+    return version > rowVersion || sinceRenewal < CellTiming.TAKEOVER - CellTiming.SUSPENSION;
+  }
+
   /** Demands a renewal before any further order, as the process may have been suspended. */
   void doubt() {
     sure = false;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -68,8 +68,10 @@
    * @param askedAt time on the steady clock before the row was written
    * @param generation number of holders before this one
    * @param renewedAt time on the steady clock when the last renewal of the holder before was seen
+   * @param formerEnded whether the holder before is certain to give no more orders
    */
-  record Acquired(long version, long askedAt, int generation, long renewedAt) {}
+  record Acquired(
+      long version, long askedAt, int generation, long renewedAt, boolean formerEnded) {}
 
   /** Returns the numbers of waiting jobs that the holder told last, by queue. */
   ImmutableMap<String, Integer> waiting() {
@@ -140,11 +142,7 @@
 
   private void judge(long now) {
     CellRecord record = seen;
-    boolean free =
-        record == null
-            || record.getReleased()
-            || settings.isOwnName(record.getHolder())
-            || now - changedAt >= CellTiming.TAKEOVER;
+    boolean free = hasFormerEnded(record) || now - changedAt >= CellTiming.TAKEOVER;
     if (!free) {
       claimFrom = Long.MAX_VALUE;
       return;
@@ -153,6 +151,10 @@
     nextLookAt = Math.max(claimFrom + 1, nextLookAt);
   }
 
+  private boolean hasFormerEnded(@Nullable CellRecord record) {
+    return record == null || record.getReleased() || settings.isOwnName(record.getHolder());
+  }
+
   private long claimDelay() {
     return Math.min(MAX_CLAIM_DELAY_MILLIS, roundTrip * CLAIM_DELAY_ROUND_TRIPS)
         + random.nextInt(20);
@@ -187,6 +189,7 @@
             .build();
     var row = CellRows.lease(settings.cell());
     long renewedAt = changedAt;
+    boolean formerEnded = hasFormerEnded(seen);
     Transaction transaction =
         new Transaction(
             settings.cell(),
@@ -196,10 +199,12 @@
     store.transact(
         transaction,
         CellTiming.STORE_TIMEOUT,
-        result -> onClaimed(result, now, generation, renewedAt));
+        result ->
+            onClaimed(
+                result, new Acquired(result.version(), now, generation, renewedAt, formerEnded)));
   }
 
-  private void onClaimed(TransactionResult result, long askedAt, int generation, long renewedAt) {
+  private void onClaimed(TransactionResult result, Acquired acquired) {
     claiming = false;
     nextLookAt = 0;
     if (result.outcome() != Outcome.COMMITTED) {
@@ -210,6 +215,6 @@
       return;
     }
     holding = true;
-    listener.onAcquired(new Acquired(result.version(), askedAt, generation, renewedAt));
+    listener.onAcquired(acquired);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -37,6 +37,9 @@
     /** Takes note that a worker answers to the own fencing token for the first time. */
     void onFirstReport(Worker worker);
 
+    /** Takes note that a worker stopped or began to answer. */
+    void onSilenceChanged(Worker worker);
+
     /** Takes note that a worker has seen a higher fencing token. */
     void onFenced(Worker worker);
 
@@ -79,7 +82,7 @@
   }
 
   private void hold(Worker worker, long now) {
-    boolean extend = !worker.runs().isEmpty() && worker.hasClock() && worker.holdFailures() == 0;
+    boolean extend = !worker.runs().isEmpty() && worker.hasClock() && !worker.isSilent();
     @Nullable Long until =
         extend ? (Long) worker.grantLease(now, settings.workerLeaseMillis()) : null;
     long wait = wait(worker);
@@ -93,7 +96,8 @@
   private static long wait(Worker worker) {
     boolean atOnce =
         worker.runs().isEmpty()
-            || !worker.hasClock()
+            || !worker.isFenced()
+            || worker.isSilent()
             || worker.recordedEnd() < worker.lastEnd()
             || needsProof(worker);
     if (atOnce) {
@@ -127,10 +131,12 @@
   }
 
   private void onFailure(Worker worker, HoldReply reply, long now) {
-    if (worker.holdFailures() == 0) {
+    boolean isFirst = !worker.isSilent();
+    worker.addHoldFailure();
+    if (isFirst) {
       log.decided("worker", worker.id(), "not reached", reply.outcome().name());
+      listener.onSilenceChanged(worker);
     }
-    worker.addHoldFailure();
     worker.setNextHoldAt(now + RETRY_MILLIS);
   }
 
@@ -145,15 +151,19 @@
       listener.onOtherBoot(worker, true);
       worker.update(worker.entry().bornAt(reply.bornMillis()));
     }
-    if (worker.holdFailures() > 0) {
+    boolean wasSilent = worker.isSilent();
+    if (wasSilent) {
       log.decided("worker", worker.id(), "reached again", worker.holdFailures() + " failed calls");
     }
     worker.answered(now);
+    if (wasSilent) {
+      listener.onSilenceChanged(worker);
+    }
     worker.sawClock(reply.clockMillis(), now);
     long before = worker.lastEnd();
     runner.onReport(worker, reply, askedAt);
     if (!worker.isFenced()) {
-      worker.setFenced();
+      worker.setFenced(now, settings.workerLeaseMillis());
       listener.onFirstReport(worker);
     }
     listener.onReport(worker);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -11,6 +11,7 @@
 /** A job of the cell. */
 final class Job {
   private final Submission submission;
+  private final long rowVersion;
   private final boolean inherited;
   private final List<StepRun> stepRuns = new ArrayList<>();
   private int openOccurrences;
@@ -21,10 +22,12 @@
   /**
    * Creates a job without progress.
    *
+   * @param rowVersion version of the row that holds it
    * @param inherited whether tasks of it may have been started by another holder
    */
-  Job(Submission submission, boolean inherited) {
+  Job(Submission submission, long rowVersion, boolean inherited) {
     this.submission = submission;
+    this.rowVersion = rowVersion;
     this.inherited = inherited;
   }
 
@@ -36,6 +39,10 @@
     return submission;
   }
 
+  long rowVersion() {
+    return rowVersion;
+  }
+
   boolean isInherited() {
     return inherited;
   }
@@ -141,7 +148,7 @@
     for (TaskNote note : progress.getNotesList()) {
       if (note.getIndex() < run.tasks().size()) {
         Task task = run.tasks().get(note.getIndex());
-        task.setFailures(note.getFailures());
+        task.setFailures(note.getFailures(), note.getFailedAttempt());
         task.setCheckpoint(note.getCheckpoint());
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
@@ -54,7 +54,7 @@
     }
     switch (kind) {
       case DONE -> onDone(task, worker, run);
-      case FAILED -> onFailed(task, worker, checkpoint, maxAttempts);
+      case FAILED -> onFailed(task, attempt, worker, checkpoint, maxAttempts);
       case STOPPED, LAPSED, BROKEN, ALONE -> keep(task, checkpoint);
     }
   }
@@ -91,14 +91,18 @@
     }
   }
 
-  private void onFailed(Task task, Worker worker, String checkpoint, int maxAttempts) {
+  private void onFailed(Task task, int attempt, Worker worker, String checkpoint, int maxAttempts) {
+    if (attempt <= task.failedAttempt()) {
+      // An earlier holder has counted it and could not confirm it to the worker.
+      return;
+    }
     if (worker.health().onFailed(clock.monotonicMillis())) {
       log.decided("worker", worker.id(), "paused", "runs on it fail one after the other");
     }
     Job job = task.job();
     StepRun step = task.step();
     List<Task> members = step.step().gang() ? step.tasks() : List.of(task);
-    members.forEach(member -> member.addFailure(worker.id()));
+    members.forEach(member -> member.addFailure(worker.id(), attempt));
     task.setCheckpoint(checkpoint);
     task.setNotBefore(clock.monotonicMillis() + RETRY_PAUSE_MILLIS);
     journal.touch(job);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -159,6 +159,7 @@
             TaskNote.newBuilder()
                 .setIndex(task.index())
                 .setFailures(task.failures())
+                .setFailedAttempt(task.failedAttempt())
                 .setCheckpoint(task.checkpoint()));
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /** Gives room to the tasks that are ready, in the order of a policy. */
@@ -23,6 +24,9 @@
   /** Returns the queue of a job; null if it is in no configuration. */
   private final Function<Job, @Nullable Queue> queues;
 
+  /** Tells whether it is certain that a task runs nowhere. */
+  private final Predicate<Task> isStartable;
+
   Planner(
       JobTable jobs,
       WorkerTable workers,
@@ -30,7 +34,8 @@
       OrderPolicy order,
       PlacementPolicy placement,
       LoopClock clock,
-      Function<Job, @Nullable Queue> queues) {
+      Function<Job, @Nullable Queue> queues,
+      Predicate<Task> isStartable) {
     this.jobs = jobs;
     this.workers = workers;
     this.runner = runner;
@@ -38,20 +43,17 @@
     this.placement = placement;
     this.clock = clock;
     this.queues = queues;
+    this.isStartable = isStartable;
   }
 
-  /**
-   * Starts what can be started.
-   *
-   * @param inheritedToo whether it is certain where the tasks of inherited jobs run
-   */
-  void run(boolean inheritedToo) {
+  /** Starts what can be started. */
+  void run() {
     long wall = clock.wallMillis();
     long now = clock.monotonicMillis();
     List<Ready> ready = new ArrayList<>();
     for (Job job : jobs.open()) {
       Queue queue = queues.apply(job);
-      if (queue == null || (job.isInherited() && !inheritedToo)) {
+      if (queue == null) {
         continue;
       }
       job.openDue(wall);
@@ -69,15 +71,19 @@
     }
   }
 
-  private static boolean hasReady(StepRun step, long now) {
+  private boolean hasReady(StepRun step, long now) {
     for (Task task : step.tasks()) {
-      if (task.isReady(now)) {
+      if (isReady(task, now)) {
         return true;
       }
     }
     return false;
   }
 
+  private boolean isReady(Task task, long now) {
+    return task.isReady(now) && isStartable.test(task);
+  }
+
   private void place(List<Ready> ready, long now) {
     Set<Shape> full = new HashSet<>();
     int starts = 0;
@@ -103,7 +109,7 @@
   private int placeTasks(Ready entry, long now) {
     int placed = 0;
     for (Task task : entry.step().tasks()) {
-      if (!task.isReady(now)) {
+      if (!isReady(task, now)) {
         continue;
       }
       Worker worker = placement.choose(task, candidates(task, entry.queue(), now));
@@ -120,7 +126,7 @@
   private int placeGang(Ready entry, long now) {
     List<Task> tasks = entry.step().tasks();
     for (Task task : tasks) {
-      if (!task.isReady(now)) {
+      if (!isReady(task, now)) {
         return 0;
       }
     }
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -0,0 +1,166 @@
+package org.hemlockpick.cell;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hemlockpick.proto.RosterEntry;
+import org.hemlockpick.proto.RosterRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Knows which tasks may still run, on the orders of an earlier holder, at workers that have not
+ * answered to the own fencing token. Such a worker is accounted for when it answers, when it is
+ * known to have started anew, or when it can hold no lease any more.
+ */
+final class TakeOver {
+  private static final long RETRY_MILLIS = 150;
+
+  /** A worker's clock may be slow, so that its lease lasts longer by this share, in percent. */
+  private static final long SLOWEST_CLOCK_PERCENT = 102;
+
+  private static final long MARGIN_MILLIS = 150;
+
+  private final CellSettings settings;
+  private final CellLease.Acquired lease;
+  private final TableService store;
+  private final LoopClock clock;
+  private final DecisionLog log;
+
+  /** Workers that are not accounted for, by their identifiers. */
+  private final Map<String, RosterEntry> unaccounted = new LinkedHashMap<>();
+
+  /** Tasks that may run at silent workers that are not accounted for. */
+  private final Set<String> doubtful = new HashSet<>();
+
+  private boolean reading;
+  private boolean read;
+  private boolean ownRoster;
+  private boolean located;
+  private int unknown;
+  private long nextReadAt;
+
+  TakeOver(
+      CellSettings settings,
+      CellLease.Acquired lease,
+      TableService store,
+      LoopClock clock,
+      DecisionLog log) {
+    this.settings = settings;
+    this.lease = lease;
+    this.store = store;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  /** Tells whether the workers of the earlier holders are known. */
+  boolean isRead() {
+    return read;
+  }
+
+  /** Tells whether every worker of earlier holders is accounted for. */
+  boolean isLocated() {
+    return located;
+  }
+
+  /** Reads the roster of the earlier holder. */
+  void read(long now) {
+    if (read || reading || now < nextReadAt) {
+      return;
+    }
+    reading = true;
+    PagedRead.start(store, CellRows.range(settings.cell()), this::onRead);
+  }
+
+  private void onRead(PagedRead.@Nullable Rows rows) {
+    reading = false;
+    if (rows == null) {
+      nextReadAt = clock.monotonicMillis() + RETRY_MILLIS;
+      return;
+    }
+    String key = CellRows.roster(settings.cell()).key();
+    for (StoredRow row : rows.rows()) {
+      if (row.key().equals(key)) {
+        CellRows.roster(row.value()).ifPresent(this::take);
+      }
+    }
+    read = true;
+  }
+
+  private void take(RosterRecord roster) {
+    ownRoster = roster.getLocated();
+    roster.getWorkersList().forEach(entry -> unaccounted.put(entry.getWorker(), entry));
+    count();
+  }
+
+  private void count() {
+    doubtful.clear();
+    unknown = 0;
+    for (RosterEntry entry : unaccounted.values()) {
+      if (entry.getSilent()) {
+        doubtful.addAll(entry.getTasksList());
+      } else {
+        unknown++;
+      }
+    }
+  }
+
+  /** Takes note that a worker runs nothing that is not known. */
+  void account(String worker) {
+    if (unaccounted.remove(worker) != null) {
+      count();
+    }
+  }
+
+  boolean isUnaccounted(String worker) {
+    return unaccounted.containsKey(worker);
+  }
+
+  /** Returns the workers that are not accounted for. */
+  Collection<RosterEntry> unaccounted() {
+    return unaccounted.values();
+  }
+
+  /**
+   * Tells whether a task must not be started yet. It is certain where a task is that was found at a
+   * worker, or was handed in after the lease was taken.
+   */
+  boolean blocks(Task task) {
+    if (located || !task.job().isInherited() || task.isLocated()) {
+      return false;
+    }
+    return unknown > 0 || doubtful.contains(task.id().toString());
+  }
+
+  /** Drops the workers whose leases have ended; returns whether tasks may have become free. */
+  boolean run(long now) {
+    if (located) {
+      return false;
+    }
+    int before = unaccounted.size();
+    for (RosterEntry entry : List.copyOf(unaccounted.values())) {
+      if (now >= lapseAt(entry)) {
+        log.decided("worker", entry.getWorker(), "lease ended", "not reached since the take-over");
+        unaccounted.remove(entry.getWorker());
+      }
+    }
+    if (unaccounted.size() < before) {
+      count();
+    }
+    if (unaccounted.isEmpty()) {
+      located = true;
+      String after = (now - lease.askedAt()) + " ms after the lease was asked for";
+      log.decided("cell", settings.cell(), "located", after);
+    }
+    return located || unaccounted.size() < before;
+  }
+
+  /** Returns the time at which no lease can be in force that an earlier holder granted. */
+  private long lapseAt(RosterEntry entry) {
+    boolean ordersEnded = entry.getSilent() || (lease.formerEnded() && ownRoster);
+    long lastOrder = lease.renewedAt() + (ordersEnded ? 0 : CellTiming.HOLDER_LEASE);
+    return lastOrder + settings.workerLeaseMillis() * SLOWEST_CLOCK_PERCENT / 100 + MARGIN_MILLIS;
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -8,9 +8,11 @@
   private final int index;
   private boolean done;
   private int failures;
+  private int failedAttempt;
   private int lastAttempt;
   private String checkpoint = "";
   private @Nullable Run run;
+  private boolean located;
 
   /** Worker at which it failed last; another one is tried first. */
   private @Nullable String failedAt;
@@ -52,12 +54,19 @@
     return failures;
   }
 
-  void setFailures(int count) {
+  /** Returns the number of the newest attempt that counts among the failures; 0 if none does. */
+  int failedAttempt() {
+    return failedAttempt;
+  }
+
+  void setFailures(int count, int newestAttempt) {
     failures = count;
+    failedAttempt = newestAttempt;
   }
 
-  void addFailure(String worker) {
+  void addFailure(String worker, int attempt) {
     failures++;
+    failedAttempt = attempt;
     failedAt = worker;
   }
 
@@ -91,6 +100,15 @@
     }
   }
 
+  /** Tells whether it was found at a worker, so that it was nowhere else. */
+  boolean isLocated() {
+    return located;
+  }
+
+  void setLocated() {
+    located = true;
+  }
+
   /** Notes an attempt that another holder made. */
   void sawAttempt(int attempt) {
     lastAttempt = Math.max(lastAttempt, attempt);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -180,6 +180,7 @@
     boolean again =
         run.state() == Run.State.STARTING
             && run.startsSent() < MAX_START_ORDERS
+            && !run.worker().isSilent()
             && journal.isSure();
     log.decided(
         "start", run.name().task().toString(), "no answer", run.worker().id() + ", again " + again);
@@ -315,6 +316,7 @@
     Run run = new Run(task, name.attempt(), worker, Run.State.RUNNING, clock.monotonicMillis());
     run.setKnownSince(clock.monotonicMillis());
     task.setRun(run);
+    task.setLocated();
     worker.add(run);
     log.decided("run", name.task().toString(), "adopted", worker.id());
     return run;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.cell.WorkerPort.Target;
-import org.jspecify.annotations.Nullable;
 
 /** A worker that the cell gives tasks to. */
 final class Worker {
@@ -28,6 +27,9 @@
   private boolean fenced;
   private boolean onRoster;
 
+  /** Number of the first roster since which it has not been written as silent. */
+  private long openSince = Long.MAX_VALUE;
+
   private long clockMillis;
   private long clockAt = Long.MIN_VALUE;
   private long leaseUntil;
@@ -97,8 +99,14 @@
     return fenced;
   }
 
-  void setFenced() {
+  /**
+   * Takes note that it has answered to the own fencing token.
+   *
+   * @param longestLeaseMillis longest lease that an earlier holder may have granted before
+   */
+  void setFenced(long nowMillis, long longestLeaseMillis) {
     fenced = true;
+    grantLease(nowMillis, longestLeaseMillis);
   }
 
   /** Tells whether a later holder would know from the table service that tasks may run here. */
@@ -106,8 +114,33 @@
     return onRoster;
   }
 
-  void setOnRoster(boolean stored) {
-    onRoster = stored;
+  /** Takes note of how it is written into the roster of a number. */
+  void declare(long number) {
+    if (isSilent()) {
+      takeOffRoster();
+    } else {
+      openSince = Math.min(openSince, number);
+    }
+  }
+
+  /** Gives it no task until a later roster has it. */
+  void takeOffRoster() {
+    onRoster = false;
+    openSince = Long.MAX_VALUE;
+  }
+
+  void onRosterStored(long number) {
+    onRoster |= openSince <= number;
+  }
+
+  /** Tells whether its last call had no answer. */
+  boolean isSilent() {
+    return holdFailures > 0;
+  }
+
+  /** Tells whether it will end soon, and nothing runs or will run there. */
+  boolean isLeaving() {
+    return entry.draining() && fenced && runs.isEmpty();
   }
 
   /**
@@ -188,10 +221,6 @@
     nextHoldAt = nowMillis;
   }
 
-  long lastAnswerAt() {
-    return lastAnswerAt;
-  }
-
   void answered(long nowMillis) {
     lastAnswerAt = nowMillis;
     holdFailures = 0;
@@ -279,13 +308,4 @@
   WorkerHealth health() {
     return health;
   }
-
-  @Nullable String rack() {
-    for (String label : entry.labels()) {
-      if (label.startsWith("r")) {
-        return label;
-      }
-    }
-    return null;
-  }
 }
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -0,0 +1,208 @@
+package org.hemlockpick.cell;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hemlockpick.cell.TableService.Range;
+import org.hemlockpick.proto.RosterEntry;
+import org.hemlockpick.proto.RosterRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows the platform's list of workers, and stores the roster: the workers at which tasks may run
+ * on the orders of this holder or an earlier one. No task is started at a worker before it is on
+ * the stored roster.
+ */
+final class WorkerList {
+  private static final long PAUSE_MILLIS = 450;
+
+  private final TableService store;
+  private final ConfigurationSource source;
+  private final WorkerTable workers;
+  private final TakeOver takeOver;
+  private final CellJournal journal;
+  private final DecisionLog log;
+  private final Listener listener;
+
+  private boolean read;
+  private boolean reading;
+  private long nextReadAt;
+  private boolean rosterChanged;
+  private long rosterNumber;
+
+  /** Hears of changes. */
+  interface Listener {
+    /** Takes note that the list was read. */
+    void onRead();
+
+    /** Takes note that a worker started anew under its identifier. */
+    void onOtherBoot(Worker worker);
+
+    /** Takes note that tasks may be started at more workers. */
+    void onRosterStored();
+  }
+
+  WorkerList(
+      TableService store,
+      ConfigurationSource source,
+      WorkerTable workers,
+      TakeOver takeOver,
+      CellJournal journal,
+      DecisionLog log,
+      Listener listener) {
+    this.store = store;
+    this.source = source;
+    this.workers = workers;
+    this.takeOver = takeOver;
+    this.journal = journal;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  /** Tells whether the list was read. */
+  boolean isRead() {
+    return read;
+  }
+
+  /** Has the list read with the next run. */
+  void readSoon() {
+    nextReadAt = 0;
+  }
+
+  /** Has the roster written with the next run. */
+  void touchRoster() {
+    rosterChanged = true;
+  }
+
+  void run(long now) {
+    if (!reading && now >= nextReadAt) {
+      reading = true;
+      nextReadAt = now + PAUSE_MILLIS;
+      PagedRead.start(store, new Range(source.workerTable(), "", "", ""), this::onRows);
+    }
+    if (rosterChanged && read && takeOver.isRead()) {
+      rosterChanged = false;
+      storeRoster();
+    }
+  }
+
+  private void onRows(PagedRead.@Nullable Rows rows) {
+    reading = false;
+    if (rows == null) {
+      return;
+    }
+    read = true;
+    Set<String> listed = new HashSet<>();
+    for (StoredRow row : rows.rows()) {
+      source
+          .worker(row.key(), row.value())
+          .ifPresent(
+              entry -> {
+                listed.add(entry.id());
+                take(entry);
+              });
+    }
+    for (Worker worker : workers.all()) {
+      if (worker.isListed() && !listed.contains(worker.id())) {
+        worker.setUnlisted();
+        log.decided("worker", worker.id(), "left the list", worker.runs().size() + " runs");
+      }
+    }
+    listener.onRead();
+  }
+
+  private void take(WorkerEntry entry) {
+    Worker worker = workers.get(entry.id());
+    if (worker == null) {
+      workers.add(new Worker(entry));
+      rosterChanged = true;
+      return;
+    }
+    if (entry.bornMillis() < worker.entry().bornMillis()) {
+      // Written by a boot that has ended.
+      return;
+    }
+    boolean otherBoot =
+        worker.entry().bornMillis() != 0 && entry.bornMillis() > worker.entry().bornMillis();
+    if (entry.draining() && !worker.entry().draining()) {
+      log.decided("worker", entry.id(), "draining", entry.remainingMillis() + " ms left");
+      worker.setNextHoldAt(0);
+    }
+    if (otherBoot) {
+      listener.onOtherBoot(worker);
+    }
+    rosterChanged |= otherBoot || entry.draining() != worker.entry().draining();
+    worker.update(entry);
+  }
+
+  /** Adds the workers of earlier holders that are not listed: they may still run, and answer. */
+  void addUnlisted() {
+    for (RosterEntry entry : takeOver.unaccounted()) {
+      if (workers.get(entry.getWorker()) == null) {
+        workers.add(unlisted(entry));
+      }
+    }
+  }
+
+  private static Worker unlisted(RosterEntry entry) {
+    Worker worker =
+        new Worker(
+            new WorkerEntry(
+                entry.getWorker(),
+                entry.getBornMillis(),
+                "",
+                entry.getAddress(),
+                "",
+                false,
+                0,
+                Amounts.NONE,
+                ImmutableSet.of()));
+    worker.setUnlisted();
+    return worker;
+  }
+
+  /** Removes a worker that is gone, at which nothing can run any more. */
+  void remove(Worker worker) {
+    workers.remove(worker);
+    rosterChanged = true;
+  }
+
+  private void storeRoster() {
+    rosterNumber++;
+    long number = rosterNumber;
+    RosterRecord.Builder roster =
+        RosterRecord.newBuilder().setFormat(JobRows.FORMAT).setLocated(takeOver.isLocated());
+    List<Worker> known = new ArrayList<>(workers.all());
+    for (Worker worker : known) {
+      if (worker.isLeaving()) {
+        worker.takeOffRoster();
+      } else if (!takeOver.isUnaccounted(worker.id())) {
+        worker.declare(number);
+        roster.addWorkers(entry(worker));
+      }
+    }
+    // What an earlier holder wrote of a worker stays true until the worker is accounted for.
+    takeOver.unaccounted().forEach(roster::addWorkers);
+    journal.setRoster(roster.build());
+    journal.whenStored(
+        () -> {
+          known.forEach(worker -> worker.onRosterStored(number));
+          listener.onRosterStored();
+        });
+  }
+
+  private static RosterEntry entry(Worker worker) {
+    RosterEntry.Builder entry =
+        RosterEntry.newBuilder()
+            .setWorker(worker.id())
+            .setBornMillis(worker.entry().bornMillis())
+            .setAddress(worker.entry().address())
+            .setSilent(worker.isSilent());
+    if (worker.isSilent()) {
+      worker.runs().forEach(run -> entry.addTasks(run.name().task().toString()));
+    }
+    return entry.build();
+  }
+}
