--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobFeed.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobFeed.java
@@ -149,7 +149,16 @@
     }
     if (!inherited) {
       log.decided(
-          "job", id, "taken", "row " + row.version() + ", " + submission.steps().size() + " steps");
+          "job",
+          id,
+          "taken",
+          "row "
+              + row.version()
+              + ", queue "
+              + submission.queue()
+              + ", "
+              + submission.steps().size()
+              + " steps");
     }
   }
 
