Spread the rows of jobs over parts of the table service

Cause: all rows of the cell were in one part, and a part carries out one transaction after the other.

Now callers write to eight parts, by the job's identifier, and the holder alone to the part of its lease. Progress has a table of its own: the feed of the jobs no longer wakes for the holder's own writes. A state is read from the progress first; a job that has ended needs no second read. JobSweeper removes the rows that callers wrote; what is left after a cut between the two removals is found when the jobs are read.

The least pause between two commits is 50 ms in place of 25: nothing but the confirmation of ends waits for it. An entry instance that finds its own name in the lease takes it at once: the process before it has ended.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
@@ -148,6 +148,33 @@
     assertClean();
   }
 
+  /** Each part of a slow service carries out four transactions a second. */
+  @Test
+  void slowServiceTakesTheJobsOfMoreThanOnePart() {
+    world.time.runFor(SETTLED);
+    world.store.transactionMillis = 240;
+    for (int i = 0; i < 30; i++) {
+      world.submit(i, "j" + i, step(1));
+      world.time.runFor(100);
+    }
+    world.time.runFor(3_000);
+    assertEquals(List.of(), world.unfinished(), () -> String.join("\n", world.log));
+    assertClean();
+  }
+
+  /** What a job left in the service is gone when its state is not told any more. */
+  @Test
+  void rowsOfAnEndedJobAreRemoved() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(2));
+    world.time.runFor(3_000);
+    assertEquals(JobState.COMPLETED, world.state("a"));
+    assertTrue(world.store.value("progress", "a").isPresent());
+    world.time.runFor(130_000);
+    assertEquals(null, world.state("a"));
+    assertTrue(world.store.value("progress", "a").isEmpty());
+  }
+
   @Test
   void canceledJobIsStoppedAndNeverStartedAgain() {
     world.workers.runMillis = 5_000;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -117,7 +117,7 @@
   /** Returns how many failures of the tasks of a job are stored. */
   int failures(String id) {
     return store
-        .value("jobs", id + "/p")
+        .value("progress", id)
         .flatMap(JobRows::progress)
         .map(record -> sumOfFailures(record))
         .orElse(0);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,6 +22,9 @@
   private static final long LATENCY_MILLIS = 4;
   private static final int PAGE = 7;
 
+  /** A part refuses transactions when more than this waits. */
+  private static final long LONGEST_QUEUE_MILLIS = 1_000;
+
   private record Name(String table, String part, String key) implements Comparable<Name> {
     @Override
     public int compareTo(Name other) {
@@ -51,6 +55,12 @@
   /** Whether no call is answered. */
   boolean silent;
 
+  /** Time that a part needs for one transaction after the other, in milliseconds. */
+  long transactionMillis;
+
+  /** Times at which the parts are done with the transactions that they have. */
+  private final Map<String, Long> busyUntil = new HashMap<>();
+
   FakeStore(VirtualTime time, long seed) {
     this.time = time;
     this.random = new SplittableRandom(seed);
@@ -159,12 +169,33 @@
         time.after(random.nextLong(lateMillis + 1), () -> apply(transaction));
         time.after(timeoutMillis, () -> handler.accept(unknown));
       } else {
-        time.after(
-            LATENCY_MILLIS,
-            () -> {
-              TransactionResult result = apply(transaction);
+        enqueue(transaction, timeoutMillis, handler);
+      }
+    }
+
+    private void enqueue(
+        Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
+      long now = time.millis();
+      long begin = Math.max(now, busyUntil.getOrDefault(transaction.part(), 0L));
+      if (begin - now > LONGEST_QUEUE_MILLIS) {
+        TransactionResult refused = new TransactionResult(Outcome.NOT_DONE, 0, ImmutableList.of());
+        time.after(LATENCY_MILLIS, () -> handler.accept(refused));
+        return;
+      }
+      long end = begin + transactionMillis;
+      busyUntil.put(transaction.part(), end);
+      long taken = end - now + LATENCY_MILLIS;
+      time.after(
+          taken,
+          () -> {
+            TransactionResult result = apply(transaction);
+            if (taken < timeoutMillis) {
               time.after(1, () -> handler.accept(result));
-            });
+            }
+          });
+      if (taken >= timeoutMillis) {
+        TransactionResult unknown = new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of());
+        time.after(timeoutMillis, () -> handler.accept(unknown));
       }
     }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
@@ -158,7 +158,7 @@
       var row = JobRows.submission(job);
       Transaction transaction =
           new Transaction(
-              settings.cell(),
+              JobRows.part(settings.cell(), job),
               List.of(new Condition(row, 0)),
               List.of(new Write(row, value)),
               List.of());
@@ -175,42 +175,67 @@
     }
   }
 
-  /** What the rows of a job say. */
-  private record Rows(
-      @Nullable StoredRow submission, @Nullable JobState progress, boolean isCanceled) {
+  /** A call that has to know what is stored of a job. */
+  private abstract class Lookup extends Call {
+    private @Nullable JobState progress;
 
-    static Rows of(ReadResult result) {
-      StoredRow submission = null;
-      JobState progress = null;
-      boolean canceled = false;
+    Lookup(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+      super(job, timeoutMillis, handler);
+    }
+
+    @Override
+    void send() {
+      store.read(JobRows.progressRange(settings.cell(), job), timeout(), this::onProgress);
+    }
+
+    /** Takes the last state of a job that has ended. */
+    abstract void onEnded(JobState state);
+
+    /** Takes an open job. */
+    abstract void onOpen(StoredRow submission, JobState state);
+
+    private void onProgress(ReadResult result) {
+      if (!result.isWhole()) {
+        onNotDone();
+        return;
+      }
+      progress = null;
       for (StoredRow row : result.rows()) {
-        JobRows.Kind kind = JobRows.kind(row.key()).orElse(null);
-        if (kind == JobRows.Kind.SUBMISSION) {
-          submission = row;
-        } else if (kind == JobRows.Kind.CANCELLATION) {
-          canceled = true;
-        } else if (kind == JobRows.Kind.PROGRESS) {
-          progress =
-              JobRows.progress(row.value())
-                  .map(record -> JobRows.state(record.getState()))
-                  .orElse(progress);
-        }
+        progress =
+            JobRows.progress(row.value())
+                .map(record -> JobRows.state(record.getState()))
+                .orElse(progress);
+      }
+      if (progress != null && progress.isFinal()) {
+        onEnded(progress);
+        return;
       }
-      return new Rows(submission, progress, canceled);
+      store.read(JobRows.range(settings.cell(), job), timeout(), this::onRows);
     }
 
-    JobState state() {
-      if (progress != null && progress.isFinal()) {
-        return progress;
+    private void onRows(ReadResult result) {
+      if (!result.isWhole()) {
+        onNotDone();
+        return;
       }
-      if (isCanceled) {
-        return JobState.CANCELED;
+      StoredRow submission = null;
+      boolean isCanceled = false;
+      for (StoredRow row : result.rows()) {
+        JobRows.Kind kind = JobRows.kind(row.key()).orElse(null);
+        submission = kind == JobRows.Kind.SUBMISSION ? row : submission;
+        isCanceled |= kind == JobRows.Kind.CANCELLATION;
+      }
+      if (submission == null) {
+        answer(CallerReply.of(ResultCode.UNKNOWN_JOB));
+      } else if (isCanceled) {
+        onEnded(JobState.CANCELED);
+      } else {
+        onOpen(submission, progress == null ? JobState.QUEUED : progress);
       }
-      return progress == null ? JobState.QUEUED : progress;
     }
   }
 
-  private final class Query extends Call {
+  private final class Query extends Lookup {
     Query(String job, long timeoutMillis, Consumer<CallerReply> handler) {
       super(job, timeoutMillis, handler);
     }
@@ -221,24 +246,17 @@
     }
 
     @Override
-    void send() {
-      store.read(JobRows.range(settings.cell(), job), timeout(), this::onRead);
+    void onEnded(JobState state) {
+      answer(CallerReply.of(state));
     }
 
-    private void onRead(ReadResult result) {
-      if (!result.isWhole()) {
-        onNotDone();
-        return;
-      }
-      Rows rows = Rows.of(result);
-      answer(
-          rows.submission() == null
-              ? CallerReply.of(ResultCode.UNKNOWN_JOB)
-              : CallerReply.of(rows.state()));
+    @Override
+    void onOpen(StoredRow submission, JobState state) {
+      answer(CallerReply.of(state));
     }
   }
 
-  private final class Cancel extends Call {
+  private final class Cancel extends Lookup {
     Cancel(String job, long timeoutMillis, Consumer<CallerReply> handler) {
       super(job, timeoutMillis, handler);
     }
@@ -249,30 +267,19 @@
     }
 
     @Override
-    void send() {
-      store.read(JobRows.range(settings.cell(), job), timeout(), this::onRead);
+    void onEnded(JobState state) {
+      answer(CallerReply.of(ResultCode.DONE));
     }
 
-    private void onRead(ReadResult result) {
-      if (!result.isWhole()) {
-        onNotDone();
-        return;
-      }
-      Rows rows = Rows.of(result);
-      StoredRow submission = rows.submission();
-      if (submission == null) {
-        answer(CallerReply.of(ResultCode.UNKNOWN_JOB));
-      } else if (rows.state().isFinal()) {
-        answer(CallerReply.of(ResultCode.DONE));
-      } else {
-        write(submission.version());
-      }
+    @Override
+    void onOpen(StoredRow submission, JobState state) {
+      write(submission.version());
     }
 
     private void write(long version) {
       Transaction transaction =
           new Transaction(
-              settings.cell(),
+              JobRows.part(settings.cell(), job),
               List.of(new Condition(JobRows.submission(job), version)),
               List.of(new Write(JobRows.cancellation(job), ByteString.EMPTY)),
               List.of());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -18,7 +18,6 @@
 final class CellHolder {
   private static final long PLAN_PAUSE_MILLIS = 100;
   private static final long LOAD_REPORT_PAUSE_MILLIS = 2_000;
-  private static final long FORGET_PAUSE_MILLIS = 5_000;
 
   /** Numbers of attempts that one holder may use for a task. */
   private static final int ATTEMPTS_PER_GENERATION = 1_000;
@@ -39,6 +38,7 @@
   private final CellJournal journal;
   private final JobKeeper keeper;
   private final JobFeed feed;
+  private final JobSweeper sweeper;
   private final TakeOver takeOver;
   private final WorkerList list;
   private final TaskRunner runner;
@@ -50,7 +50,6 @@
 
   private boolean ended;
   private long nextPlanAt;
-  private long nextForgetAt;
   private long nextLoadReportAt;
   private boolean changed = true;
 
@@ -94,6 +93,7 @@
     this.feed =
         new JobFeed(
             settings.cell(), store, jobs, keeper, journal, clock, log, () -> changed = true);
+    this.sweeper = new JobSweeper(settings, store, jobs, journal, clock);
     this.takeOver = new TakeOver(settings, lease, store, clock, log);
     this.list = new WorkerList(store, source, workers, takeOver, journal, log, new ListListener());
     this.runner =
@@ -183,10 +183,7 @@
       nextLoadReportAt = now + LOAD_REPORT_PAUSE_MILLIS;
       log.decided("load", settings.cell(), LoadReport.of(workers.all(), now), waitingTasks());
     }
-    if (now >= nextForgetAt) {
-      nextForgetAt = now + FORGET_PAUSE_MILLIS;
-      keeper.forget(settings.statusKeepMillis());
-    }
+    sweeper.run(now);
   }
 
   private String waitingTasks() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -95,11 +95,9 @@
     roster = newest;
   }
 
-  /** Has the rows of a job removed. */
+  /** Has the progress of a job removed. */
   void remove(String job) {
-    removals.add(JobRows.submission(job));
     removals.add(JobRows.progress(job));
-    removals.add(JobRows.cancellation(job));
   }
 
   /** Runs an action once everything that was handed in so far is stored; at once if it is. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -147,7 +147,8 @@
       claimFrom = Long.MAX_VALUE;
       return;
     }
-    claimFrom = Math.min(claimFrom, now + claimDelay());
+    boolean isOwn = record != null && settings.isOwnName(record.getHolder());
+    claimFrom = Math.min(claimFrom, now + (isOwn ? 0 : claimDelay()));
     nextLookAt = Math.max(claimFrom + 1, nextLookAt);
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
@@ -9,7 +9,7 @@
   static final long RENEWAL = 600;
 
   /** Least pause between two writes of the holder; gathers what is to be stored. */
-  static final long COMMIT_PAUSE = 25;
+  static final long COMMIT_PAUSE = 50;
 
   /** Time without a renewal after which another entry instance takes the cell. */
   static final long TAKEOVER = 2_000;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobFeed.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobFeed.java
@@ -1,14 +1,10 @@
 package org.hemlockpick.cell;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.hemlockpick.cell.JobRows.Kind;
-import org.hemlockpick.cell.TableService.Range;
 import org.hemlockpick.cell.TableService.WatchResult;
-import org.hemlockpick.proto.ProgressRecord;
 import org.jspecify.annotations.Nullable;
 
 /** Reads the jobs of the cell from the table service and follows what callers add. */
@@ -26,9 +22,7 @@
   private final DecisionLog log;
   private final Runnable onChange;
 
-  /** Rows that were read before the submission that they belong to, by job. */
-  private final Map<String, ProgressRecord> pendingProgress = new HashMap<>();
-
+  /** Jobs whose cancellation was read before their submission. */
   private final Set<String> pendingCancellations = new HashSet<>();
 
   private boolean loaded;
@@ -73,22 +67,22 @@
   }
 
   private void readAll() {
-    PagedRead.start(store, new Range(JobRows.TABLE, cell, "", ""), this::onAll);
+    JobReading.start(cell, store, this::onAll);
   }
 
-  /** The first read brings the jobs of earlier holders; a later one adds what is not known yet. */
-  private void onAll(PagedRead.@Nullable Rows read) {
+  /** The first reading brings the jobs of earlier holders; a later one adds what is not known. */
+  private void onAll(@Nullable JobReading reading) {
     underWay = false;
-    if (read == null) {
-      // After a later read the feed fails again for want of history and leads back here.
+    if (reading == null) {
+      // After a later reading the feed fails again for want of history and leads back here.
       nextAt = clock.monotonicMillis() + RETRY_MILLIS;
       return;
     }
-    version = read.version();
-    read.rows().forEach(row -> take(row, !loaded));
-    pendingProgress.clear();
+    version = reading.version();
+    reading.rows().forEach(row -> take(row, reading));
     if (!loaded) {
       loaded = true;
+      reading.orphans().forEach(journal::remove);
       log.decided("cell", cell, "jobs read", jobs.open().size() + " open");
     }
   }
@@ -98,7 +92,7 @@
     switch (result.outcome()) {
       case CHANGES -> {
         version = Math.max(version, result.version());
-        result.rows().forEach(row -> take(row, false));
+        result.rows().forEach(row -> take(row, null));
       }
       case HISTORY_LOST -> {
         log.decided("cell", cell, "jobs are read again", "the history is gone");
@@ -109,22 +103,24 @@
     }
   }
 
-  private void take(StoredRow row, boolean inherited) {
+  private void take(StoredRow row, @Nullable JobReading reading) {
     Optional<String> id = JobRows.job(row.key());
     Optional<Kind> kind = JobRows.kind(row.key());
-    boolean foreign = !row.part().equals(cell) || row.removed();
-    if (foreign || id.isEmpty() || kind.isEmpty()) {
+    if (row.removed() || id.isEmpty() || kind.isEmpty()) {
+      return;
+    }
+    if (!row.part().equals(JobRows.part(cell, id.get()))) {
+      // The row of another cell.
       return;
     }
     switch (kind.get()) {
-      case SUBMISSION -> takeSubmission(id.get(), row, inherited);
-      case PROGRESS -> takeProgress(id.get(), row, inherited);
+      case SUBMISSION -> takeSubmission(id.get(), row, reading);
       case CANCELLATION -> takeCancellation(id.get(), row);
     }
     onChange.run();
   }
 
-  private void takeSubmission(String id, StoredRow row, boolean inherited) {
+  private void takeSubmission(String id, StoredRow row, @Nullable JobReading reading) {
     if (jobs.get(id) != null) {
       return;
     }
@@ -133,10 +129,10 @@
       log.decided("job", id, "ignored", "unreadable, row " + row.version());
       return;
     }
+    boolean inherited = !loaded;
     Job job = new Job(submission, row.version(), inherited);
-    ProgressRecord progress = pendingProgress.remove(id);
-    if (progress != null) {
-      job.restore(progress);
+    if (reading != null) {
+      reading.progress(id).ifPresent(job::restore);
     }
     if (pendingCancellations.remove(id)) {
       job.cancel();
@@ -148,24 +144,8 @@
       journal.touch(job);
     }
     if (!inherited) {
-      log.decided(
-          "job",
-          id,
-          "taken",
-          "row "
-              + row.version()
-              + ", queue "
-              + submission.queue()
-              + ", "
-              + submission.steps().size()
-              + " steps");
-    }
-  }
-
-  /** Rows come in the order of their keys: cancellation, progress, submission. */
-  private void takeProgress(String id, StoredRow row, boolean inherited) {
-    if (inherited && jobs.get(id) == null) {
-      JobRows.progress(row.value()).ifPresent(record -> pendingProgress.put(id, record));
+      String what = "queue " + submission.queue() + ", " + submission.steps().size() + " steps";
+      log.decided("job", id, "taken", "row " + row.version() + ", " + what);
     }
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
@@ -1,6 +1,5 @@
 package org.hemlockpick.cell;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.hemlockpick.cell.WorkerPort.EndKind;
 import org.jspecify.annotations.Nullable;
@@ -125,19 +124,4 @@
     journal.touch(job);
     log.decided("job", job.id(), state.name(), reason);
   }
-
-  /** Removes jobs that ended long ago, with their rows. */
-  void forget(long keepMillis) {
-    long before = clock.wallMillis() - keepMillis;
-    List<Job> old = new ArrayList<>();
-    for (Job job : jobs.all()) {
-      if (job.state().isFinal() && job.endedAtMillis() < before) {
-        old.add(job);
-      }
-    }
-    for (Job job : old) {
-      journal.remove(job.id());
-      jobs.remove(job);
-    }
-  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -13,15 +13,25 @@
 import org.hemlockpick.proto.SubmissionRecord;
 import org.hemlockpick.proto.TaskNote;
 
-/** Names and converts the rows of jobs in the table service. */
+/**
+ * Names and converts the rows of jobs in the table service. What callers write is spread over
+ * several parts, as a part carries out one transaction after the other; what the holder writes
+ * shares the part of its lease.
+ */
 final class JobRows {
+  /** Table of what callers write. */
   static final String TABLE = "jobs";
 
+  /** Table of what the holder writes. */
+  static final String PROGRESS_TABLE = "progress";
+
+  /** Number of parts over which the jobs of a cell are spread. */
+  static final int PARTS = 8;
+
   /** Version of the rows' layout; rows of another one are refused. */
   static final int FORMAT = 1;
 
   private static final String SUBMISSION = "/s";
-  private static final String PROGRESS = "/p";
   private static final String CANCELLATION = "/c";
   private static final String BEHIND_ALL = "/~";
 
@@ -30,25 +40,39 @@
   /** What a row of a job holds. */
   enum Kind {
     SUBMISSION,
-    PROGRESS,
     CANCELLATION
   }
 
+  /** Returns the part in which callers write a job. */
+  static String part(String cell, String job) {
+    return part(cell, Math.floorMod(job.hashCode(), PARTS));
+  }
+
+  /** Returns the part of a number, from 0 to {@link #PARTS}, exclusive. */
+  static String part(String cell, int number) {
+    return cell + "." + number;
+  }
+
   static RowName submission(String job) {
     return new RowName(TABLE, job + SUBMISSION);
   }
 
   static RowName progress(String job) {
-    return new RowName(TABLE, job + PROGRESS);
+    return new RowName(PROGRESS_TABLE, job);
   }
 
   static RowName cancellation(String job) {
     return new RowName(TABLE, job + CANCELLATION);
   }
 
-  /** Returns the range of all rows of a job. */
-  static TableService.Range range(String part, String job) {
-    return new TableService.Range(TABLE, part, job + "/", job + BEHIND_ALL);
+  /** Returns the range of what callers wrote of a job. */
+  static TableService.Range range(String cell, String job) {
+    return new TableService.Range(TABLE, part(cell, job), job + "/", job + BEHIND_ALL);
+  }
+
+  /** Returns the range of what the holder wrote of a job. */
+  static TableService.Range progressRange(String cell, String job) {
+    return new TableService.Range(PROGRESS_TABLE, cell, job, job + "/");
   }
 
   /** Returns the job that a key belongs to; empty for a key of another form. */
@@ -62,9 +86,6 @@
     if (key.endsWith(SUBMISSION)) {
       return Optional.of(Kind.SUBMISSION);
     }
-    if (key.endsWith(PROGRESS)) {
-      return Optional.of(Kind.PROGRESS);
-    }
     return key.endsWith(CANCELLATION) ? Optional.of(Kind.CANCELLATION) : Optional.empty();
   }
 
