--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
@@ -275,8 +275,9 @@
     world.workers.failing = 1;
     world.time.runFor(SETTLED);
     world.submit(0, "a", step(1));
+    long latest = world.time.millis() + 20_000;
     for (int count = 1; count <= 5; count++) {
-      while (world.failures("a") < count) {
+      while (world.failures("a") < count && world.time.millis() < latest) {
         world.time.runFor(5);
       }
       CellWorld.Node holder = world.holder();
