Send callers elsewhere while the store is silent, and keep what is learned

- An entry instance that was cut from the store kept each call for 2 s of the 3 s that the caller had, then answered 504: 48 answers.
Now a call is not sent while the store has been silent for 0.8 s: it waits 0.4 s for the store and is then refused as not run, so that five tries of a caller cover its time when the store is away for all.
A call whose answer is missing is given up at the first time-out if nothing else was answered either.
The instance is not ready after 1.2 s in place of 2.2.

A worker is asked each 0.45 s only while a serving task is at 0.3 of its target or more, else each second.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import org.hemlockpick.proto.LearnedRecord;
 import org.junit.jupiter.api.Test;
 
 /** Jobs of a cell on calm days and through single faults. */
@@ -175,6 +176,44 @@
     assertTrue(world.store.value("progress", "a").isEmpty());
   }
 
+  /** Callers of an entry instance that is cut off alone find another one in time. */
+  @Test
+  void entryInstanceWithoutTheStoreSendsCallersElsewhereAtOnce() {
+    world.time.runFor(SETTLED);
+    CellWorld.Node cut = world.nodes.get(0);
+    cut.storeView.cut = true;
+    long first = cut.timeToAnswer("a");
+    long second = cut.timeToAnswer("b");
+    assertTrue(first <= 1_100, () -> first + " ms");
+    assertTrue(second <= 500, () -> second + " ms");
+    assertClean();
+  }
+
+  /** A write that was never sent is refused as not run, and is taken once the store is back. */
+  @Test
+  void callIsTakenWhenTheStoreComesBackInTime() {
+    world.time.runFor(SETTLED);
+    world.store.silent = true;
+    world.time.runFor(2_000);
+    world.submit(0, "a", step(1));
+    world.time.runFor(300);
+    world.store.silent = false;
+    world.time.runFor(4_000);
+    assertEquals(JobState.COMPLETED, world.state("a"));
+    assertClean();
+  }
+
+  @Test
+  void whatTheHolderLearnsOfRunTimesIsStored() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(4));
+    world.time.runFor(4_000);
+    LearnedRecord learned =
+        world.store.value("cells", "c0/learned").flatMap(CellRows::learned).orElseThrow();
+    assertEquals(CellWorld.QUEUE, learned.getMeans(0).getQueue());
+    assertTrue(learned.getMeans(0).getMillis() >= 250);
+  }
+
   @Test
   void canceledJobIsStoppedAndNeverStartedAgain() {
     world.workers.runMillis = 5_000;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -215,6 +215,17 @@
       time.after(TICK_MILLIS, () -> tick(incarnation, mine));
     }
 
+    /** Hands a job in and returns the time until the answer, in milliseconds. */
+    long timeToAnswer(String id) {
+      long begun = time.millis();
+      long[] answeredAt = new long[1];
+      Submission job = job(id, begun, step(1));
+      workers.expect(job);
+      process().submit(job, 3_000, reply -> answeredAt[0] = time.millis());
+      time.runFor(3_000);
+      return answeredAt[0] - begun;
+    }
+
     /** Returns the process, which must be up. */
     CellNode process() {
       return Objects.requireNonNull(process);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import org.hemlockpick.cell.WorkerPort.RunReport;
+import org.hemlockpick.proto.LearnedRecord;
 import org.junit.jupiter.api.Test;
 
 /** Fillers of some images let the tails of some serving tasks grow to many times their target. */
@@ -76,6 +77,22 @@
     assertTrue(interference.harm("s", "f") >= Interference.HARMFUL);
   }
 
+  @Test
+  void whatWasLearnedIsKnownToTheNextHolder() {
+    Worker worker = worker("w");
+    Run serving = run(worker, "s", true);
+    report(run(worker, "f", false), 9_000);
+    report(serving, 30);
+    report(serving, 400);
+    interference.learn(worker);
+    LearnedRecord.Builder record = LearnedRecord.newBuilder();
+    interference.store(record, 10);
+    Interference next = new Interference();
+    next.restore(record.build());
+    assertEquals(interference.harm("s", "f"), next.harm("s", "f"));
+    assertEquals(interference.harm("s", "other"), next.harm("s", "other"));
+  }
+
   @Test
   void tailThatFallsBlamesNobody() {
     Worker worker = worker("w");
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
@@ -71,6 +71,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hemlockpick_RosterRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_HarmEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_HarmEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_QueueMean_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_QueueMean_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_LearnedRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_LearnedRecord_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -112,12 +127,17 @@
       "born_millis\030\002 \001(\004\022\017\n\007address\030\003 \001(\t\022\016\n\006si" +
       "lent\030\004 \001(\010\022\r\n\005tasks\030\005 \003(\t\"Z\n\014RosterRecor" +
       "d\022\016\n\006format\030\001 \001(\r\022)\n\007workers\030\002 \003(\0132\030.hem" +
-      "lockpick.RosterEntry\022\017\n\007located\030\003 \001(\010*\201\001" +
-      "\n\016JobStateRecord\022\031\n\025JOB_STATE_UNSPECIFIE" +
-      "D\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\r" +
-      "JOB_COMPLETED\020\003\022\016\n\nJOB_FAILED\020\004\022\020\n\014JOB_C" +
-      "ANCELED\020\005B\031\n\025org.hemlockpick.protoP\001b\006pr" +
-      "oto3"
+      "lockpick.RosterEntry\022\017\n\007located\030\003 \001(\010\"F\n" +
+      "\tHarmEntry\022\025\n\rserving_image\030\001 \001(\t\022\024\n\014fil" +
+      "ler_image\030\002 \001(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMe" +
+      "an\022\r\n\005queue\030\001 \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLea" +
+      "rnedRecord\022\016\n\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\013" +
+      "2\026.hemlockpick.HarmEntry\022%\n\005means\030\003 \003(\0132" +
+      "\026.hemlockpick.QueueMean*\201\001\n\016JobStateReco" +
+      "rd\022\031\n\025JOB_STATE_UNSPECIFIED\020\000\022\016\n\nJOB_QUE" +
+      "UED\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020" +
+      "\003\022\016\n\nJOB_FAILED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025o" +
+      "rg.hemlockpick.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -177,6 +197,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterRecord_descriptor,
         new java.lang.String[] { "Format", "Workers", "Located", });
+    internal_static_hemlockpick_HarmEntry_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_hemlockpick_HarmEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_HarmEntry_descriptor,
+        new java.lang.String[] { "ServingImage", "FillerImage", "Harm", });
+    internal_static_hemlockpick_QueueMean_descriptor =
+      getDescriptor().getMessageType(10);
+    internal_static_hemlockpick_QueueMean_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_QueueMean_descriptor,
+        new java.lang.String[] { "Queue", "Millis", });
+    internal_static_hemlockpick_LearnedRecord_descriptor =
+      getDescriptor().getMessageType(11);
+    internal_static_hemlockpick_LearnedRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_LearnedRecord_descriptor,
+        new java.lang.String[] { "Format", "Harm", "Means", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
@@ -20,7 +20,10 @@
  */
 final class CallerDesk {
   /** Longest time for which a call that has certainly not run is tried again. */
-  private static final long RETRY_SPAN_MILLIS = 300;
+  private static final long RETRY_SPAN_MILLIS = 400;
+
+  /** Time without an answer of the table service after which no call is sent to it. */
+  private static final long SILENCE_MILLIS = 800;
 
   private static final long RETRY_PAUSE_MILLIS = 60;
 
@@ -34,13 +37,13 @@
   private static final long COME_BACK_MILLIS = 1_000;
 
   private final CellSettings settings;
-  private final TableService store;
+  private final StoreContact store;
   private final LoopClock clock;
   private final DecisionLog log;
   private final Queue<Retry> retries = new ArrayDeque<>();
   private int open;
 
-  CallerDesk(CellSettings settings, TableService store, LoopClock clock, DecisionLog log) {
+  CallerDesk(CellSettings settings, StoreContact store, LoopClock clock, DecisionLog log) {
     this.settings = settings;
     this.store = store;
     this.clock = clock;
@@ -54,17 +57,17 @@
 
   /** Stores a job; the same identifier again is the same job. */
   void submit(Submission job, long timeoutMillis, Consumer<CallerReply> handler) {
-    new Submit(job, timeoutMillis, handler).send();
+    new Submit(job, timeoutMillis, handler).begin();
   }
 
   /** Stores the wish to cancel a job. */
   void cancel(String job, long timeoutMillis, Consumer<CallerReply> handler) {
-    new Cancel(job, timeoutMillis, handler).send();
+    new Cancel(job, timeoutMillis, handler).begin();
   }
 
   /** Reads the state of a job. */
   void state(String job, long timeoutMillis, Consumer<CallerReply> handler) {
-    new Query(job, timeoutMillis, handler).send();
+    new Query(job, timeoutMillis, handler).begin();
   }
 
   /** Sends again what has waited long enough. */
@@ -74,7 +77,7 @@
     while (!retries.isEmpty() && retries.element().at() <= now) {
       due.add(retries.remove().call());
     }
-    due.forEach(Call::send);
+    due.forEach(Call::begin);
   }
 
   private record Retry(long at, Call call) {}
@@ -95,6 +98,15 @@
       open++;
     }
 
+    /** Sends the call, unless the table service does not answer at the moment. */
+    void begin() {
+      if (store.silenceMillis() >= SILENCE_MILLIS) {
+        onNotDone();
+        return;
+      }
+      send();
+    }
+
     abstract void send();
 
     abstract String kind();
@@ -121,9 +133,16 @@
       }
     }
 
-    /** Tries again what may have been carried out, or gives up. */
+    /**
+     * Tries again what may have been carried out, or gives up: at once if nobody is answered, as
+     * the caller may do better elsewhere.
+     */
     void onUnknown(boolean mayHaveWritten) {
       uncertain |= mayHaveWritten;
+      if (store.silenceMillis() >= SILENCE_MILLIS) {
+        giveUp();
+        return;
+      }
       onNotDone();
     }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -39,6 +39,7 @@
   private final JobKeeper keeper;
   private final JobFeed feed;
   private final JobSweeper sweeper;
+  private final Experience experience;
   private final TakeOver takeOver;
   private final WorkerList list;
   private final TaskRunner runner;
@@ -94,7 +95,8 @@
         new JobFeed(
             settings.cell(), store, jobs, keeper, journal, clock, log, () -> changed = true);
     this.sweeper = new JobSweeper(settings, store, jobs, journal, clock);
-    this.takeOver = new TakeOver(settings, lease, store, clock, log);
+    this.experience = new Experience(interference, times, journal);
+    this.takeOver = new TakeOver(settings, lease, store, experience, clock, log);
     this.list = new WorkerList(store, source, workers, takeOver, journal, log, new ListListener());
     this.runner =
         new TaskRunner(
@@ -184,6 +186,7 @@
       log.decided("load", settings.cell(), LoadReport.of(workers.all(), now), waitingTasks());
     }
     sweeper.run(now);
+    experience.run(now);
   }
 
   private String waitingTasks() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -11,6 +11,7 @@
 import org.hemlockpick.cell.Transaction.RowName;
 import org.hemlockpick.cell.Transaction.Write;
 import org.hemlockpick.proto.CellRecord;
+import org.hemlockpick.proto.LearnedRecord;
 import org.hemlockpick.proto.RosterRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -38,6 +39,7 @@
   private List<RowName> removals = new ArrayList<>();
   private @Nullable RosterRecord roster;
   private @Nullable RosterRecord sentRoster;
+  private @Nullable LearnedRecord learned;
 
   private long version;
   private boolean underWay;
@@ -95,6 +97,13 @@
     roster = newest;
   }
 
+  /**
+   * Has what was learned written with the next transaction; it is not written again if it fails.
+   */
+  void setLearned(LearnedRecord newest) {
+    learned = newest;
+  }
+
   /** Has the progress of a job removed. */
   void remove(String job) {
     removals.add(JobRows.progress(job));
@@ -172,6 +181,10 @@
     if (sentRoster != null) {
       writes.add(new Write(CellRows.roster(settings.cell()), sentRoster.toByteString()));
     }
+    if (learned != null) {
+      writes.add(new Write(CellRows.learned(settings.cell()), learned.toByteString()));
+      learned = null;
+    }
     sentJobs = new LinkedHashSet<>();
     Set<Job> rest = new LinkedHashSet<>();
     for (Job job : changed) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -38,7 +38,7 @@
   private long changedAt;
   private long claimFrom = Long.MAX_VALUE;
   private long roundTrip = CellTiming.STORE_TIMEOUT;
-  private long lastAnswerAt = Long.MIN_VALUE / 2;
+  private boolean answered;
   private @Nullable CellRecord seen;
   private ImmutableMap<String, Integer> waiting = ImmutableMap.of();
 
@@ -78,9 +78,9 @@
     return waiting;
   }
 
-  /** Returns the time on the steady clock of the table service's last answer. */
-  long lastAnswerAt() {
-    return lastAnswerAt;
+  /** Tells whether the lease was ever read. */
+  boolean hasAnswered() {
+    return answered;
   }
 
   /** Goes back to watching after the lease was lost. */
@@ -128,7 +128,7 @@
       return;
     }
     long now = clock.monotonicMillis();
-    lastAnswerAt = now;
+    answered = true;
     roundTrip = now - askedAt;
     if (result.rows().isEmpty()) {
       see(0, null, now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
@@ -12,12 +12,12 @@
  */
 public final class CellNode {
   /** Time without an answer of the table service after which callers are sent elsewhere. */
-  private static final long STORE_SILENCE_MILLIS = 2_200;
+  private static final long STORE_SILENCE_MILLIS = 1_200;
 
   private static final long COME_BACK_MILLIS = 1_000;
 
   private final CellSettings settings;
-  private final TableService store;
+  private final StoreContact store;
   private final WorkerPort workers;
   private final ConfigurationSource source;
   private final LoopClock clock;
@@ -51,14 +51,14 @@
       DecisionLog log,
       RandomGenerator random) {
     this.settings = settings;
-    this.store = store;
+    this.store = new StoreContact(store, clock);
     this.workers = workers;
     this.source = source;
     this.clock = clock;
     this.log = log;
-    this.configuration = new ConfigurationWatch(store, source, clock, log);
-    this.lease = new CellLease(settings, store, clock, random, this::onAcquired);
-    this.desk = new CallerDesk(settings, store, clock, log);
+    this.configuration = new ConfigurationWatch(this.store, source, clock, log);
+    this.lease = new CellLease(settings, this.store, clock, random, this::onAcquired);
+    this.desk = new CallerDesk(settings, this.store, clock, log);
     this.lastWall = clock.wallMillis();
     this.lastMonotonic = clock.monotonicMillis();
   }
@@ -77,8 +77,7 @@
 
   /** Tells whether callers should be sent here. */
   public boolean isReady() {
-    long answered = Math.max(configuration.lastAnswerAt(), lease.lastAnswerAt());
-    boolean fresh = clock.monotonicMillis() - answered < STORE_SILENCE_MILLIS;
+    boolean fresh = store.silenceMillis() < STORE_SILENCE_MILLIS;
     return !stopping && configuration.current() != null && fresh;
   }
 
@@ -148,7 +147,7 @@
     if (current != null) {
       return CallerReply.waiting(current.waiting().getOrDefault(queue, 0));
     }
-    if (lease.lastAnswerAt() < 0) {
+    if (!lease.hasAnswered()) {
       return CallerReply.refused(ResultCode.NOT_READY, COME_BACK_MILLIS);
     }
     return CallerReply.waiting(lease.waiting().getOrDefault(queue, 0));
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellRows.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.hemlockpick.cell.Transaction.RowName;
 import org.hemlockpick.proto.CellRecord;
+import org.hemlockpick.proto.LearnedRecord;
 import org.hemlockpick.proto.RosterRecord;
 
 /** Names and reads the rows of a cell in the table service. */
@@ -12,6 +13,7 @@
   static final String TABLE = "cells";
 
   private static final String ROSTER = "/roster";
+  private static final String LEARNED = "/learned";
   private static final String BEHIND_ALL = "/~";
 
   private CellRows() {}
@@ -24,6 +26,10 @@
     return new RowName(TABLE, cell + ROSTER);
   }
 
+  static RowName learned(String cell) {
+    return new RowName(TABLE, cell + LEARNED);
+  }
+
   /** Returns the range of the row with the lease alone. */
   static TableService.Range leaseRange(String cell) {
     return new TableService.Range(TABLE, cell, cell, cell + "/");
@@ -44,6 +50,16 @@
     }
   }
 
+  /** Returns what was learned; empty if the bytes cannot be read. */
+  static Optional<LearnedRecord> learned(ByteString value) {
+    try {
+      LearnedRecord record = LearnedRecord.parseFrom(value);
+      return record.getFormat() == JobRows.FORMAT ? Optional.of(record) : Optional.empty();
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+
   /** Returns the roster; empty if the bytes cannot be read. */
   static Optional<RosterRecord> roster(ByteString value) {
     try {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationWatch.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationWatch.java
@@ -21,7 +21,6 @@
   private boolean isRead;
   private long nextAt;
   private long fromVersion;
-  private long lastAnswerAt = Long.MIN_VALUE / 2;
   private @Nullable Configuration current;
 
   ConfigurationWatch(
@@ -37,10 +36,6 @@
     return current;
   }
 
-  long lastAnswerAt() {
-    return lastAnswerAt;
-  }
-
   void run() {
     if (underWay || clock.monotonicMillis() < nextAt) {
       return;
@@ -64,7 +59,6 @@
       nextAt = clock.monotonicMillis() + RETRY_MILLIS;
       return;
     }
-    lastAnswerAt = clock.monotonicMillis();
     isRead = true;
     fromVersion = result.version();
     result.rows().forEach(this::take);
@@ -74,12 +68,10 @@
     underWay = false;
     switch (result.outcome()) {
       case CHANGES -> {
-        lastAnswerAt = clock.monotonicMillis();
         fromVersion = Math.max(fromVersion, result.version());
         result.rows().forEach(this::take);
       }
       case HISTORY_LOST -> {
-        lastAnswerAt = clock.monotonicMillis();
         isRead = false;
       }
       case FAILED -> {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -12,8 +12,11 @@
   /** Wait of a worker with runs for an end, in milliseconds. */
   private static final long WAIT_MILLIS = 1_000;
 
-  /** Wait where reports of latency are wanted as well. */
-  private static final long SERVING_WAIT_MILLIS = 450;
+  /** Wait where a serving task is not far from its target, so that fillers may have to yield. */
+  private static final long BUSY_WAIT_MILLIS = 450;
+
+  /** Tail of a serving task from which its worker is asked more often, as a share of the target. */
+  private static final double BUSY = 0.3;
 
   /** Pause between two looks at a worker without runs. */
   private static final long IDLE_PAUSE_MILLIS = 3_000;
@@ -103,7 +106,7 @@
     if (atOnce) {
       return 0;
     }
-    return worker.hasServing() ? SERVING_WAIT_MILLIS : WAIT_MILLIS;
+    return Interference.worstLoad(worker) >= BUSY ? BUSY_WAIT_MILLIS : WAIT_MILLIS;
   }
 
   /** Tells whether a run was stopped, and only a report can tell whether it was there at all. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.hemlockpick.proto.HarmEntry;
+import org.hemlockpick.proto.LearnedRecord;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,6 +45,9 @@
   /** Share of a worker's processors that fillers of an image must use to be seen in a report. */
   private static final double SEEN_USE = 0.02;
 
+  /** Least difference from the first guess that is stored. */
+  private static final double WORTH_STORING = 0.02;
+
   private final Map<String, Map<String, Double>> harm = new HashMap<>();
 
   /** Returns the probability that fillers of an image harm serving tasks of another. */
@@ -136,6 +141,29 @@
         .put(filler, Math.max(LEAST, Math.min(MOST, value)));
   }
 
+  /** Adds what differs from the first guess to a record, at most a number of entries. */
+  void store(LearnedRecord.Builder record, int most) {
+    harm.forEach(
+        (serving, row) ->
+            row.forEach(
+                (filler, value) -> {
+                  if (Math.abs(value - FIRST) >= WORTH_STORING && record.getHarmCount() < most) {
+                    record.addHarm(
+                        HarmEntry.newBuilder()
+                            .setServingImage(serving)
+                            .setFillerImage(filler)
+                            .setHarm(value));
+                  }
+                }));
+  }
+
+  /** Takes over what an earlier holder learned. */
+  void restore(LearnedRecord record) {
+    for (HarmEntry entry : record.getHarmList()) {
+      set(entry.getServingImage(), entry.getFillerImage(), entry.getHarm());
+    }
+  }
+
   /** Returns the share of a worker's processors that fillers use, by image, as last reported. */
   private static Map<String, Double> use(Worker worker) {
     Map<String, Double> use = new HashMap<>();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunTimes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunTimes.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.hemlockpick.proto.LearnedRecord;
+import org.hemlockpick.proto.QueueMean;
 
 /**
  * Learns how long tasks take. Declared run times are far off, so the mean of the tasks of a queue
@@ -40,6 +42,21 @@
     return mean == null ? step.estimateMillis() : (long) (0.5 * mean + 0.5 * step.estimateMillis());
   }
 
+  /** Adds the means of the queues to a record, at most a number of them. */
+  void store(LearnedRecord.Builder record, int most) {
+    queueMeans.forEach(
+        (queue, mean) -> {
+          if (record.getMeansCount() < most) {
+            record.addMeans(QueueMean.newBuilder().setQueue(queue).setMillis(mean));
+          }
+        });
+  }
+
+  /** Takes over what an earlier holder learned. */
+  void restore(LearnedRecord record) {
+    record.getMeansList().forEach(mean -> queueMeans.put(mean.getQueue(), mean.getMillis()));
+  }
+
   /** Forgets the steps of a job. */
   void forget(Job job) {
     job.stepRuns().forEach(steps::remove);
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/StoreContact.java
@@ -0,0 +1,92 @@
+package org.hemlockpick.cell;
+
+import java.util.function.Consumer;
+
+/** Passes calls on to the table service and watches for how long it has not answered. */
+final class StoreContact implements TableService {
+  private static final long NONE = Long.MIN_VALUE;
+
+  private final TableService service;
+  private final LoopClock clock;
+
+  /** Time at which the first call that was sent after the last answer was sent. */
+  private long unansweredSince = NONE;
+
+  private int underWay;
+
+  StoreContact(TableService service, LoopClock clock) {
+    this.service = service;
+    this.clock = clock;
+  }
+
+  /** Returns the time that has passed since a call without any answer, in milliseconds. */
+  long silenceMillis() {
+    return unansweredSince == NONE ? 0 : clock.monotonicMillis() - unansweredSince;
+  }
+
+  @Override
+  public void transact(
+      Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
+    onSent();
+    service.transact(
+        transaction,
+        timeoutMillis,
+        result -> {
+          boolean answered =
+              result.outcome() == Outcome.COMMITTED || result.outcome() == Outcome.CONFLICT;
+          onEnded(answered);
+          handler.accept(result);
+        });
+  }
+
+  @Override
+  public void read(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
+    onSent();
+    service.read(
+        range,
+        timeoutMillis,
+        result -> {
+          onEnded(result.isWhole());
+          handler.accept(result);
+        });
+  }
+
+  /** A watch may wait for long, so that its silence tells nothing. */
+  @Override
+  public void watch(
+      String table,
+      long afterVersion,
+      long waitMillis,
+      long timeoutMillis,
+      Consumer<WatchResult> handler) {
+    service.watch(
+        table,
+        afterVersion,
+        waitMillis,
+        timeoutMillis,
+        result -> {
+          if (result.outcome() != WatchOutcome.FAILED) {
+            onAnswer();
+          }
+          handler.accept(result);
+        });
+  }
+
+  private void onSent() {
+    underWay++;
+    if (unansweredSince == NONE) {
+      unansweredSince = clock.monotonicMillis();
+    }
+  }
+
+  private void onEnded(boolean answered) {
+    underWay--;
+    if (answered) {
+      onAnswer();
+    }
+  }
+
+  private void onAnswer() {
+    unansweredSince = underWay > 0 ? clock.monotonicMillis() : NONE;
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -26,6 +26,7 @@
   private final CellSettings settings;
   private final CellLease.Acquired lease;
   private final TableService store;
+  private final Experience experience;
   private final LoopClock clock;
   private final DecisionLog log;
 
@@ -46,11 +47,13 @@
       CellSettings settings,
       CellLease.Acquired lease,
       TableService store,
+      Experience experience,
       LoopClock clock,
       DecisionLog log) {
     this.settings = settings;
     this.lease = lease;
     this.store = store;
+    this.experience = experience;
     this.clock = clock;
     this.log = log;
   }
@@ -65,7 +68,7 @@
     return located;
   }
 
-  /** Reads the roster of the earlier holder. */
+  /** Reads what the earlier holder left beside the jobs. */
   void read(long now) {
     if (read || reading || now < nextReadAt) {
       return;
@@ -80,10 +83,13 @@
       nextReadAt = clock.monotonicMillis() + RETRY_MILLIS;
       return;
     }
-    String key = CellRows.roster(settings.cell()).key();
+    String roster = CellRows.roster(settings.cell()).key();
+    String learned = CellRows.learned(settings.cell()).key();
     for (StoredRow row : rows.rows()) {
-      if (row.key().equals(key)) {
+      if (row.key().equals(roster)) {
         CellRows.roster(row.value()).ifPresent(this::take);
+      } else if (row.key().equals(learned)) {
+        CellRows.learned(row.value()).ifPresent(experience::restore);
       }
     }
     read = true;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -280,15 +280,6 @@
     return sum;
   }
 
-  boolean hasServing() {
-    for (Run run : runs.values()) {
-      if (run.step().isServing()) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Takes no new task until a time on the steady clock. */
   void closeUntil(long untilMillis) {
     closedUntil = Math.max(closedUntil, untilMillis);
