Put a jump of a tail down to the fillers that have just begun

A tail that grows by half between two reports, half a second apart, is no swing of the own load, which takes seconds; the fillers that began within 1.5 s are to blame, also below the target.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -31,14 +31,21 @@
   private final WorkerPort port;
   private final TaskRunner runner;
   private final Interference interference;
+  private final LoopClock clock;
   private final DecisionLog log;
 
   PaceSystem(
-      long token, WorkerPort port, TaskRunner runner, Interference interference, DecisionLog log) {
+      long token,
+      WorkerPort port,
+      TaskRunner runner,
+      Interference interference,
+      LoopClock clock,
+      DecisionLog log) {
     this.token = token;
     this.port = port;
     this.runner = runner;
     this.interference = interference;
+    this.clock = clock;
     this.log = log;
   }
 
@@ -48,7 +55,7 @@
    * @param isPlaceable tells whether a task would find room at another worker
    */
   void onReport(Worker worker, Predicate<Task> isPlaceable) {
-    interference.learn(worker);
+    interference.learn(worker, clock.monotonicMillis());
     Run worst = Interference.worst(worker);
     double load = worst == null ? 0 : Interference.load(worst);
     boolean isGrowing = worst != null && load >= HIGH && Interference.isGrowing(worst);
