Tell callers for a while that the process stops before it closes

Cause of the flaky ZoneProcessTest#cutsOffNoRequestInAPlannedStop: once the last call was answered, the stop closed the connections within milliseconds. A caller that had just got an answer had sent its next request on the same connection, and it was cut off. Now new calls are answered STOPPING for 0.3 s before the connections are closed.

CallerApiTest#tellsCallersForAWhileThatItStops fails on the code before with the same error ("received no bytes"). Ruled out: an exchange that the loop loses; each had its answer.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
@@ -19,6 +19,9 @@
   /** Longest time that a planned stop may take, in milliseconds. */
   public static final long MAX_STOP_MILLIS = 30_000;
 
+  /** Time in which callers with open connections are told of the stop, in milliseconds. */
+  private static final long LEAVING_MILLIS = 300;
+
   private static final Logger log = Logger.getLogger(EntryDaemon.class);
 
   private final Settings settings;
@@ -134,12 +137,28 @@
             .completeOnTimeout(false, MAX_STOP_MILLIS, TimeUnit.MILLISECONDS)
             .exceptionally(error -> false)
             .join();
+    if (complete) {
+      tellCallers();
+    }
     log.infov(
         complete ? Messages.STOP_COMPLETE : Messages.STOP_TOO_SLOW, settings.instance().name());
     close();
     return complete;
   }
 
+  /**
+   * Answers for a while that the process stops: a caller with an open connection may have sent its
+   * next request already, which a closed connection would cut off.
+   */
+  private void tellCallers() {
+    exchanges.refuseNew();
+    try {
+      Thread.sleep(LEAVING_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Closes everything at once; calls in flight are answered as of unknown outcome. */
   @Override
   public synchronized void close() {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CallerApiTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CallerApiTest.java
@@ -228,6 +228,21 @@
     assertEquals("STOPPING", json(response.body()).getString("result"));
   }
 
+  /** A caller that has an open connection may send its next request while the process stops. */
+  @Test
+  void tellsCallersForAWhileThatItStops() throws Exception {
+    call("POST", REQUEST, "{}");
+    Thread stop = new Thread(daemon::stop);
+    stop.start();
+    daemon.ended().join();
+    long until = System.nanoTime() + Duration.ofMillis(100).toNanos();
+    while (System.nanoTime() < until) {
+      JsonObject answer = json(call("POST", REQUEST, "{}").body());
+      assertEquals("STOPPING", answer.getString("result"));
+    }
+    stop.join();
+  }
+
   @Test
   void endsWhenATickThrows() {
     var unused =
