Revert "Put a jump of a tail down to the fillers that have just begun"

Jumps also come from old fillers, as their harm changes within seconds, and a pair that was once blamed is never tried again: nothing lowers its probability, and it now outlives the holder.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceTest.java
@@ -12,7 +12,6 @@
 /** Fillers of some images let the tails of some serving tasks grow to many times their target. */
 class InterferenceTest {
   private static final int TARGET = 50;
-  private static final long NOW = 60_000;
 
   private final Interference interference = new Interference();
   private int jobs;
@@ -52,16 +51,12 @@
   }
 
   private Run run(Worker worker, String image, boolean serving) {
-    return runSince(worker, image, serving, 0);
-  }
-
-  private Run runSince(Worker worker, String image, boolean serving, long startedAt) {
     Submission submission =
         new Submission("j" + ++jobs, "q", "", List.of(step(image, serving)), 0, 0, 0, 0);
     Job job = new Job(submission, 0, false);
     job.openDue(0);
     Task task = job.stepRuns().get(0).tasks().get(0);
-    Run run = new Run(task, 1, worker, Run.State.RUNNING, startedAt);
+    Run run = new Run(task, 1, worker, Run.State.RUNNING, 0);
     task.setRun(run);
     worker.add(run);
     return run;
@@ -78,7 +73,7 @@
     report(run(worker, "f", false), 9_000);
     report(serving, 30);
     report(serving, 400);
-    interference.learn(worker, NOW);
+    interference.learn(worker);
     assertTrue(interference.harm("s", "f") >= Interference.HARMFUL);
   }
 
@@ -89,7 +84,7 @@
     report(run(worker, "f", false), 9_000);
     report(serving, 30);
     report(serving, 400);
-    interference.learn(worker, NOW);
+    interference.learn(worker);
     LearnedRecord.Builder record = LearnedRecord.newBuilder();
     interference.store(record, 10);
     Interference next = new Interference();
@@ -98,20 +93,6 @@
     assertEquals(interference.harm("s", "other"), next.harm("s", "other"));
   }
 
-  /** Below the target, and beside a filler that has been there for long. */
-  @Test
-  void jumpIsPutDownToTheFillerThatHasJustBegun() {
-    Worker worker = worker("w");
-    Run serving = run(worker, "s", true);
-    report(run(worker, "old", false), 9_000);
-    report(runSince(worker, "new", false, NOW - 500), 9_000);
-    report(serving, 30);
-    report(serving, 70);
-    interference.learn(worker, NOW);
-    assertTrue(interference.harm("s", "new") >= Interference.HARMFUL);
-    assertTrue(interference.harm("s", "old") < Interference.HARMFUL);
-  }
-
   @Test
   void tailThatFallsBlamesNobody() {
     Worker worker = worker("w");
@@ -120,7 +101,7 @@
     report(serving, 200);
     report(run(worker, "f", false), 9_000);
     double before = interference.harm("s", "f");
-    interference.learn(worker, NOW);
+    interference.learn(worker);
     assertEquals(before, interference.harm("s", "f"));
   }
 
@@ -132,12 +113,12 @@
     for (int i = 0; i < 3; i++) {
       report(serving, 30);
       report(serving, 400);
-      interference.learn(worker, NOW);
+      interference.learn(worker);
     }
     report(run(worker, "new", false), 9_000);
     report(serving, 30);
     report(serving, 400);
-    interference.learn(worker, NOW);
+    interference.learn(worker);
     assertTrue(interference.harm("s", "new") < Interference.HARMFUL);
   }
 
@@ -148,7 +129,7 @@
     report(run(worker, "f", false), 9_000);
     for (int i = 0; i < 40; i++) {
       report(serving, 20);
-      interference.learn(worker, NOW);
+      interference.learn(worker);
     }
     assertTrue(interference.harm("s", "f") < 0.05);
   }
@@ -161,7 +142,7 @@
     report(filler, 9_000);
     report(serving, 30);
     report(serving, 400);
-    interference.learn(beside, NOW);
+    interference.learn(beside);
     Worker empty = worker("w2");
     run(empty, "other", true);
     Worker chosen =
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import org.hemlockpick.proto.HarmEntry;
 import org.hemlockpick.proto.LearnedRecord;
 import org.jspecify.annotations.Nullable;
@@ -37,15 +36,6 @@
   /** Growth since the last report from which a tail counts as growing. */
   private static final double GROWTH = 1.05;
 
-  /** Growth since the last report that no change of the own load explains. */
-  private static final double JUMP = 1.5;
-
-  /** Tail from which a jump counts, as a share of the target; below it is in the noise. */
-  private static final double JUMP_LOAD = 0.5;
-
-  /** Age of a run up to which a jump is put down to it, in milliseconds. */
-  private static final long FRESH_MILLIS = 1_500;
-
   /** Tail below which a report is calm, as a share of the target. */
   private static final double CALM = 0.6;
 
@@ -78,22 +68,20 @@
   }
 
   /** Learns from a worker that has just reported. */
-  void learn(Worker worker, long nowMillis) {
-    Set<String> seen = seen(worker, Long.MIN_VALUE);
-    if (seen.isEmpty()) {
+  void learn(Worker worker) {
+    Map<String, Double> use = use(worker);
+    use.values().removeIf(share -> share < SEEN_USE);
+    if (use.isEmpty()) {
       return;
     }
-    Set<String> fresh = seen(worker, nowMillis - FRESH_MILLIS);
     for (Run run : worker.runs()) {
       if (!run.step().isServing() || run.gauge() <= 0) {
         continue;
       }
-      if (isJumping(run) && !fresh.isEmpty()) {
-        blame(run, fresh, OWN_LARGE_SWING);
-      } else if (isGrowing(run) && load(run) >= 1) {
-        blame(run, seen, load(run) >= LARGE ? OWN_LARGE_SWING : OWN_SWING);
+      if (isGrowing(run) && load(run) >= 1) {
+        blame(run, use);
       } else if (load(run) < CALM) {
-        seen.forEach(filler -> calm(run.step().image(), filler));
+        use.keySet().forEach(filler -> calm(run.step().image(), filler));
       }
     }
   }
@@ -125,24 +113,16 @@
     return run.gauge() > run.gaugeBefore() * GROWTH;
   }
 
-  /**
-   * Tells whether the tail has grown so much since the report before that a new run is to blame.
-   */
-  private static boolean isJumping(Run run) {
-    return run.gaugeBefore() > 0
-        && run.gauge() >= run.gaugeBefore() * JUMP
-        && load(run) >= JUMP_LOAD;
-  }
-
   /** Spreads the blame by the rule of Bayes, each filler being harmful independently of others. */
-  private void blame(Run run, Set<String> fillers, double own) {
+  private void blame(Run run, Map<String, Double> use) {
     String serving = run.step().image();
+    double own = load(run) >= LARGE ? OWN_LARGE_SWING : OWN_SWING;
     double quiet = 1 - own;
-    for (String filler : fillers) {
+    for (String filler : use.keySet()) {
       quiet *= 1 - SHOWS * harm(serving, filler);
     }
     Map<String, Double> posterior = new HashMap<>();
-    for (String filler : fillers) {
+    for (String filler : use.keySet()) {
       double before = harm(serving, filler);
       double quietIfHarmful = quiet / (1 - SHOWS * before) * (1 - SHOWS);
       posterior.put(filler, before * (1 - quietIfHarmful) / (1 - quiet));
@@ -184,20 +164,15 @@
     }
   }
 
-  /**
-   * Returns the images of the fillers that use enough of a worker to be seen in its report.
-   *
-   * @param sinceMillis time since which a run of the image must have been started
-   */
-  private static Set<String> seen(Worker worker, long sinceMillis) {
+  /** Returns the share of a worker's processors that fillers use, by image, as last reported. */
+  private static Map<String, Double> use(Worker worker) {
     Map<String, Double> use = new HashMap<>();
     double capacity = worker.entry().capacity().cpuMillis();
     for (Run run : worker.runs()) {
-      if (run.step().filler() && run.startedAt() >= sinceMillis) {
+      if (run.step().filler()) {
         use.merge(run.step().image(), run.gauge() / capacity, Double::sum);
       }
     }
-    use.values().removeIf(share -> share < SEEN_USE);
-    return use.keySet();
+    return use;
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -31,21 +31,14 @@
   private final WorkerPort port;
   private final TaskRunner runner;
   private final Interference interference;
-  private final LoopClock clock;
   private final DecisionLog log;
 
   PaceSystem(
-      long token,
-      WorkerPort port,
-      TaskRunner runner,
-      Interference interference,
-      LoopClock clock,
-      DecisionLog log) {
+      long token, WorkerPort port, TaskRunner runner, Interference interference, DecisionLog log) {
     this.token = token;
     this.port = port;
     this.runner = runner;
     this.interference = interference;
-    this.clock = clock;
     this.log = log;
   }
 
@@ -55,7 +48,7 @@
    * @param isPlaceable tells whether a task would find room at another worker
    */
   void onReport(Worker worker, Predicate<Task> isPlaceable) {
-    interference.learn(worker, clock.monotonicMillis());
+    interference.learn(worker);
     Run worst = Interference.worst(worker);
     double load = worst == null ? 0 : Interference.load(worst);
     boolean isGrowing = worst != null && load >= HIGH && Interference.isGrowing(worst);
