Let the suspicion against a pair of images fade

Cause: nothing lowered the probability of harm of a pair once it was at 0.4 or more, as the pair was never run again; since what is learned outlives the holder, errors only added up.

The odds now halve in 10 s unless new harm shows: a doubtful pair is tried again after some seconds, a certain one (0.99) after a minute.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceTest.java
@@ -93,6 +93,19 @@
     assertEquals(interference.harm("s", "other"), next.harm("s", "other"));
   }
 
+  @Test
+  void suspicionFadesUntilThePairIsTriedAgain() {
+    Worker worker = worker("w");
+    Run serving = run(worker, "s", true);
+    report(run(worker, "f", false), 9_000);
+    report(serving, 30);
+    report(serving, 400);
+    interference.learn(worker);
+    interference.fade(120_000);
+    assertTrue(interference.harm("s", "f") < Interference.HARMFUL);
+    assertEquals(interference.harm("s", "other"), interference.harm("s", "f"), 1e-9);
+  }
+
   @Test
   void tailThatFallsBlamesNobody() {
     Worker worker = worker("w");
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Experience.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Experience.java
@@ -4,7 +4,7 @@
 
 /**
  * Keeps what the holder learns of the work, so that the next holder need not learn it anew at the
- * cost of the tasks.
+ * cost of the tasks, and lets it fade.
  */
 final class Experience {
   /** Pause between two records, in milliseconds. */
@@ -36,6 +36,7 @@
       return;
     }
     nextAt = now + PAUSE_MILLIS;
+    interference.fade(PAUSE_MILLIS);
     LearnedRecord.Builder record = LearnedRecord.newBuilder().setFormat(JobRows.FORMAT);
     interference.store(record, MOST_ENTRIES);
     times.store(record, MOST_ENTRIES);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -42,6 +42,9 @@
   /** Factor of the odds of harm for a calm report. */
   private static final double CALM_FACTOR = 0.93;
 
+  /** Time in which the odds of harm halve unless new harm shows, in milliseconds. */
+  private static final long HALF_LIFE_MILLIS = 10_000;
+
   /** Share of a worker's processors that fillers of an image must use to be seen in a report. */
   private static final double SEEN_USE = 0.02;
 
@@ -67,6 +70,22 @@
     return risk;
   }
 
+  /**
+   * Lets suspicion fade, so that a pair that was blamed wrongly, or whose harm has changed, is
+   * tried again some time after.
+   */
+  void fade(long elapsedMillis) {
+    double kept = Math.pow(0.5, (double) elapsedMillis / HALF_LIFE_MILLIS);
+    for (Map<String, Double> row : harm.values()) {
+      row.replaceAll((filler, value) -> value <= FIRST ? value : faded(value, kept));
+    }
+  }
+
+  private static double faded(double value, double kept) {
+    double odds = value / (1 - value) * kept;
+    return Math.max(FIRST, odds / (1 + odds));
+  }
+
   /** Learns from a worker that has just reported. */
   void learn(Worker worker) {
     Map<String, Double> use = use(worker);
