Move one filler for a report, and none while fillers wait

A suspicion holds for all workers at once, and each filler of the image was asked by itself whether another worker has room: all were stopped for the same room, and the rest then waited behind others.

Below the target one filler leaves for one report of its worker, and none while a filler waits for room that it would not get. Over the target all leave as before.

--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/PaceSystemTest.java
@@ -0,0 +1,75 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockpick.fakes.VirtualTime;
+import org.junit.jupiter.api.Test;
+
+/** Fillers of a harmful image leave a worker whose serving tasks are near their target. */
+class PaceSystemTest {
+  private static final int TARGET = 50;
+
+  private final FakeWorkers workers = new FakeWorkers(new VirtualTime(0), 1);
+  private final RunMaker maker = new RunMaker(TARGET);
+  private final Interference interference = new Interference();
+  private final List<Run> stopped = new ArrayList<>();
+  private final PaceSystem pace =
+      new PaceSystem(
+          1,
+          workers.view(),
+          (run, reason) -> stopped.add(run),
+          interference,
+          (kind, subject, outcome, reason) -> {});
+
+  private final Worker worker = RunMaker.worker("w");
+  private final Run serving = maker.run(worker, "s", true);
+
+  PaceSystemTest() {
+    workers.add("w");
+  }
+
+  private Run harmfulFiller() {
+    Run filler = maker.run(worker, "f", false);
+    RunMaker.report(filler, 9_000);
+    return filler;
+  }
+
+  /** Brings a report in which the tail has grown to several times its target. */
+  private void harm() {
+    RunMaker.report(serving, 30);
+    RunMaker.report(serving, 400);
+    interference.learn(worker);
+  }
+
+  /** One worker with room is found for each of them, but only the first can have it. */
+  @Test
+  void onlyOneFillerIsMovedForOneReportWhileTheTailIsBelowItsTarget() {
+    harmfulFiller();
+    harmfulFiller();
+    harm();
+    RunMaker.report(serving, 40);
+    pace.onReport(worker, task -> true);
+    assertEquals(1, stopped.size());
+  }
+
+  @Test
+  void fillersStandStillNearTheTargetIfThereIsNoRoomElsewhere() {
+    Run filler = harmfulFiller();
+    harm();
+    RunMaker.report(serving, 40);
+    pace.onReport(worker, task -> false);
+    assertEquals(List.of(), stopped);
+    assertEquals(0, filler.pace());
+  }
+
+  @Test
+  void allHarmfulFillersLeaveAWorkerThatIsOverItsTarget() {
+    harmfulFiller();
+    harmfulFiller();
+    harm();
+    pace.onReport(worker, task -> false);
+    assertEquals(2, stopped.size());
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -122,7 +122,7 @@
             clock,
             this::queue,
             this::isStartable);
-    this.pace = new PaceSystem(token, port, runner, interference, log);
+    this.pace = new PaceSystem(token, port, runner::stop, interference, log);
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.cell;
 
+import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 
@@ -29,15 +30,22 @@
 
   private final long token;
   private final WorkerPort port;
-  private final TaskRunner runner;
+
+  /** Stops a run for a reason. */
+  private final BiConsumer<Run, String> stop;
+
   private final Interference interference;
   private final DecisionLog log;
 
   PaceSystem(
-      long token, WorkerPort port, TaskRunner runner, Interference interference, DecisionLog log) {
+      long token,
+      WorkerPort port,
+      BiConsumer<Run, String> stop,
+      Interference interference,
+      DecisionLog log) {
     this.token = token;
     this.port = port;
-    this.runner = runner;
+    this.stop = stop;
     this.interference = interference;
     this.log = log;
   }
@@ -53,9 +61,12 @@
     double load = worst == null ? 0 : Interference.load(worst);
     boolean isGrowing = worst != null && load >= HIGH && Interference.isGrowing(worst);
     boolean isKnown = hasHarmful(worker);
+    boolean moved = false;
     for (Run run : worker.runs()) {
       if (run.step().filler() && run.state() == Run.State.RUNNING) {
-        decide(run, load, isGrowing && !isKnown, isPlaceable);
+        boolean mayMove = !moved && isHarmful(run) && isPlaceable.test(run.task());
+        // The room that was found is taken now; the next report shows whether there is more.
+        moved |= decide(run, load, isGrowing && !isKnown, mayMove);
       }
     }
   }
@@ -73,17 +84,19 @@
     return interference.risk(run.worker(), run.step().image()) >= Interference.HARMFUL;
   }
 
-  private void decide(Run run, double load, boolean isUnexplained, Predicate<Task> isPlaceable) {
+  /** Decides on a filler; returns whether it was stopped. */
+  private boolean decide(Run run, double load, boolean isUnexplained, boolean mayMove) {
     if (!isHarmful(run)) {
       setPace(run, isUnexplained ? HALF : load < CALM ? FULL : run.pace(), load);
-      return;
+      return false;
     }
     boolean isCheap = run.step().checkpoints() || run.percent() < MOST_LOST_PERCENT;
-    if (isCheap && (load >= OVER || isPlaceable.test(run.task()))) {
-      runner.stop(run, "harms serving tasks, worst at " + percent(load) + "% of its target");
-      return;
+    if (isCheap && (load >= OVER || mayMove)) {
+      stop.accept(run, "harms serving tasks, worst at " + percent(load) + "% of its target");
+      return true;
     }
     setPace(run, load >= NEAR ? 0 : HALF, load);
+    return false;
   }
 
   private void setPace(Run run, int pace, double load) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -27,6 +27,9 @@
   /** Tells whether it is certain that a task runs nowhere. */
   private final Predicate<Task> isStartable;
 
+  /** Whether a filler found no room when room was last given. */
+  private boolean fillersWait;
+
   Planner(
       JobTable jobs,
       WorkerTable workers,
@@ -87,6 +90,7 @@
   private void place(List<Ready> ready, long now) {
     Set<Shape> full = new HashSet<>();
     int starts = 0;
+    fillersWait = false;
     for (Ready entry : ready) {
       Step step = entry.step().step();
       Shape shape = new Shape(entry.queue().service(), step.demand(), step.filler());
@@ -95,6 +99,7 @@
       }
       int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, now);
       starts += Math.abs(placed);
+      fillersWait |= placed < 0 && step.filler();
       if (placed < 0 && isPlain(step)) {
         full.add(shape);
       }
@@ -151,10 +156,13 @@
     return tasks.size();
   }
 
-  /** Tells whether a task that runs would find room at another worker. */
+  /**
+   * Tells whether a task that runs would find room at another worker. No filler would while others
+   * wait, as they come first.
+   */
   boolean isPlaceable(Task task) {
     Queue queue = queues.apply(task.job());
-    if (queue == null) {
+    if (queue == null || (fillersWait && task.step().step().filler())) {
       return false;
     }
     List<Worker> candidates = candidates(task, queue, clock.monotonicMillis());
