Refuse texts that nest too deeply with one error

Cause: the parser of TOML recurses for each bracket; `check` and `serve` ended with a StackOverflowError on an array in thousands of arrays. `check` also knows the settings of a cell: it took them for those of the other kind and listed keys that do not belong there.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
@@ -3,11 +3,12 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
-import org.tomlj.Toml;
+import org.hemlockpick.util.TomlText;
 import org.tomlj.TomlParseResult;
 
 /** Reads the settings of an entry instance that runs on a platform. */
@@ -27,12 +28,17 @@
   /** Tells whether a file holds settings of this kind; false if it cannot be read. */
   public static boolean isFor(Path file) {
     try {
-      return Toml.parse(file).contains(CELL);
+      return isFor(TomlText.parse(Files.readString(file)));
     } catch (IOException e) {
       return false;
     }
   }
 
+  /** Tells whether a text holds settings of this kind. */
+  public static boolean isFor(TomlParseResult toml) {
+    return toml.contains(CELL);
+  }
+
   /**
    * Reads a settings file.
    *
@@ -41,13 +47,24 @@
    */
   public static Either<List<Fault>, CellDaemonSettings> read(Path file) {
     try {
-      return new CellSettingsReader(file.toString(), Toml.parse(file)).read();
+      return read(file.toString(), Files.readString(file));
     } catch (IOException e) {
       return Either.left(
           List.of(new Fault(file.toString(), 1, "", Messages.unreadable(e.toString()))));
     }
   }
 
+  /**
+   * Reads settings from text.
+   *
+   * @param file name of the file for the faults
+   * @param text settings in TOML
+   * @return the settings, or every fault that was found in the order of the lines
+   */
+  public static Either<List<Fault>, CellDaemonSettings> read(String file, String text) {
+    return new CellSettingsReader(file, TomlText.parse(text)).read();
+  }
+
   private Either<List<Fault>, CellDaemonSettings> read() {
     if (sections.hasSyntaxFaults()) {
       return Either.left(faults.sorted());
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashSet;
@@ -14,8 +15,8 @@
 import org.hemlockpick.lib.InstanceSettings;
 import org.hemlockpick.lib.Seat;
 import org.hemlockpick.lib.Timing;
+import org.hemlockpick.util.TomlText;
 import org.jspecify.annotations.Nullable;
-import org.tomlj.Toml;
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
@@ -45,7 +46,7 @@
    */
   public static Either<List<Fault>, Settings> read(Path file) {
     try {
-      return new SettingsReader(file.toString(), Toml.parse(file)).read();
+      return new SettingsReader(file.toString(), TomlText.parse(Files.readString(file))).read();
     } catch (IOException e) {
       return Either.left(
           List.of(new Fault(file.toString(), 1, "", Messages.unreadable(reason(e)))));
@@ -60,7 +61,7 @@
    * @return the settings, or every fault that was found in the order of the lines
    */
   public static Either<List<Fault>, Settings> read(String file, String text) {
-    return new SettingsReader(file, Toml.parse(text)).read();
+    return new SettingsReader(file, TomlText.parse(text)).read();
   }
 
   private static String reason(IOException e) {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/CheckCommandTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/CheckCommandTest.java
@@ -23,6 +23,22 @@
     assertEquals(0, console.run(args), console.out());
   }
 
+  @Test
+  void checksTheSettingsOfACell() {
+    Path training = Path.of("..", "deploy", "training.toml");
+
+    assertEquals(0, console.run("check", training.toString()), console.out());
+  }
+
+  @Test
+  void printsOneFaultForATextThatNestsTooDeeply(@TempDir Path folder) throws IOException {
+    String deep = "x = " + "[".repeat(5_000) + "]".repeat(5_000);
+    Path file = Files.writeString(folder.resolve("d.toml"), deep);
+
+    assertEquals(1, console.run("check", file.toString()));
+    assertEquals(1, console.out().lines().count());
+  }
+
   @Test
   void printsEachFaultOnALine(@TempDir Path folder) throws IOException {
     Path settings = Files.writeString(folder.resolve("s.toml"), "[instance]\nzone = 1\n");
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CheckCommand.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CheckCommand.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.pgm;
 
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -8,9 +9,10 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.hemlockpick.contract.ContractFault;
 import org.hemlockpick.contract.ContractParser;
+import org.hemlockpick.daemon.CellSettingsReader;
 import org.hemlockpick.daemon.Fault;
 import org.hemlockpick.daemon.SettingsReader;
-import org.tomlj.Toml;
+import org.hemlockpick.util.TomlText;
 import org.tomlj.TomlParseResult;
 
 /** Checks settings and contracts without a connection and prints each fault on a line. */
@@ -67,7 +69,10 @@
   }
 
   private static List<String> check(Path file, String text) {
-    TomlParseResult toml = Toml.parse(text);
+    TomlParseResult toml = TomlText.parse(text);
+    if (CellSettingsReader.isFor(toml)) {
+      return lines(CellSettingsReader.read(file.toString(), text));
+    }
     if (SETTINGS_KEYS.stream().anyMatch(key -> toml.contains(List.of(key)))) {
       return settingsFaults(file, text);
     }
@@ -85,8 +90,11 @@
   }
 
   private static List<String> settingsFaults(Path file, String text) {
-    return SettingsReader.read(file.toString(), text)
-        .fold(faults -> faults.stream().map(Fault::toString).toList(), settings -> List.of());
+    return lines(SettingsReader.read(file.toString(), text));
+  }
+
+  private static List<String> lines(Either<List<Fault>, ?> read) {
+    return read.fold(faults -> faults.stream().map(Fault::toString).toList(), ok -> List.of());
   }
 
   private static List<String> contractFaults(Path file, String text) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/contract/ContractParser.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/contract/ContractParser.java
@@ -10,8 +10,8 @@
 import java.util.TreeMap;
 import java.util.regex.Pattern;
 import org.hemlockpick.errors.ContractMessages;
+import org.hemlockpick.util.TomlText;
 import org.jspecify.annotations.Nullable;
-import org.tomlj.Toml;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
@@ -66,7 +66,7 @@
   }
 
   private Validation<Seq<ContractFault>, Contract> parse(String text) {
-    TomlParseResult toml = Toml.parse(text);
+    TomlParseResult toml = TomlText.parse(text);
     for (TomlParseError error : toml.errors()) {
       faults.add(error.position(), "", String.valueOf(error.getMessage()));
     }
