Move all fillers that harm again

Fillers that may not leave stand still or go at half speed and keep what they have, which costs them more than a new start. The tests of PaceSystem stay; the one that showed the limit now shows that all leave.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -61,12 +61,10 @@
     double load = worst == null ? 0 : Interference.load(worst);
     boolean isGrowing = worst != null && load >= HIGH && Interference.isGrowing(worst);
     boolean isKnown = hasHarmful(worker);
-    boolean moved = false;
     for (Run run : worker.runs()) {
       if (run.step().filler() && run.state() == Run.State.RUNNING) {
-        boolean mayMove = !moved && isHarmful(run) && isPlaceable.test(run.task());
-        // The room that was found is taken now; the next report shows whether there is more.
-        moved |= decide(run, load, isGrowing && !isKnown, mayMove);
+        boolean mayMove = isHarmful(run) && isPlaceable.test(run.task());
+        decide(run, load, isGrowing && !isKnown, mayMove);
       }
     }
   }
@@ -84,19 +82,17 @@
     return interference.risk(run.worker(), run.step().image()) >= Interference.HARMFUL;
   }
 
-  /** Decides on a filler; returns whether it was stopped. */
-  private boolean decide(Run run, double load, boolean isUnexplained, boolean mayMove) {
+  private void decide(Run run, double load, boolean isUnexplained, boolean mayMove) {
     if (!isHarmful(run)) {
       setPace(run, isUnexplained ? HALF : load < CALM ? FULL : run.pace(), load);
-      return false;
+      return;
     }
     boolean isCheap = run.step().checkpoints() || run.percent() < MOST_LOST_PERCENT;
     if (isCheap && (load >= OVER || mayMove)) {
       stop.accept(run, "harms serving tasks, worst at " + percent(load) + "% of its target");
-      return true;
+      return;
     }
     setPace(run, load >= NEAR ? 0 : HALF, load);
-    return false;
   }
 
   private void setPace(Run run, int pace, double load) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -27,9 +27,6 @@
   /** Tells whether it is certain that a task runs nowhere. */
   private final Predicate<Task> isStartable;
 
-  /** Whether a filler found no room when room was last given. */
-  private boolean fillersWait;
-
   Planner(
       JobTable jobs,
       WorkerTable workers,
@@ -90,7 +87,6 @@
   private void place(List<Ready> ready, long now) {
     Set<Shape> full = new HashSet<>();
     int starts = 0;
-    fillersWait = false;
     for (Ready entry : ready) {
       Step step = entry.step().step();
       Shape shape = new Shape(entry.queue().service(), step.demand(), step.filler());
@@ -99,7 +95,6 @@
       }
       int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, now);
       starts += Math.abs(placed);
-      fillersWait |= placed < 0 && step.filler();
       if (placed < 0 && isPlain(step)) {
         full.add(shape);
       }
@@ -156,13 +151,10 @@
     return tasks.size();
   }
 
-  /**
-   * Tells whether a task that runs would find room at another worker. No filler would while others
-   * wait, as they come first.
-   */
+  /** Tells whether a task that runs would find room at another worker. */
   boolean isPlaceable(Task task) {
     Queue queue = queues.apply(task.job());
-    if (queue == null || (fillersWait && task.step().step().filler())) {
+    if (queue == null) {
       return false;
     }
     List<Worker> candidates = candidates(task, queue, clock.monotonicMillis());
