--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -43,7 +43,7 @@
   private static final double CALM_FACTOR = 0.93;
 
   /** Time in which the odds of harm halve unless new harm shows, in milliseconds. */
-  private static final long HALF_LIFE_MILLIS = 10_000;
+  private static final long HALF_LIFE_MILLIS = 4_000;
 
   /** Share of a worker's processors that fillers of an image must use to be seen in a report. */
   private static final double SEEN_USE = 0.02;
