Show gangs, timed jobs, labels and bounds for a worker in virtual time

They were written and not tested. The workers of the tests now also note a start beyond their room or beyond what a step allows on one of them, in all scenarios and in the fuzz; none was found.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -24,7 +24,7 @@
   private static final long START = 1_000_000;
   private static final long LEASE_MILLIS = 5_000;
   private static final int MAX_ATTEMPTS = 50;
-  private static final Amounts ROOM = new Amounts(8_000, 32_000, 0);
+  static final Amounts ROOM = new Amounts(8_000, 32_000, 0);
 
   final VirtualTime time = new VirtualTime(START);
   final FakeStore store;
@@ -81,9 +81,13 @@
 
   /** Hands a job in at a node, and again elsewhere until an answer is certain. */
   void submit(int node, String id, Step... steps) {
-    Submission job = job(id, time.millis(), steps);
+    submit(node, job(id, time.millis(), steps));
+  }
+
+  /** Hands any job in, in the same way. */
+  void submit(int node, Submission job) {
     workers.expect(job);
-    accepted.put(id, job);
+    accepted.put(job.id(), job);
     attempt(node, job);
   }
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -22,6 +22,7 @@
 import org.hemlockpick.cell.WorkerPort.StartOrder;
 import org.hemlockpick.cell.WorkerPort.Target;
 import org.hemlockpick.fakes.VirtualTime;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Workers in memory, with fences, leases and late orders. They note every breach of what must hold:
@@ -46,6 +47,12 @@
   /** Every start that was carried out. */
   final List<TaskId> starts = new ArrayList<>();
 
+  /** The same with its place and time. */
+  final List<Start> startLog = new ArrayList<>();
+
+  /** A start that was carried out. */
+  record Start(RunName run, String worker, long atMillis) {}
+
   /** Answers that nobody waits for any more. */
   final List<OrderReply> lateAnswers = new ArrayList<>();
 
@@ -69,7 +76,7 @@
   }
 
   void add(String id) {
-    models.put(id, new Model());
+    models.put(id, new Model(id));
   }
 
   Model get(String id) {
@@ -115,8 +122,41 @@
     }
   }
 
+  /** Notes a breach of what a worker has room for, or of what a step allows on one worker. */
+  private void checkPlace(Model model, RunName run) {
+    Step step = step(run.task());
+    if (step == null) {
+      return;
+    }
+    long cpu = step.reserved().cpuMillis();
+    int same = 1;
+    for (RunName other : model.runs.keySet()) {
+      Step beside = step(other.task());
+      cpu += beside == null ? 0 : beside.reserved().cpuMillis();
+      same += isSameStep(other.task(), run.task()) ? 1 : 0;
+    }
+    if (cpu > CellWorld.ROOM.cpuMillis()) {
+      breaches.add(run + " brings " + model.id + " to " + cpu + " at " + time.millis());
+    }
+    if (step.maxPerWorker() > 0 && same > step.maxPerWorker()) {
+      breaches.add(run + " is one of " + same + " at " + model.id + " at " + time.millis());
+    }
+  }
+
+  private @Nullable Step step(TaskId task) {
+    List<Step> all = steps.get(task.job());
+    return all == null ? null : all.get(task.step());
+  }
+
+  private static boolean isSameStep(TaskId one, TaskId other) {
+    return one.job().equals(other.job())
+        && one.occurrence() == other.occurrence()
+        && one.step() == other.step();
+  }
+
   /** One worker. */
   final class Model {
+    private final String id;
     private final Map<RunName, Long> runs = new LinkedHashMap<>();
     private final Map<TaskId, Integer> stopped = new HashMap<>();
     private final List<EndReport> ends = new ArrayList<>();
@@ -128,6 +168,10 @@
     /** Whether no call arrives or is answered; the worker runs on. */
     boolean cut;
 
+    Model(String id) {
+      this.id = id;
+    }
+
     long born() {
       return born;
     }
@@ -178,6 +222,8 @@
     private void begin(RunName run) {
       TaskId task = run.task();
       starts.add(task);
+      startLog.add(new Start(run, id, time.millis()));
+      checkPlace(this, run);
       if (running(task) > 0) {
         breaches.add(run + " runs twice at " + time.millis());
       }
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
@@ -0,0 +1,125 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.hemlockpick.cell.FakeWorkers.Start;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+/** Steps that bind where, when or with whom their tasks run. */
+class FormsOfWorkTest {
+  private static final long SETTLED = 3_000;
+  private static final int WORKERS = 4;
+
+  /** Number of tasks that all workers have room for. */
+  private static final int ROOM = 16;
+
+  private final CellWorld world = new CellWorld(20261204, 3, WORKERS);
+
+  private static Step step(int count, boolean gang, @Nullable String label, int maxPerWorker) {
+    return new Step(
+        count,
+        new Amounts(2_000, 4_000, 0),
+        500,
+        List.of(),
+        false,
+        gang,
+        false,
+        label,
+        null,
+        maxPerWorker,
+        false,
+        false,
+        "image",
+        0,
+        false,
+        null);
+  }
+
+  private List<Start> starts(String job) {
+    return world.workers.startLog.stream()
+        .filter(start -> start.run().task().job().equals(job))
+        .toList();
+  }
+
+  @Test
+  void gangWaitsUntilAllOfItHaveRoom() {
+    world.workers.runMillis = 4_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(ROOM - 3, false, null, 0));
+    world.time.runFor(500);
+    world.submit(1, "g", step(6, true, null, 0));
+    world.time.runFor(1_000);
+    assertEquals(List.of(), starts("g"));
+    world.time.runFor(15_000);
+    List<Start> gang = starts("g");
+    assertEquals(6, gang.size());
+    assertEquals(1, gang.stream().map(start -> start.run().attempt()).distinct().count());
+    long first = gang.stream().mapToLong(Start::atMillis).min().orElseThrow();
+    long last = gang.stream().mapToLong(Start::atMillis).max().orElseThrow();
+    assertTrue(last - first <= 100, () -> first + " to " + last);
+    assertEquals(JobState.COMPLETED, world.state("g"));
+    assertClean();
+  }
+
+  @Test
+  void gangIsStartedWholeAgainAfterATakeOver() {
+    world.workers.runMillis = 3_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "g", step(6, true, null, 0));
+    world.time.runFor(500);
+    world.holder().kill();
+    world.time.runFor(12_000);
+    assertEquals(JobState.COMPLETED, world.state("g"));
+    assertEquals(6, starts("g").size(), () -> String.join("\n", world.log));
+    assertClean();
+  }
+
+  @Test
+  void tasksThatMustBeApartWaitForFreeWorkers() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(3 * WORKERS, false, null, 1));
+    world.time.runFor(12_000);
+    assertEquals(JobState.COMPLETED, world.state("a"));
+    assertEquals(3 * WORKERS, starts("a").size());
+    assertClean();
+  }
+
+  @Test
+  void labelThatNoWorkerHasLetsATaskWait() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(2, false, "none", 0));
+    world.submit(0, "b", step(2, false, "r1", 0));
+    world.time.runFor(4_000);
+    assertEquals(List.of(), starts("a"));
+    assertEquals(JobState.QUEUED, world.state("a"));
+    assertEquals(JobState.COMPLETED, world.state("b"));
+    assertClean();
+  }
+
+  @Test
+  void occurrencesStartAtTheirTimesAlsoThroughATakeOver() {
+    world.time.runFor(SETTLED);
+    long first = world.time.millis() + 2_000;
+    List<Step> steps = List.of(step(2, false, null, 0));
+    world.submit(
+        0, new Submission("t", CellWorld.QUEUE, "spec", steps, first, 1_000, 8, first - 2_000));
+    world.time.runFor(3_500);
+    world.holder().kill();
+    world.time.runFor(12_000);
+    assertEquals(JobState.COMPLETED, world.state("t"), () -> String.join("\n", world.log));
+    assertEquals(16, starts("t").size());
+    for (Start start : starts("t")) {
+      long due = first + 1_000L * start.run().task().occurrence();
+      assertTrue(start.atMillis() >= due, start::toString);
+      assertTrue(start.atMillis() <= due + CellTiming.TAKEOVER + 1_500, start::toString);
+    }
+    assertClean();
+  }
+
+  private void assertClean() {
+    assertEquals(List.of(), world.workers.breaches, () -> String.join("\n", world.log));
+  }
+}
