Fuzz gangs and tasks that must be apart

Every fourth job of the fuzz is now a gang or bound to one task a worker. The workers of the tests end all members of a gang when one ends, as the platform's do.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFuzzTest.java
@@ -36,6 +36,11 @@
 
   private static Step[] steps(SplittableRandom random) {
     int first = 1 + random.nextInt(4);
+    if (random.nextInt(4) == 0) {
+      boolean gang = random.nextBoolean();
+      Step bound = CellWorld.bound(first, gang, gang ? 0 : 1);
+      return new Step[] {bound, CellWorld.step(2, 0)};
+    }
     return random.nextBoolean()
         ? new Step[] {CellWorld.step(first)}
         : new Step[] {CellWorld.step(first), CellWorld.step(1 + random.nextInt(3), 0)};
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -75,6 +75,28 @@
         null);
   }
 
+  /** Makes a step whose tasks run all together, or apart from each other. */
+  static Step bound(int count, boolean gang, int maxPerWorker) {
+    Step step = step(count);
+    return new Step(
+        count,
+        step.demand(),
+        step.estimateMillis(),
+        List.of(),
+        false,
+        gang,
+        false,
+        null,
+        null,
+        maxPerWorker,
+        false,
+        false,
+        step.image(),
+        0,
+        false,
+        null);
+  }
+
   static Submission job(String id, long now, Step... steps) {
     return new Submission(id, QUEUE, "spec", List.of(steps), 0, 0, 0, now);
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -250,10 +250,32 @@
       if (kind == EndKind.DONE) {
         done.add(run.task());
       }
+      endGang(run, kind);
       stopped.merge(run.task(), run.attempt(), Math::max);
       ends.add(new EndReport(++lastEnd, run, kind, ""));
     }
 
+    /** The end of one member is that of all: done, or broken. */
+    private void endGang(RunName run, EndKind kind) {
+      Step step = step(run.task());
+      if (step == null || !step.gang() || kind == EndKind.BROKEN) {
+        return;
+      }
+      if (kind == EndKind.DONE) {
+        for (int i = 0; i < step.count(); i++) {
+          TaskId task = run.task();
+          done.add(new TaskId(task.job(), task.occurrence(), task.step(), i));
+        }
+      }
+      for (Model other : models.values()) {
+        for (RunName member : List.copyOf(other.runs.keySet())) {
+          if (isSameStep(member.task(), run.task()) && member.attempt() == run.attempt()) {
+            other.end(member, EndKind.BROKEN);
+          }
+        }
+      }
+    }
+
     private OrderReply stop(RunName run, long token) {
       if (token < fence) {
         return reply(OrderOutcome.FENCED);
