Stop the daemon, not close it, when the loop has ended

The tests took the ports of the instances from those that the system also gives to outgoing connections, so that an earlier process may have held one; they take lower ones now, and a wait that ends in vain prints the logs.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcessTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcessTest.java
@@ -153,10 +153,12 @@
     return Json.createObjectBuilder().add("idempotent", true).add("body", 1).build();
   }
 
-  private static void await(Callable<Boolean> condition) throws Exception {
+  private void await(Callable<Boolean> condition) throws Exception {
     long end = System.nanoTime() + PATIENCE.toNanos();
     while (!condition.call()) {
-      assertTrue(System.nanoTime() < end, "the condition did not come true");
+      if (System.nanoTime() > end) {
+        throw new AssertionError("the condition did not come true" + zone.logs());
+      }
       Thread.sleep(50);
     }
   }
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcesses.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcesses.java
@@ -3,7 +3,7 @@
 import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** Runs stand-ins and three entry instances as processes of their own. */
@@ -20,6 +21,9 @@
 
   private static final String OPERATOR_KEY = "process-operator";
   private static final long END_SECONDS = 40;
+  private static final int LEAST_PORT = 20_000;
+  private static final int MOST_PORT = 32_000;
+  private static final int TOLD_LINES = 12;
 
   private final Path folder;
   private final Process standIns;
@@ -65,6 +69,19 @@
     return process.exitValue();
   }
 
+  /** Returns the last lines of the logs of all processes. */
+  String logs() throws IOException {
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < SIZE; i++) {
+      List<String> lines = Files.readAllLines(folder.resolve(name(i) + ".log"));
+      text.append('\n').append(name(i)).append(", alive ").append(entries.get(i).isAlive());
+      lines.stream()
+          .skip(Math.max(0, lines.size() - TOLD_LINES))
+          .forEach(line -> text.append("\n  ").append(line));
+    }
+    return text.toString();
+  }
+
   @Override
   public void close() {
     entries.forEach(Process::destroyForcibly);
@@ -115,9 +132,18 @@
     return "entry-a-" + (index + 1);
   }
 
+  /**
+   * Finds a port below those that the system gives to outgoing connections: one of these may be
+   * taken by a process that starts earlier.
+   */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(LEAST_PORT, MOST_PORT);
+      try (ServerSocket socket = new ServerSocket(port)) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Another one is tried.
+      }
     }
   }
 }
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
@@ -73,7 +73,8 @@
     } catch (CompletionException e) {
       return ExitStatus.FAILURE;
     } finally {
-      daemon.close();
+      // Not closed at once: callers with open connections are told first.
+      daemon.stop();
     }
   }
 
