Keep some room free of tasks that last

A core-second of crease-preview is worth four of cure-watch.

Ruled out: the order alone, as room that a short task leaves is taken before the next one comes.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
@@ -18,7 +18,16 @@
 
   private final CellWorld world = new CellWorld(20261204, 3, WORKERS);
 
+  private static Step lasting(int count) {
+    return step(count, false, null, 0, true);
+  }
+
   private static Step step(int count, boolean gang, @Nullable String label, int maxPerWorker) {
+    return step(count, gang, label, maxPerWorker, false);
+  }
+
+  private static Step step(
+      int count, boolean gang, @Nullable String label, int maxPerWorker, boolean lasting) {
     return new Step(
         count,
         new Amounts(2_000, 4_000, 0),
@@ -31,7 +40,7 @@
         null,
         maxPerWorker,
         false,
-        false,
+        lasting,
         "image",
         0,
         false,
@@ -77,6 +86,19 @@
     assertClean();
   }
 
+  @Test
+  void tasksThatLastLeaveRoomForShortOnes() {
+    world.workers.runMillis = 60_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "l", lasting(2 * ROOM));
+    world.time.runFor(2_000);
+    assertEquals(ROOM - 1, starts("l").size());
+    world.submit(0, "a", step(1, false, null, 0));
+    world.time.runFor(500);
+    assertEquals(1, starts("a").size());
+    assertClean();
+  }
+
   @Test
   void tasksThatMustBeApartWaitForFreeWorkers() {
     world.time.runFor(SETTLED);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -86,14 +86,16 @@
 
   private void place(List<Ready> ready, long now) {
     Set<Shape> full = new HashSet<>();
+    Headroom headroom = new Headroom(workers.all(), now);
     int starts = 0;
     for (Ready entry : ready) {
       Step step = entry.step().step();
-      Shape shape = new Shape(entry.queue().service(), step.demand(), step.filler());
+      Shape shape =
+          new Shape(entry.queue().service(), step.demand(), step.filler(), step.lasting());
       if (starts >= MAX_STARTS || (isPlain(step) && full.contains(shape))) {
         continue;
       }
-      int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, now);
+      int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, headroom, now);
       starts += Math.abs(placed);
       if (placed < 0 && isPlain(step)) {
         full.add(shape);
@@ -106,16 +108,22 @@
   }
 
   /** Places what has room; returns the number of starts, negative if a task found none. */
-  private int placeTasks(Ready entry, long now) {
+  private int placeTasks(Ready entry, Headroom headroom, long now) {
+    Step step = entry.step().step();
+    String service = entry.queue().service();
     int placed = 0;
     for (Task task : entry.step().tasks()) {
       if (!isReady(task, now)) {
         continue;
       }
-      Worker worker = placement.choose(task, candidates(task, entry.queue(), now));
+      Worker worker =
+          headroom.allows(step, service)
+              ? placement.choose(task, candidates(task, entry.queue(), now))
+              : null;
       if (worker == null) {
         return -placed - 1;
       }
+      headroom.take(step, service);
       runner.start(task, worker);
       placed++;
     }
@@ -207,5 +215,5 @@
   private record Ready(StepRun step, Queue queue, OrderPolicy.Rank rank) {}
 
   /** What tasks have in common of which none fits if one does not. */
-  private record Shape(String service, Amounts demand, boolean filler) {}
+  private record Shape(String service, Amounts demand, boolean filler, boolean lasting) {}
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackOrder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackOrder.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * Puts urgent queues first, then what can still be in time, by the latest start; then what can
- * still be late, then the rest.
+ * Puts urgent queues first, then what can still be in time, by the latest start; then what lasts
+ * and what can still be late, then the rest.
  */
 final class SlackOrder implements OrderPolicy {
   /** A job earns something until it has taken this many times its objective. */
@@ -23,7 +23,9 @@
     Submission job = step.job().submission();
     long due = job.dueAtMillis(step.occurrence());
     if (job.isLasting()) {
-      return new Rank(queue.priority() * GROUPS_PER_PRIORITY, due + queue.latencyTargetMillis());
+      // Behind short jobs in time: these leave their room again, and are worth more for it.
+      return new Rank(
+          queue.priority() * GROUPS_PER_PRIORITY + 1, due + queue.latencyTargetMillis());
     }
     long whole = longestChain(job, queue, 0);
     long objective = (long) (queue.slackFactor() * whole) + queue.latencyTargetMillis();
