Set some workers of a service apart from tasks that last

9% of a service's workers, chosen by a hash of their identifiers, take no task that lasts, unless half of the service is free. It replaces the 4% of all processors (Headroom), which was left in scraps too.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -86,7 +86,7 @@
 
   private void place(List<Ready> ready, long now) {
     Set<Shape> full = new HashSet<>();
-    Headroom headroom = new Headroom(workers.all(), now);
+    SetApart apart = new SetApart(workers.all(), now);
     int starts = 0;
     for (Ready entry : ready) {
       Step step = entry.step().step();
@@ -95,7 +95,7 @@
       if (starts >= MAX_STARTS || (isPlain(step) && full.contains(shape))) {
         continue;
       }
-      int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, headroom, now);
+      int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, apart, now);
       starts += Math.abs(placed);
       if (placed < 0 && isPlain(step)) {
         full.add(shape);
@@ -108,22 +108,20 @@
   }
 
   /** Places what has room; returns the number of starts, negative if a task found none. */
-  private int placeTasks(Ready entry, Headroom headroom, long now) {
-    Step step = entry.step().step();
-    String service = entry.queue().service();
+  private int placeTasks(Ready entry, SetApart apart, long now) {
     int placed = 0;
     for (Task task : entry.step().tasks()) {
       if (!isReady(task, now)) {
         continue;
       }
-      Worker worker =
-          headroom.allows(step, service)
-              ? placement.choose(task, candidates(task, entry.queue(), now))
-              : null;
+      List<Worker> candidates = candidates(task, entry.queue(), now);
+      if (task.step().step().lasting()) {
+        candidates = apart.leaveOut(candidates, entry.queue().service());
+      }
+      Worker worker = placement.choose(task, candidates);
       if (worker == null) {
         return -placed - 1;
       }
-      headroom.take(step, service);
       runner.start(task, worker);
       placed++;
     }
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
@@ -0,0 +1,68 @@
+package org.hemlockpick.cell;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Keeps some workers of each service free of tasks that last: there short tasks find room at once,
+ * and fillers harm nobody.
+ */
+final class SetApart {
+  /** Share of a service's workers, in percent. */
+  private static final int PERCENT = 9;
+
+  /** From this part of a worker on, in percent, one more is set apart: the first of nine. */
+  private static final int ROUND_UP_FROM = 75;
+
+  private final Set<Worker> apart = new HashSet<>();
+  private final Map<String, List<Worker>> services = new TreeMap<>();
+
+  /** Chooses among the workers that may be given tasks; the choice hardly changes with them. */
+  SetApart(Iterable<Worker> workers, long nowMillis) {
+    for (Worker worker : workers) {
+      if (worker.isOpen(nowMillis)) {
+        String service = worker.entry().service();
+        services.computeIfAbsent(service, key -> new ArrayList<>()).add(worker);
+      }
+    }
+    for (List<Worker> all : services.values()) {
+      all.sort(Comparator.comparing(SetApart::rank));
+      apart.addAll(all.subList(0, count(all.size())));
+    }
+  }
+
+  private static int rank(Worker worker) {
+    return Hashing.murmur3_32_fixed().hashString(worker.id(), StandardCharsets.UTF_8).asInt();
+  }
+
+  private static int count(int workers) {
+    return (workers * PERCENT + 100 - ROUND_UP_FROM) / 100;
+  }
+
+  /**
+   * Leaves the workers that are set apart out of those that have room for a task that lasts. They
+   * are its last resort while half of the service is free.
+   */
+  List<Worker> leaveOut(List<Worker> candidates, String service) {
+    List<Worker> others = new ArrayList<>(candidates);
+    others.removeIf(apart::contains);
+    return others.isEmpty() && isHalfFree(service) ? candidates : others;
+  }
+
+  private boolean isHalfFree(String service) {
+    long capacity = 0;
+    long free = 0;
+    for (Worker worker : services.getOrDefault(service, List.of())) {
+      capacity += worker.entry().capacity().cpuMillis();
+      free += worker.free().cpuMillis();
+    }
+    return 2 * free > capacity;
+  }
+}
