Let a task that has run go on at workers that are set apart

Cause, found by reading: LOST is broken when a lasting task that has run is not started again while there is room for it twice over, however full the service is. The workers that are set apart would be such room. Only tasks that have not run yet are kept off them now; those of inherited jobs count as having run.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
@@ -101,6 +101,24 @@
     assertEquals(List.of(), wide.workers.breaches);
   }
 
+  /** The workers that are left have no room for what ran at the one that was lost. */
+  @Test
+  void taskThatLastsAndHasRunGoesOnAtAWorkerThatIsSetApart() {
+    CellWorld wide = new CellWorld(7, 2, 10);
+    wide.workers.runMillis = 60_000;
+    wide.time.runFor(SETTLED);
+    wide.submit(0, "l", lasting(40));
+    wide.time.runFor(2_000);
+    String lost = wide.workers.startLog.get(0).worker();
+    int before = wide.workers.starts.size();
+    assertEquals(9 * ROOM / WORKERS, before);
+    wide.workers.get(lost).cut = true;
+    wide.store.remove("workers", lost);
+    wide.time.runFor(12_000);
+    assertEquals(before + ROOM / WORKERS, wide.workers.starts.size());
+    assertEquals(List.of(), wide.workers.breaches);
+  }
+
   @Test
   void tasksThatLastTakeAllOfAFewWorkers() {
     world.workers.runMillis = 60_000;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -115,7 +115,7 @@
         continue;
       }
       List<Worker> candidates = candidates(task, entry.queue(), now);
-      if (task.step().step().lasting()) {
+      if (task.step().step().lasting() && !task.mayHaveRun()) {
         candidates = apart.leaveOut(candidates, entry.queue().service());
       }
       Worker worker = placement.choose(task, candidates);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
@@ -47,8 +47,9 @@
   }
 
   /**
-   * Leaves the workers that are set apart out of those that have room for a task that lasts. They
-   * are its last resort while half of the service is free.
+   * Leaves the workers that are set apart out of those that have room for a task that lasts and has
+   * not run yet. They are its last resort while half of the service is free. One that has run goes
+   * on wherever there is room.
    */
   List<Worker> leaveOut(List<Worker> candidates, String service) {
     List<Worker> others = new ArrayList<>(candidates);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -109,6 +109,11 @@
     located = true;
   }
 
+  /** Tells whether it was started before, as far as is known or possible. */
+  boolean mayHaveRun() {
+    return lastAttempt > 0 || job().isInherited();
+  }
+
   /** Notes an attempt that another holder made. */
   void sawAttempt(int attempt) {
     lastAttempt = Math.max(lastAttempt, attempt);
