--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
@@ -86,7 +86,7 @@
     assertClean();
   }
 
-  /** One worker of nine has no task that lasts; where there are fewer, all may. */
+  /** One worker of nine has no task that lasts; where there are only a few, all may. */
   @Test
   void tasksThatLastLeaveOneWorkerOfNineToOthers() {
     CellWorld wide = new CellWorld(7, 2, 9);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
@@ -16,9 +16,9 @@
  */
 final class SetApart {
   /** Share of a service's workers, in percent. */
-  private static final int PERCENT = 9;
+  private static final int PERCENT = 12;
 
-  /** From this part of a worker on, in percent, one more is set apart: the first of nine. */
+  /** From this part of a worker on, in percent, one more is set apart: the first of seven. */
   private static final int ROUND_UP_FROM = 75;
 
   private final Set<Worker> apart = new HashSet<>();
