--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -56,42 +56,36 @@
   }
 
   static Step step(int count, Integer... dependsOn) {
-    return new Step(
-        count,
-        new Amounts(2_000, 4_000, 0),
-        500,
-        List.of(dependsOn),
-        false,
-        false,
-        false,
-        null,
-        null,
-        0,
-        false,
-        false,
-        "image",
-        0,
-        false,
-        null);
+    return step(count, false, null, 0, false, List.of(dependsOn));
   }
 
   /** Makes a step whose tasks run all together, or apart from each other. */
   static Step bound(int count, boolean gang, int maxPerWorker) {
-    Step step = step(count);
+    return step(count, gang, null, maxPerWorker, false, List.of());
+  }
+
+  /** Makes a step that binds where its tasks run, with whom, or for how long. */
+  static Step step(
+      int count,
+      boolean gang,
+      @Nullable String label,
+      int maxPerWorker,
+      boolean lasting,
+      List<Integer> dependsOn) {
     return new Step(
         count,
-        step.demand(),
-        step.estimateMillis(),
-        List.of(),
+        new Amounts(2_000, 4_000, 0),
+        500,
+        dependsOn,
         false,
         gang,
         false,
-        null,
+        label,
         null,
         maxPerWorker,
         false,
-        false,
-        step.image(),
+        lasting,
+        "image",
         0,
         false,
         null);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FormsOfWorkTest.java
@@ -19,32 +19,11 @@
   private final CellWorld world = new CellWorld(20261204, 3, WORKERS);
 
   private static Step lasting(int count) {
-    return step(count, false, null, 0, true);
+    return CellWorld.step(count, false, null, 0, true, List.of());
   }
 
   private static Step step(int count, boolean gang, @Nullable String label, int maxPerWorker) {
-    return step(count, gang, label, maxPerWorker, false);
-  }
-
-  private static Step step(
-      int count, boolean gang, @Nullable String label, int maxPerWorker, boolean lasting) {
-    return new Step(
-        count,
-        new Amounts(2_000, 4_000, 0),
-        500,
-        List.of(),
-        false,
-        gang,
-        false,
-        label,
-        null,
-        maxPerWorker,
-        false,
-        lasting,
-        "image",
-        0,
-        false,
-        null);
+    return CellWorld.step(count, gang, label, maxPerWorker, false, List.of());
   }
 
   private List<Start> starts(String job) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
@@ -34,9 +34,8 @@
   private static final long ANSWER_MILLIS = 150;
 
   /** When a caller may come back while the table service does not answer. */
-  private static final long COME_BACK_MILLIS = 1_000;
-
   private final CellSettings settings;
+
   private final StoreContact store;
   private final LoopClock clock;
   private final DecisionLog log;
@@ -149,8 +148,8 @@
     private void giveUp() {
       answer(
           uncertain
-              ? CallerReply.refused(ResultCode.OUTCOME_UNKNOWN, COME_BACK_MILLIS)
-              : CallerReply.refused(ResultCode.STORE_UNREACHABLE, COME_BACK_MILLIS));
+              ? CallerReply.refused(ResultCode.OUTCOME_UNKNOWN)
+              : CallerReply.refused(ResultCode.STORE_UNREACHABLE));
     }
 
     private String outcome(CallerReply reply) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerReply.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerReply.java
@@ -14,7 +14,11 @@
 public record CallerReply(
     ResultCode code, @Nullable JobState state, int waiting, long retryAfterMillis) {
 
-  static CallerReply of(ResultCode code) {
+  /** Time after which a caller that was refused should come back, in milliseconds. */
+  private static final long COME_BACK_MILLIS = 1_000;
+
+  /** Returns an answer that says no more than its code. */
+  public static CallerReply of(ResultCode code) {
     return new CallerReply(code, null, 0, 0);
   }
 
@@ -26,8 +30,8 @@
     return new CallerReply(ResultCode.DONE, null, count, 0);
   }
 
-  /** Refuses a call as not run. */
-  static CallerReply refused(ResultCode code, long retryAfterMillis) {
-    return new CallerReply(code, null, 0, retryAfterMillis);
+  /** Returns an answer that tells to come back, as the call was not or perhaps not carried out. */
+  public static CallerReply refused(ResultCode code) {
+    return new CallerReply(code, null, 0, COME_BACK_MILLIS);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
@@ -14,8 +14,6 @@
   /** Time without an answer of the table service after which callers are sent elsewhere. */
   private static final long STORE_SILENCE_MILLIS = 1_200;
 
-  private static final long COME_BACK_MILLIS = 1_000;
-
   private final CellSettings settings;
   private final StoreContact store;
   private final WorkerPort workers;
@@ -148,7 +146,7 @@
       return CallerReply.waiting(current.waiting().getOrDefault(queue, 0));
     }
     if (!lease.hasAnswered()) {
-      return CallerReply.refused(ResultCode.NOT_READY, COME_BACK_MILLIS);
+      return CallerReply.refused(ResultCode.NOT_READY);
     }
     return CallerReply.waiting(lease.waiting().getOrDefault(queue, 0));
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationWatch.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationWatch.java
@@ -71,9 +71,7 @@
         fromVersion = Math.max(fromVersion, result.version());
         result.rows().forEach(this::take);
       }
-      case HISTORY_LOST -> {
-        isRead = false;
-      }
+      case HISTORY_LOST -> isRead = false;
       case FAILED -> {
         // The row itself is read next, in case the way to the history is what fails.
         isRead = false;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Interference.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.hemlockpick.proto.HarmEntry;
 import org.hemlockpick.proto.LearnedRecord;
 import org.jspecify.annotations.Nullable;
@@ -88,9 +89,8 @@
 
   /** Learns from a worker that has just reported. */
   void learn(Worker worker) {
-    Map<String, Double> use = use(worker);
-    use.values().removeIf(share -> share < SEEN_USE);
-    if (use.isEmpty()) {
+    Set<String> fillers = seen(worker);
+    if (fillers.isEmpty()) {
       return;
     }
     for (Run run : worker.runs()) {
@@ -98,9 +98,9 @@
         continue;
       }
       if (isGrowing(run) && load(run) >= 1) {
-        blame(run, use);
+        blame(run, fillers);
       } else if (load(run) < CALM) {
-        use.keySet().forEach(filler -> calm(run.step().image(), filler));
+        fillers.forEach(filler -> calm(run.step().image(), filler));
       }
     }
   }
@@ -133,15 +133,15 @@
   }
 
   /** Spreads the blame by the rule of Bayes, each filler being harmful independently of others. */
-  private void blame(Run run, Map<String, Double> use) {
+  private void blame(Run run, Set<String> fillers) {
     String serving = run.step().image();
     double own = load(run) >= LARGE ? OWN_LARGE_SWING : OWN_SWING;
     double quiet = 1 - own;
-    for (String filler : use.keySet()) {
+    for (String filler : fillers) {
       quiet *= 1 - SHOWS * harm(serving, filler);
     }
     Map<String, Double> posterior = new HashMap<>();
-    for (String filler : use.keySet()) {
+    for (String filler : fillers) {
       double before = harm(serving, filler);
       double quietIfHarmful = quiet / (1 - SHOWS * before) * (1 - SHOWS);
       posterior.put(filler, before * (1 - quietIfHarmful) / (1 - quiet));
@@ -183,8 +183,10 @@
     }
   }
 
-  /** Returns the share of a worker's processors that fillers use, by image, as last reported. */
-  private static Map<String, Double> use(Worker worker) {
+  /**
+   * Returns the images of the fillers that use enough of a worker, as last reported, to be seen.
+   */
+  private static Set<String> seen(Worker worker) {
     Map<String, Double> use = new HashMap<>();
     double capacity = worker.entry().capacity().cpuMillis();
     for (Run run : worker.runs()) {
@@ -192,6 +194,7 @@
         use.merge(run.step().image(), run.gauge() / capacity, Double::sum);
       }
     }
-    return use;
+    use.values().removeIf(share -> share < SEEN_USE);
+    return use.keySet();
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceSystem.java
@@ -63,8 +63,7 @@
     boolean isKnown = hasHarmful(worker);
     for (Run run : worker.runs()) {
       if (run.step().filler() && run.state() == Run.State.RUNNING) {
-        boolean mayMove = isHarmful(run) && isPlaceable.test(run.task());
-        decide(run, load, isGrowing && !isKnown, mayMove);
+        decide(run, load, isGrowing && !isKnown, isPlaceable);
       }
     }
   }
@@ -82,13 +81,13 @@
     return interference.risk(run.worker(), run.step().image()) >= Interference.HARMFUL;
   }
 
-  private void decide(Run run, double load, boolean isUnexplained, boolean mayMove) {
+  private void decide(Run run, double load, boolean isUnexplained, Predicate<Task> isPlaceable) {
     if (!isHarmful(run)) {
       setPace(run, isUnexplained ? HALF : load < CALM ? FULL : run.pace(), load);
       return;
     }
     boolean isCheap = run.step().checkpoints() || run.percent() < MOST_LOST_PERCENT;
-    if (isCheap && (load >= OVER || mayMove)) {
+    if (isCheap && (load >= OVER || isPlaceable.test(run.task()))) {
       stop.accept(run, "harms serving tasks, worst at " + percent(load) + "% of its target");
       return;
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
@@ -21,11 +21,24 @@
   /** From this part of a worker on, in percent, one more is set apart: the first of seven. */
   private static final int ROUND_UP_FROM = 75;
 
+  private final Iterable<Worker> workers;
+  private final long nowMillis;
+  private boolean chosen;
   private final Set<Worker> apart = new HashSet<>();
   private final Map<String, List<Worker>> services = new TreeMap<>();
 
-  /** Chooses among the workers that may be given tasks; the choice hardly changes with them. */
+  /**
+   * Will choose among the workers that may be given tasks at a time, once the choice is asked for:
+   * most plans have no task that lasts.
+   */
   SetApart(Iterable<Worker> workers, long nowMillis) {
+    this.workers = workers;
+    this.nowMillis = nowMillis;
+  }
+
+  /** Chooses by a hash, so that the choice hardly changes with the workers. */
+  private void choose() {
+    chosen = true;
     for (Worker worker : workers) {
       if (worker.isOpen(nowMillis)) {
         String service = worker.entry().service();
@@ -52,6 +65,9 @@
    * on wherever there is room.
    */
   List<Worker> leaveOut(List<Worker> candidates, String service) {
+    if (!chosen) {
+      choose();
+    }
     List<Worker> others = new ArrayList<>(candidates);
     others.removeIf(apart::contains);
     return others.isEmpty() && isHalfFree(service) ? candidates : others;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -128,10 +128,6 @@
     return Math.max(lastAttempt + 1, first);
   }
 
-  long notBefore() {
-    return notBefore;
-  }
-
   void setNotBefore(long monotonicMillis) {
     notBefore = monotonicMillis;
   }
