Log the process, the fencing token and both clocks with each decision

The record of the incident did not tell which process wrote a line, under which token an order was given, nor whether a process had stood still.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DecisionLines.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DecisionLines.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.hemlockpick.cell.DecisionLog;
+import org.hemlockpick.cell.LoopClock;
 import org.jboss.logging.Logger;
 
 /**
@@ -11,26 +12,49 @@
 public final class DecisionLines implements DecisionLog {
   static final int MAX_LINES_A_SECOND = 600;
 
+  /** Stands for no fencing token: the cell is not held. */
+  private static final long NO_TOKEN = 0;
+
   private static final Logger log = Logger.getLogger("org.hemlockpick.decision");
 
   private final String instance;
+  private final String incarnation;
+  private final LoopClock clock;
   private long second;
   private int written;
   private int leftOut;
 
-  /** Creates a log of the decisions of an entry instance. */
-  public DecisionLines(String instance) {
+  /**
+   * Creates a log of the decisions of one process of an entry instance.
+   *
+   * @param instance name of the entry instance
+   * @param incarnation distinguishes the process from others of the same name
+   * @param clock both clocks of the process
+   */
+  public DecisionLines(String instance, String incarnation, LoopClock clock) {
     this.instance = instance;
+    this.incarnation = incarnation;
+    this.clock = clock;
+  }
+
+  @Override
+  public void decided(String kind, String subject, String outcome, String reason) {
+    decided(NO_TOKEN, kind, subject, outcome, reason);
   }
 
   @Override
-  public synchronized void decided(String kind, String subject, String outcome, String reason) {
+  public DecisionLog under(long token) {
+    return (kind, subject, outcome, reason) -> decided(token, kind, subject, outcome, reason);
+  }
+
+  private synchronized void decided(
+      long token, String kind, String subject, String outcome, String reason) {
     long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
     if (now != second) {
       second = now;
       written = 0;
       if (leftOut > 0) {
-        write("log", instance, "lines left out", Integer.toString(leftOut));
+        write(NO_TOKEN, "log", instance, "lines left out", Integer.toString(leftOut));
         leftOut = 0;
       }
     }
@@ -39,15 +63,28 @@
       return;
     }
     written++;
-    write(kind, subject, outcome, reason);
+    write(token, kind, subject, outcome, reason);
   }
 
-  private void write(String kind, String subject, String outcome, String reason) {
-    log.infov("{0}", new Line(instance, kind, subject, outcome, reason));
+  private void write(long token, String kind, String subject, String outcome, String reason) {
+    long steady = clock.monotonicMillis();
+    long wall = clock.wallMillis();
+    log.infov(
+        "{0}",
+        new Line(instance, incarnation, token, steady, wall, kind, subject, outcome, reason));
   }
 
   /** Shows a decision as a short text; the formatter writes its fields. */
-  record Line(String instance, String kind, String subject, String outcome, String reason) {
+  record Line(
+      String instance,
+      String incarnation,
+      long token,
+      long steadyMillis,
+      long wallMillis,
+      String kind,
+      String subject,
+      String outcome,
+      String reason) {
     @Override
     public String toString() {
       return kind + " " + subject + " " + outcome;
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/JsonLineFormatter.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/JsonLineFormatter.java
@@ -24,6 +24,10 @@
   private static void addDecision(Generator generator, DecisionLines.Line line) throws Exception {
     generator
         .add("instance", line.instance())
+        .add("incarnation", line.incarnation())
+        .add("token", line.token())
+        .add("steadyMillis", line.steadyMillis())
+        .add("wallMillis", line.wallMillis())
         .add("kind", line.kind())
         .add("subject", line.subject())
         .add("outcome", line.outcome())
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/DecisionLog.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/DecisionLog.java
@@ -12,4 +12,12 @@
    * @param reason the inputs that decided it, with their age or version
    */
   void decided(String kind, String subject, String outcome, String reason);
+
+  /**
+   * Returns a log whose decisions carry the fencing token of a holder. They carry it also after the
+   * holder was deposed, as long as it goes on writing.
+   */
+  default DecisionLog under(long token) {
+    return this;
+  }
 }
