Log what tells the hypotheses of the incident apart

Gaps between two ticks; who held a lease that is claimed and why it was free; what became of a claim, a release and a transaction of unknown outcome; the first answer of each worker and why it is accounted for; what showed that a worker started anew; the number, boot and novelty of an end; up to which number ends are confirmed; the lease, order and answer of a start. No decision is changed.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -207,20 +207,7 @@
               workerView,
               new Source(),
               this,
-              (kind, subject, outcome, reason) ->
-                  log.add(
-                      time.millis()
-                          + " "
-                          + name
-                          + " "
-                          + kind
-                          + " "
-                          + subject
-                          + " "
-                          + outcome
-                          + " ("
-                          + reason
-                          + ")"),
+              new NodeLog(0),
               new SplittableRandom(random.nextLong()));
       tick(incarnation, process);
     }
@@ -269,6 +256,32 @@
           });
     }
 
+    /** Stops the process as SIGSTOP does; its steady clock goes on meanwhile. */
+    void standStill(long millis) {
+      frozen = true;
+      time.after(millis, () -> frozen = false);
+    }
+
+    /** Writes time, node, kind, subject, outcome, reason and the token if there is one. */
+    private final class NodeLog implements DecisionLog {
+      private final long token;
+
+      NodeLog(long token) {
+        this.token = token;
+      }
+
+      @Override
+      public void decided(String kind, String subject, String outcome, String reason) {
+        String text = String.join(" ", name, kind, subject, outcome, "(" + reason + ")");
+        log.add(time.millis() + " " + text + (token == 0 ? "" : " under " + token));
+      }
+
+      @Override
+      public DecisionLog under(long newToken) {
+        return new NodeLog(newToken);
+      }
+    }
+
     @Override
     public long monotonicMillis() {
       return time.millis() - frozenMillis;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -89,6 +89,7 @@
             lease.version(),
             lease.askedAt(),
             this::record,
+            log,
             new JournalListener());
     this.keeper = new JobKeeper(jobs, journal, clock, log, times);
     this.feed =
@@ -137,6 +138,16 @@
     journal.doubt();
   }
 
+  /** Returns the time since the last renewal that was granted was asked for, in milliseconds. */
+  long sinceRenewal() {
+    return journal.sinceRenewal();
+  }
+
+  /** Returns the log whose lines carry the token of this holder. */
+  DecisionLog log() {
+    return log;
+  }
+
   /** Returns the number of jobs of each queue of which no task has started. */
   Map<String, Integer> waiting() {
     Map<String, Integer> waiting = new TreeMap<>();
@@ -208,10 +219,12 @@
   }
 
   /** The next report tells which runs are left; none is if another worker has the address. */
-  private void onOtherBoot(Worker worker, boolean sameId) {
+  private void onOtherBoot(Worker worker, boolean sameId, String evidence) {
     long now = clock.monotonicMillis();
-    log.decided("worker", worker.id(), "started anew", worker.runs().size() + " runs, " + sameId);
-    takeOver.account(worker.id());
+    String before = "born " + worker.entry().bornMillis() + " before, ";
+    String runs = ", " + worker.runs().size() + " runs";
+    log.decided("worker", worker.id(), "started anew", before + evidence + runs);
+    takeOver.account(worker.id(), "started anew");
     if (sameId) {
       worker.reboot(now, settings.workerLeaseMillis());
       worker.setNextHoldAt(now);
@@ -302,8 +315,8 @@
     }
 
     @Override
-    public void onOtherBoot(Worker worker) {
-      CellHolder.this.onOtherBoot(worker, true);
+    public void onOtherBoot(Worker worker, String evidence) {
+      CellHolder.this.onOtherBoot(worker, true, evidence);
     }
 
     @Override
@@ -319,8 +332,8 @@
     }
 
     @Override
-    public void onOtherBoot(Worker worker) {
-      CellHolder.this.onOtherBoot(worker, true);
+    public void onOtherBoot(Worker worker, String evidence) {
+      CellHolder.this.onOtherBoot(worker, true, evidence);
     }
 
     @Override
@@ -332,7 +345,7 @@
   private final class ReportListener implements HoldSystem.Listener {
     @Override
     public void onFirstReport(Worker worker) {
-      takeOver.account(worker.id());
+      takeOver.account(worker.id(), "answered");
     }
 
     @Override
@@ -346,8 +359,8 @@
     }
 
     @Override
-    public void onOtherBoot(Worker worker, boolean sameId) {
-      CellHolder.this.onOtherBoot(worker, sameId);
+    public void onOtherBoot(Worker worker, boolean sameId, String evidence) {
+      CellHolder.this.onOtherBoot(worker, sameId, evidence);
       list.readSoon();
     }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -30,6 +30,7 @@
   private final TableService store;
   private final LoopClock clock;
   private final Supplier<CellRecord> lease;
+  private final DecisionLog log;
   private final Listener listener;
 
   private Set<Job> changed = new LinkedHashSet<>();
@@ -64,6 +65,7 @@
       long version,
       long acquiredFrom,
       Supplier<CellRecord> lease,
+      DecisionLog log,
       Listener listener) {
     this.settings = settings;
     this.store = store;
@@ -72,6 +74,7 @@
     this.surelyHeldFrom = acquiredFrom;
     this.sentAt = acquiredFrom;
     this.lease = lease;
+    this.log = log;
     this.listener = listener;
   }
 
@@ -144,6 +147,11 @@
     return version > rowVersion || sinceRenewal < CellTiming.TAKEOVER - CellTiming.SUSPENSION;
   }
 
+  /** Returns the time since the last renewal that was granted was asked for, in milliseconds. */
+  long sinceRenewal() {
+    return clock.monotonicMillis() - surelyHeldFrom;
+  }
+
   /** Demands a renewal before any further order, as the process may have been suspended. */
   void doubt() {
     sure = false;
@@ -167,6 +175,9 @@
     Transaction transaction = gather(last);
     underWay = true;
     sentAt = now;
+    if (last) {
+      log.decided("lease", settings.cell(), "release sent", "version " + version);
+    }
     store.transact(
         transaction, CellTiming.STORE_TIMEOUT, result -> onResult(result, now, transaction, last));
   }
@@ -210,6 +221,9 @@
       TransactionResult result, long startedAt, Transaction transaction, boolean last) {
     underWay = false;
     long now = clock.monotonicMillis();
+    if (last || result.outcome() == Outcome.UNKNOWN || result.outcome() == Outcome.CONFLICT) {
+      tell(result, transaction, now - startedAt, last);
+    }
     setReachable(result.outcome() != Outcome.UNKNOWN && result.outcome() != Outcome.NOT_DONE);
     switch (result.outcome()) {
       case COMMITTED -> onCommitted(result.version(), startedAt, now, last);
@@ -221,6 +235,19 @@
     }
   }
 
+  private void tell(TransactionResult result, Transaction transaction, long millis, boolean last) {
+    StringBuilder reason = new StringBuilder().append(millis).append(" ms, ");
+    reason.append(transaction.writes().size()).append(" writes, expected version ").append(version);
+    for (StoredRow row : result.current()) {
+      CellRecord record = CellRows.lease(row.value()).orElse(CellRecord.getDefaultInstance());
+      reason.append(", found ").append(record.getHolder()).append(" at ").append(row.version());
+      reason.append(record.getReleased() ? " released" : "");
+    }
+    String kind = last ? "lease" : "journal";
+    String outcome = (last ? "release " : "transaction ") + result.outcome();
+    log.decided(kind, settings.cell(), outcome, reason.toString());
+  }
+
   private void onCommitted(long newVersion, long startedAt, long now, boolean last) {
     version = newVersion;
     surelyHeldFrom = startedAt;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -27,6 +27,7 @@
   private final TableService store;
   private final LoopClock clock;
   private final RandomGenerator random;
+  private final DecisionLog log;
   private final Listener listener;
 
   private boolean reading;
@@ -47,11 +48,13 @@
       TableService store,
       LoopClock clock,
       RandomGenerator random,
+      DecisionLog log,
       Listener listener) {
     this.settings = settings;
     this.store = store;
     this.clock = clock;
     this.random = random;
+    this.log = log;
     this.listener = listener;
   }
 
@@ -188,6 +191,7 @@
             .setGeneration(generation)
             .addAllWaiting(seen == null ? List.of() : seen.getWaitingList())
             .build();
+    log.decided("lease", settings.cell(), "claimed", "version " + seenVersion + ", " + free(now));
     var row = CellRows.lease(settings.cell());
     long renewedAt = changedAt;
     boolean formerEnded = hasFormerEnded(seen);
@@ -205,13 +209,39 @@
                 result, new Acquired(result.version(), now, generation, renewedAt, formerEnded)));
   }
 
+  /** Returns for the log why the lease is free, and who held it. */
+  private String free(long now) {
+    CellRecord record = seen;
+    if (record == null) {
+      return seenVersion > 0 ? "its row is unreadable" : "nobody held it";
+    }
+    String renewed = ", last seen to change " + (now - changedAt) + " ms ago";
+    String holder = "held by " + record.getHolder() + renewed;
+    if (record.getReleased()) {
+      return holder + ", released";
+    }
+    return holder + (settings.isOwnName(record.getHolder()) ? ", own name" : ", not renewed");
+  }
+
+  private String current(TransactionResult result) {
+    for (StoredRow row : result.current()) {
+      String holder = CellRows.lease(row.value()).map(CellRecord::getHolder).orElse("nobody");
+      return ", held by " + holder + " at version " + row.version();
+    }
+    return "";
+  }
+
   private void onClaimed(TransactionResult result, Acquired acquired) {
     claiming = false;
     nextLookAt = 0;
     if (result.outcome() != Outcome.COMMITTED) {
+      String age = (clock.monotonicMillis() - acquired.askedAt()) + " ms after it was asked for";
+      String reason = age + current(result);
+      log.decided("lease", settings.cell(), "claim " + result.outcome(), reason);
       return;
     }
     if (stopped) {
+      log.decided("lease", settings.cell(), "left to lapse", "version " + acquired.version());
       // The row is left to lapse: nothing was done under this lease.
       return;
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
@@ -28,6 +28,7 @@
   private boolean reachable = true;
   private long lastWall;
   private long lastMonotonic;
+  private boolean ticked;
 
   /**
    * Creates an entry instance that does nothing until its first tick.
@@ -54,9 +55,9 @@
     this.source = source;
     this.clock = clock;
     this.log = log;
-    this.configuration = new ConfigurationWatch(this.store, source, clock, log);
-    this.lease = new CellLease(settings, this.store, clock, random, this::onAcquired);
-    this.desk = new CallerDesk(settings, this.store, clock, log);
+    this.configuration = new ConfigurationWatch(this.store, source, clock, this::decided);
+    this.lease = new CellLease(settings, this.store, clock, random, log, this::onAcquired);
+    this.desk = new CallerDesk(settings, this.store, clock, this::decided);
     this.lastWall = clock.wallMillis();
     this.lastMonotonic = clock.monotonicMillis();
   }
@@ -155,21 +156,39 @@
   private void watchClocks() {
     long wall = clock.wallMillis();
     long monotonic = clock.monotonicMillis();
-    long difference = (wall - lastWall) - (monotonic - lastMonotonic);
+    long gap = monotonic - lastMonotonic;
+    long difference = (wall - lastWall) - gap;
+    if (ticked && gap > CellTiming.SUSPENSION) {
+      decided("clock", settings.instance(), "gap", gap + " ms between two ticks" + sinceRenewal());
+    }
+    ticked = true;
     lastWall = wall;
     lastMonotonic = monotonic;
     if (Math.abs(difference) < CellTiming.SUSPENSION) {
       return;
     }
-    log.decided("clock", settings.instance(), "jumped", difference + " ms against steady clock");
+    decided("clock", settings.instance(), "jumped", difference + " ms against steady clock");
     CellHolder current = holder;
     if (current != null) {
       current.doubt();
     }
   }
 
+  private String sinceRenewal() {
+    CellHolder current = holder;
+    return current == null ? "" : ", last renewal asked for " + current.sinceRenewal() + " ms ago";
+  }
+
+  /** Writes a decision, under the token of the holder if the cell is held. */
+  private void decided(String kind, String subject, String outcome, String reason) {
+    CellHolder current = holder;
+    DecisionLog target = current == null ? log : current.log();
+    target.decided(kind, subject, outcome, reason);
+  }
+
   private void onAcquired(CellLease.Acquired acquired) {
-    log.decided(
+    DecisionLog holderLog = log.under(acquired.version());
+    holderLog.decided(
         "cell",
         settings.cell(),
         "held",
@@ -183,7 +202,7 @@
             source,
             configuration::current,
             clock,
-            log,
+            holderLog,
             new HolderListener());
   }
 
@@ -198,7 +217,7 @@
     public void onReachable(boolean answers) {
       if (answers != reachable) {
         reachable = answers;
-        log.decided("store", settings.cell(), answers ? "regained" : "lost", "transactions");
+        decided("store", settings.cell(), answers ? "regained" : "lost", "transactions");
       }
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.cell;
 
+import java.util.LongSummaryStatistics;
+import org.hemlockpick.cell.WorkerPort.EndReport;
 import org.hemlockpick.cell.WorkerPort.HoldCall;
 import org.hemlockpick.cell.WorkerPort.HoldReply;
 import org.jspecify.annotations.Nullable;
@@ -47,7 +49,7 @@
     void onFenced(Worker worker);
 
     /** Takes note that a worker started anew or was replaced: nothing that ran there is left. */
-    void onOtherBoot(Worker worker, boolean sameId);
+    void onOtherBoot(Worker worker, boolean sameId, String evidence);
 
     /** Takes note that runs were reported. */
     void onReport(Worker worker);
@@ -89,10 +91,15 @@
     @Nullable Long until =
         extend ? (Long) worker.grantLease(now, settings.workerLeaseMillis()) : null;
     long wait = wait(worker);
+    long confirmed = worker.confirmedEnd(now);
+    if (worker.isNewConfirmation(confirmed)) {
+      String boot = "to the boot born " + worker.entry().bornMillis();
+      log.decided("worker", worker.id(), "ends confirmed", "up to " + confirmed + " " + boot);
+    }
     worker.setHolding(true);
     port.hold(
         worker.target(),
-        new HoldCall(token, worker.confirmedEnd(now), until, wait),
+        new HoldCall(token, confirmed, until, wait),
         reply -> onReply(worker, reply, now));
   }
 
@@ -127,7 +134,7 @@
       case FENCED -> listener.onFenced(worker);
       case OTHER_BOOT -> {
         worker.setNextHoldAt(now + RETRY_MILLIS);
-        listener.onOtherBoot(worker, false);
+        listener.onOtherBoot(worker, false, "another worker at " + worker.entry().address());
       }
       default -> onFailure(worker, reply, now);
     }
@@ -151,7 +158,7 @@
       return;
     }
     if (born != 0 && reply.bornMillis() > born) {
-      listener.onOtherBoot(worker, true);
+      listener.onOtherBoot(worker, true, "born " + reply.bornMillis() + " in its answer");
       worker.update(worker.entry().bornAt(reply.bornMillis()));
     }
     boolean wasSilent = worker.isSilent();
@@ -162,6 +169,9 @@
     if (wasSilent) {
       listener.onSilenceChanged(worker);
     }
+    if (!worker.isFenced()) {
+      log.decided("worker", worker.id(), "first answer", firstAnswer(reply, now - askedAt));
+    }
     worker.sawClock(reply.clockMillis(), now);
     long before = worker.lastEnd();
     runner.onReport(worker, reply, askedAt);
@@ -176,6 +186,16 @@
     }
   }
 
+  private static String firstAnswer(HoldReply reply, long age) {
+    String boot = "clock " + reply.clockMillis() + ", born " + reply.bornMillis();
+    String runs = ", " + reply.running().size() + " runs, " + reply.ended().size() + " ends";
+    LongSummaryStatistics numbers =
+        reply.ended().stream().mapToLong(EndReport::number).summaryStatistics();
+    String range =
+        reply.ended().isEmpty() ? "" : " from " + numbers.getMin() + " to " + numbers.getMax();
+    return boot + runs + range + ", " + age + " ms after it was asked";
+  }
+
   private static long pause(Worker worker) {
     if (worker.recordedEnd() < worker.lastEnd()) {
       return UNSTORED_PAUSE_MILLIS;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -99,6 +99,8 @@
     ownRoster = roster.getLocated();
     roster.getWorkersList().forEach(entry -> unaccounted.put(entry.getWorker(), entry));
     count();
+    String tasks = unknown + " not silent, " + doubtful.size() + " tasks at silent ones";
+    log.decided("cell", settings.cell(), "unaccounted", unaccounted.size() + " workers, " + tasks);
   }
 
   private void count() {
@@ -113,10 +115,15 @@
     }
   }
 
-  /** Takes note that a worker runs nothing that is not known. */
-  void account(String worker) {
+  /**
+   * Takes note that a worker runs nothing that is not known.
+   *
+   * @param cause what shows it
+   */
+  void account(String worker, String cause) {
     if (unaccounted.remove(worker) != null) {
       count();
+      log.decided("worker", worker, "accounted for", cause + ", " + unaccounted.size() + " left");
     }
   }
 
@@ -148,8 +155,9 @@
     int before = unaccounted.size();
     for (RosterEntry entry : List.copyOf(unaccounted.values())) {
       if (now >= lapseAt(entry)) {
-        log.decided("worker", entry.getWorker(), "lease ended", "not reached since the take-over");
         unaccounted.remove(entry.getWorker());
+        String reason = "not reached since the take-over, " + unaccounted.size() + " left";
+        log.decided("worker", entry.getWorker(), "lease ended", reason);
       }
     }
     if (unaccounted.size() < before) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -48,7 +48,7 @@
     void onFenced(Worker worker);
 
     /** Takes note that a worker must have started anew. */
-    void onOtherBoot(Worker worker);
+    void onOtherBoot(Worker worker, String evidence);
 
     /** Takes note that room or tasks have changed, so that tasks may be placed. */
     void onChange();
@@ -99,11 +99,6 @@
     Run run = new Run(task, attempt, worker, Run.State.STARTING, clock.monotonicMillis());
     task.setRun(run);
     worker.add(run);
-    log.decided(
-        "start",
-        run.name().task().toString(),
-        worker.id(),
-        "attempt " + attempt + ", free cpu " + worker.freeCpu());
     sendStart(run, checkpoint);
   }
 
@@ -112,14 +107,22 @@
     long now = clock.monotonicMillis();
     long until = worker.grantLease(now, settings.workerLeaseMillis());
     run.countStart();
-    StartOrder order =
+    String order = "attempt " + run.attempt() + ", order " + run.startsSent();
+    String room = ", lease until " + until + ", free cpu " + worker.freeCpu();
+    log.decided("start", run.name().task().toString(), worker.id(), order + room);
+    StartOrder call =
         new StartOrder(run.name(), run.task().job().submission().spec(), until, token, checkpoint);
-    port.start(worker.target(), order, reply -> onStartReply(run, checkpoint, reply));
+    port.start(worker.target(), call, reply -> onStartReply(run, checkpoint, reply, now));
   }
 
-  private void onStartReply(Run run, String checkpoint, OrderReply reply) {
+  private void onStartReply(Run run, String checkpoint, OrderReply reply, long sentAt) {
     Worker worker = run.worker();
     long now = clock.monotonicMillis();
+    if (reply.outcome() != OrderOutcome.ACCEPTED) {
+      String order = "attempt " + run.attempt() + " at " + worker.id();
+      String age = ", " + (now - sentAt) + " ms after the order" + (isKnown(run) ? "" : ", gone");
+      log.decided("start", run.name().task().toString(), reply.outcome().name(), order + age);
+    }
     sawClock(worker, reply.clockMillis(), now);
     if (!isKnown(run)) {
       return;
@@ -127,7 +130,7 @@
     switch (reply.outcome()) {
       case ACCEPTED -> onAccepted(run, now);
       case FENCED -> {
-        drop(run, reply.outcome());
+        drop(run);
         context.onFenced(worker);
       }
       case NO_ROOM -> {
@@ -152,8 +155,11 @@
   }
 
   private void sawClock(Worker worker, long clockMillis, long now) {
+    long before = worker.clockMillis();
+    long beforeAt = worker.clockAt();
     if (worker.sawClock(clockMillis, now)) {
-      context.onOtherBoot(worker);
+      String seen = " after " + before + ", seen " + (now - beforeAt) + " ms before";
+      context.onOtherBoot(worker, "its clock went back, " + clockMillis + seen);
     }
   }
 
@@ -172,7 +178,7 @@
       stop(run, "the answer to the first order is missing");
       return;
     }
-    drop(run, outcome);
+    drop(run);
   }
 
   private void onStartLost(Run run, String checkpoint, long now) {
@@ -182,8 +188,6 @@
             && run.startsSent() < MAX_START_ORDERS
             && !run.worker().isSilent()
             && journal.isSure();
-    log.decided(
-        "start", run.name().task().toString(), "no answer", run.worker().id() + ", again " + again);
     if (again) {
       sendStart(run, checkpoint);
     } else {
@@ -248,9 +252,14 @@
    */
   void onReport(Worker worker, HoldReply reply, long askedAt) {
     long now = clock.monotonicMillis();
-    reply.ended().stream()
-        .filter(end -> end.number() > worker.lastEnd())
-        .forEach(end -> onEnd(worker, end));
+    for (EndReport end : reply.ended()) {
+      if (end.number() > worker.lastEnd()) {
+        onEnd(worker, end);
+      } else if (worker.run(end.run()).isPresent()) {
+        String known = ", not above " + worker.lastEnd();
+        log.decided("end", end.run().task().toString(), "passed over", at(worker, end) + known);
+      }
+    }
     Set<RunName> reported = new HashSet<>();
     for (RunReport report : reply.running()) {
       reported.add(report.run());
@@ -268,14 +277,13 @@
     Run run = worker.run(end.run()).orElse(null);
     Task task = run != null ? run.task() : jobs.task(end.run().task()).orElse(null);
     if (task == null) {
-      log.decided("end", end.run().task().toString(), "unknown task", end.kind().name());
+      String kind = end.kind() + ", ";
+      log.decided("end", end.run().task().toString(), "unknown task", kind + at(worker, end));
       return;
     }
-    log.decided(
-        "end",
-        end.run().task().toString(),
-        end.kind().name(),
-        "attempt " + end.run().attempt() + " at " + worker.id());
+    String known = known(task, end.run().attempt(), run);
+    String subject = end.run().task().toString();
+    log.decided("end", subject, end.kind().name(), at(worker, end) + known);
     keeper.onEnded(
         task,
         end.run().attempt(),
@@ -289,6 +297,22 @@
     }
   }
 
+  private static String at(Worker worker, EndReport end) {
+    String attempt = "attempt " + end.run().attempt() + " at " + worker.id();
+    return attempt + ", number " + end.number() + ", born " + worker.entry().bornMillis();
+  }
+
+  /** Tells for the log what of an end was known before. */
+  private static String known(Task task, int attempt, @Nullable Run run) {
+    if (task.isDone() || task.job().state().isFinal()) {
+      return ", task had ended before";
+    }
+    if (attempt <= task.failedAttempt()) {
+      return ", known, attempt " + task.failedAttempt() + " has failed";
+    }
+    return run == null ? ", run was not known" : ", new";
+  }
+
   private void onRunning(Worker worker, RunReport report, long askedAt, long now) {
     Run run = worker.run(report.run()).orElse(null);
     if (run == null) {
@@ -336,9 +360,7 @@
     remove(run);
   }
 
-  private void drop(Run run, OrderOutcome outcome) {
-    log.decided(
-        "start", run.name().task().toString(), outcome.name(), "refused by " + run.worker().id());
+  private void drop(Run run) {
     if (run.step().gang()) {
       // The other members would wait in vain.
       for (Task member : run.task().step().tasks()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -37,6 +37,9 @@
   private long lastEnd;
   private long recordedEnd;
 
+  /** Number up to which ends were confirmed to this boot, as the log says. */
+  private long loggedEnd;
+
   private boolean holding;
   private long nextHoldAt;
   private long lastAnswerAt = Long.MIN_VALUE / 2;
@@ -90,6 +93,7 @@
     leaseUntil = longestLeaseMillis;
     lastEnd = 0;
     recordedEnd = 0;
+    loggedEnd = 0;
   }
 
   /**
@@ -159,6 +163,16 @@
     return wentBack;
   }
 
+  /** Returns the clock of the worker when it was last seen. */
+  long clockMillis() {
+    return clockMillis;
+  }
+
+  /** Returns the time on the own steady clock at which the worker's clock was last seen. */
+  long clockAt() {
+    return clockAt;
+  }
+
   boolean hasClock() {
     return clockAt != Long.MIN_VALUE;
   }
@@ -201,6 +215,13 @@
     return sameBoot ? recordedEnd : 0;
   }
 
+  /** Tells whether a number of confirmed ends is higher than each one before, for the log. */
+  boolean isNewConfirmation(long number) {
+    boolean isNew = number > loggedEnd;
+    loggedEnd = Math.max(loggedEnd, number);
+    return isNew;
+  }
+
   void setRecordedEnd(long number) {
     recordedEnd = Math.max(recordedEnd, number);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -38,7 +38,7 @@
     void onRead();
 
     /** Takes note that a worker started anew under its identifier. */
-    void onOtherBoot(Worker worker);
+    void onOtherBoot(Worker worker, String evidence);
 
     /** Takes note that tasks may be started at more workers. */
     void onRosterStored();
@@ -131,7 +131,7 @@
       worker.setNextHoldAt(0);
     }
     if (otherBoot) {
-      listener.onOtherBoot(worker);
+      listener.onOtherBoot(worker, "born " + entry.bornMillis() + " in the list");
     }
     rosterChanged |= otherBoot || entry.draining() != worker.entry().draining();
     worker.update(entry);
