Let processes stand still, overlap and send late in the cell's test world

Answers to a process that stands still (SIGSTOP, or a frozen machine) are handed over when it wakes, answers before timeouts. Calls can lie between their decision and the socket. A process can start while the one before it under the same name lives on. A worker can be cut from one process alone, a cut ends a call that waits at the worker, and overlapping freezes no longer make the steady clock jump back.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -110,7 +110,7 @@
   private void attempt(int index, Submission job) {
     Node node = nodes.get(index % nodes.size());
     CellNode process = node.process;
-    if (process == null || node.frozen) {
+    if (process == null || node.isStill()) {
       time.after(200, () -> attempt(index + 1, job));
       return;
     }
@@ -154,7 +154,7 @@
   @Nullable JobState state(String id) {
     List<CallerReply> replies = new ArrayList<>();
     Node node =
-        nodes.stream().filter(n -> n.process != null && !n.frozen).findFirst().orElseThrow();
+        nodes.stream().filter(n -> n.process != null && !n.isStill()).findFirst().orElseThrow();
     CellNode process = node.process;
     if (process != null) {
       process.state(id, 1_000, replies::add);
@@ -182,57 +182,53 @@
         .orElseThrow();
   }
 
-  /** The machine of an entry instance. */
+  /** The machine of an entry instance, and the newest process there. */
   final class Node implements LoopClock {
     final String name;
-    FakeStore.View storeView = store.view();
-    FakeWorkers.View workerView = workers.view();
+    FakeStore.View storeView;
+    FakeWorkers.View workerView;
     @Nullable CellNode process;
-    boolean frozen;
+    private Life life;
+    private final List<Life> lives = new ArrayList<>();
+    private int freezes;
+    private long frozenSince;
     private long frozenMillis;
 
     Node(String name) {
       this.name = name;
-      start();
+      life = newLife();
+      storeView = life.storeView;
+      workerView = life.workerView;
+      process = life.cell;
     }
 
+    /** Starts a process; the one before has ended. */
     void start() {
-      String incarnation = "i" + ++incarnations;
-      storeView = store.view();
-      workerView = workers.view();
-      process =
-          new CellNode(
-              new CellSettings(name, incarnation, "c0", LEASE_MILLIS, 200, 120_000),
-              storeView,
-              workerView,
-              new Source(),
-              this,
-              (kind, subject, outcome, reason) ->
-                  log.add(
-                      time.millis()
-                          + " "
-                          + name
-                          + " "
-                          + kind
-                          + " "
-                          + subject
-                          + " "
-                          + outcome
-                          + " ("
-                          + reason
-                          + ")"),
-              new SplittableRandom(random.nextLong()));
-      tick(incarnation, process);
+      use(newLife());
     }
 
-    private void tick(String incarnation, CellNode mine) {
-      if (process != mine) {
-        return;
-      }
-      if (!frozen) {
-        mine.tick();
+    /** Starts a process while the one before lives on, and returns the latter. */
+    Life startBeside() {
+      Life former = life;
+      use(newLife());
+      return former;
+    }
+
+    private void use(Life newest) {
+      life = newest;
+      storeView = newest.storeView;
+      workerView = newest.workerView;
+      process = newest.cell;
+    }
+
+    private Life newLife() {
+      Life started = new Life(this, "i" + ++incarnations);
+      lives.add(started);
+      for (int i = 0; i < freezes; i++) {
+        started.inbox.stop();
       }
-      time.after(TICK_MILLIS, () -> tick(incarnation, mine));
+      started.tick();
+      return started;
     }
 
     /** Hands a job in and returns the time until the answer, in milliseconds. */
@@ -251,27 +247,53 @@
       return Objects.requireNonNull(process);
     }
 
-    /** Ends the process at once; nothing that it sent later arrives. */
+    /** Returns the newest process with its ways to the store and the workers. */
+    Life life() {
+      return life;
+    }
+
+    /** Tells whether the newest process stands still. */
+    boolean isStill() {
+      return life.inbox.isStopped();
+    }
+
+    /** Ends the newest process at once; nothing that it sent later arrives. */
     void kill() {
       process = null;
-      storeView.cut = true;
-      workerView.cut = true;
+      life.kill();
+    }
+
+    /** Ends the newest process and those that still live beside it. */
+    void killAll() {
+      process = null;
+      lives.forEach(Life::kill);
+      lives.clear();
+    }
+
+    /** Stops the newest process as SIGSTOP does; both clocks go on. */
+    void stop(long millis) {
+      life.stop(millis);
     }
 
     /** Suspends the machine; its steady clock stands still meanwhile. */
     void freeze(long millis) {
-      frozen = true;
-      time.after(
-          millis,
-          () -> {
-            frozen = false;
-            frozenMillis += millis;
-          });
+      if (freezes++ == 0) {
+        frozenSince = time.millis();
+      }
+      lives.forEach(each -> each.inbox.stop());
+      time.after(millis, this::thaw);
+    }
+
+    private void thaw() {
+      if (--freezes == 0) {
+        frozenMillis += time.millis() - frozenSince;
+      }
+      List.copyOf(lives).forEach(Life::wake);
     }
 
     @Override
     public long monotonicMillis() {
-      return time.millis() - frozenMillis;
+      return (freezes > 0 ? frozenSince : time.millis()) - frozenMillis;
     }
 
     @Override
@@ -280,6 +302,92 @@
     }
   }
 
+  /** One process of an entry instance. */
+  final class Life {
+    final Inbox inbox = new Inbox(time);
+    final FakeStore.View storeView = store.view(inbox);
+    final FakeWorkers.View workerView = workers.view(inbox);
+    final CellNode cell;
+    private boolean ended;
+
+    Life(Node node, String incarnation) {
+      cell =
+          new CellNode(
+              new CellSettings(node.name, incarnation, "c0", LEASE_MILLIS, 200, 120_000),
+              storeView,
+              workerView,
+              new Source(),
+              node,
+              (kind, subject, outcome, reason) ->
+                  log.add(
+                      time.millis()
+                          + " "
+                          + node.name
+                          + "/"
+                          + incarnation
+                          + " "
+                          + kind
+                          + " "
+                          + subject
+                          + " "
+                          + outcome
+                          + " ("
+                          + reason
+                          + ")"),
+              new SplittableRandom(random.nextLong()));
+    }
+
+    private void tick() {
+      if (ended) {
+        return;
+      }
+      if (!inbox.isStopped()) {
+        cell.tick();
+      }
+      time.after(TICK_MILLIS, this::tick);
+    }
+
+    /** Stops the process as SIGSTOP does; both clocks go on. */
+    void stop(long millis) {
+      inbox.stop();
+      time.after(millis, this::wake);
+    }
+
+    /**
+     * Stops the process with the next start of a run that it decides on: the order and what follows
+     * in the same tick is sent when it wakes, before any answer is read.
+     */
+    void stopBeforeSending(long millis) {
+      workerView.beforeNextStart(
+          () -> {
+            workerView.hold();
+            storeView.outbox.hold();
+            inbox.stop();
+            time.after(millis, this::sendAndWake);
+          });
+    }
+
+    private void sendAndWake() {
+      workerView.release();
+      storeView.outbox.release();
+      wake();
+    }
+
+    private void wake() {
+      inbox.wake();
+    }
+
+    /** Ends the process at once; nothing that it sent later arrives. */
+    void kill() {
+      ended = true;
+      storeView.cut = true;
+      workerView.cut = true;
+      storeView.outbox.close();
+      workerView.outbox.close();
+      inbox.close();
+    }
+  }
+
   /** Rows of the fakes: a configuration's version, and the time of a worker's start. */
   private static final class Source implements ConfigurationSource {
     @Override
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -89,9 +89,9 @@
     historyFrom = version;
   }
 
-  /** Returns the service as one entry instance sees it. */
-  View view() {
-    return new View();
+  /** Returns the service as one process of an entry instance sees it. */
+  View view(Inbox inbox) {
+    return new View(inbox);
   }
 
   private void write(Name name, ByteString value, long at) {
@@ -150,11 +150,23 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  /** The way from one entry instance to the service. */
+  /** The way from one process of an entry instance to the service. */
   final class View implements TableService {
-    /** Whether no call of this entry instance arrives. */
+    private final Inbox inbox;
+
+    /** Lets the calls lie before they are sent. */
+    final Outbox outbox = new Outbox();
+
+    /** Whether no call of this process arrives. */
     boolean cut;
 
+    /** Whether transactions of this process are applied and not answered. */
+    boolean answersLost;
+
+    View(Inbox inbox) {
+      this.inbox = inbox;
+    }
+
     private boolean dead() {
       return cut || silent;
     }
@@ -162,12 +174,20 @@
     @Override
     public void transact(
         Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
+      outbox.send(() -> sendTransaction(transaction, timeoutMillis, handler));
+    }
+
+    private void sendTransaction(
+        Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
       TransactionResult unknown = new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of());
       if (dead()) {
-        time.after(timeoutMillis, () -> handler.accept(unknown));
+        inbox.timeout(timeoutMillis, () -> handler.accept(unknown));
+      } else if (answersLost) {
+        time.after(LATENCY_MILLIS, () -> apply(transaction));
+        inbox.timeout(timeoutMillis, () -> handler.accept(unknown));
       } else if (random.nextDouble() < lost) {
         time.after(random.nextLong(lateMillis + 1), () -> apply(transaction));
-        time.after(timeoutMillis, () -> handler.accept(unknown));
+        inbox.timeout(timeoutMillis, () -> handler.accept(unknown));
       } else {
         enqueue(transaction, timeoutMillis, handler);
       }
@@ -179,7 +199,7 @@
       long begin = Math.max(now, busyUntil.getOrDefault(transaction.part(), 0L));
       if (begin - now > LONGEST_QUEUE_MILLIS) {
         TransactionResult refused = new TransactionResult(Outcome.NOT_DONE, 0, ImmutableList.of());
-        time.after(LATENCY_MILLIS, () -> handler.accept(refused));
+        inbox.answer(LATENCY_MILLIS, () -> handler.accept(refused));
         return;
       }
       long end = begin + transactionMillis;
@@ -190,23 +210,32 @@
           () -> {
             TransactionResult result = apply(transaction);
             if (taken < timeoutMillis) {
-              time.after(1, () -> handler.accept(result));
+              inbox.answer(1, () -> handler.accept(result));
             }
           });
       if (taken >= timeoutMillis) {
         TransactionResult unknown = new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of());
-        time.after(timeoutMillis, () -> handler.accept(unknown));
+        inbox.timeout(timeoutMillis, () -> handler.accept(unknown));
       }
     }
 
     @Override
     public void read(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
+      outbox.send(() -> sendRead(range, timeoutMillis, handler));
+    }
+
+    private void sendRead(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
       if (dead()) {
         ReadResult none = new ReadResult(false, ImmutableList.of(), false, 0);
-        time.after(timeoutMillis, () -> handler.accept(none));
+        inbox.timeout(timeoutMillis, () -> handler.accept(none));
         return;
       }
-      time.after(LATENCY_MILLIS, () -> handler.accept(FakeStore.this.read(range)));
+      time.after(
+          LATENCY_MILLIS,
+          () -> {
+            ReadResult result = FakeStore.this.read(range);
+            inbox.answer(() -> handler.accept(result));
+          });
     }
 
     @Override
@@ -216,9 +245,18 @@
         long waitMillis,
         long timeoutMillis,
         Consumer<WatchResult> handler) {
+      outbox.send(() -> sendWatch(table, afterVersion, waitMillis, timeoutMillis, handler));
+    }
+
+    private void sendWatch(
+        String table,
+        long afterVersion,
+        long waitMillis,
+        long timeoutMillis,
+        Consumer<WatchResult> handler) {
       if (dead()) {
         WatchResult none = new WatchResult(WatchOutcome.FAILED, ImmutableList.of(), 0);
-        time.after(timeoutMillis, () -> handler.accept(none));
+        inbox.timeout(timeoutMillis, () -> handler.accept(none));
         return;
       }
       time.after(
@@ -227,12 +265,14 @@
 
     private void poll(String table, long afterVersion, long until, Consumer<WatchResult> handler) {
       if (afterVersion < historyFrom) {
-        handler.accept(new WatchResult(WatchOutcome.HISTORY_LOST, ImmutableList.of(), 0));
+        WatchResult gone = new WatchResult(WatchOutcome.HISTORY_LOST, ImmutableList.of(), 0);
+        inbox.answer(() -> handler.accept(gone));
         return;
       }
       ImmutableList<StoredRow> changes = changes(table, afterVersion);
       if (!changes.isEmpty() || time.millis() >= until) {
-        handler.accept(new WatchResult(WatchOutcome.CHANGES, changes, version));
+        WatchResult result = new WatchResult(WatchOutcome.CHANGES, changes, version);
+        inbox.answer(() -> handler.accept(result));
         return;
       }
       time.after(LATENCY_MILLIS, () -> poll(table, afterVersion, until, handler));
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -101,9 +101,14 @@
     return models.values().stream().mapToInt(model -> model.runs.size()).sum();
   }
 
-  /** Returns the calls as one entry instance makes them. */
+  /** Returns the calls as a process makes them that never stands still. */
   View view() {
-    return new View();
+    return new View(new Inbox(time));
+  }
+
+  /** Returns the calls as one process of an entry instance makes them. */
+  View view(Inbox inbox) {
+    return new View(inbox);
   }
 
   private void checkOrder(TaskId task) {
@@ -178,13 +183,18 @@
 
     /** Ends all that runs and forgets everything; the new boot answers a while later. */
     void restart() {
+      restart(RESTART_MILLIS);
+    }
+
+    /** Starts anew in a time in milliseconds. */
+    void restart(long millis) {
       runs.clear();
       stopped.clear();
       ends.clear();
       fence = 0;
       leaseUntil = 0;
       lastEnd = 0;
-      born = time.millis() + RESTART_MILLIS;
+      born = time.millis() + millis;
     }
 
     private boolean isDown() {
@@ -323,13 +333,55 @@
     }
   }
 
-  /** The way from one entry instance to the workers. */
+  /** The way from one process of an entry instance to the workers. */
   final class View implements WorkerPort {
-    /** Whether no call of this entry instance arrives. */
+    private final Inbox inbox;
+
+    /** Lets the calls lie before they are sent. */
+    final Outbox outbox = new Outbox();
+
+    /** Whether no call of this process arrives. */
     boolean cut;
 
+    /** Workers that this process alone does not reach. */
+    final Set<String> unreached = new HashSet<>();
+
+    /** Whether orders of this process are carried out and not answered. */
+    boolean answersLost;
+
+    /** What happens right before the next order to start a run is sent. */
+    private @Nullable Runnable beforeStart;
+
+    View(Inbox inbox) {
+      this.inbox = inbox;
+    }
+
+    /** Does something once, right before the next order to start a run is sent. */
+    void beforeNextStart(Runnable action) {
+      beforeStart = action;
+    }
+
+    /** Lets the calls of this process lie between their decision and the socket. */
+    void hold() {
+      outbox.hold();
+    }
+
+    /** Sends the calls that lie. */
+    void release() {
+      outbox.release();
+    }
+
+    private boolean isCutFrom(Model model) {
+      return cut || model.isDown() || unreached.contains(model.id);
+    }
+
     @Override
     public void start(Target target, StartOrder order, Consumer<OrderReply> handler) {
+      Runnable action = beforeStart;
+      if (action != null) {
+        beforeStart = null;
+        action.run();
+      }
       order(target, model -> model.start(order), handler);
     }
 
@@ -346,9 +398,17 @@
 
     private void order(
         Target target, Function<Model, OrderReply> action, Consumer<OrderReply> handler) {
-      Model model = get(target.id());
-      if (cut || model.isDown()) {
-        time.after(TIMEOUT_MILLIS, () -> handler.accept(new OrderReply(OrderOutcome.LOST, 0)));
+      outbox.send(() -> sendOrder(get(target.id()), action, handler));
+    }
+
+    private void sendOrder(
+        Model model, Function<Model, OrderReply> action, Consumer<OrderReply> handler) {
+      OrderReply none = new OrderReply(OrderOutcome.LOST, 0);
+      if (isCutFrom(model)) {
+        inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
+      } else if (answersLost) {
+        time.after(LATENCY_MILLIS, () -> lateAnswers.add(action.apply(model)));
+        inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
       } else if (random.nextDouble() < late) {
         // The order waits at the worker, so that it ends with this boot.
         long born = model.born;
@@ -359,24 +419,25 @@
                 lateAnswers.add(action.apply(model));
               }
             });
-        time.after(TIMEOUT_MILLIS, () -> handler.accept(new OrderReply(OrderOutcome.LOST, 0)));
+        inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
       } else {
         time.after(
             LATENCY_MILLIS,
             () -> {
               OrderReply reply = action.apply(model);
-              time.after(LATENCY_MILLIS, () -> handler.accept(reply));
+              inbox.answer(LATENCY_MILLIS, () -> handler.accept(reply));
             });
       }
     }
 
     @Override
     public void hold(Target target, HoldCall call, Consumer<HoldReply> handler) {
-      Model model = get(target.id());
-      if (cut || model.isDown()) {
-        time.after(
-            TIMEOUT_MILLIS + call.waitMillis(),
-            () -> handler.accept(HoldReply.without(OrderOutcome.LOST)));
+      outbox.send(() -> sendHold(get(target.id()), call, handler));
+    }
+
+    private void sendHold(Model model, HoldCall call, Consumer<HoldReply> handler) {
+      if (isCutFrom(model)) {
+        lose(TIMEOUT_MILLIS + call.waitMillis(), handler);
         return;
       }
       time.after(
@@ -390,15 +451,23 @@
     private void answer(
         Model model, HoldCall call, long until, long born, Consumer<HoldReply> handler) {
       if (model.born != born) {
-        time.after(TIMEOUT_MILLIS, () -> handler.accept(HoldReply.without(OrderOutcome.LOST)));
+        lose(TIMEOUT_MILLIS, handler);
         return;
       }
       if (model.ends.isEmpty() && time.millis() < until) {
         time.after(LATENCY_MILLIS, () -> answer(model, call, until, born, handler));
         return;
       }
+      if (isCutFrom(model)) {
+        lose(Math.max(0, until - time.millis()) + TIMEOUT_MILLIS, handler);
+        return;
+      }
       HoldReply reply = model.hold(new HoldCall(call.token(), call.endsSeen(), null, 0));
-      time.after(LATENCY_MILLIS, () -> handler.accept(reply));
+      inbox.answer(LATENCY_MILLIS, () -> handler.accept(reply));
+    }
+
+    private void lose(long delay, Consumer<HoldReply> handler) {
+      inbox.timeout(delay, () -> handler.accept(HoldReply.without(OrderOutcome.LOST)));
     }
   }
 }
