--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -28,12 +28,9 @@
   private record Name(String table, String part, String key) implements Comparable<Name> {
     @Override
     public int compareTo(Name other) {
-      return toString().compareTo(other.toString());
-    }
-
-    @Override
-    public String toString() {
-      return table + "\u0001" + part + "\u0001" + key;
+      int tables = table.compareTo(other.table);
+      int parts = tables != 0 ? tables : part.compareTo(other.part);
+      return parts != 0 ? parts : key.compareTo(other.key);
     }
   }
 
@@ -144,9 +141,14 @@
     return new ReadResult(true, found.build(), count > PAGE, version);
   }
 
+  /** The history is in the order of versions, so that the newest changes are at its end. */
   private ImmutableList<StoredRow> changes(String table, long after) {
-    return history.stream()
-        .filter(row -> row.table().equals(table) && row.version() > after)
+    int first = history.size();
+    while (first > 0 && history.get(first - 1).version() > after) {
+      first--;
+    }
+    return history.subList(first, history.size()).stream()
+        .filter(row -> row.table().equals(table))
         .collect(ImmutableList.toImmutableList());
   }
 
