--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellLogTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellLogTest.java
@@ -31,7 +31,7 @@
   void gapBetweenTwoTicksIsTold() {
     world.time.runFor(SETTLED);
     assertEquals(List.of(), lines(" clock "));
-    world.holder().standStill(900);
+    world.holder().stop(900);
     world.time.runFor(1_500);
     int gap =
         Integer.parseInt(
