Take a worker for started anew only when it says so

What callers saw: tasks that ran twice, all those of one worker at once, after the holder of the cell had stood still for 1.6 s or more.

Cause: a clock in an answer that was lower than expected counted as another boot of the worker. An answer that is read late, after a stop of the process, looks the same. The worker's leases then counted from 0 on a clock that the next answer set right again, so that they looked ended at once; a failed call or a missing entry in the list was enough for the tasks to be started elsewhere while they ran on. Also: an answer of an order does not tell its boot, so that its clock could be that of a boot that had ended.

Now only the time of birth in the list or in a report tells of another boot. The end of leases is kept on the own steady clock, which no answer moves; the worker's clock is kept as a lower bound and read from reports only.

Ruled out: a smaller slack for the clock (a stop has no upper bound).

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -314,11 +314,6 @@
       end(worker.id() + " has seen a higher fencing token");
     }
 
-    @Override
-    public void onOtherBoot(Worker worker, String evidence) {
-      CellHolder.this.onOtherBoot(worker, true, evidence);
-    }
-
     @Override
     public void onChange() {
       changed = true;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
@@ -23,8 +23,23 @@
   /** Difference of the two clocks by which a suspension of the process shows. */
   static final long SUSPENSION = 400;
 
+  /** A worker's clock may be slow, so that its lease lasts longer by this share, in percent. */
+  private static final long SLOWEST_CLOCK_PERCENT = 102;
+
+  /** Time on top of a lease until its end is taken as certain. */
+  private static final long LAPSE_MARGIN = 150;
+
   /** Time limit of a call to the table service. */
   static final long STORE_TIMEOUT = 1_000;
 
   private CellTiming() {}
+
+  /**
+   * Returns the time after which a lease has certainly ended, counted from before it was granted.
+   *
+   * @param leaseMillis length of the lease on the worker's clock
+   */
+  static long longestLease(long leaseMillis) {
+    return leaseMillis * SLOWEST_CLOCK_PERCENT / 100 + LAPSE_MARGIN;
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -159,7 +159,9 @@
     }
     if (born != 0 && reply.bornMillis() > born) {
       listener.onOtherBoot(worker, true, "born " + reply.bornMillis() + " in its answer");
-      worker.update(worker.entry().bornAt(reply.bornMillis()));
+    }
+    if (reply.bornMillis() > born) {
+      worker.setBorn(reply.bornMillis());
     }
     boolean wasSilent = worker.isSilent();
     if (wasSilent) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -18,11 +18,6 @@
 final class TakeOver {
   private static final long RETRY_MILLIS = 150;
 
-  /** A worker's clock may be slow, so that its lease lasts longer by this share, in percent. */
-  private static final long SLOWEST_CLOCK_PERCENT = 102;
-
-  private static final long MARGIN_MILLIS = 150;
-
   private final CellSettings settings;
   private final CellLease.Acquired lease;
   private final TableService store;
@@ -175,6 +170,6 @@
   private long lapseAt(RosterEntry entry) {
     boolean ordersEnded = entry.getSilent() || (lease.formerEnded() && ownRoster);
     long lastOrder = lease.renewedAt() + (ordersEnded ? 0 : CellTiming.HOLDER_LEASE);
-    return lastOrder + settings.workerLeaseMillis() * SLOWEST_CLOCK_PERCENT / 100 + MARGIN_MILLIS;
+    return lastOrder + CellTiming.longestLease(settings.workerLeaseMillis());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -47,9 +47,6 @@
     /** Takes note that a worker has seen a higher fencing token. */
     void onFenced(Worker worker);
 
-    /** Takes note that a worker must have started anew. */
-    void onOtherBoot(Worker worker, String evidence);
-
     /** Takes note that room or tasks have changed, so that tasks may be placed. */
     void onChange();
   }
@@ -123,7 +120,6 @@
       String age = ", " + (now - sentAt) + " ms after the order" + (isKnown(run) ? "" : ", gone");
       log.decided("start", run.name().task().toString(), reply.outcome().name(), order + age);
     }
-    sawClock(worker, reply.clockMillis(), now);
     if (!isKnown(run)) {
       return;
     }
@@ -154,15 +150,6 @@
     }
   }
 
-  private void sawClock(Worker worker, long clockMillis, long now) {
-    long before = worker.clockMillis();
-    long beforeAt = worker.clockAt();
-    if (worker.sawClock(clockMillis, now)) {
-      String seen = " after " + before + ", seen " + (now - beforeAt) + " ms before";
-      context.onOtherBoot(worker, "its clock went back, " + clockMillis + seen);
-    }
-  }
-
   private void onAccepted(Run run, long now) {
     if (run.state() == Run.State.STARTING) {
       run.setState(Run.State.RUNNING);
@@ -216,7 +203,6 @@
 
   private void onStopReply(Run run, OrderReply reply) {
     long now = clock.monotonicMillis();
-    sawClock(run.worker(), reply.clockMillis(), now);
     if (!isKnown(run)) {
       return;
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -9,18 +9,12 @@
 
 /** A worker that the cell gives tasks to. */
 final class Worker {
-  /** A worker's clock may be slow by this share. */
+  /** Share of the own steady clock at which a worker's clock goes at least. */
   private static final double SLOWEST_CLOCK = 0.98;
 
   /** Least time in which a worker can end and start anew, in milliseconds. */
   private static final long SHORTEST_RESTART_MILLIS = 700;
 
-  /** Age of an answer beyond which a low clock means another boot, in milliseconds. */
-  private static final long CLOCK_SLACK_MILLIS = 1_500;
-
-  /** Time on top of a lease until its end is taken as certain, in milliseconds. */
-  private static final long LAPSE_MARGIN_MILLIS = 100;
-
   private final Map<RunName, Run> runs = new LinkedHashMap<>();
   private WorkerEntry entry;
   private boolean listed = true;
@@ -30,9 +24,13 @@
   /** Number of the first roster since which it has not been written as silent. */
   private long openSince = Long.MAX_VALUE;
 
+  /** The least that the worker's clock can have shown at a time on the own steady clock. */
   private long clockMillis;
+
   private long clockAt = Long.MIN_VALUE;
-  private long leaseUntil;
+
+  /** Time on the own steady clock at which every lease has certainly ended. */
+  private long leasesEndAt = Long.MIN_VALUE;
 
   private long lastEnd;
   private long recordedEnd;
@@ -72,6 +70,11 @@
     listed = true;
   }
 
+  /** Takes note of the time at which its boot started. */
+  void setBorn(long millis) {
+    entry = entry.bornAt(millis);
+  }
+
   boolean isListed() {
     return listed;
   }
@@ -84,13 +87,13 @@
    * Takes note that it started anew under its identifier. Its runs stay until a report tells which
    * are there: orders that were sent before the new boot was noticed may have reached it.
    *
-   * @param longestLeaseMillis longest lease that the new boot can have granted
+   * @param leaseMillis longest lease that the new boot can have granted
    */
-  void reboot(long nowMillis, long longestLeaseMillis) {
+  void reboot(long nowMillis, long leaseMillis) {
     fenced = false;
     clockMillis = 0;
     clockAt = nowMillis;
-    leaseUntil = longestLeaseMillis;
+    noteLease(nowMillis, leaseMillis);
     lastEnd = 0;
     recordedEnd = 0;
     loggedEnd = 0;
@@ -106,11 +109,11 @@
   /**
    * Takes note that it has answered to the own fencing token.
    *
-   * @param longestLeaseMillis longest lease that an earlier holder may have granted before
+   * @param leaseMillis longest lease that an earlier holder may have granted before
    */
-  void setFenced(long nowMillis, long longestLeaseMillis) {
+  void setFenced(long nowMillis, long leaseMillis) {
     fenced = true;
-    grantLease(nowMillis, longestLeaseMillis);
+    noteLease(nowMillis, leaseMillis);
   }
 
   /** Tells whether a later holder would know from the table service that tasks may run here. */
@@ -148,29 +151,20 @@
   }
 
   /**
-   * Takes note of the worker's clock.
-   *
-   * @return whether it has gone back, so that the worker must have started anew
+   * Takes note of the worker's clock in an answer of the boot that is known. The answer may be read
+   * long after it was given, so that the clock shows this much or more by now.
    */
-  boolean sawClock(long workerMillis, long nowMillis) {
+  void sawClock(long workerMillis, long nowMillis) {
     if (workerMillis <= 0) {
-      return false;
+      return;
     }
-    boolean wentBack =
-        hasClock() && workerMillis < clockMillis + (nowMillis - clockAt) - CLOCK_SLACK_MILLIS;
-    clockMillis = workerMillis;
+    clockMillis = hasClock() ? Math.max(workerMillis, leastClock(nowMillis)) : workerMillis;
     clockAt = nowMillis;
-    return wentBack;
-  }
-
-  /** Returns the clock of the worker when it was last seen. */
-  long clockMillis() {
-    return clockMillis;
   }
 
-  /** Returns the time on the own steady clock at which the worker's clock was last seen. */
-  long clockAt() {
-    return clockAt;
+  /** Returns the least that the worker's clock can show now. */
+  private long leastClock(long nowMillis) {
+    return clockMillis + (long) ((nowMillis - clockAt) * SLOWEST_CLOCK);
   }
 
   boolean hasClock() {
@@ -179,18 +173,17 @@
 
   /** Returns the end of a lease on the worker's clock and notes that it may be in force. */
   long grantLease(long nowMillis, long leaseMillis) {
-    long until = clockMillis + (nowMillis - clockAt) + leaseMillis;
-    leaseUntil = Math.max(leaseUntil, until);
-    return until;
+    noteLease(nowMillis, leaseMillis);
+    return leastClock(nowMillis) + leaseMillis;
+  }
+
+  private void noteLease(long nowMillis, long leaseMillis) {
+    leasesEndAt = Math.max(leasesEndAt, nowMillis + CellTiming.longestLease(leaseMillis));
   }
 
   /** Tells whether every lease that was ever named to it has certainly ended. */
   boolean isLapsed(long nowMillis) {
-    if (!hasClock()) {
-      return true;
-    }
-    long least = clockMillis + (long) ((nowMillis - clockAt) * SLOWEST_CLOCK);
-    return least >= leaseUntil + LAPSE_MARGIN_MILLIS;
+    return nowMillis >= leasesEndAt;
   }
 
   long lastEnd() {
