Renew the lease before any order after a standstill

What callers saw: tasks that ran twice after a holder of the cell had stood still for some seconds (a stopped process, a long collection, a busy machine).

Cause: the holder went on giving orders for 8 s after its last renewal, also when it had stood still meanwhile and another had taken the cell after 2 s. The fences of the workers stopped most of these orders, but not at a worker that had started anew since: it knows no fence. A suspended machine was noticed by the difference of its two clocks; a stopped process has none.

Now LeaseTerm watches the time between two questions whether an order may be given. After a gap in which another may have taken the cell a renewal goes first. Every order asks again right before it is sent, and the lease that it grants counts from the time of that question, so that a stop behind it makes no lease longer.

Ruled out: a shorter time for orders without renewal, as the store's usual outages would then end the scheduling of all.

Evidence: ProcessFaultTest#ordersOfAHolderThatWokeStartNothingInANewBoot (two tasks ran twice) and #processThatStartsBesideAnOldOneThatStandsStillWaitsForItsLeases (one did) failed before and pass now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -183,7 +183,7 @@
       changed = true;
     }
     holds.run(workers.all());
-    if (!journal.isSure()) {
+    if (!journal.isSure(now)) {
       return;
     }
     runner.run(workers.all());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -32,6 +32,7 @@
   private final Supplier<CellRecord> lease;
   private final DecisionLog log;
   private final Listener listener;
+  private final LeaseTerm term;
 
   private Set<Job> changed = new LinkedHashSet<>();
   private Set<Job> sentJobs = Set.of();
@@ -48,8 +49,6 @@
   private boolean releasing;
   private long sentAt;
   private long nextAt;
-  private long surelyHeldFrom;
-  private boolean sure = true;
   private boolean reachable = true;
 
   /**
@@ -71,7 +70,7 @@
     this.store = store;
     this.clock = clock;
     this.version = version;
-    this.surelyHeldFrom = acquiredFrom;
+    this.term = new LeaseTerm(acquiredFrom);
     this.sentAt = acquiredFrom;
     this.lease = lease;
     this.log = log;
@@ -133,9 +132,13 @@
     ended = true;
   }
 
-  /** Tells whether orders may be given: the lease was renewed a short time ago. */
-  boolean isSure() {
-    return !ended && sure && clock.monotonicMillis() - surelyHeldFrom < CellTiming.HOLDER_LEASE;
+  /**
+   * Tells whether an order may be given: the lease was renewed a short time ago.
+   *
+   * @param now time on the steady clock, from which a lease that the order grants must count
+   */
+  boolean isSure(long now) {
+    return !ended && term.allowsOrders(now);
   }
 
   /**
@@ -143,24 +146,24 @@
    * lease was renewed after the row was written, or so lately that nobody has taken it since.
    */
   boolean covers(long rowVersion) {
-    long sinceRenewal = clock.monotonicMillis() - surelyHeldFrom;
-    return version > rowVersion || sinceRenewal < CellTiming.TAKEOVER - CellTiming.SUSPENSION;
+    return version > rowVersion || term.isUndisputed(clock.monotonicMillis());
   }
 
   /** Returns the time since the last renewal that was granted was asked for, in milliseconds. */
   long sinceRenewal() {
-    return clock.monotonicMillis() - surelyHeldFrom;
+    return term.age(clock.monotonicMillis());
   }
 
   /** Demands a renewal before any further order, as the process may have been suspended. */
   void doubt() {
-    sure = false;
+    term.doubt();
     nextAt = 0;
   }
 
   void run() {
     long now = clock.monotonicMillis();
-    boolean due = hasChanges() || releasing || now - sentAt >= CellTiming.RENEWAL || !sure;
+    boolean renewal = now - sentAt >= CellTiming.RENEWAL || term.isDoubted();
+    boolean due = hasChanges() || releasing || renewal;
     if (!ended && !underWay && due && now >= nextAt) {
       send(now);
     }
@@ -250,8 +253,7 @@
 
   private void onCommitted(long newVersion, long startedAt, long now, boolean last) {
     version = newVersion;
-    surelyHeldFrom = startedAt;
-    sure = true;
+    term.renew(startedAt);
     nextAt = Math.max(startedAt + CellTiming.COMMIT_PAUSE, now);
     sentJobs = Set.of();
     sentRoster = null;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -75,10 +75,10 @@
   }
 
   void run(Iterable<Worker> workers) {
-    if (!journal.isSure()) {
+    long now = clock.monotonicMillis();
+    if (!journal.isSure(now)) {
       return;
     }
-    long now = clock.monotonicMillis();
     for (Worker worker : workers) {
       if (!worker.isHolding() && now >= worker.nextHoldAt()) {
         hold(worker, now);
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
@@ -0,0 +1,74 @@
+package org.hemlockpick.cell;
+
+/**
+ * Decides whether the holder of a cell may give orders: for a while after each renewal of its lease,
+ * but not once the process stood still for so long that another may have taken the cell.
+ */
+final class LeaseTerm {
+  /** Age of a renewal up to which nobody else can have taken the cell, in milliseconds. */
+  private static final long UNDISPUTED = CellTiming.TAKEOVER - CellTiming.SUSPENSION;
+
+  private long renewedFrom;
+  private long lookedAt;
+  private boolean doubted;
+
+  /**
+   * Creates the term of a lease that was just taken.
+   *
+   * @param askedAt time on the steady clock before the lease was asked for, in milliseconds
+   */
+  LeaseTerm(long askedAt) {
+    this.renewedFrom = askedAt;
+    this.lookedAt = askedAt;
+  }
+
+  /**
+   * Takes note of a renewal.
+   *
+   * @param askedAt time on the steady clock before the renewal was sent, in milliseconds
+   */
+  void renew(long askedAt) {
+    renewedFrom = askedAt;
+    doubted = false;
+  }
+
+  /** Demands a renewal before the next order. */
+  void doubt() {
+    doubted = true;
+  }
+
+  /** Tells whether a renewal is needed before the next order. */
+  boolean isDoubted() {
+    return doubted;
+  }
+
+  /**
+   * Tells whether an order may be given. A lease that the order grants must count from the same
+   * time, as the process may stand still between this call and the order.
+   *
+   * @param now time on the steady clock in milliseconds
+   */
+  boolean allowsOrders(long now) {
+    watch(now);
+    return !doubted && age(now) < CellTiming.HOLDER_LEASE;
+  }
+
+  /** Tells whether nobody else can have taken the cell since the last renewal. */
+  boolean isUndisputed(long now) {
+    return !doubted && age(now) < UNDISPUTED;
+  }
+
+  /** Returns the time since the last renewal was sent, in milliseconds. */
+  long age(long now) {
+    return now - renewedFrom;
+  }
+
+  /** The holder asks many times in the span that counts as a standstill. */
+  private void watch(long now) {
+    boolean stoodStill = now - lookedAt >= CellTiming.SUSPENSION;
+    lookedAt = now;
+    if (stoodStill && age(now) >= UNDISPUTED) {
+      doubt();
+    }
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -102,6 +102,10 @@
   private void sendStart(Run run, String checkpoint) {
     Worker worker = run.worker();
     long now = clock.monotonicMillis();
+    if (!journal.isSure(now)) {
+      onNotSent(run);
+      return;
+    }
     long until = worker.grantLease(now, settings.workerLeaseMillis());
     run.countStart();
     String order = "attempt " + run.attempt() + ", order " + run.startsSent();
@@ -112,6 +116,13 @@
     port.start(worker.target(), call, reply -> onStartReply(run, checkpoint, reply, now));
   }
 
+  /** The lease came into doubt while the order was prepared. */
+  private void onNotSent(Run run) {
+    if (run.startsSent() == 0) {
+      drop(run);
+    }
+  }
+
   private void onStartReply(Run run, String checkpoint, OrderReply reply, long sentAt) {
     Worker worker = run.worker();
     long now = clock.monotonicMillis();
@@ -174,7 +185,7 @@
         run.state() == Run.State.STARTING
             && run.startsSent() < MAX_START_ORDERS
             && !run.worker().isSilent()
-            && journal.isSure();
+            && journal.isSure(now);
     if (again) {
       sendStart(run, checkpoint);
     } else {
