Count a lease as ended only while nobody else can have renewed it

What callers saw: tasks that ran twice when a holder was cut off from the table service and from some workers, while another took the cell.

Cause: a holder goes on for 8 s without a renewal, and took the leases of workers that it did not reach for ended after 6 s, by its own count. Another that takes the cell after 2 s reaches these workers and renews the leases. The former holder then started their tasks at a worker that only it reached.

Now a lease counts as ended only if its end lies in a time in which the holder certainly held the cell alone: up to its last renewal, or up to now while that is fresh. The same holds for the workers that a new holder waits for.

Evidence: ProcessFaultTest#holderThatIsCutOffStartsNothingThatItsSuccessorFound failed before (two tasks ran twice) and passes now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -178,7 +178,7 @@
   private void schedule(long now) {
     checkLapsed(now);
     list.addUnlisted();
-    if (takeOver.run(now)) {
+    if (takeOver.run(now, journal.heldAloneUntil(now))) {
       list.touchRoster();
       changed = true;
     }
@@ -236,11 +236,15 @@
     worker.setUnlisted();
   }
 
-  /** Drops the runs of workers that cannot be reached once their lease has certainly ended. */
+  /**
+   * Drops the runs of workers that cannot be reached once their lease has certainly ended. A
+   * successor may have renewed a lease that ended later than this holder held the cell alone.
+   */
   private void checkLapsed(long now) {
+    long heldAlone = journal.heldAloneUntil(now);
     for (Worker worker : new ArrayList<>(workers.all())) {
       boolean silent = worker.isSilent() || !worker.isListed();
-      if (silent && worker.isLapsed(now)) {
+      if (silent && worker.isLapsed(heldAlone)) {
         for (Run run : new ArrayList<>(worker.runs())) {
           runner.onGone(run, "the lease of its worker has ended");
         }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -149,6 +149,14 @@
     return version > rowVersion || term.isUndisputed(clock.monotonicMillis());
   }
 
+  /**
+   * Returns the latest time on the steady clock, up to a given one, at which certainly nobody else
+   * held the cell, so that nobody else can have granted a lease at a worker.
+   */
+  long heldAloneUntil(long now) {
+    return term.undisputedUntil(now);
+  }
+
   /** Returns the time since the last renewal that was granted was asked for, in milliseconds. */
   long sinceRenewal() {
     return term.age(clock.monotonicMillis());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
@@ -58,6 +58,11 @@
     return !doubted && age(now) < UNDISPUTED;
   }
 
+  /** Returns the latest time up to now at which certainly nobody else held the cell. */
+  long undisputedUntil(long now) {
+    return isUndisputed(now) ? now : renewedFrom;
+  }
+
   /** Returns the time since the last renewal was sent, in milliseconds. */
   long age(long now) {
     return now - renewedFrom;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -142,14 +142,18 @@
     return unknown > 0 || doubtful.contains(task.id().toString());
   }
 
-  /** Drops the workers whose leases have ended; returns whether tasks may have become free. */
-  boolean run(long now) {
+  /**
+   * Drops the workers whose leases have ended; returns whether tasks may have become free.
+   *
+   * @param heldAlone latest time at which certainly nobody else can have renewed a lease
+   */
+  boolean run(long now, long heldAlone) {
     if (located) {
       return false;
     }
     int before = unaccounted.size();
     for (RosterEntry entry : List.copyOf(unaccounted.values())) {
-      if (now >= lapseAt(entry)) {
+      if (heldAlone >= lapseAt(entry)) {
         unaccounted.remove(entry.getWorker());
         String reason = "not reached since the take-over, " + unaccounted.size() + " left";
         log.decided("worker", entry.getWorker(), "lease ended", reason);
