Wait for the answer of a worker that started anew in a take-over

What callers saw: tasks that ran twice when a worker started anew under its identifier around a take-over.

Cause: a worker's new boot in the platform's list counted as proof that nothing of a former holder ran there, so that the tasks of its jobs were started elsewhere. But a new boot knows no fence: it carries out what a former holder has sent meanwhile, until it has answered to the new fencing token. And a holder that had lost the cell without knowing it went on starting tasks there.

Now such a worker is accounted for by its first answer, as every other. It gets no task before a later roster has it: the storing of that roster proves that the cell is still held.

Evidence: ProcessFaultTest#orderThatIsSentLongAfterItsLeaseWasCheckedStartsNothingInANewBoot failed before (three tasks ran twice) and passes now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -224,12 +224,14 @@
     String before = "born " + worker.entry().bornMillis() + " before, ";
     String runs = ", " + worker.runs().size() + " runs";
     log.decided("worker", worker.id(), "started anew", before + evidence + runs);
-    takeOver.account(worker.id(), "started anew");
     if (sameId) {
+      // It knows no fence: a former holder may use it until it has answered and is stored anew.
       worker.reboot(now, settings.workerLeaseMillis());
       worker.setNextHoldAt(now);
+      list.touchRoster();
       return;
     }
+    takeOver.account(worker.id(), "another worker has its address");
     for (Run run : new ArrayList<>(worker.runs())) {
       runner.onGone(run, "another worker has its address");
     }
