--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -276,8 +276,11 @@
 
     @Override
     public long wallMillis() {
-      return time.millis();
+      return time.millis() + wallAhead;
     }
+
+    /** Time by which the time of day is set ahead, in milliseconds. */
+    long wallAhead;
   }
 
   /** Rows of the fakes: a configuration's version, and the time of a worker's start. */
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -0,0 +1,376 @@
+package org.hemlockpick.cell;
+
+import static org.hemlockpick.cell.CellWorld.step;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.hemlockpick.proto.CellRecord;
+import org.hemlockpick.proto.JobStateRecord;
+import org.hemlockpick.proto.ProgressRecord;
+import org.hemlockpick.proto.StepProgress;
+import org.hemlockpick.proto.TaskNote;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of an end between its report, its storing and its confirmation. */
+class EndsTest {
+  private static final long SETTLED = 3_000;
+  private static final int MAX_ATTEMPTS = 50;
+
+  /** Longest time for which a task may wait though there is room. */
+  private static final long LONGEST_IDLE = 3_000;
+
+  private final CellWorld world = new CellWorld(20261204, 3, 4);
+
+  /** Failures that were not stored are heard again in the order in which workers answer. */
+  @Test
+  void failureCountsThoughALaterOneIsHeardFirst() {
+    world.workers.failing = 1;
+    world.workers.runMillis = 100;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(1));
+    world.time.runFor(100);
+    world.holder().storeView.cut = true;
+    world.time.runFor(1_200);
+    world.workers.runMillis = 60_000;
+    world.time.runFor(8_000);
+    int failed = world.workers.starts.size() - 1;
+    assertEquals(failed, world.failures("a"), () -> String.join("\n", world.log));
+  }
+
+  /** The same at the keeper: the failure of an attempt is counted once, in whatever order. */
+  @Test
+  void failuresAreCountedInAnyOrder() {
+    Task task = task(step(1));
+    JobKeeper keeper = keeper();
+    Worker worker = RunMaker.worker("w0");
+    for (int attempt : new int[] {2, 1, 2, 1}) {
+      keeper.onEnded(task, attempt, worker, EndKind.FAILED, "", null, MAX_ATTEMPTS);
+    }
+    assertEquals(2, task.failures());
+  }
+
+  /** The end of an attempt that was replaced is told late, and brings its old checkpoint. */
+  @Test
+  void checkpointOfAReplacedAttemptIsDropped() {
+    Task task = task(step(1));
+    JobKeeper keeper = keeper();
+    Worker worker = RunMaker.worker("w0");
+    keeper.onEnded(task, 2, worker, EndKind.STOPPED, "newer", null, MAX_ATTEMPTS);
+    keeper.onEnded(task, 1, worker, EndKind.LAPSED, "older", null, MAX_ATTEMPTS);
+    assertEquals("newer", task.checkpoint());
+  }
+
+  /** A new process hears of the last failure before it has read the configuration. */
+  @Test
+  void jobFailsThoughItsLastFailureIsHeardBeforeTheConfigurationIsKnown() {
+    restore(CellWorld.job("a", world.time.millis(), step(1)), MAX_ATTEMPTS - 1);
+    world.workers.failing = 1;
+    world.workers.runMillis = 1_000;
+    world.time.runFor(1_000);
+    assertEquals(1, world.workers.starts.size(), () -> String.join("\n", world.log));
+    CellWorld.Node holder = world.holder();
+    world.store.remove("operator", "configuration");
+    holder.kill();
+    holder.start();
+    world.time.runFor(4_000);
+    world.store.put("operator", "configuration", ByteString.copyFromUtf8("2"));
+    world.time.runFor(5_000);
+    assertEquals(1, world.workers.starts.size(), () -> String.join("\n", world.log));
+    assertEquals(JobState.FAILED, world.state("a"));
+  }
+
+  /** Each worker's newest run has failed, so that none is beyond doubt. */
+  @Test
+  void lastAttemptIsMadeThoughARunHasFailedAtEveryWorker() {
+    world.workers.failing = 1;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(1));
+    world.time.runFor(600_000);
+    assertEquals(MAX_ATTEMPTS, world.workers.starts.size());
+    assertEquals(JobState.FAILED, world.state("a"));
+  }
+
+  /** The runs of one job fail everywhere through its own fault, and every worker is paused. */
+  @Test
+  void jobStartsSoonThoughTheRunsOfAnotherFailEverywhere() {
+    world.workers.failing = 1;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(16));
+    world.time.runFor(20_000);
+    long worst = 0;
+    for (int i = 0; i < 8; i++) {
+      worst = Math.max(worst, timeToStart("b" + i, step(1)));
+    }
+    long longest = worst;
+    assertTrue(longest <= LONGEST_IDLE, () -> longest + " ms");
+  }
+
+  /** A gang that does not fit tells nothing of single tasks of its size. */
+  @Test
+  void taskStartsBesideAGangThatFindsNoRoom() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", CellWorld.bound(17, true, 0));
+    world.time.runFor(500);
+    long taken = timeToStart("b", step(1));
+    assertTrue(taken <= LONGEST_IDLE, () -> taken + " ms");
+  }
+
+  /** A worker tells of 500 ends at a time; a run whose end is behind them is in no list. */
+  @Test
+  void runWhoseEndIsNotToldYetIsNotStartedAgain() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.workers.runMillis = 1_000;
+    small.time.runFor(SETTLED);
+    small.submit(0, "a", smallStep(700));
+    small.time.runFor(200);
+    small.store.silent = true;
+    small.time.runFor(3_000);
+    small.store.silent = false;
+    small.time.runFor(10_000);
+    assertEquals(List.of(), small.workers.breaches);
+    assertEquals(700, small.workers.starts.size());
+  }
+
+  /** The service answers while the worker is asked: the answer comes behind the confirmation. */
+  @Test
+  void endsOfAWorkerThatHasNoRunsAreConfirmed() {
+    List<String> open = new ArrayList<>();
+    for (int latency = 360; latency < 440; latency++) {
+      CellWorld idle = new CellWorld(latency, 1, 1);
+      idle.time.runFor(SETTLED);
+      idle.submit(0, "a", step(1));
+      idle.time.runFor(200);
+      idle.store.transactionMillis = latency;
+      idle.time.runFor(20_000);
+      if (idle.workers.get("w0").unconfirmedEnds() > 0) {
+        open.add("service takes " + latency + " ms");
+      }
+    }
+    assertEquals(List.of(), open);
+  }
+
+  /** The jobs are read again while the rows of one that ended long ago are removed. */
+  @Test
+  void jobWhoseRowsAreBeingRemovedIsNotTakenForANewOne() {
+    world.time.runFor(SETTLED);
+    for (int i = 0; i < 40; i++) {
+      world.submit(i, "j" + i, step(1));
+    }
+    world.time.runFor(5_000);
+    assertEquals(40, world.workers.starts.size());
+    world.time.runFor(108_000);
+    for (int i = 0; i < 2_000; i++) {
+      world.store.forgetHistory();
+      world.time.runFor(10);
+    }
+    assertEquals(List.of(), world.workers.breaches, () -> String.join("\n", world.log));
+    assertEquals(40, world.workers.starts.size());
+  }
+
+  /** The time of day of the holder is set; a state is owed for a span of time. */
+  @Test
+  void stateIsToldForItsTimeThoughTheTimeOfDayIsSet() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(1));
+    world.time.runFor(3_000);
+    assertEquals(JobState.COMPLETED, world.state("a"));
+    world.holder().wallAhead = 150_000;
+    world.time.runFor(10_000);
+    assertEquals(JobState.COMPLETED, world.state("a"), () -> String.join("\n", world.log));
+  }
+
+  /** A row that the service refuses for its size must not hold up the others. */
+  @Test
+  void rowThatIsTooLargeHoldsUpNoOther() {
+    StrictStore store = new StrictStore();
+    CellJournal journal = journal(store);
+    journal.touch(jobWithCheckpoints("large", 4_000));
+    journal.touch(jobWithCheckpoints("small", 1));
+    boolean[] stored = new boolean[1];
+    journal.whenStored(() -> stored[0] = true);
+    run(journal);
+    assertTrue(store.written.contains("small"), () -> "written " + store.written);
+    assertTrue(stored[0]);
+  }
+
+  /** A transaction that the service refuses for its size is split. */
+  @Test
+  void jobsThatAreTooLargeTogetherAreStoredOneAfterTheOther() {
+    StrictStore store = new StrictStore();
+    CellJournal journal = journal(store);
+    for (int i = 0; i < 80; i++) {
+      journal.touch(jobWithCheckpoints("j" + i, 1_000));
+    }
+    boolean[] stored = new boolean[1];
+    journal.whenStored(() -> stored[0] = true);
+    run(journal);
+    assertTrue(stored[0], () -> "written " + store.written);
+  }
+
+  /** Hands a job in and returns the time until its first task starts, in milliseconds. */
+  private long timeToStart(String id, Step step) {
+    world.submit(0, id, step);
+    long begun = world.time.millis();
+    while (world.time.millis() < begun + 30_000) {
+      world.time.runFor(10);
+      for (FakeWorkers.Start start : world.workers.startLog) {
+        if (start.run().task().job().equals(id)) {
+          return start.atMillis() - begun;
+        }
+      }
+    }
+    return 30_000;
+  }
+
+  /** Writes a job of one task as an earlier holder left it. */
+  private void restore(Submission job, int failures) {
+    world.workers.expect(job);
+    ProgressRecord progress =
+        ProgressRecord.newBuilder()
+            .setFormat(JobRows.FORMAT)
+            .setState(JobStateRecord.JOB_RUNNING)
+            .addSteps(
+                StepProgress.newBuilder().addNotes(TaskNote.newBuilder().setFailures(failures)))
+            .build();
+    write(
+        JobRows.part("c0", job.id()), new Write(JobRows.submission(job.id()), JobRows.encode(job)));
+    write("c0", new Write(JobRows.progress(job.id()), progress.toByteString()));
+  }
+
+  private void write(String part, Write write) {
+    Transaction transaction = new Transaction(part, List.of(), List.of(write), List.of());
+    world.store.view().transact(transaction, 1_000, result -> {});
+  }
+
+  private static Step smallStep(int count) {
+    return new Step(
+        count,
+        new Amounts(10, 10, 0),
+        500,
+        List.of(),
+        false,
+        false,
+        false,
+        null,
+        null,
+        0,
+        false,
+        false,
+        "image",
+        0,
+        false,
+        null);
+  }
+
+  private static Task task(Step step) {
+    Job job = new Job(CellWorld.job("a", 0, step), 1, false);
+    job.openDue(0);
+    return job.stepRuns().get(0).tasks().get(0);
+  }
+
+  private static Job jobWithCheckpoints(String id, int tasks) {
+    Job job = new Job(CellWorld.job(id, 0, smallStep(tasks)), 1, false);
+    job.openDue(0);
+    for (Task task : job.stepRuns().get(0).tasks()) {
+      task.setCheckpoint("0123456789abcdef");
+    }
+    return job;
+  }
+
+  private JobKeeper keeper() {
+    return new JobKeeper(
+        new JobTable(),
+        journal(new StrictStore()),
+        world.nodes.get(0),
+        (kind, subject, outcome, reason) -> {},
+        new RunTimes());
+  }
+
+  private CellJournal journal(TableService store) {
+    return new CellJournal(
+        new CellSettings("n", "i", "c0", 5_000, 200, 120_000),
+        store,
+        world.nodes.get(0),
+        1,
+        world.time.millis(),
+        CellRecord::getDefaultInstance,
+        new CellJournal.Listener() {
+          @Override
+          public void onDeposed(String reason) {}
+
+          @Override
+          public void onReachable(boolean answers) {}
+
+          @Override
+          public void onReleased() {}
+        });
+  }
+
+  private void run(CellJournal journal) {
+    for (int i = 0; i < 500; i++) {
+      journal.run();
+      world.time.runFor(10);
+    }
+  }
+
+  /** Applies transactions within the limits of the service, and no others. */
+  private static final class StrictStore implements TableService {
+    private static final int LARGEST_ROW = 65_536;
+    private static final int LARGEST_TRANSACTION = 1_000_000;
+    private static final int MOST_ENTRIES = 100;
+
+    private final List<String> written = new ArrayList<>();
+    private long version = 1;
+
+    @Override
+    public void transact(
+        Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
+      if (!isWithinLimits(transaction)) {
+        handler.accept(new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of()));
+        return;
+      }
+      version++;
+      transaction.writes().forEach(write -> written.add(write.row().key()));
+      handler.accept(new TransactionResult(Outcome.COMMITTED, version, ImmutableList.of()));
+    }
+
+    private static boolean isWithinLimits(Transaction transaction) {
+      int entries =
+          transaction.conditions().size()
+              + transaction.writes().size()
+              + transaction.removals().size();
+      int bytes = 0;
+      for (Write write : transaction.writes()) {
+        // Rows travel as base64: four letters for three bytes.
+        int size = (write.value().size() + 2) / 3 * 4;
+        if (write.value().size() > LARGEST_ROW) {
+          return false;
+        }
+        bytes += size;
+      }
+      return entries <= MOST_ENTRIES && bytes <= LARGEST_TRANSACTION;
+    }
+
+    @Override
+    public void read(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
+      handler.accept(new ReadResult(false, ImmutableList.of(), false, 0));
+    }
+
+    @Override
+    public void watch(
+        String table,
+        long afterVersion,
+        long waitMillis,
+        long timeoutMillis,
+        Consumer<WatchResult> handler) {
+      handler.accept(new WatchResult(WatchOutcome.FAILED, ImmutableList.of(), 0));
+    }
+  }
+}
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -34,6 +34,9 @@
   private static final long RESTART_MILLIS = 1_500;
   private static final long STOP_MILLIS = 100;
 
+  /** Most ends that a worker tells of in one answer. */
+  private static final int MOST_ENDS = 500;
+
   private final VirtualTime time;
   private final SplittableRandom random;
   private final Map<String, Model> models = new LinkedHashMap<>();
@@ -314,13 +317,22 @@
       ends.removeIf(end -> end.number() <= call.endsSeen());
       ImmutableList.Builder<RunReport> running = ImmutableList.builder();
       runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(since), 0)));
-      return new HoldReply(
-          OrderOutcome.ACCEPTED, clock(), born, running.build(), ImmutableList.copyOf(ends));
+      return new HoldReply(OrderOutcome.ACCEPTED, clock(), born, running.build(), listedEnds());
     }
 
     private int percent(long since) {
       return (int) Math.min(99, (time.millis() - since) * 100 / (2 * runMillis));
     }
+
+    /** Returns the ends that are told; the others follow when these are confirmed. */
+    private ImmutableList<EndReport> listedEnds() {
+      return ImmutableList.copyOf(ends.subList(0, Math.min(MOST_ENDS, ends.size())));
+    }
+
+    /** Returns how many ends wait for their confirmation. */
+    int unconfirmedEnds() {
+      return ends.size();
+    }
   }
 
   /** The way from one entry instance to the workers. */
