--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -72,14 +72,15 @@
   void jobFailsThoughItsLastFailureIsHeardBeforeTheConfigurationIsKnown() {
     restore(CellWorld.job("a", world.time.millis(), step(1)), MAX_ATTEMPTS - 1);
     world.workers.failing = 1;
-    world.workers.runMillis = 1_000;
-    world.time.runFor(1_000);
-    assertEquals(1, world.workers.starts.size(), () -> String.join("\n", world.log));
+    world.workers.runMillis = 4_000;
+    world.time.runFor(1_500);
+    assertEquals(1, world.workers.running(), () -> String.join("\n", world.log));
     CellWorld.Node holder = world.holder();
     world.store.remove("operator", "configuration");
     holder.kill();
     holder.start();
-    world.time.runFor(4_000);
+    world.time.runFor(6_000);
+    assertEquals(0, world.workers.running(), () -> String.join("\n", world.log));
     world.store.put("operator", "configuration", ByteString.copyFromUtf8("2"));
     world.time.runFor(5_000);
     assertEquals(1, world.workers.starts.size(), () -> String.join("\n", world.log));
@@ -93,7 +94,9 @@
     world.time.runFor(SETTLED);
     world.submit(0, "a", step(1));
     world.time.runFor(600_000);
-    assertEquals(MAX_ATTEMPTS, world.workers.starts.size());
+    List<FakeWorkers.Start> starts = world.workers.startLog;
+    FakeWorkers.Start last = starts.get(starts.size() - 1);
+    assertEquals(MAX_ATTEMPTS, starts.size(), () -> last + ", now " + world.time.millis());
     assertEquals(JobState.FAILED, world.state("a"));
   }
 
@@ -116,9 +119,9 @@
   @Test
   void taskStartsBesideAGangThatFindsNoRoom() {
     world.time.runFor(SETTLED);
-    world.submit(0, "a", CellWorld.bound(17, true, 0));
+    world.submit(0, "a", longStep(17, true));
     world.time.runFor(500);
-    long taken = timeToStart("b", step(1));
+    long taken = timeToStart("b", longStep(1, false));
     assertTrue(taken <= LONGEST_IDLE, () -> taken + " ms");
   }
 
@@ -167,6 +170,7 @@
     assertEquals(40, world.workers.starts.size());
     world.time.runFor(108_000);
     for (int i = 0; i < 2_000; i++) {
+      world.store.put("elsewhere", "key", ByteString.EMPTY);
       world.store.forgetHistory();
       world.time.runFor(10);
     }
@@ -250,13 +254,21 @@
   }
 
   private static Step smallStep(int count) {
+    return sized(count, new Amounts(10, 10, 0), 500, false);
+  }
+
+  private static Step longStep(int count, boolean gang) {
+    return sized(count, new Amounts(2_000, 4_000, 0), 20_000, gang);
+  }
+
+  private static Step sized(int count, Amounts demand, long estimateMillis, boolean gang) {
     return new Step(
         count,
-        new Amounts(10, 10, 0),
-        500,
+        demand,
+        estimateMillis,
         List.of(),
         false,
-        false,
+        gang,
         false,
         null,
         null,
