--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -14,6 +14,8 @@
 import org.hemlockpick.proto.CellRecord;
 import org.hemlockpick.proto.JobStateRecord;
 import org.hemlockpick.proto.ProgressRecord;
+import org.hemlockpick.proto.RosterEntry;
+import org.hemlockpick.proto.RosterRecord;
 import org.hemlockpick.proto.StepProgress;
 import org.hemlockpick.proto.TaskNote;
 import org.junit.jupiter.api.Test;
@@ -113,6 +115,19 @@
     assertTrue(taken <= LONGEST_IDLE, () -> taken + " ms");
   }
 
+  /** No order to start arrived, and no answer to an order to stop does; reports do. */
+  @Test
+  void taskRunsElsewhereThoughTheAnswersToItsStopAreLost() {
+    world.time.runFor(SETTLED);
+    world.holder().workerView.startsLost = true;
+    world.holder().workerView.stopsUnanswered = true;
+    world.submit(0, "a", step(1));
+    world.time.runFor(3_000);
+    world.holder().workerView.startsLost = false;
+    world.time.runFor(30_000);
+    assertEquals(JobState.COMPLETED, world.state("a"), () -> String.join("\n", world.log));
+  }
+
   /** A gang that does not fit tells nothing of single tasks of its size. */
   @Test
   void taskStartsBesideAGangThatFindsNoRoom() {
@@ -135,8 +150,8 @@
     small.time.runFor(3_000);
     small.store.silent = false;
     small.time.runFor(10_000);
-    assertEquals(List.of(), small.workers.breaches);
     assertEquals(700, small.workers.starts.size());
+    assertEquals(List.of(), small.workers.breaches);
   }
 
   /** The service answers while the worker is asked: the answer comes behind the confirmation. */
@@ -304,6 +319,29 @@
     assertTrue(stored[0]);
   }
 
+  /** All workers are silent to the holder, and the roster names the tasks of each. */
+  @Test
+  void rosterOfManySilentWorkersHoldsUpNoOther() {
+    StrictStore store = new StrictStore();
+    CellJournal journal = journal(store);
+    RosterRecord.Builder roster = RosterRecord.newBuilder().setFormat(JobRows.FORMAT);
+    for (int i = 0; i < 250; i++) {
+      RosterEntry.Builder entry =
+          RosterEntry.newBuilder()
+              .setWorker("i-2021b8c1-" + i)
+              .setAddress("10.128.2.51:8080")
+              .setSilent(true);
+      for (int k = 0; k < 12; k++) {
+        entry.addTasks(new TaskId("cc98ac106a372958", 0, 0, i * 12 + k).toString());
+      }
+      roster.addWorkers(entry);
+    }
+    journal.setRoster(roster.build());
+    journal.touch(jobWithCheckpoints("small", 1));
+    run(journal);
+    assertTrue(store.written.contains("small"), () -> "written " + store.written);
+  }
+
   /** A transaction that the service refuses for its size is split. */
   @Test
   void jobsThatAreTooLargeTogetherAreStoredOneAfterTheOther() {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -340,13 +340,28 @@
     /** Whether no call of this entry instance arrives. */
     boolean cut;
 
+    /** Whether orders to start never arrive, though holds do. */
+    boolean startsLost;
+
+    /** Whether orders to stop are carried out and not answered, though holds are. */
+    boolean stopsUnanswered;
+
     @Override
     public void start(Target target, StartOrder order, Consumer<OrderReply> handler) {
+      if (startsLost) {
+        time.after(TIMEOUT_MILLIS, () -> handler.accept(new OrderReply(OrderOutcome.LOST, 0)));
+        return;
+      }
       order(target, model -> model.start(order), handler);
     }
 
     @Override
     public void stop(Target target, RunName run, long token, Consumer<OrderReply> handler) {
+      if (stopsUnanswered) {
+        order(target, model -> model.stop(run, token), reply -> {});
+        time.after(TIMEOUT_MILLIS, () -> handler.accept(new OrderReply(OrderOutcome.LOST, 0)));
+        return;
+      }
       order(target, model -> model.stop(run, token), handler);
     }
 
