--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -298,8 +298,11 @@
 
     @Override
     public long wallMillis() {
-      return time.millis();
+      return time.millis() + wallAhead;
     }
+
+    /** Time by which the time of day is set ahead, in milliseconds. */
+    long wallAhead;
   }
 
   /** Writes time, process, kind, subject, outcome, reason and the token if there is one. */
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -0,0 +1,527 @@
+package org.hemlockpick.cell;
+
+import static org.hemlockpick.cell.CellWorld.step;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.hemlockpick.proto.CellRecord;
+import org.hemlockpick.proto.JobStateRecord;
+import org.hemlockpick.proto.ProgressRecord;
+import org.hemlockpick.proto.RosterEntry;
+import org.hemlockpick.proto.RosterRecord;
+import org.hemlockpick.proto.StepProgress;
+import org.hemlockpick.proto.TaskNote;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of an end between its report, its storing and its confirmation. */
+class EndsTest {
+  private static final long SETTLED = 3_000;
+  private static final int MAX_ATTEMPTS = 50;
+
+  private static final long STATUS_KEEP = 120_000;
+
+  /** Longest time for which a task may wait though there is room. */
+  private static final long LONGEST_IDLE = 3_000;
+
+  private final CellWorld world = new CellWorld(20261204, 3, 4);
+
+  /** Failures that were not stored are heard again in the order in which workers answer. */
+  @Test
+  void failureCountsThoughALaterOneIsHeardFirst() {
+    world.workers.failing = 1;
+    world.workers.runMillis = 100;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(1));
+    world.time.runFor(100);
+    world.holder().storeView.cut = true;
+    world.time.runFor(1_200);
+    world.workers.runMillis = 60_000;
+    world.time.runFor(8_000);
+    int failed = world.workers.starts.size() - 1;
+    assertEquals(failed, world.failures("a"), () -> String.join("\n", world.log));
+  }
+
+  /** The same at the keeper: the failure of an attempt is counted once, in whatever order. */
+  @Test
+  void failuresAreCountedInAnyOrder() {
+    Task task = task(step(1));
+    JobKeeper keeper = keeper();
+    Worker worker = RunMaker.worker("w0");
+    for (int attempt : new int[] {2, 1, 2, 1}) {
+      keeper.onEnded(task, attempt, worker, EndKind.FAILED, "", null, MAX_ATTEMPTS);
+    }
+    assertEquals(2, task.failures());
+  }
+
+  /** The end of an attempt that was replaced is told late, and brings its old checkpoint. */
+  @Test
+  void checkpointOfAReplacedAttemptIsDropped() {
+    Task task = task(step(1));
+    JobKeeper keeper = keeper();
+    Worker worker = RunMaker.worker("w0");
+    keeper.onEnded(task, 2, worker, EndKind.STOPPED, "newer", null, MAX_ATTEMPTS);
+    keeper.onEnded(task, 1, worker, EndKind.LAPSED, "older", null, MAX_ATTEMPTS);
+    assertEquals("newer", task.checkpoint());
+  }
+
+  /** A new process hears of the last failure before it has read the configuration. */
+  @Test
+  void jobFailsThoughItsLastFailureIsHeardBeforeTheConfigurationIsKnown() {
+    restore(CellWorld.job("a", world.time.millis(), step(1)), MAX_ATTEMPTS - 1);
+    world.workers.failing = 1;
+    world.workers.runMillis = 4_000;
+    world.time.runFor(1_500);
+    assertEquals(1, world.workers.running(), () -> String.join("\n", world.log));
+    CellWorld.Node holder = world.holder();
+    world.store.remove("operator", "configuration");
+    holder.kill();
+    holder.start();
+    world.time.runFor(6_000);
+    assertEquals(0, world.workers.running(), () -> String.join("\n", world.log));
+    world.store.put("operator", "configuration", ByteString.copyFromUtf8("2"));
+    world.time.runFor(5_000);
+    assertEquals(1, world.workers.starts.size(), () -> String.join("\n", world.log));
+    assertEquals(JobState.FAILED, world.state("a"));
+  }
+
+  /** Each worker's newest run has failed, so that none is beyond doubt. */
+  @Test
+  void lastAttemptIsMadeThoughARunHasFailedAtEveryWorker() {
+    world.workers.failing = 1;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(1));
+    world.time.runFor(100_000);
+    List<FakeWorkers.Start> starts = world.workers.startLog;
+    FakeWorkers.Start last = starts.get(starts.size() - 1);
+    assertEquals(MAX_ATTEMPTS, starts.size(), () -> last + ", now " + world.time.millis());
+    assertEquals(JobState.FAILED, world.state("a"));
+  }
+
+  /** The runs of one job fail everywhere through its own fault, and every worker is paused. */
+  @Test
+  void jobStartsSoonThoughTheRunsOfAnotherFailEverywhere() {
+    world.workers.failing = 1;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(16));
+    world.time.runFor(20_000);
+    long taken = timeToStart("b", step(1));
+    assertTrue(taken <= LONGEST_IDLE, () -> taken + " ms");
+  }
+
+  /** No order to start arrived, and no answer to an order to stop does; reports do. */
+  @Test
+  void taskRunsElsewhereThoughTheAnswersToItsStopAreLost() {
+    world.time.runFor(SETTLED);
+    world.holder().workerView.startsLost = true;
+    world.holder().workerView.stopsUnanswered = true;
+    world.submit(0, "a", step(1));
+    world.time.runFor(3_000);
+    world.holder().workerView.startsLost = false;
+    world.time.runFor(30_000);
+    assertEquals(JobState.COMPLETED, world.state("a"), () -> String.join("\n", world.log));
+  }
+
+  /** A gang that does not fit tells nothing of single tasks of its size. */
+  @Test
+  void taskStartsBesideAGangThatFindsNoRoom() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", longStep(17, true));
+    world.time.runFor(500);
+    long taken = timeToStart("b", longStep(1, false));
+    assertTrue(taken <= LONGEST_IDLE, () -> taken + " ms");
+  }
+
+  /** A worker tells of 500 ends at a time; a run whose end is behind them is in no list. */
+  @Test
+  void runWhoseEndIsNotToldYetIsNotStartedAgain() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.workers.runMillis = 1_000;
+    small.time.runFor(SETTLED);
+    small.submit(0, "a", smallStep(700));
+    small.time.runFor(200);
+    small.store.silent = true;
+    small.time.runFor(3_000);
+    small.store.silent = false;
+    small.time.runFor(10_000);
+    assertEquals(700, small.workers.starts.size());
+    assertEquals(List.of(), small.workers.breaches);
+  }
+
+  /** The service answers while the worker is asked: the answer comes behind the confirmation. */
+  @Test
+  void endsOfAWorkerThatHasNoRunsAreConfirmed() {
+    List<String> open = new ArrayList<>();
+    for (int latency = 360; latency < 440; latency++) {
+      CellWorld idle = new CellWorld(latency, 1, 1);
+      idle.time.runFor(SETTLED);
+      idle.submit(0, "a", step(1));
+      idle.time.runFor(200);
+      idle.store.transactionMillis = latency;
+      idle.time.runFor(20_000);
+      if (idle.workers.get("w0").unconfirmedEnds() > 0) {
+        open.add("service takes " + latency + " ms");
+      }
+    }
+    assertEquals(List.of(), open);
+  }
+
+  /** After a call without an answer nothing is confirmed, and an idle worker is asked seldom. */
+  @Test
+  void endsOfAWorkerThatHasNoRunsAreConfirmedAfterALostAnswer() {
+    CellWorld idle = new CellWorld(20261204, 1, 1);
+    idle.time.runFor(SETTLED);
+    idle.submit(0, "a", step(1));
+    while (idle.workers.get("w0").unconfirmedEnds() == 0) {
+      idle.time.runFor(1);
+    }
+    idle.workers.get("w0").cut = true;
+    idle.time.runFor(1_500);
+    idle.workers.get("w0").cut = false;
+    idle.time.runFor(20_000);
+    assertEquals(0, idle.workers.get("w0").unconfirmedEnds(), () -> String.join("\n", idle.log));
+  }
+
+  /** The jobs are read again while the rows of one that ended long ago are removed. */
+  @Test
+  void jobWhoseRowsAreBeingRemovedIsNotTakenForANewOne() {
+    List<String> again = new ArrayList<>();
+    for (int phase = 0; phase < 30; phase += 5) {
+      CellWorld swept = new CellWorld(10, 3, 4);
+      swept.time.runFor(SETTLED);
+      for (int i = 0; i < 40; i++) {
+        swept.submit(i, "j" + i, step(1));
+      }
+      swept.time.runFor(119_000 + phase);
+      for (int i = 0; i < 1_500; i++) {
+        swept.store.put("elsewhere", "key", ByteString.EMPTY);
+        swept.store.forgetHistory();
+        swept.time.runFor(10);
+      }
+      if (swept.workers.starts.size() != 40 || !swept.workers.breaches.isEmpty()) {
+        again.add(phase + ": " + swept.workers.starts.size() + " starts");
+      }
+    }
+    assertEquals(List.of(), again);
+  }
+
+  /** The holder's time of day is a few seconds ahead, or is set; a state is owed for its time. */
+  @Test
+  void stateIsToldForItsTimeThoughTheTimeOfDayIsSet() {
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(1));
+    while (world.state("a") != JobState.COMPLETED) {
+      world.time.runFor(10);
+    }
+    long ended = world.time.millis();
+    world.holder().wallAhead = 6_000;
+    world.time.runFor(110_000);
+    while (world.time.millis() < ended + STATUS_KEEP - 1_200) {
+      long asked = world.time.millis() - ended;
+      assertEquals(JobState.COMPLETED, world.state("a"), () -> "after " + asked + " ms");
+    }
+  }
+
+  /** Nobody holds the cell when the job is canceled; the cancellation is read before the job. */
+  @Test
+  void cancellationIsFoundByTheNextHolder() {
+    world.workers.runMillis = 20_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(2), step(2, 0));
+    world.time.runFor(500);
+    CellWorld.Node holder = world.holder();
+    holder.kill();
+    CellWorld.Node other = world.nodes.get((world.nodes.indexOf(holder) + 1) % 3);
+    other.process().cancel("a", 1_000, reply -> {});
+    world.time.runFor(6_000);
+    assertEquals(JobState.CANCELED, world.state("a"));
+    assertEquals(0, world.workers.running());
+    assertEquals(2, world.workers.starts.size());
+  }
+
+  /** The handling of a row fails; those behind it in the same answer are handled later. */
+  @Test
+  void rowsBehindOneWhoseHandlingFailsAreNotLost() {
+    boolean[] failing = new boolean[] {true};
+    JobTable jobs = new JobTable();
+    CellJournal journal = journal(new StrictStore());
+    LoopClock clock = world.nodes.get(0);
+    DecisionLog log = (kind, subject, outcome, reason) -> {};
+    JobKeeper keeper = new JobKeeper(jobs, journal, clock, log, new RunTimes());
+    Runnable onChange =
+        () -> {
+          if (failing[0]) {
+            failing[0] = false;
+            throw new IllegalStateException("once");
+          }
+        };
+    JobFeed feed =
+        new JobFeed("c0", world.store.view(), jobs, keeper, journal, clock, log, onChange);
+    for (int i = 0; i < 10; i++) {
+      turn(feed);
+    }
+    assertTrue(feed.isLoaded());
+    submit("first");
+    submit("second");
+    for (int i = 0; i < 300; i++) {
+      turn(feed);
+    }
+    assertTrue(jobs.get("first") != null);
+    assertTrue(jobs.get("second") != null);
+  }
+
+  /** Does what the loop does, which goes on after an action that fails. */
+  private void turn(JobFeed feed) {
+    try {
+      feed.run(world.time.millis());
+      world.time.runFor(10);
+    } catch (IllegalStateException e) {
+      assertEquals("once", e.getMessage());
+    }
+  }
+
+  private void submit(String id) {
+    Submission job = CellWorld.job(id, world.time.millis(), step(1));
+    world.workers.expect(job);
+    write(JobRows.part("c0", id), new Write(JobRows.submission(id), JobRows.encode(job)));
+  }
+
+  /** The same failure of a gang may be told by several of its members. */
+  @Test
+  void failureOfAGangIsCountedOnceThoughTwoMembersFail() {
+    Task first = task(CellWorld.bound(2, true, 0));
+    Task second = first.step().tasks().get(1);
+    JobKeeper keeper = keeper();
+    Worker worker = RunMaker.worker("w0");
+    keeper.onEnded(first, 1, worker, EndKind.FAILED, "", null, MAX_ATTEMPTS);
+    keeper.onEnded(second, 1, worker, EndKind.FAILED, "", null, MAX_ATTEMPTS);
+    assertEquals(1, first.failures());
+    assertEquals(1, second.failures());
+  }
+
+  /** A row that the service refuses for its size must not hold up the others. */
+  @Test
+  void rowThatIsTooLargeHoldsUpNoOther() {
+    StrictStore store = new StrictStore();
+    CellJournal journal = journal(store);
+    journal.touch(jobWithCheckpoints("large", 4_000));
+    journal.touch(jobWithCheckpoints("small", 1));
+    boolean[] stored = new boolean[1];
+    journal.whenStored(() -> stored[0] = true);
+    run(journal);
+    assertTrue(store.written.contains("small"), () -> "written " + store.written);
+    assertTrue(stored[0]);
+  }
+
+  /** All workers are silent to the holder, and the roster names the tasks of each. */
+  @Test
+  void rosterOfManySilentWorkersHoldsUpNoOther() {
+    StrictStore store = new StrictStore();
+    CellJournal journal = journal(store);
+    RosterRecord.Builder roster = RosterRecord.newBuilder().setFormat(JobRows.FORMAT);
+    for (int i = 0; i < 250; i++) {
+      RosterEntry.Builder entry =
+          RosterEntry.newBuilder()
+              .setWorker("i-2021b8c1-" + i)
+              .setAddress("10.128.2.51:8080")
+              .setSilent(true);
+      for (int k = 0; k < 12; k++) {
+        entry.addTasks(new TaskId("cc98ac106a372958", 0, 0, i * 12 + k).toString());
+      }
+      roster.addWorkers(entry);
+    }
+    journal.setRoster(roster.build());
+    journal.touch(jobWithCheckpoints("small", 1));
+    run(journal);
+    assertTrue(store.written.contains("small"), () -> "written " + store.written);
+  }
+
+  /** A transaction that the service refuses for its size is split. */
+  @Test
+  void jobsThatAreTooLargeTogetherAreStoredOneAfterTheOther() {
+    StrictStore store = new StrictStore();
+    CellJournal journal = journal(store);
+    for (int i = 0; i < 80; i++) {
+      journal.touch(jobWithCheckpoints("j" + i, 1_000));
+    }
+    boolean[] stored = new boolean[1];
+    journal.whenStored(() -> stored[0] = true);
+    run(journal);
+    assertTrue(stored[0], () -> "written " + store.written);
+  }
+
+  /** Hands a job in and returns the time until its first task starts, in milliseconds. */
+  private long timeToStart(String id, Step step) {
+    world.submit(0, id, step);
+    long begun = world.time.millis();
+    while (world.time.millis() < begun + 30_000) {
+      world.time.runFor(10);
+      for (FakeWorkers.Start start : world.workers.startLog) {
+        if (start.run().task().job().equals(id)) {
+          return start.atMillis() - begun;
+        }
+      }
+    }
+    return 30_000;
+  }
+
+  /** Writes a job of one task as an earlier holder left it. */
+  private void restore(Submission job, int failures) {
+    world.workers.expect(job);
+    ProgressRecord progress =
+        ProgressRecord.newBuilder()
+            .setFormat(JobRows.FORMAT)
+            .setState(JobStateRecord.JOB_RUNNING)
+            .addSteps(
+                StepProgress.newBuilder().addNotes(TaskNote.newBuilder().setFailures(failures)))
+            .build();
+    write(
+        JobRows.part("c0", job.id()), new Write(JobRows.submission(job.id()), JobRows.encode(job)));
+    write("c0", new Write(JobRows.progress(job.id()), progress.toByteString()));
+  }
+
+  private void write(String part, Write write) {
+    Transaction transaction = new Transaction(part, List.of(), List.of(write), List.of());
+    world.store.view().transact(transaction, 1_000, result -> {});
+  }
+
+  private static Step smallStep(int count) {
+    return sized(count, new Amounts(10, 10, 0), 500, false);
+  }
+
+  private static Step longStep(int count, boolean gang) {
+    return sized(count, new Amounts(2_000, 4_000, 0), 20_000, gang);
+  }
+
+  private static Step sized(int count, Amounts demand, long estimateMillis, boolean gang) {
+    return new Step(
+        count,
+        demand,
+        estimateMillis,
+        List.of(),
+        false,
+        gang,
+        false,
+        null,
+        null,
+        0,
+        false,
+        false,
+        "image",
+        0,
+        false,
+        null);
+  }
+
+  private static Task task(Step step) {
+    Job job = new Job(CellWorld.job("a", 0, step), 1, false);
+    job.openDue(0);
+    return job.stepRuns().get(0).tasks().get(0);
+  }
+
+  private static Job jobWithCheckpoints(String id, int tasks) {
+    Job job = new Job(CellWorld.job(id, 0, smallStep(tasks)), 1, false);
+    job.openDue(0);
+    for (Task task : job.stepRuns().get(0).tasks()) {
+      task.setCheckpoint("0123456789abcdef");
+    }
+    return job;
+  }
+
+  private JobKeeper keeper() {
+    return new JobKeeper(
+        new JobTable(),
+        journal(new StrictStore()),
+        world.nodes.get(0),
+        (kind, subject, outcome, reason) -> {},
+        new RunTimes());
+  }
+
+  private CellJournal journal(TableService store) {
+    return new CellJournal(
+        new CellSettings("n", "i", "c0", 5_000, 200, 120_000),
+        store,
+        world.nodes.get(0),
+        1,
+        world.time.millis(),
+        CellRecord::getDefaultInstance,
+        (kind, subject, outcome, reason) -> {},
+        new CellJournal.Listener() {
+          @Override
+          public void onDeposed(String reason) {}
+
+          @Override
+          public void onReachable(boolean answers) {}
+
+          @Override
+          public void onReleased() {}
+        });
+  }
+
+  private void run(CellJournal journal) {
+    for (int i = 0; i < 500; i++) {
+      journal.run();
+      world.time.runFor(10);
+    }
+  }
+
+  /** Applies transactions within the limits of the service, and no others. */
+  private static final class StrictStore implements TableService {
+    private static final int LARGEST_ROW = 65_536;
+    private static final int LARGEST_TRANSACTION = 1_000_000;
+    private static final int MOST_ENTRIES = 100;
+
+    private final List<String> written = new ArrayList<>();
+    private long version = 1;
+
+    @Override
+    public void transact(
+        Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
+      if (!isWithinLimits(transaction)) {
+        handler.accept(new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of()));
+        return;
+      }
+      version++;
+      transaction.writes().forEach(write -> written.add(write.row().key()));
+      handler.accept(new TransactionResult(Outcome.COMMITTED, version, ImmutableList.of()));
+    }
+
+    private static boolean isWithinLimits(Transaction transaction) {
+      int entries =
+          transaction.conditions().size()
+              + transaction.writes().size()
+              + transaction.removals().size();
+      int bytes = 0;
+      for (Write write : transaction.writes()) {
+        // Rows travel as base64: four letters for three bytes.
+        int size = (write.value().size() + 2) / 3 * 4;
+        if (write.value().size() > LARGEST_ROW) {
+          return false;
+        }
+        bytes += size;
+      }
+      return entries <= MOST_ENTRIES && bytes <= LARGEST_TRANSACTION;
+    }
+
+    @Override
+    public void read(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
+      handler.accept(new ReadResult(false, ImmutableList.of(), false, 0));
+    }
+
+    @Override
+    public void watch(
+        String table,
+        long afterVersion,
+        long waitMillis,
+        long timeoutMillis,
+        Consumer<WatchResult> handler) {
+      handler.accept(new WatchResult(WatchOutcome.FAILED, ImmutableList.of(), 0));
+    }
+  }
+}
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -86,6 +86,11 @@
     historyFrom = version;
   }
 
+  /** Returns the service as a process sees it that never stands still. */
+  View view() {
+    return new View(new Inbox(time));
+  }
+
   /** Returns the service as one process of an entry instance sees it. */
   View view(Inbox inbox) {
     return new View(inbox);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -34,6 +34,9 @@
   private static final long RESTART_MILLIS = 1_500;
   private static final long STOP_MILLIS = 100;
 
+  /** Most ends that a worker tells of in one answer. */
+  private static final int MOST_ENDS = 500;
+
   private final VirtualTime time;
   private final SplittableRandom random;
   private final Map<String, Model> models = new LinkedHashMap<>();
@@ -324,13 +327,22 @@
       ends.removeIf(end -> end.number() <= call.endsSeen());
       ImmutableList.Builder<RunReport> running = ImmutableList.builder();
       runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(since), 0)));
-      return new HoldReply(
-          OrderOutcome.ACCEPTED, clock(), born, running.build(), ImmutableList.copyOf(ends));
+      return new HoldReply(OrderOutcome.ACCEPTED, clock(), born, running.build(), listedEnds());
     }
 
     private int percent(long since) {
       return (int) Math.min(99, (time.millis() - since) * 100 / (2 * runMillis));
     }
+
+    /** Returns the ends that are told; the others follow when these are confirmed. */
+    private ImmutableList<EndReport> listedEnds() {
+      return ImmutableList.copyOf(ends.subList(0, Math.min(MOST_ENDS, ends.size())));
+    }
+
+    /** Returns how many ends wait for their confirmation. */
+    int unconfirmedEnds() {
+      return ends.size();
+    }
   }
 
   /** The way from one process of an entry instance to the workers. */
@@ -346,6 +358,12 @@
     /** Workers that this process alone does not reach. */
     final Set<String> unreached = new HashSet<>();
 
+    /** Whether orders to start never arrive, though holds do. */
+    boolean startsLost;
+
+    /** Whether orders to stop are carried out and not answered, though holds are. */
+    boolean stopsUnanswered;
+
     /** Whether orders of this process are carried out and not answered. */
     boolean answersLost;
 
@@ -377,6 +395,10 @@
 
     @Override
     public void start(Target target, StartOrder order, Consumer<OrderReply> handler) {
+      if (startsLost) {
+        loseOrder(handler);
+        return;
+      }
       Runnable action = beforeStart;
       if (action != null) {
         beforeStart = null;
@@ -387,6 +409,11 @@
 
     @Override
     public void stop(Target target, RunName run, long token, Consumer<OrderReply> handler) {
+      if (stopsUnanswered) {
+        order(target, model -> model.stop(run, token), reply -> {});
+        loseOrder(handler);
+        return;
+      }
       order(target, model -> model.stop(run, token), handler);
     }
 
@@ -403,12 +430,11 @@
 
     private void sendOrder(
         Model model, Function<Model, OrderReply> action, Consumer<OrderReply> handler) {
-      OrderReply none = new OrderReply(OrderOutcome.LOST, 0);
       if (isCutFrom(model)) {
-        inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
+        loseOrder(handler);
       } else if (answersLost) {
         time.after(LATENCY_MILLIS, () -> lateAnswers.add(action.apply(model)));
-        inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
+        loseOrder(handler);
       } else if (random.nextDouble() < late) {
         // The order waits at the worker, so that it ends with this boot.
         long born = model.born;
@@ -419,7 +445,7 @@
                 lateAnswers.add(action.apply(model));
               }
             });
-        inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
+        loseOrder(handler);
       } else {
         time.after(
             LATENCY_MILLIS,
@@ -430,6 +456,11 @@
       }
     }
 
+    private void loseOrder(Consumer<OrderReply> handler) {
+      OrderReply none = new OrderReply(OrderOutcome.LOST, 0);
+      inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
+    }
+
     @Override
     public void hold(Target target, HoldCall call, Consumer<HoldReply> handler) {
       outbox.send(() -> sendHold(get(target.id()), call, handler));
