Shorten a lease at the fake workers to its longest time

A worker of the platform does so, and a lease that names the clock of a boot before would last for ever else. The tests that name such a lease stay.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -22,7 +22,7 @@
   static final String SERVICE = "litepay";
   private static final long TICK_MILLIS = 10;
   private static final long START = 1_000_000;
-  private static final long LEASE_MILLIS = 5_000;
+  static final long LEASE_MILLIS = 5_000;
   private static final int MAX_ATTEMPTS = 50;
   static final Amounts ROOM = new Amounts(8_000, 32_000, 0);
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -299,8 +299,9 @@
       return reply(OrderOutcome.ACCEPTED);
     }
 
+    /** Extends the lease, for its longest time at most. */
     private void extend(long until) {
-      leaseUntil = Math.max(leaseUntil, until);
+      leaseUntil = Math.max(leaseUntil, Math.min(until, clock() + CellWorld.LEASE_MILLIS));
       time.after(leaseUntil - clock(), this::lapse);
     }
 
