Trust the end of a former process only at the same address

What callers saw: tasks that ran twice when a process of an entry instance started while the one before it lived on: in its grace time after a signal to stop, standing still, or cut off from the table service.

Cause: a process that found the lease of the cell under its own instance's name took it at once, "as the former has ended". So it did not wait for what the former process had ordered last, counted the leases of workers that it did not reach from the last renewal in place of 8 s later, and both started the jobs that came meanwhile. Two such processes took the cell from each other again and again, 30 times in 20 s.

Now the holder's name has the address at which it listens for callers. Two processes cannot listen there at once, and a process listens until it ends, so that one that listens there knows that the former has ended. A process of the same name at another address waits like every other.

Ruled out: waiting in every case, as a process that is killed and started again at its address may go on at once.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellLogTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellLogTest.java
@@ -54,7 +54,7 @@
     only(
         " lease c0 claimed \\(version \\d+, held by ("
             + former
-            + ")/i\\d+, .* ms ago, not renewed\\)$");
+            + ")@n\\d:1/i\\d+, .* ms ago, not renewed\\)$");
     only(" cell c0 unaccounted \\((4) workers, 4 not silent, 0 tasks at silent ones\\)");
     assertEquals(4, lines(" worker w\\d first answer \\(clock \\d+, born \\d+, \\d+ runs").size());
     only(" worker w\\d accounted for \\(answered, (0) left\\)");
@@ -69,7 +69,7 @@
     only(" lease c0 (release COMMITTED) \\(");
     // Both others ask for the lease; one of them is refused.
     assertEquals(2, lines(" lease c0 claimed \\(.*, held by .*, released\\)$").size());
-    only(" lease c0 (claim CONFLICT) \\(.*, held by n\\d/i\\d at version 15\\)$");
+    only(" lease c0 (claim CONFLICT) \\(.*, held by n\\d@n\\d:1/i\\d at version 15\\)$");
   }
 
   @Test
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -196,21 +196,21 @@
 
     Node(String name) {
       this.name = name;
-      life = newLife();
+      life = newLife(name + ":1");
       storeView = life.storeView;
       workerView = life.workerView;
       process = life.cell;
     }
 
-    /** Starts a process; the one before has ended. */
+    /** Starts a process at the address of the one before, which has ended. */
     void start() {
-      use(newLife());
+      use(newLife(life.address));
     }
 
-    /** Starts a process while the one before lives on, and returns the latter. */
+    /** Starts a process while the one before lives on at its address, and returns the latter. */
     Life startBeside() {
       Life former = life;
-      use(newLife());
+      use(newLife(name + ":" + (lives.size() + 1)));
       return former;
     }
 
@@ -221,8 +221,8 @@
       process = newest.cell;
     }
 
-    private Life newLife() {
-      Life started = new Life(this, "i" + ++incarnations);
+    private Life newLife(String address) {
+      Life started = new Life(this, address, "i" + ++incarnations);
       lives.add(started);
       for (int i = 0; i < freezes; i++) {
         started.inbox.stop();
@@ -333,12 +333,15 @@
     final FakeStore.View storeView = store.view(inbox);
     final FakeWorkers.View workerView = workers.view(inbox);
     final CellNode cell;
+    private final String address;
     private boolean ended;
 
-    Life(Node node, String incarnation) {
+    Life(Node node, String address, String incarnation) {
+      this.address = address;
       cell =
           new CellNode(
-              new CellSettings(node.name, incarnation, "c0", LEASE_MILLIS, 200, 120_000),
+              new CellSettings(
+                  node.name, address, incarnation, "c0", LEASE_MILLIS, 200, 120_000),
               storeView,
               workerView,
               new Source(),
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -445,7 +445,7 @@
 
   private CellJournal journal(TableService store) {
     return new CellJournal(
-        new CellSettings("n", "i", "c0", 5_000, 200, 120_000),
+        new CellSettings("n", "n:1", "i", "c0", 5_000, 200, 120_000),
         store,
         world.nodes.get(0),
         1,
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -150,13 +150,13 @@
       claimFrom = Long.MAX_VALUE;
       return;
     }
-    boolean isOwn = record != null && settings.isOwnName(record.getHolder());
+    boolean isOwn = record != null && settings.isOwnPlace(record.getHolder());
     claimFrom = Math.min(claimFrom, now + (isOwn ? 0 : claimDelay()));
     nextLookAt = Math.max(claimFrom + 1, nextLookAt);
   }
 
   private boolean hasFormerEnded(@Nullable CellRecord record) {
-    return record == null || record.getReleased() || settings.isOwnName(record.getHolder());
+    return record == null || record.getReleased() || settings.isOwnPlace(record.getHolder());
   }
 
   private long claimDelay() {
@@ -220,7 +220,7 @@
     if (record.getReleased()) {
       return holder + ", released";
     }
-    return holder + (settings.isOwnName(record.getHolder()) ? ", own name" : ", not renewed");
+    return holder + (settings.isOwnPlace(record.getHolder()) ? ", own place" : ", not renewed");
   }
 
   private String current(TransactionResult result) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
@@ -4,6 +4,7 @@
  * Settings of an entry instance's part in a cell. Times are in milliseconds.
  *
  * @param instance name of the entry instance
+ * @param address where it listens for callers; two processes cannot listen there at once
  * @param incarnation distinguishes this process from earlier ones of the same name
  * @param cell name of the cell; also the part of its rows
  * @param workerLeaseMillis length of the lease of what runs on a worker
@@ -12,6 +13,7 @@
  */
 public record CellSettings(
     String instance,
+    String address,
     String incarnation,
     String cell,
     long workerLeaseMillis,
@@ -19,15 +21,19 @@
     long statusKeepMillis) {
 
   /**
-   * Tells whether a holder is this process or one before it under the same name, which has ended:
-   * an entry instance runs as one process.
+   * Tells whether a holder is this process or one before it, which has ended: it listened at the
+   * address at which this one listens now. A process of the same name at another address may live.
    */
-  boolean isOwnName(String holder) {
-    return holder.startsWith(instance + "/");
+  boolean isOwnPlace(String holder) {
+    return holder.startsWith(place());
   }
 
   /** Returns the name under which this process holds the cell. */
   String holder() {
-    return instance + "/" + incarnation;
+    return place() + incarnation;
+  }
+
+  private String place() {
+    return instance + "@" + address + "/";
   }
 }
