Count the lease of an order from its answer at the latest

What callers saw: a task that ran twice when an order had lain before it was sent and its worker had started anew meanwhile.

Cause: the end of a lease is named on the worker's clock. A new boot under the same identifier takes it for a time far ahead and grants its longest lease from when the order arrives, which may be long after the order was decided on; the holder counted from the decision.

Now the lease counts from the answer, or from when the answer is given up, too.

Evidence: ProcessFaultTest#orderThatReachesANewBootGrantsNoLongerLease failed before (two tasks ran twice) and passes now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -131,6 +131,9 @@
       String age = ", " + (now - sentAt) + " ms after the order" + (isKnown(run) ? "" : ", gone");
       log.decided("start", run.name().task().toString(), reply.outcome().name(), order + age);
     }
+    if (reply.outcome() == OrderOutcome.ACCEPTED || reply.outcome() == OrderOutcome.LOST) {
+      worker.noteLease(now, settings.workerLeaseMillis());
+    }
     if (!isKnown(run)) {
       return;
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -179,7 +179,11 @@
     return leastClock(nowMillis) + leaseMillis;
   }
 
-  private void noteLease(long nowMillis, long leaseMillis) {
+  /**
+   * Takes note that a lease may begin as late as now. One that was named on the clock of an earlier
+   * boot counts at a new one from when the order is carried out.
+   */
+  void noteLease(long nowMillis, long leaseMillis) {
     leasesEndAt = Math.max(leasesEndAt, nowMillis + CellTiming.longestLease(leaseMillis));
   }
 
