Write each log line whole, bounded and under the name of its process

A line is written with one call and is at most 4,000 bytes long, below PIPE_BUF; longer texts and stack traces are shortened, and the line stays valid JSON. Every line carries instance and incarnation. Calls that fail are told by one line a second and address; the HTTP client's own line on a failed connect, and the warning of a missing hardware address, are left out.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DecisionLines.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DecisionLines.java
@@ -18,7 +18,6 @@
   private static final Logger log = Logger.getLogger("org.hemlockpick.decision");
 
   private final String instance;
-  private final String incarnation;
   private final LoopClock clock;
   private long second;
   private int written;
@@ -28,12 +27,10 @@
    * Creates a log of the decisions of one process of an entry instance.
    *
    * @param instance name of the entry instance
-   * @param incarnation distinguishes the process from others of the same name
    * @param clock both clocks of the process
    */
-  public DecisionLines(String instance, String incarnation, LoopClock clock) {
+  public DecisionLines(String instance, LoopClock clock) {
     this.instance = instance;
-    this.incarnation = incarnation;
     this.clock = clock;
   }
 
@@ -69,15 +66,11 @@
   private void write(long token, String kind, String subject, String outcome, String reason) {
     long steady = clock.monotonicMillis();
     long wall = clock.wallMillis();
-    log.infov(
-        "{0}",
-        new Line(instance, incarnation, token, steady, wall, kind, subject, outcome, reason));
+    log.infov("{0}", new Line(token, steady, wall, kind, subject, outcome, reason));
   }
 
   /** Shows a decision as a short text; the formatter writes its fields. */
   record Line(
-      String instance,
-      String incarnation,
       long token,
       long steadyMillis,
       long wallMillis,
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/JsonLineFormatter.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/JsonLineFormatter.java
@@ -1,47 +1,204 @@
 package org.hemlockpick.daemon;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import jakarta.json.Json;
+import jakarta.json.stream.JsonGenerator;
+import jakarta.json.stream.JsonGeneratorFactory;
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import org.hemlockpick.proto.Event;
 import org.jboss.logmanager.ExtLogRecord;
-import org.jboss.logmanager.formatters.JsonFormatter;
+import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Formats log records as JSON lines of bounded length; adds the fields of time line entries and
+ * decisions. The texts of a record that is too long are shortened, which its field {@code
+ * shortened} tells.
+ */
+final class JsonLineFormatter {
+  /**
+   * Longest line with its end, in bytes. Appended writes of two processes may mix above the
+   * system's PIPE_BUF of 4,096 bytes.
+   */
+  static final int MAX_LINE_BYTES = 4_000;
+
+  /** Most throwables of a chain of causes; the last of them is the root cause. */
+  private static final int MAX_CAUSES = 4;
+
+  /** Most throwables that are looked at to find the root cause. */
+  private static final int MAX_CHAIN = 32;
+
+  /** Most stack frames that are shown of a throwable. */
+  private static final int MAX_FRAMES = 8;
+
+  /** Length of texts that is given up for a stack frame, in characters. */
+  private static final int CHARS_PER_FRAME = 64;
+
+  /** Makes the message without the exception. */
+  private static final PatternFormatter MESSAGES = new PatternFormatter("%s");
+
+  private static final JsonGeneratorFactory GENERATORS = Json.createGeneratorFactory(Map.of());
+
+  private final @Nullable ProcessName process;
+
+  /**
+   * Creates a formatter.
+   *
+   * @param process stands in each line; null if the process is not of an entry instance
+   */
+  JsonLineFormatter(@Nullable ProcessName process) {
+    this.process = process;
+  }
 
-/** Formats log records as JSON lines; adds the fields of time line entries and decisions. */
-final class JsonLineFormatter extends JsonFormatter {
+  /** Returns the line of a record, with its end. */
+  byte[] format(ExtLogRecord entry) {
+    int limit = MAX_LINE_BYTES;
+    byte[] line = format(entry, limit);
+    while (line.length > MAX_LINE_BYTES) {
+      limit /= 2;
+      line = format(entry, limit);
+    }
+    return line;
+  }
+
+  private byte[] format(ExtLogRecord entry, int limit) {
+    StringWriter text = new StringWriter();
+    Shortener texts = new Shortener(limit);
+    try (JsonGenerator json = GENERATORS.createGenerator(text)) {
+      json.writeStartObject();
+      json.write("timestamp", entry.getInstant().toString());
+      json.write("sequence", entry.getSequenceNumber());
+      json.write("level", entry.getLevel().getName());
+      json.write("loggerName", texts.shorten(entry.getLoggerName()));
+      json.write("threadName", texts.shorten(entry.getThreadName()));
+      json.write("processId", entry.getProcessId());
+      json.write("message", texts.shorten(MESSAGES.format(entry)));
+      addFields(json, entry, texts);
+      Throwable thrown = entry.getThrown();
+      if (thrown != null) {
+        addThrown(json, thrown, texts);
+      }
+      if (texts.isUsed()) {
+        json.write("shortened", true);
+      }
+      json.writeEnd();
+    }
+    return text.append('\n').toString().getBytes(UTF_8);
+  }
 
-  @Override
-  protected void after(Generator generator, ExtLogRecord entry) throws Exception {
+  private void addFields(JsonGenerator json, ExtLogRecord entry, Shortener texts) {
     Object[] parameters = entry.getParameters();
-    if (parameters != null
-        && parameters.length == 1
-        && parameters[0] instanceof TimelineLog.Entry line) {
-      addEvent(generator, line.event());
-    } else if (parameters != null
-        && parameters.length == 1
-        && parameters[0] instanceof DecisionLines.Line line) {
-      addDecision(generator, line);
-    }
-  }
-
-  private static void addDecision(Generator generator, DecisionLines.Line line) throws Exception {
-    generator
-        .add("instance", line.instance())
-        .add("incarnation", line.incarnation())
-        .add("token", line.token())
-        .add("steadyMillis", line.steadyMillis())
-        .add("wallMillis", line.wallMillis())
-        .add("kind", line.kind())
-        .add("subject", line.subject())
-        .add("outcome", line.outcome())
-        .add("reason", line.reason());
-  }
-
-  private static void addEvent(Generator generator, Event event) throws Exception {
-    generator
-        .add("instance", event.getInstance())
-        .add("incarnation", event.getIncarnation())
-        .add("clock", event.getClock())
-        .add("atMillis", event.getAtMillis())
-        .add("kind", event.getKind())
-        .add("subject", event.getSubject())
-        .add("detail", event.getDetail());
+    Object only = parameters != null && parameters.length == 1 ? parameters[0] : null;
+    if (only instanceof TimelineLog.Entry line) {
+      addEvent(json, line.event(), texts);
+      return;
+    }
+    if (process != null) {
+      json.write("instance", texts.shorten(process.instance()));
+      json.write("incarnation", texts.shorten(process.incarnation()));
+    }
+    if (only instanceof DecisionLines.Line line) {
+      addDecision(json, line, texts);
+    }
+  }
+
+  private static void addDecision(JsonGenerator json, DecisionLines.Line line, Shortener texts) {
+    json.write("token", line.token());
+    json.write("steadyMillis", line.steadyMillis());
+    json.write("wallMillis", line.wallMillis());
+    json.write("kind", texts.shorten(line.kind()));
+    json.write("subject", texts.shorten(line.subject()));
+    json.write("outcome", texts.shorten(line.outcome()));
+    json.write("reason", texts.shorten(line.reason()));
+  }
+
+  private static void addEvent(JsonGenerator json, Event event, Shortener texts) {
+    json.write("instance", texts.shorten(event.getInstance()));
+    json.write("incarnation", event.getIncarnation());
+    json.write("clock", event.getClock());
+    json.write("atMillis", event.getAtMillis());
+    json.write("kind", texts.shorten(event.getKind()));
+    json.write("subject", texts.shorten(event.getSubject()));
+    json.write("detail", texts.shorten(event.getDetail()));
+  }
+
+  private static void addThrown(JsonGenerator json, Throwable thrown, Shortener texts) {
+    json.writeStartArray("exception");
+    for (Throwable cause : chain(thrown, texts)) {
+      json.writeStartObject();
+      json.write("type", texts.shorten(cause.getClass().getName()));
+      json.write("message", texts.shorten(cause.getMessage()));
+      json.writeStartArray("frames");
+      for (StackTraceElement frame : texts.first(cause.getStackTrace())) {
+        json.write(texts.shorten(frame.toString()));
+      }
+      json.writeEnd();
+      json.writeEnd();
+    }
+    json.writeEnd();
+  }
+
+  /** Returns a throwable and its causes; of a long chain the first ones and the root cause. */
+  private static List<Throwable> chain(Throwable thrown, Shortener texts) {
+    List<Throwable> chain = new ArrayList<>();
+    for (Throwable t = thrown; t != null && chain.size() < MAX_CHAIN; t = t.getCause()) {
+      chain.add(t);
+    }
+    if (chain.size() > MAX_CAUSES) {
+      texts.use();
+      chain.subList(MAX_CAUSES - 1, chain.size() - 1).clear();
+    }
+    return chain;
+  }
+
+  /** Shortens texts and remembers whether anything was left out. */
+  private static final class Shortener {
+    private static final String MARK = "...";
+
+    private final int limit;
+    private boolean used;
+
+    /**
+     * Creates a shortener.
+     *
+     * @param limit most characters of a text
+     */
+    Shortener(int limit) {
+      this.limit = Math.max(1, limit);
+    }
+
+    boolean isUsed() {
+      return used;
+    }
+
+    void use() {
+      used = true;
+    }
+
+    /** Returns a text or its beginning; empty if there is none. */
+    String shorten(@Nullable String text) {
+      if (text == null) {
+        return "";
+      }
+      if (text.length() <= limit) {
+        return text;
+      }
+      use();
+      int end = Character.isHighSurrogate(text.charAt(limit - 1)) ? limit - 1 : limit;
+      return text.substring(0, end) + MARK;
+    }
+
+    /** Returns the top frames of a stack trace. */
+    List<StackTraceElement> first(StackTraceElement[] frames) {
+      int most = Math.min(MAX_FRAMES, limit / CHARS_PER_FRAME);
+      if (frames.length > most) {
+        use();
+      }
+      return List.of(frames).subList(0, Math.min(most, frames.length));
+    }
   }
 }
--- /dev/null
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/LineHandler.java
@@ -0,0 +1,36 @@
+package org.hemlockpick.daemon;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.logging.ErrorManager;
+import org.jboss.logmanager.ExtHandler;
+import org.jboss.logmanager.ExtLogRecord;
+
+/**
+ * Writes each record with one call to its stream, so that processes that append to one file do not
+ * write into each other's lines.
+ */
+final class LineHandler extends ExtHandler {
+  private final OutputStream stream;
+  private final JsonLineFormatter formatter;
+
+  /**
+   * Creates a handler.
+   *
+   * @param stream stream without a buffer
+   * @param formatter makes the lines
+   */
+  LineHandler(OutputStream stream, JsonLineFormatter formatter) {
+    this.stream = stream;
+    this.formatter = formatter;
+  }
+
+  @Override
+  protected void doPublish(ExtLogRecord entry) {
+    try {
+      stream.write(formatter.format(entry));
+    } catch (IOException e) {
+      reportError(Messages.LINE_NOT_WRITTEN, e, ErrorManager.WRITE_FAILURE);
+    }
+  }
+}
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Logging.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Logging.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.daemon;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -8,8 +10,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.jboss.logmanager.handlers.AsyncHandler;
-import org.jboss.logmanager.handlers.ConsoleHandler;
-import org.jboss.logmanager.handlers.FileHandler;
+import org.jspecify.annotations.Nullable;
 
 /** Sets up the logs of the process: one JSON object a line on the standard error stream. */
 public final class Logging {
@@ -17,6 +18,16 @@
   private static final List<Logger> LIBRARIES =
       List.of(Logger.getLogger("io.micronaut"), Logger.getLogger("io.netty"));
 
+  /** A process without a network card takes a random number in place of its hardware address. */
+  private static final Logger HARDWARE_ADDRESS =
+      Logger.getLogger("io.netty.util.internal.MacAddressUtil");
+
+  /** The HTTP client; what became of each call is logged by its endpoint, with the reason. */
+  private static final Logger HTTP_CLIENT =
+      Logger.getLogger("io.micronaut.http.client.netty.DefaultHttpClient");
+
+  private static final String NOT_CONNECTED = "Failed to connect to remote";
+
   private static final int QUEUED_LINES = 4_096;
 
   private static final Logger TIMELINE = Logger.getLogger(TimelineLog.LOGGER_NAME);
@@ -29,7 +40,7 @@
    * @param least least level that is written
    */
   public static void install(Level least) {
-    install(least, new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, new JsonLineFormatter()));
+    install(least, handler(FileDescriptor.err, null));
   }
 
   /**
@@ -37,15 +48,19 @@
    * that find its queue full are dropped.
    *
    * @param least least level that is written
+   * @param process stands in each line
    */
-  public static void installUnblocking(Level least) {
+  public static void installUnblocking(Level least, ProcessName process) {
     AsyncHandler handler = new AsyncHandler(QUEUED_LINES);
     handler.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
-    handler.addHandler(
-        new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new JsonLineFormatter()));
+    handler.addHandler(handler(FileDescriptor.out, process));
     install(least, handler);
   }
 
+  private static Handler handler(FileDescriptor target, @Nullable ProcessName process) {
+    return new LineHandler(new FileOutputStream(target), new JsonLineFormatter(process));
+  }
+
   private static void install(Level least, Handler handler) {
     Logger root = Logger.getLogger("");
     for (Handler former : root.getHandlers()) {
@@ -54,6 +69,8 @@
     root.addHandler(handler);
     root.setLevel(least);
     LIBRARIES.forEach(library -> library.setLevel(Level.WARNING));
+    HARDWARE_ADDRESS.setLevel(Level.SEVERE);
+    HTTP_CLIENT.setFilter(line -> !NOT_CONNECTED.equals(line.getMessage()));
   }
 
   /**
@@ -76,6 +93,7 @@
       Files.createDirectories(folder);
     }
     TIMELINE.setUseParentHandlers(false);
-    TIMELINE.addHandler(new FileHandler(new JsonLineFormatter(), file.toFile(), true));
+    FileOutputStream stream = new FileOutputStream(file.toFile(), true);
+    TIMELINE.addHandler(new LineHandler(stream, new JsonLineFormatter(null)));
   }
 }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -7,6 +7,7 @@
 
 /** Holds the texts that this module shows to callers and operators. */
 final class Messages {
+  static final String LINE_NOT_WRITTEN = "a line of the log cannot be written";
   static final String MISSING = "the key is missing";
   static final String UNKNOWN_KEY = "unknown key";
   static final String UNKNOWN_SECTION = "unknown section";
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessLogTest.java
@@ -0,0 +1,113 @@
+package org.hemlockpick.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import jakarta.json.JsonObject;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What a process of an entry instance on a platform writes to its standard output. */
+class CellProcessLogTest {
+  private static final long RUN_SECONDS = 6;
+  private static final int MOST_WAITING = 8;
+  private static final int CONNECT_MILLIS = 200;
+  private static final int MAX_LINE_CHARS = 4_000;
+
+  @TempDir private Path folder = Path.of("");
+
+  /**
+   * The client's own line on a connect timeout had a stack trace of many kilobytes, and was cut in
+   * the record of the incident.
+   */
+  @Test
+  void connectTimeoutsAreToldByShortLinesOfTheProcess() throws IOException, InterruptedException {
+    List<Socket> waiting = new ArrayList<>();
+    try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      fill(deaf, waiting);
+      List<JsonObject> lines = run("127.0.0.1:" + deaf.getLocalPort());
+      List<JsonObject> calls = lines.stream().filter(line -> isOf(line, "call")).toList();
+      assertFalse(calls.isEmpty(), lines::toString);
+      assertTrue(calls.size() <= RUN_SECONDS + 6, calls::toString);
+      for (JsonObject call : calls) {
+        String reason = call.getString("reason");
+        assertTrue(reason.contains(": no answer within 1000 ms"), reason);
+      }
+      for (JsonObject line : lines) {
+        assertEquals("edge-kgn-a-1", line.getString("instance"));
+        assertEquals(lines.get(0).getString("incarnation"), line.getString("incarnation"));
+        assertFalse(line.containsKey("exception"), line::toString);
+        assertFalse(line.toString().contains("MacAddress"), line::toString);
+      }
+    } finally {
+      for (Socket socket : waiting) {
+        socket.close();
+      }
+    }
+  }
+
+  private static boolean isOf(JsonObject line, String kind) {
+    return line.getString("kind", "").equals(kind);
+  }
+
+  /** Connects until the system takes no further connection, so that the next ones time out. */
+  private static void fill(ServerSocket deaf, List<Socket> waiting) throws IOException {
+    for (int i = 0; i < MOST_WAITING; i++) {
+      Socket socket = new Socket();
+      waiting.add(socket);
+      try {
+        socket.connect(deaf.getLocalSocketAddress(), CONNECT_MILLIS);
+      } catch (SocketTimeoutException e) {
+        return;
+      }
+    }
+    throw new AssertionError("every connection was taken");
+  }
+
+  private List<JsonObject> run(String store) throws IOException, InterruptedException {
+    Path file = Files.writeString(folder.resolve("settings.toml"), settings(store));
+    ChildProcess process = ChildProcess.start(folder, "entry", "serve", "--settings", "" + file);
+    TimeUnit.SECONDS.sleep(RUN_SECONDS);
+    process.terminate();
+    int unused = process.waitFor();
+    List<JsonObject> lines = new ArrayList<>();
+    for (String line : process.out().lines().toList()) {
+      assertTrue(line.length() < MAX_LINE_CHARS, line);
+      lines.add(JsonLines.parse(line));
+    }
+    assertEquals("", Files.readString(process.log()));
+    return lines;
+  }
+
+  private static String settings(String store) throws IOException {
+    return """
+        [instance]
+        name = "edge-kgn-a-1"
+        zone = "kgn-a"
+        [listen]
+        callers = "%s"
+        readiness = "%s"
+        metrics = "%s"
+        [cell]
+        table-service = "%s"
+        """
+        .formatted(freeAddress(), freeAddress(), freeAddress(), store);
+  }
+
+  private static String freeAddress() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + free.getLocalPort();
+    }
+  }
+}
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
@@ -11,6 +11,7 @@
 import org.hemlockpick.daemon.EntryDaemon;
 import org.hemlockpick.daemon.Fault;
 import org.hemlockpick.daemon.Logging;
+import org.hemlockpick.daemon.ProcessName;
 import org.hemlockpick.daemon.Settings;
 import org.hemlockpick.daemon.SettingsReader;
 import org.hemlockpick.platform.PlatformDaemon;
@@ -53,8 +54,9 @@
     if (read.isLeft()) {
       return refuse(read.getLeft());
     }
-    Logging.installUnblocking(Level.INFO);
-    PlatformDaemon.run(read.get());
+    ProcessName process = ProcessName.create(read.get().name());
+    Logging.installUnblocking(Level.INFO, process);
+    PlatformDaemon.run(read.get(), process);
     return ExitStatus.OK;
   }
 
--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.transport.http;
 
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import io.micronaut.core.type.Argument;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
@@ -16,16 +17,17 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.hemlockpick.proto.CallFate;
-import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
 /** Sends calls to one address and tells what became of each; never sends a call twice. */
 public final class HttpEndpoint {
-  private static final Logger log = Logger.getLogger(HttpEndpoint.class);
   private static final Argument<byte[]> BYTES = Argument.of(byte[].class);
 
+  /** Most causes of a failure that are followed. */
+  private static final int MAX_CAUSES = 16;
+
   private final HttpTransport transport;
   private final String address;
   private final int maxInFlight;
@@ -70,6 +72,8 @@
   public void send(HttpCall call, Consumer<HttpAnswer> handler) {
     Connections used = begin();
     if (used == null) {
+      String reason = maxInFlight + " calls are in flight";
+      transport.failures().onFailed(address, call, CallFate.NOT_SENT, reason);
       handler.accept(HttpAnswer.notSent());
       return;
     }
@@ -81,7 +85,7 @@
     }
     request.accept(MediaType.APPLICATION_JSON_TYPE);
     call.headers().forEach(request::header);
-    new Exchange(used, handler).start(request, call.timeoutMillis());
+    new Exchange(used, call, handler).start(request);
   }
 
   private synchronized @Nullable Connections begin() {
@@ -131,21 +135,33 @@
     return HttpAnswer.lost();
   }
 
+  /** Returns a throwable and its root cause as a short text. */
+  private static String reason(Throwable thrown) {
+    Throwable root = thrown;
+    for (int i = 0; root.getCause() != null && i < MAX_CAUSES; i++) {
+      root = root.getCause();
+    }
+    return root == thrown ? thrown.toString() : thrown + ", as " + root;
+  }
+
   /** One call in flight, from its sending to its only answer. */
   private final class Exchange implements Subscriber<HttpResponse<byte[]>> {
     private final Connections used;
+    private final HttpCall call;
     private final Consumer<HttpAnswer> handler;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile @Nullable Subscription subscription;
     private volatile @Nullable Future<?> timeout;
 
-    Exchange(Connections used, Consumer<HttpAnswer> handler) {
+    Exchange(Connections used, HttpCall call, Consumer<HttpAnswer> handler) {
       this.used = used;
+      this.call = call;
       this.handler = handler;
     }
 
-    void start(MutableHttpRequest<?> request, long timeoutMillis) {
-      timeout = transport.loop().schedule(this::expire, timeoutMillis, TimeUnit.MILLISECONDS);
+    void start(MutableHttpRequest<?> request) {
+      timeout =
+          transport.loop().schedule(this::expire, call.timeoutMillis(), TimeUnit.MILLISECONDS);
       used.client().exchange(request, BYTES, BYTES).subscribe(this);
     }
 
@@ -167,13 +183,12 @@
         end(answer(refused.getResponse()));
         return;
       }
-      log.debugf(thrown, "call to %s failed", address);
-      end(failure(thrown));
+      endFailed(failure(thrown), reason(thrown));
     }
 
     @Override
     public void onComplete() {
-      end(HttpAnswer.lost());
+      endFailed(HttpAnswer.lost(), "the connection ended without an answer");
     }
 
     private void expire() {
@@ -182,16 +197,24 @@
       }
       // The connection may have gone silent for good, and others with it.
       resetUnlessReplaced(used);
-      end(HttpAnswer.lost());
+      endFailed(HttpAnswer.lost(), "no answer within " + call.timeoutMillis() + " ms");
       Subscription started = subscription;
       if (started != null) {
         started.cancel();
       }
     }
 
-    private void end(HttpAnswer answer) {
+    private void endFailed(HttpAnswer answer, String reason) {
+      if (end(answer)) {
+        transport.failures().onFailed(address, call, answer.fate(), reason);
+      }
+    }
+
+    /** Hands on an answer; returns whether it is the first one. */
+    @CanIgnoreReturnValue
+    private boolean end(HttpAnswer answer) {
       if (!ended.compareAndSet(false, true)) {
-        return;
+        return false;
       }
       Future<?> pending = timeout;
       if (pending != null) {
@@ -199,6 +222,7 @@
       }
       HttpEndpoint.this.end(used);
       handler.accept(answer);
+      return true;
     }
   }
 }
--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
@@ -31,12 +31,16 @@
 import java.util.List;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.hemlockpick.cell.DecisionLog;
+import org.jboss.logging.Logger;
 
 /** Holds what the ports to the platform share: one thread and the settings of the HTTP client. */
 public final class HttpTransport implements AutoCloseable {
   /** Header with the sender's Lamport clock. */
   public static final String CLOCK_HEADER = "X-Hemlockpick-Clock";
 
+  private static final Logger log = Logger.getLogger(HttpTransport.class);
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
   private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -52,8 +56,22 @@
   private final RequestBinderRegistry binders =
       new DefaultRequestBinderRegistry(ConversionService.SHARED);
 
-  /** Creates the transport; its thread starts with the first call. */
-  public HttpTransport() {}
+  private final CallFailures failures;
+
+  /** Creates a transport that tells of failed calls in its own log. */
+  public HttpTransport() {
+    this(HttpTransport::tell, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  }
+
+  /**
+   * Creates the transport; its thread starts with the first call.
+   *
+   * @param log takes what became of calls that failed
+   * @param clock steady clock, in milliseconds
+   */
+  public HttpTransport(DecisionLog log, LongSupplier clock) {
+    this.failures = new CallFailures(log, clock);
+  }
 
   /** Closes all connections and ends the thread; calls in flight may stay without a reply. */
   @Override
@@ -61,6 +79,14 @@
     group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
   }
 
+  private static void tell(String kind, String subject, String outcome, String reason) {
+    log.infof("%s %s %s: %s", kind, subject, outcome, reason);
+  }
+
+  CallFailures failures() {
+    return failures;
+  }
+
   EventLoop loop() {
     return loop;
   }
