--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ExplainCommandTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ExplainCommandTest.java
@@ -66,4 +66,40 @@
 
     assertTrue(console.err().contains("xyz"), console.err());
   }
+
+  private static String line(String time, String incarnation, long token, String reason) {
+    return """
+        {"timestamp":"%s","instance":"entry-1","incarnation":"%s","token":%d,"kind":"start",\
+        "subject":"abc.0.0.0","outcome":"w1","reason":"%s"}"""
+        .formatted(time, incarnation, token, reason);
+  }
+
+  /** Two processes of one instance overlapped in the incident, and no line told them apart. */
+  @Test
+  void showsProcessAndTokenOfEachLineOfOneFile() throws IOException {
+    Path log =
+        log(
+            "1.log",
+            line("2026-12-04T05:05:40.683Z", "9zz1", 1_204, "attempt 2001"),
+            line("2026-12-04T05:05:33.888Z", "3k5x", 995, "attempt 1"),
+            line("2026-12-04T05:05:39.000Z", "9zz1", 0, "attempt 0"));
+
+    assertEquals(0, console.run("explain", "abc", log.toString()));
+
+    List<String> lines = console.out().lines().toList();
+    assertTrue(lines.get(0).matches(".* entry-1/3k5x +token 995 .*attempt 1\\)"), lines.get(0));
+    assertTrue(lines.get(1).matches(".* entry-1/9zz1 +start .*attempt 0\\)"), lines.get(1));
+    assertTrue(lines.get(2).matches(".* entry-1/9zz1 +token 1204 .*attempt 2001\\)"), lines.get(2));
+  }
+
+  /** A line of the incident's record was cut in its middle and went on with another one. */
+  @Test
+  void findsTheLineBehindOneThatWasCut() throws IOException {
+    String whole = line("2026-12-04T05:07:28.916Z", "3k5x", 995, "attempt 1");
+    Path log = log("1.log", whole.substring(0, 60) + whole);
+
+    assertEquals(0, console.run("explain", "abc", log.toString()));
+
+    assertTrue(console.out().contains("entry-1/3k5x"), console.out());
+  }
 }
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DecisionLine.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DecisionLine.java
@@ -2,6 +2,7 @@
 
 import jakarta.json.Json;
 import jakarta.json.JsonException;
+import jakarta.json.JsonNumber;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonReader;
 import java.io.StringReader;
@@ -15,27 +16,45 @@
  *
  * @param timestamp time of day at the instance, in the order of its text
  * @param instance entry instance that decided
+ * @param incarnation process of the entry instance; empty in lines of older versions
+ * @param token fencing token if the process held the cell, else 0
  * @param kind kind of decision
  * @param subject job, task, worker or instance that it is about
  * @param outcome what was decided
  * @param reason inputs that decided it
  */
 record DecisionLine(
-    String timestamp, String instance, String kind, String subject, String outcome, String reason) {
+    String timestamp,
+    String instance,
+    String incarnation,
+    long token,
+    String kind,
+    String subject,
+    String outcome,
+    String reason) {
+  /** Begins each line of a log; a line that was cut in its middle may go on with another one. */
+  private static final String LINE_START = "{\"timestamp\"";
 
   /** Order of the times of day; clocks of instances may differ by some milliseconds. */
   static final Comparator<DecisionLine> ORDER =
       Comparator.comparing(DecisionLine::instant).thenComparing(DecisionLine::timestamp);
 
   /**
-   * Returns the decision in a line; empty if it holds none. Text before the object is passed over.
+   * Returns the decision in a line; empty if it holds none. Text before the object is passed over,
+   * also that of a line which was cut in its middle.
    */
   static Optional<DecisionLine> parse(String line) {
     int start = line.indexOf('{');
-    if (start < 0) {
-      return Optional.empty();
+    Optional<DecisionLine> found = Optional.empty();
+    while (start >= 0 && found.isEmpty()) {
+      found = parseObject(line.substring(start));
+      start = line.indexOf(LINE_START, start + 1);
     }
-    try (JsonReader reader = Json.createReader(new StringReader(line.substring(start)))) {
+    return found;
+  }
+
+  private static Optional<DecisionLine> parseObject(String text) {
+    try (JsonReader reader = Json.createReader(new StringReader(text))) {
       JsonObject object = reader.readObject();
       if (!object.containsKey("kind") || !object.containsKey("outcome")) {
         return Optional.empty();
@@ -44,6 +63,8 @@
           new DecisionLine(
               object.getString("timestamp", ""),
               object.getString("instance", ""),
+              object.getString("incarnation", ""),
+              object.get("token") instanceof JsonNumber number ? number.longValue() : 0,
               object.getString("kind", ""),
               object.getString("subject", ""),
               object.getString("outcome", ""),
@@ -69,8 +90,11 @@
 
   @Override
   public String toString() {
+    String process = incarnation.isEmpty() ? instance : instance + "/" + incarnation;
+    String holder = token == 0 ? "" : "token " + token;
     return String.format(
-            "%s  %-14s  %-8s  %s  %s  (%s)", timestamp, instance, kind, subject, outcome, reason)
+            "%s  %-28s  %-10s  %-8s  %s  %s  (%s)",
+            timestamp, process, holder, kind, subject, outcome, reason)
         .stripTrailing();
   }
 }
