--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
@@ -29,6 +29,11 @@
     long statusKeepMillis,
     long graceMillis) {
 
+  /** Returns the address at which callers connect, as host and port. */
+  public String callersText() {
+    return callers.getHostString() + ":" + callers.getPort();
+  }
+
   /** Returns the listeners of the process by their names. */
   public Map<String, InetSocketAddress> listeners() {
     return Map.of("callers", callers, "readiness", readiness, "metrics", metrics);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -340,8 +340,7 @@
       this.address = address;
       cell =
           new CellNode(
-              new CellSettings(
-                  node.name, address, incarnation, "c0", LEASE_MILLIS, 200, 120_000),
+              new CellSettings(node.name, address, incarnation, "c0", LEASE_MILLIS, 200, 120_000),
               storeView,
               workerView,
               new Source(),
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
@@ -1,9 +1,9 @@
 package org.hemlockpick.cell;
 
 /**
- * Decides whether the holder of a cell may give orders: for a while after each renewal of its lease,
- * but not once the process stood still for so long that another may have taken the cell, and not
- * while a release may be carried out that it has sent.
+ * Decides whether the holder of a cell may give orders: for a while after each renewal of its
+ * lease, but not once the process stood still for so long that another may have taken the cell, and
+ * not while a release may be carried out that it has sent.
  */
 final class LeaseTerm {
   /** Age of a renewal up to which nobody else can have taken the cell, in milliseconds. */
