Release the cell at once in a planned stop under load

What callers saw: requests cut off when an entry instance was stopped as planned, and two seconds without a holder after it.

Cause: the holder released the cell with a transaction that held nothing else, and went on starting tasks until then.

Now it starts nothing more, and releases the cell with the first transaction that holds all that is to be stored. Reports that come later are heard by the successor, as they are not confirmed.

Evidence: CellScenarioTest#plannedStopHandsTheCellOverAtOnceUnderLoad failed before and passes now.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
@@ -240,6 +240,25 @@
     assertClean();
   }
 
+  /** Work went on without a pause, so that the moment never came at which nothing was to store. */
+  @Test
+  void plannedStopHandsTheCellOverAtOnceUnderLoad() {
+    world.workers.runMillis = 40;
+    world.time.runFor(SETTLED);
+    CellWorld.Node former = world.holder();
+    int other = world.nodes.indexOf(former) + 1;
+    for (int i = 0; i < 20; i++) {
+      world.submit(other, "j" + i, step(100));
+    }
+    world.time.runFor(500);
+    former.process().beginStop();
+    world.time.runFor(200);
+    assertTrue(former.process().isIdle(), () -> String.join("\n", world.log));
+    world.time.runFor(10_000);
+    assertEquals(List.of(), world.unfinished());
+    assertClean();
+  }
+
   /** The tasks of the lost worker and of one that restarts after the take-over run again soon. */
   @Test
   void workersThatWereLostBeforeATakeOverHoldUpTheirOwnTasksOnly() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -50,6 +50,7 @@
   private final DrainSystem drains;
 
   private boolean ended;
+  private boolean releasing;
   private long nextPlanAt;
   private long nextLoadReportAt;
   private boolean changed = true;
@@ -128,8 +129,9 @@
     this.drains = new DrainSystem(settings, runner, times, clock);
   }
 
-  /** Gives the cell up so that another can take it at once. */
+  /** Starts nothing more and gives the cell up, so that another can take it at once. */
   void release() {
+    releasing = true;
     journal.release();
   }
 
@@ -187,7 +189,7 @@
       return;
     }
     runner.run(workers.all());
-    if (changed || now >= nextPlanAt) {
+    if (!releasing && (changed || now >= nextPlanAt)) {
       changed = false;
       nextPlanAt = now + PLAN_PAUSE_MILLIS;
       planner.run();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -121,7 +121,7 @@
     waiting.add(action);
   }
 
-  /** Gives the cell up once everything is stored. */
+  /** Gives the cell up with the next transaction that holds all that is to be stored. */
   void release() {
     releasing = true;
     nextAt = 0;
@@ -182,7 +182,7 @@
   }
 
   private void send(long now) {
-    boolean last = releasing && !hasChanges();
+    boolean last = releasing && fitsOneTransaction();
     Transaction transaction = gather(last);
     underWay = true;
     sentAt = now;
@@ -194,6 +194,11 @@
         transaction, CellTiming.STORE_TIMEOUT, result -> onResult(result, now, transaction, last));
   }
 
+  private boolean fitsOneTransaction() {
+    int single = (roster == null ? 0 : 1) + (learned == null ? 0 : 1);
+    return 1 + single + changed.size() <= MAX_ROWS;
+  }
+
   private Transaction gather(boolean last) {
     List<Write> writes = new ArrayList<>();
     CellRecord record = lease.get();
