Tell the numbers of waiting jobs through a take-over

What callers saw: an answer that no job waited while six had waited for 5 s.

Cause: a new holder told, and wrote into the row of the lease, the numbers of a table that it had not filled yet. It now tells what the holder before told last until it has read the jobs.

Evidence: CellScenarioTest#jobsThatWaitAreToldThroughATakeOver failed before and passes now.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellScenarioTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.hemlockpick.proto.LearnedRecord;
 import org.junit.jupiter.api.Test;
@@ -259,6 +260,31 @@
     assertClean();
   }
 
+  /** A new holder told that no job waits while it had not read the jobs yet. */
+  @Test
+  void jobsThatWaitAreToldThroughATakeOver() {
+    world.workers.runMillis = 30_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", step(16));
+    world.time.runFor(500);
+    for (int i = 0; i < 10; i++) {
+      world.submit(0, "j" + i, step(16));
+    }
+    world.time.runFor(3_000);
+    world.holder().kill();
+    List<String> told = new ArrayList<>();
+    for (int i = 0; i < 4_000; i++) {
+      world.time.runFor(1);
+      for (CellWorld.Node node : world.nodes) {
+        CellNode process = node.process;
+        if (process != null && process.waiting(CellWorld.QUEUE).waiting() < 10) {
+          told.add(node.name + " " + process.waiting(CellWorld.QUEUE) + " at " + i);
+        }
+      }
+    }
+    assertEquals(List.of(), told);
+  }
+
   /** The tasks of the lost worker and of one that restarts after the take-over run again soon. */
   @Test
   void workersThatWereLostBeforeATakeOverHoldUpTheirOwnTasksOnly() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -150,8 +150,14 @@
     return log;
   }
 
-  /** Returns the number of jobs of each queue of which no task has started. */
+  /**
+   * Returns the number of jobs of each queue of which no task has started; what the holder before
+   * told until the jobs are read.
+   */
   Map<String, Integer> waiting() {
+    if (!feed.isLoaded()) {
+      return lease.waiting();
+    }
     Map<String, Integer> waiting = new TreeMap<>();
     for (Job job : jobs.open()) {
       if (job.state() == JobState.QUEUED) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -72,9 +72,15 @@
    * @param generation number of holders before this one
    * @param renewedAt time on the steady clock when the last renewal of the holder before was seen
    * @param formerEnded whether the holder before is certain to give no more orders
+   * @param waiting numbers of waiting jobs that the holder before told last, by queue
    */
   record Acquired(
-      long version, long askedAt, int generation, long renewedAt, boolean formerEnded) {}
+      long version,
+      long askedAt,
+      int generation,
+      long renewedAt,
+      boolean formerEnded,
+      ImmutableMap<String, Integer> waiting) {}
 
   /** Returns the numbers of waiting jobs that the holder told last, by queue. */
   ImmutableMap<String, Integer> waiting() {
@@ -195,6 +201,7 @@
     var row = CellRows.lease(settings.cell());
     long renewedAt = changedAt;
     boolean formerEnded = hasFormerEnded(seen);
+    ImmutableMap<String, Integer> lastWaiting = waiting;
     Transaction transaction =
         new Transaction(
             settings.cell(),
@@ -206,7 +213,9 @@
         CellTiming.STORE_TIMEOUT,
         result ->
             onClaimed(
-                result, new Acquired(result.version(), now, generation, renewedAt, formerEnded)));
+                result,
+                new Acquired(
+                    result.version(), now, generation, renewedAt, formerEnded, lastWaiting)));
   }
 
   /** Returns for the log why the lease is free, and who held it. */
