--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Callers.java
@@ -0,0 +1,188 @@
+package org.hemlockpick.platform.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Submits jobs, asks for their states, cancels a few; tries again at other instances. */
+final class Callers {
+  private static final int SUBMITTERS = 2;
+  private static final Duration TIME_LIMIT = Duration.ofMillis(2_500);
+  private static final String DEADLINE = "2000";
+  private static final int MAX_TRIES = 6;
+  private static final int RETRY_PAUSE_MILLIS = 250;
+  private static final double CANCELLED = 0.05;
+  private static final double REPEATED = 0.05;
+
+  private final World world;
+  private final Fleet fleet;
+  private final Oracle oracle;
+  private final HttpClient client =
+      HttpClient.newBuilder()
+          .version(HttpClient.Version.HTTP_1_1)
+          .connectTimeout(Duration.ofSeconds(1))
+          .build();
+  private final List<JobPlan> plans = new CopyOnWriteArrayList<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private volatile boolean submitting = true;
+  private volatile boolean open = true;
+
+  Callers(World world, Fleet fleet, Oracle oracle) {
+    this.world = world;
+    this.fleet = fleet;
+    this.oracle = oracle;
+    for (int i = 0; i < SUBMITTERS; i++) {
+      run(this::submitAll);
+    }
+    run(this::askAll);
+  }
+
+  private record Answer(int status, String state) {}
+
+  /** Submits no more jobs, and goes on asking for states. */
+  void stopSubmitting() {
+    submitting = false;
+  }
+
+  /** Tells whether all accepted jobs have ended. */
+  boolean isDone() {
+    synchronized (world) {
+      return plans.stream().noneMatch(plan -> oracle.isOpen(plan.id()));
+    }
+  }
+
+  /** Ends all threads. */
+  void end() throws InterruptedException {
+    open = false;
+    submitting = false;
+    for (Thread thread : threads) {
+      thread.interrupt();
+      thread.join(TIME_LIMIT.toMillis());
+    }
+  }
+
+  private void run(Work work) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                work.run();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            },
+            "soak-caller");
+    thread.setDaemon(true);
+    threads.add(thread);
+    thread.start();
+  }
+
+  private void submitAll() throws InterruptedException {
+    while (submitting) {
+      JobPlan plan = plan();
+      synchronized (world) {
+        oracle.onSubmit(plan);
+      }
+      if (submit(plan)) {
+        plans.add(plan);
+        if (world.roll(CANCELLED)) {
+          Thread.sleep(world.between(300, 3_000));
+          cancel(plan);
+        } else if (world.roll(REPEATED)) {
+          Thread.sleep(world.between(500, 3_000));
+          boolean unused = submit(plan);
+        }
+      }
+      Thread.sleep(world.between(400, 1_400));
+    }
+  }
+
+  private JobPlan plan() {
+    List<Integer> counts = new ArrayList<>();
+    for (int i = world.between(1, 2); i > 0; i--) {
+      counts.add(world.between(2, 6));
+    }
+    String id = "%08x%08x".formatted(world.between(0, 1 << 30), world.between(0, 1 << 30));
+    return new JobPlan(id, counts, 250 * world.between(2, 6));
+  }
+
+  /** Submits until there is an answer; returns whether the job is accepted. */
+  private boolean submit(JobPlan plan) throws InterruptedException {
+    for (int i = 0; i < MAX_TRIES; i++) {
+      Instance instance = fleet.any();
+      Answer answer = send(instance, "POST", plan.id(), plan.body().toString());
+      synchronized (world) {
+        oracle.onSubmitted(plan.id(), answer.status(), instance.label());
+      }
+      if (answer.status() == 200) {
+        return true;
+      }
+      if (answer.status() == 429 || answer.status() == 503) {
+        return false;
+      }
+      Thread.sleep(RETRY_PAUSE_MILLIS);
+    }
+    return false;
+  }
+
+  private void cancel(JobPlan plan) throws InterruptedException {
+    synchronized (world) {
+      oracle.onCancel(plan.id());
+    }
+    Answer unused = send(fleet.any(), "DELETE", plan.id(), "");
+  }
+
+  private void askAll() throws InterruptedException {
+    while (open) {
+      for (JobPlan plan : plans) {
+        boolean asked;
+        synchronized (world) {
+          asked = oracle.isOpen(plan.id()) || world.roll(0.05);
+        }
+        if (asked && open) {
+          ask(plan);
+          Thread.sleep(20);
+        }
+      }
+      Thread.sleep(100);
+    }
+  }
+
+  private void ask(JobPlan plan) throws InterruptedException {
+    Instance instance = fleet.any();
+    Answer answer = send(instance, "GET", plan.id(), "");
+    synchronized (world) {
+      oracle.onState(plan.id(), answer.status(), answer.state(), instance.label());
+    }
+  }
+
+  private Answer send(Instance instance, String method, String id, String body)
+      throws InterruptedException {
+    HttpRequest request =
+        HttpRequest.newBuilder(instance.address().resolve(Platform.PREFIX + id))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+            .header("Content-Type", "application/json")
+            .header("Deadline-Ms", DEADLINE)
+            .timeout(TIME_LIMIT)
+            .build();
+    try {
+      HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
+      JsonNode json = Web.MAPPER.readTree(response.body());
+      return new Answer(response.statusCode(), json.path("state").asText());
+    } catch (IOException e) {
+      return new Answer(0, "");
+    }
+  }
+
+  /** Work of a thread. */
+  @FunctionalInterface
+  private interface Work {
+    void run() throws InterruptedException;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
@@ -0,0 +1,162 @@
+package org.hemlockpick.platform.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The processes of all instances; two processes of one instance may overlap. */
+final class Fleet implements AutoCloseable {
+  private final World world;
+  private final Platform platform;
+  private final Path folder;
+  private final List<Instance> processes = new ArrayList<>();
+  private int started;
+
+  Fleet(World world, Platform platform, Path folder, int size) {
+    this.world = world;
+    this.platform = platform;
+    this.folder = folder;
+    for (int i = 0; i < size; i++) {
+      start("edge-kgn-a-" + (i + 1));
+    }
+  }
+
+  /** Returns the processes that were not told to end, frozen ones included. */
+  synchronized List<Instance> serving() {
+    return processes.stream().filter(process -> !process.isEnding()).toList();
+  }
+
+  /** Returns the holder if it was not told to end, else any process that serves. */
+  Instance holder() {
+    String label = platform.holder();
+    List<Instance> serving = serving();
+    return serving.stream()
+        .filter(process -> process.label().equals(label))
+        .findFirst()
+        .orElseGet(() -> serving.get(world.between(0, serving.size() - 1)));
+  }
+
+  Instance any() {
+    List<Instance> serving = serving();
+    return serving.get(world.between(0, serving.size() - 1));
+  }
+
+  synchronized Instance start(String name) {
+    started++;
+    String label = name + "#" + started;
+    try {
+      Instance process = new Instance(folder, name, label, platform.openStore(label));
+      processes.add(process);
+      world.note("start " + label);
+      return process;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  void freeze(Instance process, long millis) {
+    synchronized (this) {
+      if (process.isEnding() || process.isFrozen()) {
+        return;
+      }
+      signal(process, true);
+    }
+    world.note("freeze " + process.label() + " for " + millis + " ms");
+    after(millis, () -> thaw(process));
+  }
+
+  private synchronized void thaw(Instance process) {
+    if (process.isFrozen()) {
+      world.note("thaw " + process.label());
+      signal(process, false);
+    }
+  }
+
+  private static void signal(Instance process, boolean freeze) {
+    try {
+      if (freeze) {
+        process.freeze();
+      } else {
+        process.thaw();
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (AssertionError e) {
+      // It ended before the signal.
+    }
+  }
+
+  /** Kills a process and starts another of its name after a pause. */
+  void kill(Instance process, long millis) {
+    synchronized (this) {
+      if (process.isEnding()) {
+        return;
+      }
+      process.kill();
+    }
+    world.note("killed " + process.label() + ", next in " + millis + " ms");
+    after(millis, () -> start(process.name()));
+  }
+
+  /** Tells a process to stop, and starts another of its name beside it. */
+  void replace(Instance process, long millis) {
+    synchronized (this) {
+      if (process.isEnding()) {
+        return;
+      }
+      process.terminate();
+    }
+    world.note("terminate " + process.label() + ", next in " + millis + " ms");
+    after(millis, () -> start(process.name()));
+    after(Instance.GRACE_SECONDS * 1_000L, () -> endGrace(process));
+  }
+
+  private synchronized void endGrace(Instance process) {
+    if (process.isAlive()) {
+      world.note("killed " + process.label() + " at the end of its grace time");
+      process.kill();
+    }
+  }
+
+  /** Starts again what ended without being told. */
+  synchronized void replaceEnded() {
+    for (Instance process : serving()) {
+      if (!process.isAlive()) {
+        world.note(process.label() + " ended by itself, status " + process.waitFor());
+        process.terminate();
+        start(process.name());
+      }
+    }
+  }
+
+  /** Lets all processes that stand still go on. */
+  synchronized void heal() {
+    processes.forEach(this::thaw);
+  }
+
+  @Override
+  public synchronized void close() {
+    processes.stream().filter(Instance::isAlive).forEach(Instance::kill);
+  }
+
+  /** Not under the world's lock: signals and starts take time. */
+  private static void after(long millis, Runnable work) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                Thread.sleep(millis);
+                work.run();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            },
+            "soak-fleet");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Instance.java
@@ -0,0 +1,173 @@
+package org.hemlockpick.platform.soak;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import org.hemlockpick.pgm.Main;
+import org.hemlockpick.process.ChildProcess;
+
+/** One process of an instance, with ports of its own. */
+final class Instance {
+  /** The flags of deploy/system.toml but for the archive of classes, which is made by the build. */
+  private static final List<String> JAVA_FLAGS =
+      List.of(
+          "-Xms24m",
+          "-Xmx160m",
+          "-Xss256k",
+          "-XX:+UseSerialGC",
+          "-XX:TieredStopAtLevel=1",
+          "-XX:-UsePerfData",
+          "-XX:+ErrorFileToStdout",
+          "-XX:-CreateCoredumpOnCrash",
+          "-XX:ReservedCodeCacheSize=32m",
+          "-XX:MaxDirectMemorySize=48m",
+          "-Djava.util.logging.manager=org.jboss.logmanager.LogManager");
+
+  private static final String SETTINGS =
+      """
+      [instance]
+      name = "%s"
+      zone = "kgn-a"
+
+      [listen]
+      callers = "127.0.0.1:%d"
+      readiness = "127.0.0.1:%d"
+      metrics = "127.0.0.1:%d"
+
+      [cell]
+      table-service = "%s"
+      worker-lease = "%d ms"
+      worker-stop = "%d ms"
+      status-keep = "120 s"
+      stop-grace = "%d s"
+      """;
+
+  /** Time after the signal to stop until a process is killed, in seconds. */
+  static final int GRACE_SECONDS = 6;
+
+  private static final int LEAST_PORT = 20_000;
+  private static final int MOST_PORT = 32_000;
+
+  private final String name;
+  private final String label;
+  private final int callers;
+  private final ChildProcess process;
+  private boolean frozen;
+  private boolean ending;
+
+  /**
+   * Starts the process.
+   *
+   * @param label name of the instance with the number of the process
+   * @param store address of the table service for this process
+   */
+  Instance(Path folder, String name, String label, String store) throws IOException {
+    this.name = name;
+    this.label = label;
+    this.callers = freePort();
+    String text =
+        SETTINGS.formatted(
+            name,
+            callers,
+            freePort(),
+            freePort(),
+            store,
+            SimWorker.MAX_LEASE_MILLIS,
+            SimWorker.MAX_STOP_MILLIS,
+            GRACE_SECONDS);
+    Path settings = Files.writeString(folder.resolve(label.replace('#', '-') + ".toml"), text);
+    List<String> command = command();
+    command.addAll(List.of("serve", "--settings", settings.toString()));
+    this.process = ChildProcess.start(folder.resolve(name + ".log"), directory(), command);
+  }
+
+  String name() {
+    return name;
+  }
+
+  String label() {
+    return label;
+  }
+
+  URI address() {
+    return URI.create("http://127.0.0.1:" + callers);
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  boolean isFrozen() {
+    return frozen;
+  }
+
+  /** Tells whether it was told to end. */
+  boolean isEnding() {
+    return ending;
+  }
+
+  void freeze() throws IOException, InterruptedException {
+    if (isAlive()) {
+      frozen = true;
+      process.freeze();
+    }
+  }
+
+  void thaw() throws IOException, InterruptedException {
+    if (frozen && isAlive()) {
+      process.thaw();
+    }
+    frozen = false;
+  }
+
+  void terminate() {
+    ending = true;
+    process.terminate();
+  }
+
+  void kill() {
+    ending = true;
+    process.kill();
+  }
+
+  int waitFor() {
+    return process.waitFor();
+  }
+
+  private static List<String> command() {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(JAVA_FLAGS);
+    String jar = System.getProperty("soak.jar", "");
+    if (jar.isEmpty()) {
+      command.addAll(List.of("-cp", System.getProperty("java.class.path"), Main.class.getName()));
+    } else {
+      command.addAll(List.of("-jar", jar));
+    }
+    return command;
+  }
+
+  /** Returns the folder above that of the jar, or the present one. */
+  private static Path directory() {
+    String jar = System.getProperty("soak.jar", "");
+    Path here = Path.of("").toAbsolutePath();
+    return jar.isEmpty() ? here : Path.of(jar).toAbsolutePath().resolve("../..").normalize();
+  }
+
+  /** Finds a port below those that the system gives to outgoing connections. */
+  private static int freePort() throws IOException {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(LEAST_PORT, MOST_PORT);
+      try (ServerSocket socket = new ServerSocket(port)) {
+        return socket.getLocalPort();
+      } catch (java.net.BindException e) {
+        // Another one is tried.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/JobPlan.java
@@ -0,0 +1,33 @@
+package org.hemlockpick.platform.soak;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+
+/**
+ * A job that callers submit. A step depends on the one before it.
+ *
+ * @param counts numbers of tasks by step
+ * @param cpuMillis thousandths of a core that a task takes
+ */
+record JobPlan(String id, List<Integer> counts, int cpuMillis) {
+  private static final int MEMORY_MB = 100;
+  private static final int ESTIMATE_MILLIS = 2_500;
+
+  ObjectNode body() {
+    ObjectNode body = Web.newObject().put("spec", "soak");
+    ArrayNode phases = body.putArray("phases");
+    for (int i = 0; i < counts.size(); i++) {
+      ObjectNode phase = phases.addObject().put("count", counts.get(i)).put("cpu", cpuMillis);
+      phase.put("mem_mb", MEMORY_MB).put("estimate_ms", ESTIMATE_MILLIS);
+      if (i > 0) {
+        phase.putArray("depends_on").add(i - 1);
+      }
+    }
+    return body;
+  }
+
+  int tasks() {
+    return counts.stream().mapToInt(Integer::intValue).sum();
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
@@ -0,0 +1,205 @@
+package org.hemlockpick.platform.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockpick.platform.soak.Web.Call;
+import org.hemlockpick.platform.soak.Web.Reply;
+
+/** Stands in for the users' platform: the table service, the list of workers, the workers. */
+final class Platform implements AutoCloseable {
+  static final String SERVICE = "svc1";
+  static final String HOST = "127.0.0.1";
+  static final String PREFIX = "/q1/";
+
+  private static final int WORKERS = 8;
+  private static final int MAX_ATTEMPTS = 3;
+  private static final int LEASE_OF_ENTRY_MILLIS = 3_300;
+  private static final int HEARTBEAT_MILLIS = 1_000;
+  private static final int TICK_MILLIS = 20;
+
+  private final World world;
+  private final Rows rows;
+  private final Faults faults;
+  private final Oracle oracle;
+  private final List<SimWorker> workers = new ArrayList<>();
+  private final List<Web> ports = new ArrayList<>();
+
+  /** Whether the entry of the worker of a number is left out of the list though it is up. */
+  private final List<Boolean> hidden = new ArrayList<>();
+
+  private String holder = "";
+  private long storeSeenAt;
+  private boolean entriesGone;
+
+  Platform(World world) throws IOException {
+    this.world = world;
+    this.rows = new Rows(world);
+    this.faults = new Faults(world);
+    this.oracle = new Oracle(world, MAX_ATTEMPTS);
+    synchronized (world) {
+      rows.put("op", "config", manifest());
+      for (int i = 0; i < WORKERS; i++) {
+        String id = "i-%08x".formatted(0x1000 + i);
+        SimWorker worker = new SimWorker(world, oracle, faults, this::advance, id);
+        workers.add(worker);
+        rows.put("servers", worker.id(), worker.entry());
+        hidden.add(false);
+      }
+    }
+    world.every(TICK_MILLIS, this::advance);
+    world.every(HEARTBEAT_MILLIS, this::heartbeat);
+  }
+
+  Faults faults() {
+    return faults;
+  }
+
+  Oracle oracle() {
+    return oracle;
+  }
+
+  List<SimWorker> workers() {
+    return workers;
+  }
+
+  /** Returns the process that wrote the lease last; empty if none did. */
+  String holder() {
+    synchronized (world) {
+      return holder;
+    }
+  }
+
+  /** Opens a port of the table service for one process, and returns its address. */
+  String openStore(String process) throws IOException {
+    Web web = new Web(call -> store(process, call));
+    ports.add(web);
+    return web.address();
+  }
+
+  /** Restarts a worker under its identifier. */
+  void restart(SimWorker worker, long downMillis) {
+    synchronized (world) {
+      worker.crash();
+      world.later(
+          downMillis,
+          () -> {
+            worker.boot();
+            publish(worker);
+          });
+    }
+  }
+
+  /** Removes the entry of a worker that runs on. */
+  void hide(SimWorker worker, long millis) {
+    synchronized (world) {
+      int index = workers.indexOf(worker);
+      hidden.set(index, true);
+      rows.drop("servers", worker.id());
+      world.later(
+          millis,
+          () -> {
+            hidden.set(index, false);
+            publish(worker);
+          });
+    }
+  }
+
+  @Override
+  public void close() {
+    ports.forEach(Web::close);
+    workers.forEach(SimWorker::close);
+  }
+
+  private void advance() {
+    workers.forEach(SimWorker::advance);
+  }
+
+  private void publish(SimWorker worker) {
+    if (worker.isUp() && !faults.isStoreAway() && !hidden.get(workers.indexOf(worker))) {
+      rows.put("servers", worker.id(), worker.entry());
+    }
+  }
+
+  private void heartbeat() {
+    long now = world.now();
+    if (!faults.isStoreAway()) {
+      storeSeenAt = now;
+      if (entriesGone) {
+        entriesGone = false;
+        workers.forEach(worker -> world.later(world.between(0, 2_000), () -> publish(worker)));
+      } else {
+        workers.forEach(this::publish);
+      }
+    } else if (now - storeSeenAt >= LEASE_OF_ENTRY_MILLIS && !entriesGone) {
+      entriesGone = true;
+      world.note("the entries of the workers lapse");
+      workers.forEach(worker -> rows.drop("servers", worker.id()));
+    }
+  }
+
+  private Reply store(String process, Call call) throws InterruptedException {
+    Thread.sleep(2);
+    boolean write = call.path().equals("/v1/rows-tx");
+    synchronized (world) {
+      Faults.Fate fate = faults.store(process, write);
+      if (fate.lateMillis() > 0) {
+        world.later(fate.lateMillis(), () -> writeLate(process, call.body()));
+      }
+      if (!fate.carriedOut()) {
+        return Reply.none(fate.silentMillis());
+      }
+      Reply reply =
+          switch (call.path()) {
+            case "/v1/rows-tx" -> transact(process, call.body());
+            case "/v1/rows-get" -> rows.get(call);
+            case "/v1/rows-feed" -> rows.feed(call);
+            default -> Reply.of(404, Web.newObject());
+          };
+      boolean lost = !write && faults.isStoreAway();
+      return fate.answered() && !lost ? reply : Reply.none(fate.silentMillis());
+    }
+  }
+
+  private void writeLate(String process, JsonNode body) {
+    Reply reply = transact(process, body);
+    world.note("a write of " + process + " is carried out late: " + reply.status());
+  }
+
+  private Reply transact(String process, JsonNode body) {
+    Reply reply = rows.transact(body);
+    if (reply.status() == 200 && writesLease(body)) {
+      long version = reply.body().path("schema_version").asLong();
+      oracle.onLease(version, process);
+      faults.onLease(version, process);
+      if (!holder.equals(process)) {
+        world.note("the lease is written by " + process + ", version " + version);
+      }
+      holder = process;
+    }
+    return reply;
+  }
+
+  private static boolean writesLease(JsonNode body) {
+    for (JsonNode write : body.path("write")) {
+      String key = write.path("key").asText();
+      if (write.path("table").asText().equals("cells") && !key.contains("/")) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static ObjectNode manifest() {
+    ObjectNode manifest = Web.newObject().put("version", 1);
+    ObjectNode route = manifest.putArray("routes").addObject();
+    route.put("name", "q1").put("host", HOST).put("path_prefix", PREFIX).put("service", SERVICE);
+    route.put("max_attempts", MAX_ATTEMPTS).put("priority", 1).put("slack_factor", 1.5);
+    route.put("target_latency_ms", 400);
+    manifest.putArray("services").addObject().put("name", SERVICE).put("enforce_capacity", true);
+    manifest.putObject("limits").put("max_body_bytes", 262_144);
+    return manifest;
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Web.java
@@ -0,0 +1,131 @@
+package org.hemlockpick.platform.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** A server on a port of its own on the loopback interface; a call may be left unanswered. */
+final class Web implements AutoCloseable {
+  static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private static final ExecutorService THREADS =
+      Executors.newCachedThreadPool(
+          work -> {
+            Thread thread = new Thread(work, "soak-web");
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  static {
+    // Else small answers wait for the peer's delayed acknowledgement.
+    System.setProperty("sun.net.httpserver.nodelay", "true");
+  }
+
+  private final HttpServer server;
+
+  Web(Handler handler) throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 128);
+    server.setExecutor(THREADS);
+    server.createContext("/", exchange -> serve(exchange, handler));
+    server.start();
+  }
+
+  /** Answers a call; may block. */
+  @FunctionalInterface
+  interface Handler {
+    Reply handle(Call call) throws InterruptedException;
+  }
+
+  /**
+   * A call.
+   *
+   * @param intended boot that the call is meant for; empty if it names none
+   */
+  record Call(String path, Map<String, String> query, JsonNode body, String intended) {
+    String query(String name) {
+      return query.getOrDefault(name, "");
+    }
+
+    long number(String name) {
+      return query.containsKey(name) ? Long.parseLong(query(name)) : 0;
+    }
+  }
+
+  /**
+   * The answer to a call.
+   *
+   * @param status status of HTTP; 0 if the connection ends without an answer
+   * @param silentMillis time for which the connection stays open without an answer before it ends
+   */
+  record Reply(int status, JsonNode body, long silentMillis) {
+    static Reply of(int status, JsonNode body) {
+      return new Reply(status, body, 0);
+    }
+
+    static Reply none(long silentMillis) {
+      return new Reply(0, newObject(), silentMillis);
+    }
+  }
+
+  static ObjectNode newObject() {
+    return MAPPER.createObjectNode();
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+  }
+
+  private static void serve(HttpExchange exchange, Handler handler) throws IOException {
+    try (exchange) {
+      Reply reply = handler.handle(read(exchange));
+      if (reply.status() == 0) {
+        Thread.sleep(reply.silentMillis());
+        return;
+      }
+      byte[] bytes = MAPPER.writeValueAsBytes(reply.body());
+      exchange.getResponseHeaders().add("Content-Type", "application/json");
+      exchange.sendResponseHeaders(reply.status(), bytes.length);
+      exchange.getResponseBody().write(bytes);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException e) {
+      System.err.println("the stand-in failed: " + e);
+      throw e;
+    }
+  }
+
+  private static Call read(HttpExchange exchange) throws IOException {
+    byte[] bytes = exchange.getRequestBody().readAllBytes();
+    Map<String, String> query = new HashMap<>();
+    String text = Objects.requireNonNullElse(exchange.getRequestURI().getRawQuery(), "");
+    for (String pair : text.split("&", -1)) {
+      int sign = pair.indexOf('=');
+      if (sign > 0) {
+        query.put(
+            pair.substring(0, sign),
+            URLDecoder.decode(pair.substring(sign + 1), StandardCharsets.UTF_8));
+      }
+    }
+    JsonNode body = bytes.length == 0 ? newObject() : MAPPER.readTree(bytes);
+    String intended =
+        Objects.requireNonNullElse(exchange.getRequestHeaders().getFirst("Expected-Instance"), "");
+    return new Call(exchange.getRequestURI().getPath(), query, body, intended);
+  }
+}
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/ChildProcess.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/ChildProcess.java
@@ -11,7 +11,7 @@
 import org.hemlockpick.pgm.Main;
 
 /** Runs one command of the program as a process of its own; none outlives the tests. */
-final class ChildProcess {
+public final class ChildProcess {
   private static final long LIMIT_SECONDS = 60;
   private static final List<String> JAVA_FLAGS =
       List.of(
@@ -55,6 +55,29 @@
     return new ChildProcess(process, out, log);
   }
 
+  /**
+   * Starts a command whose output and errors are appended to one file, as those of a process before
+   * it may still be.
+   *
+   * @param directory working directory
+   */
+  public static ChildProcess start(Path log, Path directory, List<String> command)
+      throws IOException {
+    Process process =
+        new ProcessBuilder(command)
+            .directory(directory.toFile())
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+    running.add(process);
+    return new ChildProcess(process, log, log);
+  }
+
+  /** Returns the identifier of the process. */
+  public long pid() {
+    return process.pid();
+  }
+
   /** Returns what the process wrote to its standard output. */
   String out() throws IOException {
     return Files.readString(out);
@@ -64,35 +87,35 @@
     return log;
   }
 
-  boolean isAlive() {
+  public boolean isAlive() {
     return process.isAlive();
   }
 
   /** Waits for the end and returns the exit status. */
-  int waitFor() {
+  public int waitFor() {
     int status = process.onExit().orTimeout(LIMIT_SECONDS, TimeUnit.SECONDS).join().exitValue();
     running.remove(process);
     return status;
   }
 
   /** Sends SIGTERM. */
-  void terminate() {
+  public void terminate() {
     process.destroy();
   }
 
   /** Sends SIGKILL and waits for the end. */
-  void kill() {
+  public void kill() {
     process.destroyForcibly();
     int unused = waitFor();
   }
 
   /** Sends SIGSTOP. */
-  void freeze() throws IOException, InterruptedException {
+  public void freeze() throws IOException, InterruptedException {
     signal("-STOP");
   }
 
   /** Sends SIGCONT. */
-  void thaw() throws IOException, InterruptedException {
+  public void thaw() throws IOException, InterruptedException {
     signal("-CONT");
   }
 
