--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Callers.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Callers.java
@@ -32,6 +32,7 @@
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean submitting = true;
   private volatile boolean open = true;
+  private volatile boolean broken;
 
   Callers(World world, Fleet fleet, Oracle oracle) {
     this.world = world;
@@ -57,6 +58,11 @@
     }
   }
 
+  /** Tells whether a caller ended by a fault of its own, so that the play shows nothing. */
+  boolean isBroken() {
+    return broken;
+  }
+
   /** Ends all threads. */
   void end() throws InterruptedException {
     open = false;
@@ -75,6 +81,9 @@
                 work.run();
               } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
+              } catch (RuntimeException e) {
+                broken = true;
+                throw e;
               }
             },
             "soak-caller");
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
@@ -35,14 +35,22 @@
     return serving.stream()
         .filter(process -> process.label().equals(label))
         .findFirst()
-        .orElseGet(() -> serving.get(world.between(0, serving.size() - 1)));
+        .orElseGet(this::any);
   }
 
+  /** Returns any process that serves; the one started last if all were told to end. */
   Instance any() {
     List<Instance> serving = serving();
+    if (serving.isEmpty()) {
+      return newest();
+    }
     return serving.get(world.between(0, serving.size() - 1));
   }
 
+  private synchronized Instance newest() {
+    return processes.get(processes.size() - 1);
+  }
+
   synchronized Instance start(String name) {
     started++;
     String label = name + "#" + started;
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SoakTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SoakTest.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.platform.soak;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -89,6 +90,7 @@
         fleet.replaceEnded();
       }
       world.note("settled, all done " + callers.isDone());
+      assertFalse(callers.isBroken(), "a caller of the rig failed");
     } finally {
       callers.end();
     }
