--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
@@ -12,7 +12,9 @@
 final class Platform implements AutoCloseable {
   static final String SERVICE = "svc1";
   static final String HOST = "127.0.0.1";
-  static final String PREFIX = "/q1/";
+
+  /** Of this play alone: a port that a process has left may be taken by that of another play. */
+  static final String PREFIX = "/q" + ProcessHandle.current().pid() + "/";
 
   private static final int WORKERS = 8;
   private static final int MAX_ATTEMPTS = 3;
