--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
@@ -112,15 +112,22 @@
 
   /** Tells a process to stop, and starts another of its name beside it. */
   void replace(Instance process, long millis) {
+    if (terminate(process)) {
+      after(millis, () -> start(process.name()));
+    }
+  }
+
+  /** Tells a process to stop, and kills it after its grace time; false if it was told before. */
+  boolean terminate(Instance process) {
     synchronized (this) {
       if (process.isEnding()) {
-        return;
+        return false;
       }
       process.terminate();
     }
-    world.note("terminate " + process.label() + ", next in " + millis + " ms");
-    after(millis, () -> start(process.name()));
+    world.note("terminate " + process.label());
     after(Instance.GRACE_SECONDS * 1_000L, () -> endGrace(process));
+    return true;
   }
 
   private synchronized void endGrace(Instance process) {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Trouble.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Trouble.java
@@ -8,6 +8,8 @@
   private static final double AT_HOLDER = 0.75;
   private static final int LEAST_PAUSE_MILLIS = 300;
   private static final int MOST_PAUSE_MILLIS = 2_500;
+  private static final int LEAST_DOWN_MILLIS = 700;
+  private static final int FORGET_AHEAD_MILLIS = 900;
 
   /** Each kind stands as often as it is to come. */
   private static final List<Kind> KINDS =
@@ -35,7 +37,13 @@
           Kind.CUT_WORKER,
           Kind.CUT_WORKER,
           Kind.CUT_STORE,
-          Kind.CUT_STORE);
+          Kind.CUT_STORE,
+          Kind.OVERLAP,
+          Kind.OVERLAP,
+          Kind.FORGET,
+          Kind.FORGET,
+          Kind.STALL,
+          Kind.STALL);
 
   private final World world;
   private final Platform platform;
@@ -61,7 +69,13 @@
     DELAY_WRITES,
     DELAY_ORDERS,
     CUT_WORKER,
-    CUT_STORE
+    CUT_STORE,
+    /** A holder is replaced while it is cut from the store, its successor from a worker. */
+    OVERLAP,
+    /** A worker starts anew just before a holder that stood still goes on. */
+    FORGET,
+    /** The holder stands still while the store is away, so that it stays the holder. */
+    STALL
   }
 
   /** Disturbs for a time in milliseconds. */
@@ -89,7 +103,7 @@
       case KILL -> fleet.kill(process, length(0, 2_000, share));
       case REPLACE -> fleet.replace(process, share < 0.5 ? 0 : length(0, 1_500, share));
       case KILL_ALL -> fleet.serving().forEach(each -> fleet.kill(each, length(0, 800, share)));
-      case RESTART_WORKER -> restart(worker, length(700, 2_500, share));
+      case RESTART_WORKER -> restart(worker, length(LEAST_DOWN_MILLIS, 2_500, share));
       case HIDE_WORKER -> {
         world.note("hide " + worker.id());
         platform.hide(worker, length(1_500, 2_500, share));
@@ -98,9 +112,27 @@
       case LOSE_ANSWERS, DELAY_WRITES, DELAY_ORDERS -> calls(kind, length(1_000, 4_000, share));
       case CUT_WORKER -> cut(process, worker, length(1_000, 9_000, share));
       case CUT_STORE -> cut(process, length(1_000, 9_000, share));
+      case OVERLAP -> overlap(process, worker, length(2_000, 9_000, share));
+      case FORGET -> forget(process, worker, length(3_000, 7_500, share));
+      case STALL -> {
+        calls(Kind.STORE_AWAY, length(2_500, 5_000, share));
+        fleet.freeze(process, length(1_600, 4_500, share));
+      }
     }
   }
 
+  private void overlap(Instance process, SimWorker worker, long millis) {
+    cut(process, millis);
+    if (fleet.terminate(process)) {
+      cut(fleet.start(process.name()), worker, millis);
+    }
+  }
+
+  private void forget(Instance process, SimWorker worker, long millis) {
+    fleet.freeze(process, millis);
+    world.later(millis - FORGET_AHEAD_MILLIS, () -> restart(worker, LEAST_DOWN_MILLIS));
+  }
+
   private void restart(SimWorker worker, long millis) {
     synchronized (world) {
       if (worker.isUp()) {
