--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
@@ -17,7 +17,7 @@
   static final String PREFIX = "/q" + ProcessHandle.current().pid() + "/";
 
   private static final int WORKERS = 8;
-  private static final int MAX_ATTEMPTS = 3;
+  private static final int MAX_ATTEMPTS = 2;
   private static final int LEASE_OF_ENTRY_MILLIS = 3_300;
   private static final int HEARTBEAT_MILLIS = 1_000;
   private static final int TICK_MILLIS = 20;
