--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -28,7 +28,9 @@
   private final DecisionLog log;
   private final Listener listener;
 
-  /** Times of birth of workers that have ended, by their identifiers, as long as they are listed. */
+  /**
+   * Times of birth of workers that have ended, by their identifiers, as long as they are listed.
+   */
   private final Map<String, Long> ended = new HashMap<>();
 
   private boolean read;
