Count every failed attempt once, in whatever order it is heard

Callers saw a job run more often than its queue allows: the queue's limit was reached late, as failures were not counted.

Cause: of the counted failures only the newest attempt was kept, and every lower attempt was taken for counted. After an outage of the table service or a change of the holder the ends of several attempts are heard in the order in which workers answer.

Rows of the layout before are read as before: all attempts up to the newest count; a row with one failure names it whole.

FailedAttemptsTest covers the rows of both layouts.

--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FailedAttemptsTest.java
@@ -0,0 +1,49 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Which attempts of a task count as failed, before and after they are stored. */
+class FailedAttemptsTest {
+  private final FailedAttempts failed = new FailedAttempts(false);
+
+  /** An attempt between two that were stored is heard by the next holder. */
+  @Test
+  void olderAttemptIsNewAfterItsSuccessorsWereStored() {
+    failed.add(1_005);
+    failed.add(2);
+    FailedAttempts read = new FailedAttempts(false);
+    read.restore(failed.count(), failed.newest(), failed.older());
+    assertEquals(2, read.count());
+    assertTrue(read.contains(2));
+    assertTrue(read.contains(1_005));
+    assertFalse(read.contains(1));
+    assertFalse(read.contains(3));
+  }
+
+  /** A row of the layout before names the newest attempt only: all up to it count. */
+  @Test
+  void rowWithoutOlderAttemptsCountsAllUpToTheNewest() {
+    failed.restore(3, 5, List.of());
+    assertEquals(3, failed.count());
+    assertTrue(failed.contains(4));
+    assertFalse(failed.contains(6));
+  }
+
+  /** A task that lasts may fail for ever; its row must not grow with it. */
+  @Test
+  void taskThatLastsKeepsTheNewestAttempts() {
+    FailedAttempts lasting = new FailedAttempts(true);
+    for (int attempt = 1; attempt <= 1_000; attempt++) {
+      lasting.add(attempt);
+    }
+    assertEquals(1_000, lasting.count());
+    assertEquals(FailedAttempts.MOST_KEPT_OF_LASTING - 1, lasting.older().size());
+    assertTrue(lasting.contains(1));
+    assertFalse(lasting.contains(1_001));
+  }
+}
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
@@ -33,6 +33,7 @@
   }
   private TaskNote() {
     checkpoint_ = "";
+    olderFailedAttempts_ = emptyIntList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -124,6 +125,51 @@
     return failedAttempt_;
   }
 
+  public static final int OLDER_FAILED_ATTEMPTS_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.IntList olderFailedAttempts_ =
+      emptyIntList();
+  /**
+   * <pre>
+   * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+   * oldest one that is named counts if there are more failures than attempts named.
+   * </pre>
+   *
+   * <code>repeated uint32 older_failed_attempts = 5;</code>
+   * @return A list containing the olderFailedAttempts.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getOlderFailedAttemptsList() {
+    return olderFailedAttempts_;
+  }
+  /**
+   * <pre>
+   * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+   * oldest one that is named counts if there are more failures than attempts named.
+   * </pre>
+   *
+   * <code>repeated uint32 older_failed_attempts = 5;</code>
+   * @return The count of olderFailedAttempts.
+   */
+  public int getOlderFailedAttemptsCount() {
+    return olderFailedAttempts_.size();
+  }
+  /**
+   * <pre>
+   * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+   * oldest one that is named counts if there are more failures than attempts named.
+   * </pre>
+   *
+   * <code>repeated uint32 older_failed_attempts = 5;</code>
+   * @param index The index of the element to return.
+   * @return The olderFailedAttempts at the given index.
+   */
+  public int getOlderFailedAttempts(int index) {
+    return olderFailedAttempts_.getInt(index);
+  }
+  private int olderFailedAttemptsMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -138,6 +184,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (index_ != 0) {
       output.writeUInt32(1, index_);
     }
@@ -150,6 +197,13 @@
     if (failedAttempt_ != 0) {
       output.writeUInt32(4, failedAttempt_);
     }
+    if (getOlderFailedAttemptsList().size() > 0) {
+      output.writeUInt32NoTag(42);
+      output.writeUInt32NoTag(olderFailedAttemptsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < olderFailedAttempts_.size(); i++) {
+      output.writeUInt32NoTag(olderFailedAttempts_.getInt(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -174,6 +228,20 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, failedAttempt_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < olderFailedAttempts_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeUInt32SizeNoTag(olderFailedAttempts_.getInt(i));
+      }
+      size += dataSize;
+      if (!getOlderFailedAttemptsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      olderFailedAttemptsMemoizedSerializedSize = dataSize;
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -197,6 +265,8 @@
         .equals(other.getCheckpoint())) return false;
     if (getFailedAttempt()
         != other.getFailedAttempt()) return false;
+    if (!getOlderFailedAttemptsList()
+        .equals(other.getOlderFailedAttemptsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -216,6 +286,10 @@
     hash = (53 * hash) + getCheckpoint().hashCode();
     hash = (37 * hash) + FAILED_ATTEMPT_FIELD_NUMBER;
     hash = (53 * hash) + getFailedAttempt();
+    if (getOlderFailedAttemptsCount() > 0) {
+      hash = (37 * hash) + OLDER_FAILED_ATTEMPTS_FIELD_NUMBER;
+      hash = (53 * hash) + getOlderFailedAttemptsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -355,6 +429,7 @@
       failures_ = 0;
       checkpoint_ = "";
       failedAttempt_ = 0;
+      olderFailedAttempts_ = emptyIntList();
       return this;
     }
 
@@ -400,6 +475,10 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.failedAttempt_ = failedAttempt_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        olderFailedAttempts_.makeImmutable();
+        result.olderFailedAttempts_ = olderFailedAttempts_;
+      }
     }
 
     @java.lang.Override
@@ -428,6 +507,17 @@
       if (other.getFailedAttempt() != 0) {
         setFailedAttempt(other.getFailedAttempt());
       }
+      if (!other.olderFailedAttempts_.isEmpty()) {
+        if (olderFailedAttempts_.isEmpty()) {
+          olderFailedAttempts_ = other.olderFailedAttempts_;
+          olderFailedAttempts_.makeImmutable();
+          bitField0_ |= 0x00000010;
+        } else {
+          ensureOlderFailedAttemptsIsMutable();
+          olderFailedAttempts_.addAll(other.olderFailedAttempts_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -474,6 +564,22 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              int v = input.readUInt32();
+              ensureOlderFailedAttemptsIsMutable();
+              olderFailedAttempts_.addInt(v);
+              break;
+            } // case 40
+            case 42: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureOlderFailedAttemptsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                olderFailedAttempts_.addInt(input.readUInt32());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -671,6 +777,125 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.IntList olderFailedAttempts_ = emptyIntList();
+    private void ensureOlderFailedAttemptsIsMutable() {
+      if (!olderFailedAttempts_.isModifiable()) {
+        olderFailedAttempts_ = makeMutableCopy(olderFailedAttempts_);
+      }
+      bitField0_ |= 0x00000010;
+    }
+    /**
+     * <pre>
+     * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+     * oldest one that is named counts if there are more failures than attempts named.
+     * </pre>
+     *
+     * <code>repeated uint32 older_failed_attempts = 5;</code>
+     * @return A list containing the olderFailedAttempts.
+     */
+    public java.util.List<java.lang.Integer>
+        getOlderFailedAttemptsList() {
+      olderFailedAttempts_.makeImmutable();
+      return olderFailedAttempts_;
+    }
+    /**
+     * <pre>
+     * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+     * oldest one that is named counts if there are more failures than attempts named.
+     * </pre>
+     *
+     * <code>repeated uint32 older_failed_attempts = 5;</code>
+     * @return The count of olderFailedAttempts.
+     */
+    public int getOlderFailedAttemptsCount() {
+      return olderFailedAttempts_.size();
+    }
+    /**
+     * <pre>
+     * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+     * oldest one that is named counts if there are more failures than attempts named.
+     * </pre>
+     *
+     * <code>repeated uint32 older_failed_attempts = 5;</code>
+     * @param index The index of the element to return.
+     * @return The olderFailedAttempts at the given index.
+     */
+    public int getOlderFailedAttempts(int index) {
+      return olderFailedAttempts_.getInt(index);
+    }
+    /**
+     * <pre>
+     * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+     * oldest one that is named counts if there are more failures than attempts named.
+     * </pre>
+     *
+     * <code>repeated uint32 older_failed_attempts = 5;</code>
+     * @param index The index to set the value at.
+     * @param value The olderFailedAttempts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOlderFailedAttempts(
+        int index, int value) {
+
+      ensureOlderFailedAttemptsIsMutable();
+      olderFailedAttempts_.setInt(index, value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+     * oldest one that is named counts if there are more failures than attempts named.
+     * </pre>
+     *
+     * <code>repeated uint32 older_failed_attempts = 5;</code>
+     * @param value The olderFailedAttempts to add.
+     * @return This builder for chaining.
+     */
+    public Builder addOlderFailedAttempts(int value) {
+
+      ensureOlderFailedAttemptsIsMutable();
+      olderFailedAttempts_.addInt(value);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+     * oldest one that is named counts if there are more failures than attempts named.
+     * </pre>
+     *
+     * <code>repeated uint32 older_failed_attempts = 5;</code>
+     * @param values The olderFailedAttempts to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllOlderFailedAttempts(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      ensureOlderFailedAttemptsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, olderFailedAttempts_);
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+     * oldest one that is named counts if there are more failures than attempts named.
+     * </pre>
+     *
+     * <code>repeated uint32 older_failed_attempts = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOlderFailedAttempts() {
+      olderFailedAttempts_ = emptyIntList();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.TaskNote)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
@@ -43,4 +43,36 @@
    * @return The failedAttempt.
    */
   int getFailedAttempt();
+
+  /**
+   * <pre>
+   * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+   * oldest one that is named counts if there are more failures than attempts named.
+   * </pre>
+   *
+   * <code>repeated uint32 older_failed_attempts = 5;</code>
+   * @return A list containing the olderFailedAttempts.
+   */
+  java.util.List<java.lang.Integer> getOlderFailedAttemptsList();
+  /**
+   * <pre>
+   * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+   * oldest one that is named counts if there are more failures than attempts named.
+   * </pre>
+   *
+   * <code>repeated uint32 older_failed_attempts = 5;</code>
+   * @return The count of olderFailedAttempts.
+   */
+  int getOlderFailedAttemptsCount();
+  /**
+   * <pre>
+   * Older attempts that count, each by its distance from failed_attempt. Every attempt below the
+   * oldest one that is named counts if there are more failures than attempts named.
+   * </pre>
+   *
+   * <code>repeated uint32 older_failed_attempts = 5;</code>
+   * @param index The index of the element to return.
+   * @return The olderFailedAttempts at the given index.
+   */
+  int getOlderFailedAttempts(int index);
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -149,8 +149,7 @@
     worker.setNextHoldAt(now + RETRY_MILLIS);
   }
 
-  private void onReport(
-      Worker worker, HoldCall call, HoldReply reply, long askedAt, long now) {
+  private void onReport(Worker worker, HoldCall call, HoldReply reply, long askedAt, long now) {
     long born = worker.entry().bornMillis();
     if (reply.bornMillis() != 0 && reply.bornMillis() < born) {
       // The answer of a boot that has ended.
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -148,7 +148,9 @@
     for (TaskNote note : progress.getNotesList()) {
       if (note.getIndex() < run.tasks().size()) {
         Task task = run.tasks().get(note.getIndex());
-        task.setFailures(note.getFailures(), note.getFailedAttempt());
+        task.failed()
+            .restore(
+                note.getFailures(), note.getFailedAttempt(), note.getOlderFailedAttemptsList());
         task.setCheckpoint(note.getCheckpoint());
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
@@ -91,7 +91,7 @@
   }
 
   private void onFailed(Task task, int attempt, Worker worker, String checkpoint, int maxAttempts) {
-    if (attempt <= task.failedAttempt()) {
+    if (task.failed().contains(attempt)) {
       // An earlier holder has counted it and could not confirm it to the worker.
       return;
     }
@@ -102,7 +102,9 @@
     StepRun step = task.step();
     List<Task> members = step.step().gang() ? step.tasks() : List.of(task);
     members.forEach(member -> member.addFailure(worker.id(), attempt));
-    task.setCheckpoint(checkpoint);
+    if (attempt == task.failed().newest()) {
+      task.setCheckpoint(checkpoint);
+    }
     task.setNotBefore(clock.monotonicMillis() + RETRY_PAUSE_MILLIS);
     journal.touch(job);
     if (!step.step().lasting() && task.failures() >= maxAttempts) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -180,7 +180,8 @@
             TaskNote.newBuilder()
                 .setIndex(task.index())
                 .setFailures(task.failures())
-                .setFailedAttempt(task.failedAttempt())
+                .setFailedAttempt(task.failed().newest())
+                .addAllOlderFailedAttempts(task.failed().older())
                 .setCheckpoint(task.checkpoint()));
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -7,8 +7,7 @@
   private final StepRun step;
   private final int index;
   private boolean done;
-  private int failures;
-  private int failedAttempt;
+  private final FailedAttempts failed;
   private int lastAttempt;
   private String checkpoint = "";
   private @Nullable Run run;
@@ -23,6 +22,7 @@
   Task(StepRun step, int index) {
     this.step = step;
     this.index = index;
+    this.failed = new FailedAttempts(step.step().lasting());
   }
 
   StepRun step() {
@@ -51,23 +51,20 @@
   }
 
   int failures() {
-    return failures;
+    return failed.count();
   }
 
-  /** Returns the number of the newest attempt that counts among the failures; 0 if none does. */
-  int failedAttempt() {
-    return failedAttempt;
-  }
-
-  void setFailures(int count, int newestAttempt) {
-    failures = count;
-    failedAttempt = newestAttempt;
+  /** Returns the attempts that count among the failures. */
+  FailedAttempts failed() {
+    return failed;
   }
 
+  /** Counts a failed attempt, which must not count yet; a later one may count already. */
   void addFailure(String worker, int attempt) {
-    failures++;
-    failedAttempt = attempt;
-    failedAt = worker;
+    failed.add(attempt);
+    if (attempt == failed.newest()) {
+      failedAt = worker;
+    }
   }
 
   @Nullable String failedAt() {
@@ -138,6 +135,6 @@
 
   /** Tells whether more than whether it is done must be stored. */
   boolean isWorthNoting() {
-    return !done && (failures > 0 || !checkpoint.isEmpty());
+    return !done && (failures() > 0 || !checkpoint.isEmpty());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -304,8 +304,8 @@
     if (task.isDone() || task.job().state().isFinal()) {
       return ", task had ended before";
     }
-    if (attempt <= task.failedAttempt()) {
-      return ", known, attempt " + task.failedAttempt() + " has failed";
+    if (task.failed().contains(attempt)) {
+      return ", known, its failure counts already";
     }
     return run == null ? ", run was not known" : ", new";
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -85,8 +85,8 @@
 
   /**
    * Takes note that it started anew under its identifier. Its runs stay until a report tells which
-   * are there: orders that were sent before the new boot was noticed may have reached it. It gets no
-   * task until a later roster has it, whose storing proves that the cell is still held.
+   * are there: orders that were sent before the new boot was noticed may have reached it. It gets
+   * no task until a later roster has it, whose storing proves that the cell is still held.
    *
    * @param leaseMillis longest lease that the new boot can have granted
    */
