Make the last attempt of a task although a run has failed at every worker

Callers saw a job that neither ended nor failed: its last attempt was never made while all workers idled.

Cause: the last attempt went to no worker whose newest run had failed, without an end. Once a run had failed at every worker, only a run that succeeds ends their doubt, and nothing else was to run.

The last attempt now waits for a worker beyond doubt only if there is one that suits it and has no room yet, for 5 s at most. A last attempt that waits no longer marks its size as one for which there is no room: other tasks of the size were held up by it too.

Evidence: EndsTest#lastAttemptIsMadeThoughARunHasFailedAtEveryWorker (49 of 50 attempts made) failed before and passes.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -14,6 +14,9 @@
   /** Most orders to start that are sent in one tick; bounds its length. */
   private static final int MAX_STARTS = 150;
 
+  /** Longest wait of a last attempt for a worker at which the newest run has not failed. */
+  private static final long LAST_ATTEMPT_WAIT_MILLIS = 5_000;
+
   private final JobTable jobs;
   private final WorkerTable workers;
   private final TaskRunner runner;
@@ -119,6 +122,10 @@
         candidates = apart.leaveOut(candidates, entry.queue().service());
       }
       Worker worker = placement.choose(task, candidates);
+      if (worker == null && isLastAttempt(task, entry.queue())) {
+        // It is choosier than the other tasks, and tells nothing of the room for them.
+        continue;
+      }
       if (worker == null) {
         return -placed - 1;
       }
@@ -176,35 +183,54 @@
         candidates.add(worker);
       }
     }
+    if (isLastAttempt(task, queue) && waitsForUndoubted(task, queue, now)) {
+      candidates.removeIf(worker -> worker.health().isDoubtful());
+    }
     return candidates;
   }
 
-  private static boolean mayRun(Task task, Queue queue, Worker worker, long now) {
-    Step step = task.step().step();
-    if (!worker.isOpen(now) || !worker.entry().service().equals(queue.service())) {
+  private static boolean isLastAttempt(Task task, Queue queue) {
+    int failures = task.failures();
+    return failures > 0 && failures + 1 >= queue.maxAttempts() && !task.step().step().lasting();
+  }
+
+  /** Tells whether a last attempt has to wait for a worker without doubt that has no room yet. */
+  private boolean waitsForUndoubted(Task task, Queue queue, long now) {
+    if (now >= task.notBefore() + LAST_ATTEMPT_WAIT_MILLIS) {
       return false;
     }
-    if (!step.reserved().fitsInto(worker.free())) {
-      return false;
+    for (Worker worker : workers.all()) {
+      if (!worker.health().isDoubtful() && suits(task, queue, worker, now)) {
+        return true;
+      }
     }
-    String label = step.requiredLabel();
-    if (label != null && !worker.entry().labels().contains(label)) {
+    return false;
+  }
+
+  private static boolean mayRun(Task task, Queue queue, Worker worker, long now) {
+    Step step = task.step().step();
+    if (!suits(task, queue, worker, now) || !step.reserved().fitsInto(worker.free())) {
       return false;
     }
     if (step.maxPerWorker() > 0 && task.step().countAt(worker) >= step.maxPerWorker()) {
       return false;
     }
-    return isTrusted(task, queue, worker, now);
+    return isTrusted(worker, now);
   }
 
-  /** A suspect worker gets one run as a test, and never the last attempt of a task. */
-  private static boolean isTrusted(Task task, Queue queue, Worker worker, long now) {
-    WorkerHealth health = worker.health();
-    if (health.isPaused(now)) {
+  /** Tells whether a worker may be given a task once it has room. */
+  private static boolean suits(Task task, Queue queue, Worker worker, long now) {
+    if (!worker.isOpen(now) || !worker.entry().service().equals(queue.service())) {
       return false;
     }
-    boolean last = task.failures() + 1 >= queue.maxAttempts() && !task.step().step().lasting();
-    if (last && task.failures() > 0 && health.isDoubtful()) {
+    String label = task.step().step().requiredLabel();
+    return label == null || worker.entry().labels().contains(label);
+  }
+
+  /** A suspect worker gets one run as a test. */
+  private static boolean isTrusted(Worker worker, long now) {
+    WorkerHealth health = worker.health();
+    if (health.isPaused(now)) {
       return false;
     }
     return !health.isSuspect() || worker.runs().isEmpty();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -129,6 +129,11 @@
     notBefore = monotonicMillis;
   }
 
+  /** Returns the time on the steady clock before which it is not started. */
+  long notBefore() {
+    return notBefore;
+  }
+
   boolean isReady(long nowMillis) {
     return !done && run == null && nowMillis >= notBefore;
   }
