Fail a job wherever its failures reach the limit of its queue

Callers saw a task run once more after it had failed as often as its queue allows.

Cause: whether a job has failed was decided only when a failure was heard. A new holder that hears of the last failure before it has read the configuration knows no limit then, and nothing decided it later.

It is decided where tasks are planned too, so that a task that has reached the limit is never started. That covers a queue that comes back into the configuration and a limit that is lowered.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -2,6 +2,7 @@
 
 import static org.hemlockpick.cell.CellWorld.step;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -91,6 +92,20 @@
     assertEquals(JobState.FAILED, world.state("a"));
   }
 
+  /** The limit of a queue is lowered below what a task has failed already. */
+  @Test
+  void jobFailsOnceTheLimitOfItsQueueIsLowered() {
+    Task task = task(step(1));
+    JobKeeper keeper = keeper();
+    for (int attempt = 1; attempt <= 3; attempt++) {
+      keeper.onEnded(
+          task, attempt, RunMaker.worker("w0"), EndKind.FAILED, "", null, MAX_ATTEMPTS);
+    }
+    assertFalse(keeper.failIfSpent(task.job(), 4));
+    assertTrue(keeper.failIfSpent(task.job(), 3));
+    assertEquals(JobState.FAILED, task.job().state());
+  }
+
   /** Each worker's newest run has failed, so that none is beyond doubt. */
   @Test
   void lastAttemptIsMadeThoughARunHasFailedAtEveryWorker() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -116,6 +116,7 @@
     this.planner =
         new Planner(
             jobs,
+            keeper,
             workers,
             runner,
             new SlackOrder(times),
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
@@ -107,11 +107,40 @@
     }
     task.setNotBefore(clock.monotonicMillis() + RETRY_PAUSE_MILLIS);
     journal.touch(job);
-    if (!step.step().lasting() && task.failures() >= maxAttempts) {
-      end(job, JobState.FAILED, task.id() + " failed " + task.failures() + " times");
+    if (isSpent(task, maxAttempts)) {
+      fail(task);
     }
   }
 
+  /**
+   * Ends an open job as failed if a task of it has failed as often as its queue allows. The limit
+   * may not have been known when the failures were heard, or may have been lowered since.
+   *
+   * @return whether the job has ended by it
+   */
+  boolean failIfSpent(Job job, int maxAttempts) {
+    for (StepRun step : job.stepRuns()) {
+      if (step.isDone()) {
+        continue;
+      }
+      for (Task task : step.tasks()) {
+        if (isSpent(task, maxAttempts)) {
+          fail(task);
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  private static boolean isSpent(Task task, int maxAttempts) {
+    return !task.isDone() && !task.step().step().lasting() && task.failures() >= maxAttempts;
+  }
+
+  private void fail(Task task) {
+    end(task.job(), JobState.FAILED, task.id() + " failed " + task.failures() + " times");
+  }
+
   private void keep(Task task, String checkpoint) {
     if (!checkpoint.isEmpty()) {
       task.setCheckpoint(checkpoint);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -18,6 +18,7 @@
   private static final long LAST_ATTEMPT_WAIT_MILLIS = 5_000;
 
   private final JobTable jobs;
+  private final JobKeeper keeper;
   private final WorkerTable workers;
   private final TaskRunner runner;
   private final OrderPolicy order;
@@ -32,6 +33,7 @@
 
   Planner(
       JobTable jobs,
+      JobKeeper keeper,
       WorkerTable workers,
       TaskRunner runner,
       OrderPolicy order,
@@ -40,6 +42,7 @@
       Function<Job, @Nullable Queue> queues,
       Predicate<Task> isStartable) {
     this.jobs = jobs;
+    this.keeper = keeper;
     this.workers = workers;
     this.runner = runner;
     this.order = order;
@@ -54,9 +57,9 @@
     long wall = clock.wallMillis();
     long now = clock.monotonicMillis();
     List<Ready> ready = new ArrayList<>();
-    for (Job job : jobs.open()) {
+    for (Job job : List.copyOf(jobs.open())) {
       Queue queue = queues.apply(job);
-      if (queue == null) {
+      if (queue == null || keeper.failIfSpent(job, queue.maxAttempts())) {
         continue;
       }
       job.openDue(wall);
