Take a report of the most ends for no proof that other runs are gone

Callers saw tasks run again that were done: 700 tasks were started 1,267 times after an outage of the table service of 3 s.

Cause: a worker tells of 500 ends at a time. A run whose end lies behind them is neither among the running ones nor among the ends, and was taken for gone.

A report of 500 ends is not whole, and only a whole report proves that a run is gone. After a report that is not whole the worker is asked again once its ends are confirmed, as before, else after 50 ms.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformCallsTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformCallsTest.java
@@ -1,6 +1,7 @@
 package org.hemlockpick.platform;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.Collections.nCopies;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -204,6 +205,22 @@
     assertEquals(30, report.running().get(0).gauge());
     assertEquals(1, report.ended().size());
     assertEquals(EndKind.DONE, report.ended().get(0).kind());
+    assertTrue(report.isWhole());
     assertFalse(body.contains("deadline_ms"), body);
   }
+
+  /** A worker tells of 500 ends at a time; a run that is not named proves nothing then. */
+  @Test
+  void reportOfTheMostEndsIsNotWhole() {
+    assertTrue(report(499).isWhole());
+    assertFalse(report(500).isWhole());
+  }
+
+  private HoldReply report(int ends) {
+    String end = "[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]";
+    answer = "{\"running\":[],\"ended\":[" + String.join(",", nCopies(ends, end)) + "]}";
+    CompletableFuture<HoldReply> reply = new CompletableFuture<>();
+    workers().hold(new Target("i-1", address()), new HoldCall(7, 57, null, 0), reply::complete);
+    return reply.join();
+  }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -169,6 +169,21 @@
     assertEquals(List.of(), small.workers.breaches);
   }
 
+  /** The same for a new holder, to which the first 500 ends prove nothing of the other tasks. */
+  @Test
+  void runWhoseEndIsNotToldYetIsNotStartedByTheNextHolder() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.workers.runMillis = 1_000;
+    small.time.runFor(SETTLED);
+    small.submit(0, "a", smallStep(700));
+    small.time.runFor(400);
+    small.holder().kill();
+    small.time.runFor(20_000);
+    assertEquals(700, small.workers.starts.size());
+    assertEquals(List.of(), small.workers.breaches);
+    assertEquals(JobState.COMPLETED, small.state("a"));
+  }
+
   /** The service answers while the worker is asked: the answer comes behind the confirmation. */
   @Test
   void endsOfAWorkerThatHasNoRunsAreConfirmed() {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -328,7 +328,10 @@
       ends.removeIf(end -> end.number() <= call.endsSeen());
       ImmutableList.Builder<RunReport> running = ImmutableList.builder();
       runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(since), 0)));
-      return new HoldReply(OrderOutcome.ACCEPTED, clock(), born, running.build(), listedEnds());
+      ImmutableList<EndReport> listed = listedEnds();
+      boolean isWhole = listed.size() < MOST_ENDS;
+      return new HoldReply(
+          OrderOutcome.ACCEPTED, clock(), born, running.build(), listed, isWhole);
     }
 
     private int percent(long since) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -28,6 +28,9 @@
 
   private static final long RETRY_MILLIS = 250;
 
+  /** Pause before a report that leaves something open is asked for again. */
+  private static final long OPEN_PAUSE_MILLIS = 50;
+
   private final CellSettings settings;
   private final long token;
   private final WorkerPort port;
@@ -39,7 +42,9 @@
 
   /** Hears of the answers. */
   interface Listener {
-    /** Takes note that a worker answers to the own fencing token for the first time. */
+    /**
+     * Takes note that a worker has told for the first time all that an earlier holder left there.
+     */
     void onFirstReport(Worker worker);
 
     /** Takes note that a worker stopped or began to answer. */
@@ -181,10 +186,13 @@
     runner.onReport(worker, reply, askedAt);
     if (!worker.isFenced()) {
       worker.setFenced(now, settings.workerLeaseMillis());
+    }
+    if (reply.isWhole() && !worker.hasToldAll()) {
+      worker.setToldAll();
       listener.onFirstReport(worker);
     }
     listener.onReport(worker);
-    worker.setNextHoldAt(now + pause(worker));
+    worker.setNextHoldAt(now + pause(worker, reply));
     if (worker.lastEnd() > before || worker.recordedEnd() < worker.lastEnd()) {
       confirm(worker);
     }
@@ -200,14 +208,17 @@
     return boot + runs + range + ", " + age + " ms after it was asked";
   }
 
-  private static long pause(Worker worker) {
+  private static long pause(Worker worker, HoldReply reply) {
     if (worker.recordedEnd() < worker.lastEnd()) {
       return UNSTORED_PAUSE_MILLIS;
     }
     if (worker.isConfirmationDue()) {
       return 0;
     }
-    return worker.runs().isEmpty() ? IDLE_PAUSE_MILLIS : needsProof(worker) ? 50 : 0;
+    if (!reply.isWhole() || needsProof(worker)) {
+      return OPEN_PAUSE_MILLIS;
+    }
+    return worker.runs().isEmpty() ? IDLE_PAUSE_MILLIS : 0;
   }
 
   private void confirm(Worker worker) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -262,6 +262,10 @@
       reported.add(report.run());
       onRunning(worker, report, askedAt, now);
     }
+    if (!reply.isWhole()) {
+      // The end of a run that is not named may be told later.
+      return;
+    }
     for (Run run : new ArrayList<>(worker.runs())) {
       if (!reported.contains(run.name()) && askedAt > run.knownSince()) {
         onGone(run, "the worker does not report it");
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -19,6 +19,7 @@
   private WorkerEntry entry;
   private boolean listed = true;
   private boolean fenced;
+  private boolean toldAll;
   private boolean onRoster;
 
   /** Number of the first roster since which it has not been written as silent. */
@@ -92,6 +93,7 @@
    */
   void reboot(long nowMillis, long leaseMillis) {
     fenced = false;
+    toldAll = false;
     takeOffRoster();
     clockMillis = 0;
     clockAt = nowMillis;
@@ -118,6 +120,15 @@
     noteLease(nowMillis, leaseMillis);
   }
 
+  /** Tells whether its boot has told all its runs and ends to this holder. */
+  boolean hasToldAll() {
+    return toldAll;
+  }
+
+  void setToldAll() {
+    toldAll = true;
+  }
+
   /** Tells whether a later holder would know from the table service that tasks may run here. */
   boolean isOnRoster() {
     return onRoster;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPort.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPort.java
@@ -133,17 +133,20 @@
    * @param bornMillis time of the worker's start; 0 if not told
    * @param running runs on the worker
    * @param ended ends that were not yet seen, in the order of their numbers
+   * @param isWhole whether all ends are told; if not, others follow once these are confirmed, and a
+   *     run that is not named is not certain to be gone
    */
   record HoldReply(
       OrderOutcome outcome,
       long clockMillis,
       long bornMillis,
       ImmutableList<RunReport> running,
-      ImmutableList<EndReport> ended) {
+      ImmutableList<EndReport> ended,
+      boolean isWhole) {
 
     /** Returns a reply without content. */
     public static HoldReply without(OrderOutcome outcome) {
-      return new HoldReply(outcome, 0, 0, ImmutableList.of(), ImmutableList.of());
+      return new HoldReply(outcome, 0, 0, ImmutableList.of(), ImmutableList.of(), false);
     }
   }
 }
