Take no row of a removed job for a new job when the jobs are read again

Callers saw completed jobs run again, about two minutes after their end.

Cause: when the service has lost the history of changes, the jobs are read again. If the rows of a job that ended long ago are removed meanwhile, the reading may hold the job and not its progress, and the job is no longer known.

A later reading takes only rows of versions that the feed has not passed; all rows up to there were taken before.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobFeed.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobFeed.java
@@ -28,6 +28,8 @@
   private boolean loaded;
   private boolean underWay;
   private long nextAt;
+
+  /** Version up to which all rows have been taken. */
   private long version;
 
   JobFeed(
@@ -78,8 +80,14 @@
       nextAt = clock.monotonicMillis() + RETRY_MILLIS;
       return;
     }
-    version = reading.version();
-    reading.rows().forEach(row -> take(row, reading));
+    // Rows up to the version were taken before; those of a job that was removed since are old.
+    long taken = loaded ? version : -1;
+    version = Math.max(version, reading.version());
+    for (StoredRow row : reading.rows()) {
+      if (row.version() > taken) {
+        take(row, reading);
+      }
+    }
     if (!loaded) {
       loaded = true;
       reading.orphans().forEach(journal::remove);
