Keep the state of an ended job for its time on the steady clock

Callers saw the state of a job gone before its time: 114.8 s after its end instead of 120 s, when the time of day of the holder was 6 s ahead.

Cause: the time since the end of a job was counted on the time of day, which may be set and differs between holders.

It counts on the steady clock from when the sweeper of the holder first sees the job as ended, so that a state is kept 5 s longer at most, and anew for its whole time after a change of the holder.

Evidence: EndsTest#stateIsToldForItsTimeThoughTheTimeOfDayIsSet failed before and passes.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -19,6 +19,9 @@
   private boolean canceled;
   private long endedAtMillis;
 
+  /** Time on the steady clock at which this holder first saw it as ended. */
+  private long endSeenAt = Long.MAX_VALUE;
+
   /**
    * Creates a job without progress.
    *
@@ -65,6 +68,19 @@
     return endedAtMillis;
   }
 
+  /** Takes note of a time on the steady clock at which it has ended. */
+  void seeEnded(long nowMillis) {
+    endSeenAt = Math.min(endSeenAt, nowMillis);
+  }
+
+  /**
+   * Returns the time on the steady clock at which this holder first saw it as ended; the largest
+   * value if it has not.
+   */
+  long endSeenAt() {
+    return endSeenAt;
+  }
+
   /** Tells whether the caller has canceled it; runs may still have to be stopped. */
   boolean isCanceled() {
     return canceled;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobSweeper.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobSweeper.java
@@ -10,6 +10,8 @@
 
 /**
  * Removes jobs that ended long ago, with their rows: first what callers wrote, then the progress.
+ * The time counts on the steady clock from when this holder first saw the job as ended: times of
+ * day may be set, and differ between holders.
  */
 final class JobSweeper {
   private static final long PAUSE_MILLIS = 5_000;
@@ -48,10 +50,14 @@
 
   /** Returns the jobs to be removed by the parts that they are in. */
   private Map<String, List<Job>> old() {
-    long before = clock.wallMillis() - settings.statusKeepMillis();
+    long now = clock.monotonicMillis();
     Map<String, List<Job>> old = new HashMap<>();
     for (Job job : jobs.all()) {
-      if (job.state().isFinal() && job.endedAtMillis() < before) {
+      if (!job.state().isFinal()) {
+        continue;
+      }
+      job.seeEnded(now);
+      if (now - job.endSeenAt() > settings.statusKeepMillis()) {
         List<Job> part =
             old.computeIfAbsent(JobRows.part(settings.cell(), job.id()), key -> new ArrayList<>());
         if (part.size() < MAX_JOBS) {
