Let a gang that finds no room hold up no smaller work of its size

Callers saw a task wait 20.5 s beside 16 free places, behind a gang of 17.

Cause: a plan that finds no room for a task passes over all others of the same size. A gang that did not fit counted as such a task, though fewer tasks of its size may well fit.

The number of tasks that need room at once belongs to the size now. A single task without room still stands for gangs of its size too.

Evidence: EndsTest#taskStartsBesideAGangThatFindsNoRoom failed before and passes.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -96,9 +96,9 @@
     int starts = 0;
     for (Ready entry : ready) {
       Step step = entry.step().step();
-      Shape shape =
-          new Shape(entry.queue().service(), step.demand(), step.filler(), step.lasting());
-      if (starts >= MAX_STARTS || (isPlain(step) && full.contains(shape))) {
+      Shape shape = shape(entry, step.gang() ? step.count() : 1);
+      boolean isFull = full.contains(shape) || full.contains(shape(entry, 1));
+      if (starts >= MAX_STARTS || (isPlain(step) && isFull)) {
         continue;
       }
       int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, apart, now);
@@ -109,6 +109,12 @@
     }
   }
 
+  private static Shape shape(Ready entry, int together) {
+    Step step = entry.step().step();
+    String service = entry.queue().service();
+    return new Shape(service, step.demand(), step.filler(), step.lasting(), together);
+  }
+
   private static boolean isPlain(Step step) {
     return step.requiredLabel() == null && step.maxPerWorker() == 0;
   }
@@ -241,6 +247,12 @@
 
   private record Ready(StepRun step, Queue queue, OrderPolicy.Rank rank) {}
 
-  /** What tasks have in common of which none fits if one does not. */
-  private record Shape(String service, Amounts demand, boolean filler, boolean lasting) {}
+  /**
+   * What tasks have in common of which none fits if one does not.
+   *
+   * @param together number of tasks that need room at once, from 1; a gang that does not fit tells
+   *     nothing of fewer tasks
+   */
+  private record Shape(
+      String service, Amounts demand, boolean filler, boolean lasting, int together) {}
 }
