Keep the room of a run that is not adopted until it is gone

Callers saw tasks slowed down, or refused for want of room, as a worker was given more than it can hold: ProcessFuzzTest showed "brings w1 to 10000".

Cause: a run that a worker reports and that must not go on, as its task has ended or runs elsewhere, was only told to stop. It took up no room in the books, though it runs until the order has been carried out.

Such a run is kept with its room as one that is being stopped, until an end, a report or the end of the lease proves that it is gone; its task is not started meanwhile, its checkpoint is not taken, and its time is not learned from. Where the task is not known, neither is the room: the worker gets no new task until a report names no such run, and is asked every 200 ms.

Evidence: EndsTest#runThatIsNotAdoptedTakesUpRoomUntilItIsGone and #workerWithARunOfAnUnknownJobGetsNoTask are new; both failed before ("b.0.0.3 brings w0 to 10000") and pass.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.hemlockpick.cell.Transaction.Write;
 import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.proto.CellRecord;
 import org.hemlockpick.proto.JobStateRecord;
 import org.hemlockpick.proto.ProgressRecord;
@@ -184,6 +185,45 @@
     assertEquals(JobState.COMPLETED, small.state("a"));
   }
 
+  /** A late order of an earlier holder brings up a run of a job that has been canceled. */
+  @Test
+  void runThatIsNotAdoptedTakesUpRoomUntilItIsGone() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.workers.runMillis = 20_000;
+    small.time.runFor(SETTLED);
+    small.submit(0, "a", step(1));
+    small.time.runFor(500);
+    small.holder().process().cancel("a", 1_000, reply -> {});
+    small.time.runFor(3_000);
+    assertEquals(0, small.workers.running());
+    small.workers.startLate("w0", new RunName(new TaskId("a", 0, 0, 0), 9));
+    fillOnceNotAdopted(small);
+  }
+
+  /** The same for a run of a job that this holder does not know. */
+  @Test
+  void workerWithARunOfAnUnknownJobGetsNoTask() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.workers.runMillis = 20_000;
+    small.time.runFor(SETTLED);
+    small.workers.expect(CellWorld.job("a", 0, step(1)));
+    small.workers.startLate("w0", new RunName(new TaskId("a", 0, 0, 0), 9));
+    fillOnceNotAdopted(small);
+  }
+
+  /** Hands in as many tasks as the worker has room for, once the holder knows of the run there. */
+  private static void fillOnceNotAdopted(CellWorld small) {
+    while (small.log.stream().noneMatch(line -> line.contains("not adopted"))) {
+      small.time.runFor(1);
+    }
+    assertEquals(1, small.workers.running());
+    small.workers.runMillis = 500;
+    small.submit(small.nodes.indexOf(small.holder()), "b", step(4));
+    small.time.runFor(5_000);
+    assertEquals(List.of(), small.workers.breaches, () -> String.join("\n", small.log));
+    assertEquals(JobState.COMPLETED, small.state("b"));
+  }
+
   /** The service answers while the worker is asked: the answer comes behind the confirmation. */
   @Test
   void endsOfAWorkerThatHasNoRunsAreConfirmed() {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -90,6 +90,13 @@
     return model;
   }
 
+  /** Starts a run at a worker as an order of an earlier holder does that arrives late. */
+  void startLate(String worker, RunName run) {
+    Model model = get(worker);
+    model.extend(model.clock() + CellWorld.LEASE_MILLIS);
+    model.begin(run);
+  }
+
   /** Returns how many runs of a task are on workers that are up. */
   private int running(TaskId task) {
     int count = 0;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -28,6 +28,9 @@
 
   private static final long RETRY_MILLIS = 250;
 
+  /** Pause before a worker that was told to stop a run of an unknown task is asked again. */
+  private static final long UNKNOWN_PAUSE_MILLIS = 200;
+
   /** Pause before a report that leaves something open is asked for again. */
   private static final long OPEN_PAUSE_MILLIS = 50;
 
@@ -113,6 +116,7 @@
             || worker.isSilent()
             || worker.recordedEnd() < worker.lastEnd()
             || worker.isConfirmationDue()
+            || worker.hasUnknownRuns()
             || needsProof(worker);
     if (atOnce) {
       return 0;
@@ -218,6 +222,9 @@
     if (!reply.isWhole() || needsProof(worker)) {
       return OPEN_PAUSE_MILLIS;
     }
+    if (worker.hasUnknownRuns()) {
+      return UNKNOWN_PAUSE_MILLIS;
+    }
     return worker.runs().isEmpty() ? IDLE_PAUSE_MILLIS : 0;
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -106,7 +106,9 @@
     }
     gaugeBefore = gauge;
     gauge = report.gauge();
-    task.setCheckpoint(report.checkpoint());
+    if (task.run() == this) {
+      task.setCheckpoint(report.checkpoint());
+    }
   }
 
   int percent() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.cell;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** A task of a job: what is known of it, and its run if it has one. */
@@ -11,6 +13,10 @@
   private int lastAttempt;
   private String checkpoint = "";
   private @Nullable Run run;
+
+  /** Runs beside that one, or of a task that has ended: they are stopped. */
+  private final Set<Run> strays = new HashSet<>();
+
   private boolean located;
 
   /** Worker at which it failed last; another one is tried first. */
@@ -97,6 +103,16 @@
     }
   }
 
+  /** Takes note of a run that must not go on; it is not started before this one is gone. */
+  void addStray(Run stray) {
+    strays.add(stray);
+    sawAttempt(stray.attempt());
+  }
+
+  void removeStray(Run run) {
+    strays.remove(run);
+  }
+
   /** Tells whether it was found at a worker, so that it was nowhere else. */
   boolean isLocated() {
     return located;
@@ -135,7 +151,7 @@
   }
 
   boolean isReady(long nowMillis) {
-    return !done && run == null && nowMillis >= notBefore;
+    return !done && run == null && strays.isEmpty() && nowMillis >= notBefore;
   }
 
   /** Tells whether more than whether it is done must be stored. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -258,10 +258,12 @@
       }
     }
     Set<RunName> reported = new HashSet<>();
+    boolean isUnknown = false;
     for (RunReport report : reply.running()) {
       reported.add(report.run());
-      onRunning(worker, report, askedAt, now);
+      isUnknown |= !onRunning(worker, report, askedAt, now);
     }
+    worker.setUnknownRuns(isUnknown);
     if (!reply.isWhole()) {
       // The end of a run that is not named may be told later.
       return;
@@ -291,7 +293,8 @@
         worker,
         end.kind(),
         end.checkpoint(),
-        run,
+        // How long a stray run took is not known.
+        task.run() == run ? run : null,
         context.maxAttempts(task.job()));
     if (run != null) {
       remove(run);
@@ -314,14 +317,15 @@
     return run == null ? ", run was not known" : ", new";
   }
 
-  private void onRunning(Worker worker, RunReport report, long askedAt, long now) {
+  /** Takes note of a run at a worker; returns false if its task is not known. */
+  private boolean onRunning(Worker worker, RunReport report, long askedAt, long now) {
     Run run = worker.run(report.run()).orElse(null);
     if (run == null) {
-      run = adopt(worker, report.run());
+      run = find(worker, report.run());
     }
     if (run == null) {
       port.stop(worker.target(), report.run(), token, reply -> {});
-      return;
+      return false;
     }
     run.report(report, now);
     if (run.state() == Run.State.STARTING) {
@@ -329,15 +333,35 @@
       run.setKnownSince(askedAt);
       keeper.onStarted(run.task().job());
     }
+    return true;
   }
 
-  /** Takes over a run that another holder started; null if it must not go on. */
-  private @Nullable Run adopt(Worker worker, RunName name) {
+  /**
+   * Takes over a run that another holder started. One that must not go on is stopped, and keeps its
+   * room until it is certainly gone.
+   *
+   * @return the run; null if its task is not known
+   */
+  private @Nullable Run find(Worker worker, RunName name) {
     Task task = jobs.task(name.task()).orElse(null);
-    if (task == null || task.isDone() || task.job().state().isFinal() || task.run() != null) {
-      log.decided("run", name.task().toString(), "not adopted", worker.id());
+    if (task == null) {
+      log.decided("run", name.task().toString(), "not adopted", worker.id() + ", unknown task");
       return null;
     }
+    boolean isOver = task.isDone() || task.job().state().isFinal();
+    return isOver || task.run() != null ? stopStray(task, worker, name) : adopt(task, worker, name);
+  }
+
+  private Run stopStray(Task task, Worker worker, RunName name) {
+    log.decided("run", name.task().toString(), "not adopted", worker.id());
+    Run run = new Run(task, name.attempt(), worker, Run.State.RUNNING, clock.monotonicMillis());
+    task.addStray(run);
+    worker.add(run);
+    stop(run, "it was not adopted");
+    return run;
+  }
+
+  private Run adopt(Task task, Worker worker, RunName name) {
     Run run = new Run(task, name.attempt(), worker, Run.State.RUNNING, clock.monotonicMillis());
     run.setKnownSince(clock.monotonicMillis());
     task.setRun(run);
@@ -376,6 +400,7 @@
 
   private void remove(Run run) {
     run.worker().remove(run);
+    run.task().removeStray(run);
     if (run.task().run() == run) {
       run.task().setRun(null);
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -20,6 +20,7 @@
   private boolean listed = true;
   private boolean fenced;
   private boolean toldAll;
+  private boolean unknownRuns;
   private boolean onRoster;
 
   /** Number of the first roster since which it has not been written as silent. */
@@ -94,6 +95,7 @@
   void reboot(long nowMillis, long leaseMillis) {
     fenced = false;
     toldAll = false;
+    unknownRuns = false;
     takeOffRoster();
     clockMillis = 0;
     clockAt = nowMillis;
@@ -129,6 +131,15 @@
     toldAll = true;
   }
 
+  /** Tells whether its last report named runs of unknown tasks, whose room is not known. */
+  boolean hasUnknownRuns() {
+    return unknownRuns;
+  }
+
+  void setUnknownRuns(boolean some) {
+    unknownRuns = some;
+  }
+
   /** Tells whether a later holder would know from the table service that tasks may run here. */
   boolean isOnRoster() {
     return onRoster;
@@ -325,6 +336,7 @@
     return listed
         && fenced
         && onRoster
+        && !unknownRuns
         && !entry.draining()
         && holdFailures == 0
         && nowMillis >= closedUntil
