--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -2,6 +2,7 @@
 
 import static org.hemlockpick.cell.CellWorld.step;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -11,6 +12,7 @@
 import java.util.function.Consumer;
 import org.hemlockpick.cell.Transaction.Write;
 import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.proto.CellRecord;
 import org.hemlockpick.proto.JobStateRecord;
 import org.hemlockpick.proto.ProgressRecord;
@@ -91,6 +93,20 @@
     assertEquals(JobState.FAILED, world.state("a"));
   }
 
+  /** The limit of a queue is lowered below what a task has failed already. */
+  @Test
+  void jobFailsOnceTheLimitOfItsQueueIsLowered() {
+    Task task = task(step(1));
+    JobKeeper keeper = keeper();
+    for (int attempt = 1; attempt <= 3; attempt++) {
+      keeper.onEnded(
+          task, attempt, RunMaker.worker("w0"), EndKind.FAILED, "", null, MAX_ATTEMPTS);
+    }
+    assertFalse(keeper.failIfSpent(task.job(), 4));
+    assertTrue(keeper.failIfSpent(task.job(), 3));
+    assertEquals(JobState.FAILED, task.job().state());
+  }
+
   /** Each worker's newest run has failed, so that none is beyond doubt. */
   @Test
   void lastAttemptIsMadeThoughARunHasFailedAtEveryWorker() {
@@ -154,6 +170,60 @@
     assertEquals(List.of(), small.workers.breaches);
   }
 
+  /** The same for a new holder, to which the first 500 ends prove nothing of the other tasks. */
+  @Test
+  void runWhoseEndIsNotToldYetIsNotStartedByTheNextHolder() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.workers.runMillis = 1_000;
+    small.time.runFor(SETTLED);
+    small.submit(0, "a", smallStep(700));
+    small.time.runFor(400);
+    small.holder().kill();
+    small.time.runFor(20_000);
+    assertEquals(700, small.workers.starts.size());
+    assertEquals(List.of(), small.workers.breaches);
+    assertEquals(JobState.COMPLETED, small.state("a"));
+  }
+
+  /** A late order of an earlier holder brings up a run of a job that has been canceled. */
+  @Test
+  void runThatIsNotAdoptedTakesUpRoomUntilItIsGone() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.workers.runMillis = 20_000;
+    small.time.runFor(SETTLED);
+    small.submit(0, "a", step(1));
+    small.time.runFor(500);
+    small.holder().process().cancel("a", 1_000, reply -> {});
+    small.time.runFor(3_000);
+    assertEquals(0, small.workers.running());
+    small.workers.startLate("w0", new RunName(new TaskId("a", 0, 0, 0), 9));
+    fillOnceNotAdopted(small);
+  }
+
+  /** The same for a run of a job that this holder does not know. */
+  @Test
+  void workerWithARunOfAnUnknownJobGetsNoTask() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.workers.runMillis = 20_000;
+    small.time.runFor(SETTLED);
+    small.workers.expect(CellWorld.job("a", 0, step(1)));
+    small.workers.startLate("w0", new RunName(new TaskId("a", 0, 0, 0), 9));
+    fillOnceNotAdopted(small);
+  }
+
+  /** Hands in as many tasks as the worker has room for, once the holder knows of the run there. */
+  private static void fillOnceNotAdopted(CellWorld small) {
+    while (small.log.stream().noneMatch(line -> line.contains("not adopted"))) {
+      small.time.runFor(1);
+    }
+    assertEquals(1, small.workers.running());
+    small.workers.runMillis = 500;
+    small.submit(small.nodes.indexOf(small.holder()), "b", step(4));
+    small.time.runFor(5_000);
+    assertEquals(List.of(), small.workers.breaches, () -> String.join("\n", small.log));
+    assertEquals(JobState.COMPLETED, small.state("b"));
+  }
+
   /** The service answers while the worker is asked: the answer comes behind the confirmation. */
   @Test
   void endsOfAWorkerThatHasNoRunsAreConfirmed() {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -90,6 +90,13 @@
     return model;
   }
 
+  /** Starts a run at a worker as an order of an earlier holder does that arrives late. */
+  void startLate(String worker, RunName run) {
+    Model model = get(worker);
+    model.extend(model.clock() + CellWorld.LEASE_MILLIS);
+    model.begin(run);
+  }
+
   /** Returns how many runs of a task are on workers that are up. */
   private int running(TaskId task) {
     int count = 0;
@@ -334,7 +341,10 @@
       ends.removeIf(end -> end.number() <= call.endsSeen());
       ImmutableList.Builder<RunReport> running = ImmutableList.builder();
       runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(since), 0)));
-      return new HoldReply(OrderOutcome.ACCEPTED, clock(), born, running.build(), listedEnds());
+      ImmutableList<EndReport> listed = listedEnds();
+      boolean isWhole = listed.size() < MOST_ENDS;
+      return new HoldReply(
+          OrderOutcome.ACCEPTED, clock(), born, running.build(), listed, isWhole);
     }
 
     private int percent(long since) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -117,6 +117,7 @@
     this.planner =
         new Planner(
             jobs,
+            keeper,
             workers,
             runner,
             new SlackOrder(times),
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -14,7 +14,11 @@
   /** Most orders to start that are sent in one tick; bounds its length. */
   private static final int MAX_STARTS = 150;
 
+  /** Longest wait of a last attempt for a worker at which the newest run has not failed. */
+  private static final long LAST_ATTEMPT_WAIT_MILLIS = 5_000;
+
   private final JobTable jobs;
+  private final JobKeeper keeper;
   private final WorkerTable workers;
   private final TaskRunner runner;
   private final OrderPolicy order;
@@ -29,6 +33,7 @@
 
   Planner(
       JobTable jobs,
+      JobKeeper keeper,
       WorkerTable workers,
       TaskRunner runner,
       OrderPolicy order,
@@ -37,6 +42,7 @@
       Function<Job, @Nullable Queue> queues,
       Predicate<Task> isStartable) {
     this.jobs = jobs;
+    this.keeper = keeper;
     this.workers = workers;
     this.runner = runner;
     this.order = order;
@@ -51,9 +57,9 @@
     long wall = clock.wallMillis();
     long now = clock.monotonicMillis();
     List<Ready> ready = new ArrayList<>();
-    for (Job job : jobs.open()) {
+    for (Job job : List.copyOf(jobs.open())) {
       Queue queue = queues.apply(job);
-      if (queue == null) {
+      if (queue == null || keeper.failIfSpent(job, queue.maxAttempts())) {
         continue;
       }
       job.openDue(wall);
@@ -90,9 +96,9 @@
     int starts = 0;
     for (Ready entry : ready) {
       Step step = entry.step().step();
-      Shape shape =
-          new Shape(entry.queue().service(), step.demand(), step.filler(), step.lasting());
-      if (starts >= MAX_STARTS || (isPlain(step) && full.contains(shape))) {
+      Shape shape = shape(entry, step.gang() ? step.count() : 1);
+      boolean isFull = full.contains(shape) || full.contains(shape(entry, 1));
+      if (starts >= MAX_STARTS || (isPlain(step) && isFull)) {
         continue;
       }
       int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, apart, now);
@@ -103,6 +109,12 @@
     }
   }
 
+  private static Shape shape(Ready entry, int together) {
+    Step step = entry.step().step();
+    String service = entry.queue().service();
+    return new Shape(service, step.demand(), step.filler(), step.lasting(), together);
+  }
+
   private static boolean isPlain(Step step) {
     return step.requiredLabel() == null && step.maxPerWorker() == 0;
   }
@@ -119,6 +131,10 @@
         candidates = apart.leaveOut(candidates, entry.queue().service());
       }
       Worker worker = placement.choose(task, candidates);
+      if (worker == null && isLastAttempt(task, entry.queue())) {
+        // It is choosier than the other tasks, and tells nothing of the room for them.
+        continue;
+      }
       if (worker == null) {
         return -placed - 1;
       }
@@ -176,35 +192,54 @@
         candidates.add(worker);
       }
     }
+    if (isLastAttempt(task, queue) && waitsForUndoubted(task, queue, now)) {
+      candidates.removeIf(worker -> worker.health().isDoubtful());
+    }
     return candidates;
   }
 
-  private static boolean mayRun(Task task, Queue queue, Worker worker, long now) {
-    Step step = task.step().step();
-    if (!worker.isOpen(now) || !worker.entry().service().equals(queue.service())) {
+  private static boolean isLastAttempt(Task task, Queue queue) {
+    int failures = task.failures();
+    return failures > 0 && failures + 1 >= queue.maxAttempts() && !task.step().step().lasting();
+  }
+
+  /** Tells whether a last attempt has to wait for a worker without doubt that has no room yet. */
+  private boolean waitsForUndoubted(Task task, Queue queue, long now) {
+    if (now >= task.notBefore() + LAST_ATTEMPT_WAIT_MILLIS) {
       return false;
     }
-    if (!step.reserved().fitsInto(worker.free())) {
-      return false;
+    for (Worker worker : workers.all()) {
+      if (!worker.health().isDoubtful() && suits(task, queue, worker, now)) {
+        return true;
+      }
     }
-    String label = step.requiredLabel();
-    if (label != null && !worker.entry().labels().contains(label)) {
+    return false;
+  }
+
+  private static boolean mayRun(Task task, Queue queue, Worker worker, long now) {
+    Step step = task.step().step();
+    if (!suits(task, queue, worker, now) || !step.reserved().fitsInto(worker.free())) {
       return false;
     }
     if (step.maxPerWorker() > 0 && task.step().countAt(worker) >= step.maxPerWorker()) {
       return false;
     }
-    return isTrusted(task, queue, worker, now);
+    return isTrusted(worker, now);
   }
 
-  /** A suspect worker gets one run as a test, and never the last attempt of a task. */
-  private static boolean isTrusted(Task task, Queue queue, Worker worker, long now) {
-    WorkerHealth health = worker.health();
-    if (health.isPaused(now)) {
+  /** Tells whether a worker may be given a task once it has room. */
+  private static boolean suits(Task task, Queue queue, Worker worker, long now) {
+    if (!worker.isOpen(now) || !worker.entry().service().equals(queue.service())) {
       return false;
     }
-    boolean last = task.failures() + 1 >= queue.maxAttempts() && !task.step().step().lasting();
-    if (last && task.failures() > 0 && health.isDoubtful()) {
+    String label = task.step().step().requiredLabel();
+    return label == null || worker.entry().labels().contains(label);
+  }
+
+  /** A suspect worker gets one run as a test. */
+  private static boolean isTrusted(Worker worker, long now) {
+    WorkerHealth health = worker.health();
+    if (health.isPaused(now)) {
       return false;
     }
     return !health.isSuspect() || worker.runs().isEmpty();
@@ -212,6 +247,12 @@
 
   private record Ready(StepRun step, Queue queue, OrderPolicy.Rank rank) {}
 
-  /** What tasks have in common of which none fits if one does not. */
-  private record Shape(String service, Amounts demand, boolean filler, boolean lasting) {}
+  /**
+   * What tasks have in common of which none fits if one does not.
+   *
+   * @param together number of tasks that need room at once, from 1; a gang that does not fit tells
+   *     nothing of fewer tasks
+   */
+  private record Shape(
+      String service, Amounts demand, boolean filler, boolean lasting, int together) {}
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.cell;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** A task of a job: what is known of it, and its run if it has one. */
@@ -7,11 +9,14 @@
   private final StepRun step;
   private final int index;
   private boolean done;
-  private int failures;
-  private int failedAttempt;
+  private final FailedAttempts failed;
   private int lastAttempt;
   private String checkpoint = "";
   private @Nullable Run run;
+
+  /** Runs beside that one, or of a task that has ended: they are stopped. */
+  private final Set<Run> strays = new HashSet<>();
+
   private boolean located;
 
   /** Worker at which it failed last; another one is tried first. */
@@ -23,6 +28,7 @@
   Task(StepRun step, int index) {
     this.step = step;
     this.index = index;
+    this.failed = new FailedAttempts(step.step().lasting());
   }
 
   StepRun step() {
@@ -51,23 +57,20 @@
   }
 
   int failures() {
-    return failures;
-  }
-
-  /** Returns the number of the newest attempt that counts among the failures; 0 if none does. */
-  int failedAttempt() {
-    return failedAttempt;
+    return failed.count();
   }
 
-  void setFailures(int count, int newestAttempt) {
-    failures = count;
-    failedAttempt = newestAttempt;
+  /** Returns the attempts that count among the failures. */
+  FailedAttempts failed() {
+    return failed;
   }
 
+  /** Counts a failed attempt, which must not count yet; a later one may count already. */
   void addFailure(String worker, int attempt) {
-    failures++;
-    failedAttempt = attempt;
-    failedAt = worker;
+    failed.add(attempt);
+    if (attempt == failed.newest()) {
+      failedAt = worker;
+    }
   }
 
   @Nullable String failedAt() {
@@ -100,6 +103,16 @@
     }
   }
 
+  /** Takes note of a run that must not go on; it is not started before this one is gone. */
+  void addStray(Run stray) {
+    strays.add(stray);
+    sawAttempt(stray.attempt());
+  }
+
+  void removeStray(Run run) {
+    strays.remove(run);
+  }
+
   /** Tells whether it was found at a worker, so that it was nowhere else. */
   boolean isLocated() {
     return located;
@@ -132,12 +145,17 @@
     notBefore = monotonicMillis;
   }
 
+  /** Returns the time on the steady clock before which it is not started. */
+  long notBefore() {
+    return notBefore;
+  }
+
   boolean isReady(long nowMillis) {
-    return !done && run == null && nowMillis >= notBefore;
+    return !done && run == null && strays.isEmpty() && nowMillis >= notBefore;
   }
 
   /** Tells whether more than whether it is done must be stored. */
   boolean isWorthNoting() {
-    return !done && (failures > 0 || !checkpoint.isEmpty());
+    return !done && (failures() > 0 || !checkpoint.isEmpty());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -19,6 +19,8 @@
   private WorkerEntry entry;
   private boolean listed = true;
   private boolean fenced;
+  private boolean toldAll;
+  private boolean unknownRuns;
   private boolean onRoster;
 
   /** Number of the first roster since which it has not been written as silent. */
@@ -92,6 +94,8 @@
    */
   void reboot(long nowMillis, long leaseMillis) {
     fenced = false;
+    toldAll = false;
+    unknownRuns = false;
     takeOffRoster();
     clockMillis = 0;
     clockAt = nowMillis;
@@ -118,6 +122,24 @@
     noteLease(nowMillis, leaseMillis);
   }
 
+  /** Tells whether its boot has told all its runs and ends to this holder. */
+  boolean hasToldAll() {
+    return toldAll;
+  }
+
+  void setToldAll() {
+    toldAll = true;
+  }
+
+  /** Tells whether its last report named runs of unknown tasks, whose room is not known. */
+  boolean hasUnknownRuns() {
+    return unknownRuns;
+  }
+
+  void setUnknownRuns(boolean some) {
+    unknownRuns = some;
+  }
+
   /** Tells whether a later holder would know from the table service that tasks may run here. */
   boolean isOnRoster() {
     return onRoster;
@@ -318,6 +340,7 @@
     return listed
         && fenced
         && onRoster
+        && !unknownRuns
         && !entry.draining()
         && holdFailures == 0
         && nowMillis >= closedUntil
