Let a holder that gave up the cell stop nothing

Found in the review of the same cause elsewhere: answers that came after the end of a holder still led to orders under its old token. A start whose answer was lost was followed by a stop, which a worker that the successor had not reached yet carried out, so that work which went on was thrown away.

Now every order to stop asks whether orders may be given, like one to start, and answers after the end of a holder change nothing.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFaultTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFaultTest.java
@@ -296,6 +296,27 @@
     world.time.runFor(LONG_HEALING);
   }
 
+  /** An order whose answer was lost was followed by a stop, though another held the cell by then. */
+  @Test
+  void holderThatWasDeposedStopsNothing() {
+    world.workers.runMillis = 4_000;
+    world.time.runFor(SETTLED);
+    CellWorld.Node node = world.holder();
+    node.workerView.answersLost = true;
+    world.submit(other(node), "a", step(8));
+    runUntil(() -> world.workers.starts.size() >= 8, 1_000);
+    node.process().beginStop();
+    world.time.runFor(100);
+    int before = world.log.size();
+    world.time.runFor(HEALING);
+    List<String> stops =
+        world.log.subList(before, world.log.size()).stream()
+            .filter(line -> line.contains(" " + node.name + "/") && line.contains(" stop a."))
+            .toList();
+    assertEquals(List.of(), stops);
+    assertClean();
+  }
+
   /**
    * An order named the end of a lease on the clock of the boot before, far ahead of the new one.
    */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -141,6 +141,11 @@
     return !ended && term.allowsOrders(now);
   }
 
+  /** Tells whether the cell was lost or given up: what is heard from then on changes nothing. */
+  boolean hasEnded() {
+    return ended;
+  }
+
   /**
    * Tells whether a later holder is certain to find the row of a job when it reads the jobs: the
    * lease was renewed after the row was written, or so lately that nobody has taken it since.
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -135,6 +135,9 @@
   }
 
   private void onReply(Worker worker, HoldCall call, HoldReply reply, long askedAt) {
+    if (journal.hasEnded()) {
+      return;
+    }
     long now = clock.monotonicMillis();
     worker.setHolding(false);
     switch (reply.outcome()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -131,6 +131,9 @@
       String age = ", " + (now - sentAt) + " ms after the order" + (isKnown(run) ? "" : ", gone");
       log.decided("start", run.name().task().toString(), reply.outcome().name(), order + age);
     }
+    if (journal.hasEnded()) {
+      return;
+    }
     if (reply.outcome() == OrderOutcome.ACCEPTED || reply.outcome() == OrderOutcome.LOST) {
       worker.noteLease(now, settings.workerLeaseMillis());
     }
@@ -208,7 +211,7 @@
 
   private void sendStop(Run run) {
     long now = clock.monotonicMillis();
-    if (now - run.stopSentAt() < STOP_REPEAT_MILLIS) {
+    if (!journal.isSure(now) || now - run.stopSentAt() < STOP_REPEAT_MILLIS) {
       return;
     }
     run.setStopSentAt(now);
@@ -217,7 +220,7 @@
 
   private void onStopReply(Run run, OrderReply reply) {
     long now = clock.monotonicMillis();
-    if (!isKnown(run)) {
+    if (journal.hasEnded() || !isKnown(run)) {
       return;
     }
     switch (reply.outcome()) {
