Handle each row and each end by itself

Callers saw a job that was accepted and never taken by the holder, until the next take-over.

Cause: the feed moved its version on before it handled the rows of an answer. If the handling of one row threw, those behind it were never handled. The ends of a worker's report had the same form: those behind the failing one waited for the next report, and the failing one was confirmed unhandled with the next end that was stored.

Each row is handled by itself, the fault is logged with the row, and the version moves on behind the rows.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -12,6 +12,9 @@
 import java.util.function.Consumer;
 import org.hemlockpick.cell.Transaction.Write;
 import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.hemlockpick.cell.WorkerPort.EndReport;
+import org.hemlockpick.cell.WorkerPort.HoldReply;
+import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.proto.CellRecord;
 import org.hemlockpick.proto.JobStateRecord;
@@ -32,6 +35,9 @@
   /** Longest time for which a task may wait though there is room. */
   private static final long LONGEST_IDLE = 3_000;
 
+  private static final CellSettings SETTINGS =
+      new CellSettings("n", "i", "c0", 5_000, 200, 120_000);
+
   private final CellWorld world = new CellWorld(20261204, 3, 4);
 
   /** Failures that were not stored are heard again in the order in which workers answer. */
@@ -346,6 +352,68 @@
     assertTrue(jobs.get("second") != null);
   }
 
+  /** The handling of an end fails; it comes again, and those behind it are handled at once. */
+  @Test
+  void endsBehindOneWhoseHandlingFailsAreNotLost() {
+    Task first = task(step(3));
+    List<Task> tasks = first.step().tasks();
+    Worker worker = RunMaker.worker("w0");
+    TaskRunner runner = runnerThatFailsOnce(first.job());
+    tasks.forEach(task -> runner.start(task, worker));
+    ImmutableList<EndReport> ends =
+        ImmutableList.of(end(1, tasks.get(0)), end(2, tasks.get(1)), end(3, tasks.get(2)));
+    HoldReply reply =
+        new HoldReply(OrderOutcome.ACCEPTED, 1, 1, ImmutableList.of(), ends, true);
+    runner.onReport(worker, reply, world.time.millis());
+    assertTrue(tasks.get(0).isDone());
+    assertFalse(tasks.get(1).isDone());
+    assertTrue(tasks.get(1).run() != null);
+    assertTrue(tasks.get(2).isDone());
+    assertEquals(1, worker.lastEnd());
+    runner.onReport(worker, reply, world.time.millis());
+    assertTrue(tasks.get(1).isDone());
+    assertEquals(3, worker.lastEnd());
+  }
+
+  private static EndReport end(long number, Task task) {
+    return new EndReport(number, new RunName(task.id(), 1), EndKind.DONE, "");
+  }
+
+  /** Makes a runner that fails with the second end that it takes. */
+  private TaskRunner runnerThatFailsOnce(Job job) {
+    JobTable jobs = new JobTable();
+    jobs.add(job);
+    TaskRunner.Context context =
+        new TaskRunner.Context() {
+          private int asked;
+
+          @Override
+          public int maxAttempts(Job any) {
+            if (++asked == 2) {
+              throw new IllegalStateException("once");
+            }
+            return MAX_ATTEMPTS;
+          }
+
+          @Override
+          public void onFenced(Worker worker) {}
+
+          @Override
+          public void onChange() {}
+        };
+    return new TaskRunner(
+        SETTINGS,
+        1,
+        1,
+        world.workers.view(),
+        jobs,
+        keeper(),
+        journal(new StrictStore()),
+        world.nodes.get(0),
+        (kind, subject, outcome, reason) -> {},
+        context);
+  }
+
   /** Does what the loop does, which goes on after an action that fails. */
   private void turn(JobFeed feed) {
     try {
@@ -515,7 +583,7 @@
 
   private CellJournal journal(TableService store) {
     return new CellJournal(
-        new CellSettings("n", "i", "c0", 5_000, 200, 120_000),
+        SETTINGS,
         store,
         world.nodes.get(0),
         1,
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -213,7 +213,7 @@
   }
 
   private static long pause(Worker worker, HoldReply reply) {
-    if (worker.recordedEnd() < worker.lastEnd()) {
+    if (worker.recordedEnd() < worker.lastEnd() || worker.hasFailedEnds()) {
       return UNSTORED_PAUSE_MILLIS;
     }
     if (worker.isConfirmationDue()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobFeed.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobFeed.java
@@ -82,12 +82,12 @@
     }
     // Rows up to the version were taken before; those of a job that was removed since are old.
     long taken = loaded ? version : -1;
-    version = Math.max(version, reading.version());
     for (StoredRow row : reading.rows()) {
       if (row.version() > taken) {
-        take(row, reading);
+        takeSafely(row, reading);
       }
     }
+    version = Math.max(version, reading.version());
     if (!loaded) {
       loaded = true;
       reading.orphans().forEach(journal::remove);
@@ -99,8 +99,8 @@
     underWay = false;
     switch (result.outcome()) {
       case CHANGES -> {
+        result.rows().forEach(row -> takeSafely(row, null));
         version = Math.max(version, result.version());
-        result.rows().forEach(row -> take(row, null));
       }
       case HISTORY_LOST -> {
         log.decided("cell", cell, "jobs are read again", "the history is gone");
@@ -111,6 +111,15 @@
     }
   }
 
+  /** Takes a row; one whose handling fails must not lose those behind it. */
+  private void takeSafely(StoredRow row, @Nullable JobReading reading) {
+    try {
+      take(row, reading);
+    } catch (RuntimeException e) {
+      log.failed("job", row.key(), "row " + row.version() + " of " + row.part(), e);
+    }
+  }
+
   private void take(StoredRow row, @Nullable JobReading reading) {
     Optional<String> id = JobRows.job(row.key());
     Optional<Kind> kind = JobRows.kind(row.key());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -249,15 +249,7 @@
    */
   void onReport(Worker worker, HoldReply reply, long askedAt) {
     long now = clock.monotonicMillis();
-    for (EndReport end : reply.ended()) {
-      if (end.number() > worker.lastEnd()) {
-        onEnd(worker, end);
-      } else if (worker.run(end.run()).isPresent()) {
-        String known = ", not above " + worker.lastEnd();
-        log.decided("end", end.run().task().toString(), "passed over", at(worker, end) + known);
-      }
-    }
-    Set<RunName> reported = new HashSet<>();
+    Set<RunName> reported = new HashSet<>(takeEnds(worker, reply));
     boolean isUnknown = false;
     for (RunReport report : reply.running()) {
       reported.add(report.run());
@@ -275,8 +267,42 @@
     }
   }
 
+  /**
+   * Takes the ends of a report. One whose handling fails loses none behind it, and is not confirmed:
+   * it comes with the next report again.
+   *
+   * @return the runs whose ends could not be handled
+   */
+  private Set<RunName> takeEnds(Worker worker, HoldReply reply) {
+    Set<RunName> failed = new HashSet<>();
+    for (EndReport end : reply.ended()) {
+      if (worker.hasTaken(end.number())) {
+        if (worker.run(end.run()).isPresent()) {
+          String known = ", not above " + worker.lastEnd();
+          log.decided("end", end.run().task().toString(), "passed over", at(worker, end) + known);
+        }
+      } else if (!takeSafely(worker, end)) {
+        failed.add(end.run());
+        continue;
+      }
+      worker.setTaken(end.number(), failed.isEmpty());
+    }
+    worker.setFailedEnds(!failed.isEmpty());
+    return failed;
+  }
+
+  /** Takes an end; returns false if its handling failed. */
+  private boolean takeSafely(Worker worker, EndReport end) {
+    try {
+      onEnd(worker, end);
+      return true;
+    } catch (RuntimeException e) {
+      log.failed("end", end.run().task().toString(), end.kind() + ", " + at(worker, end), e);
+      return false;
+    }
+  }
+
   private void onEnd(Worker worker, EndReport end) {
-    worker.setLastEnd(end.number());
     Run run = worker.run(end.run()).orElse(null);
     Task task = run != null ? run.task() : jobs.task(end.run().task()).orElse(null);
     if (task == null) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -1,9 +1,11 @@
 package org.hemlockpick.cell;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.cell.WorkerPort.Target;
 
@@ -34,7 +36,13 @@
   /** Time on the own steady clock at which every lease has certainly ended. */
   private long leasesEndAt = Long.MIN_VALUE;
 
+  /** Number up to which all ends were taken. */
   private long lastEnd;
+
+  /** Numbers of ends above that were taken, too: the handling of one before them failed. */
+  private final Set<Long> takenAbove = new HashSet<>();
+
+  private boolean failedEnds;
   private long recordedEnd;
 
   /** Number up to which ends were confirmed to this boot. */
@@ -101,6 +109,8 @@
     clockAt = nowMillis;
     noteLease(nowMillis, leaseMillis);
     lastEnd = 0;
+    takenAbove.clear();
+    failedEnds = false;
     recordedEnd = 0;
     confirmedEnd = 0;
   }
@@ -214,8 +224,32 @@
     return lastEnd;
   }
 
-  void setLastEnd(long number) {
-    lastEnd = Math.max(lastEnd, number);
+  /** Tells whether an end was taken. */
+  boolean hasTaken(long number) {
+    return number <= lastEnd || takenAbove.contains(number);
+  }
+
+  /**
+   * Takes note that an end was taken.
+   *
+   * @param isInOrder whether all before it were
+   */
+  void setTaken(long number, boolean isInOrder) {
+    if (isInOrder) {
+      lastEnd = Math.max(lastEnd, number);
+      takenAbove.remove(number);
+    } else {
+      takenAbove.add(number);
+    }
+  }
+
+  /** Tells whether its last report brought ends whose handling failed. */
+  boolean hasFailedEnds() {
+    return failedEnds;
+  }
+
+  void setFailedEnds(boolean some) {
+    failedEnds = some;
   }
 
   /** Returns the number up to which the ends are recorded in the table service. */
