Drop the checkpoint of an attempt before that of the last one

Callers saw a task repeat work that it had saved.

Cause: the end of an attempt that was replaced may be told after that of its successor, by another worker or to the next holder. Its checkpoint replaced the newer one.

A task keeps the attempt that its checkpoint stems from, and takes none of an earlier attempt. The row names the attempt too; a row without it is taken for older than any attempt.

Evidence: EndsTest#checkpointOfAReplacedAttemptIsDropped failed before and passes; new is #checkpointOfAReplacedAttemptIsDroppedByTheNextHolder.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -79,6 +79,19 @@
     assertEquals("newer", task.checkpoint());
   }
 
+  /** The next holder drops it too: the row names the attempt of the checkpoint. */
+  @Test
+  void checkpointOfAReplacedAttemptIsDroppedByTheNextHolder() throws Exception {
+    Task task = task(step(1));
+    JobKeeper keeper = keeper();
+    Worker worker = RunMaker.worker("w0");
+    keeper.onEnded(task, 2, worker, EndKind.STOPPED, "newer", null, MAX_ATTEMPTS);
+    Task restored = task(step(1));
+    restored.job().restore(ProgressRecord.parseFrom(JobRows.encode(task.job())));
+    keeper.onEnded(restored, 1, worker, EndKind.LAPSED, "older", null, MAX_ATTEMPTS);
+    assertEquals("newer", restored.checkpoint());
+  }
+
   /** A new process hears of the last failure before it has read the configuration. */
   @Test
   void jobFailsThoughItsLastFailureIsHeardBeforeTheConfigurationIsKnown() {
@@ -567,7 +580,7 @@
     Job job = new Job(CellWorld.job(id, 0, smallStep(tasks)), 1, false);
     job.openDue(0);
     for (Task task : job.stepRuns().get(0).tasks()) {
-      task.setCheckpoint("0123456789abcdef");
+      task.setCheckpoint(1, "0123456789abcdef");
     }
     return job;
   }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
@@ -110,35 +110,36 @@
       "\003(\0132\027.hemlockpick.StepRecord\022\035\n\025first_st" +
       "art_at_millis\030\005 \001(\004\022\027\n\017interval_millis\030\006" +
       " \001(\004\022\024\n\014repeat_count\030\007 \001(\r\022\032\n\022accepted_a" +
-      "t_millis\030\010 \001(\004\"v\n\010TaskNote\022\r\n\005index\030\001 \001(" +
-      "\r\022\020\n\010failures\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t\022" +
-      "\026\n\016failed_attempt\030\004 \001(\r\022\035\n\025older_failed_" +
-      "attempts\030\005 \003(\r\"d\n\014StepProgress\022\022\n\noccurr" +
-      "ence\030\001 \001(\r\022\014\n\004step\030\002 \001(\r\022\014\n\004done\030\003 \001(\014\022$" +
-      "\n\005notes\030\004 \003(\0132\025.hemlockpick.TaskNote\"\217\001\n" +
-      "\016ProgressRecord\022\016\n\006format\030\001 \001(\r\022*\n\005state" +
-      "\030\002 \001(\0162\033.hemlockpick.JobStateRecord\022(\n\005s" +
-      "teps\030\003 \003(\0132\031.hemlockpick.StepProgress\022\027\n" +
-      "\017ended_at_millis\030\004 \001(\004\"-\n\013QueueLength\022\r\n" +
-      "\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\r\"}\n\nCellRec" +
-      "ord\022\016\n\006format\030\001 \001(\r\022\016\n\006holder\030\002 \001(\t\022\022\n\ng" +
-      "eneration\030\003 \001(\r\022\020\n\010released\030\004 \001(\010\022)\n\007wai" +
-      "ting\030\005 \003(\0132\030.hemlockpick.QueueLength\"b\n\013" +
-      "RosterEntry\022\016\n\006worker\030\001 \001(\t\022\023\n\013born_mill" +
-      "is\030\002 \001(\004\022\017\n\007address\030\003 \001(\t\022\016\n\006silent\030\004 \001(" +
-      "\010\022\r\n\005tasks\030\005 \003(\t\"Z\n\014RosterRecord\022\016\n\006form" +
-      "at\030\001 \001(\r\022)\n\007workers\030\002 \003(\0132\030.hemlockpick." +
-      "RosterEntry\022\017\n\007located\030\003 \001(\010\"F\n\tHarmEntr" +
-      "y\022\025\n\rserving_image\030\001 \001(\t\022\024\n\014filler_image" +
-      "\030\002 \001(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMean\022\r\n\005que" +
-      "ue\030\001 \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLearnedRecor" +
-      "d\022\016\n\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026.hemloc" +
-      "kpick.HarmEntry\022%\n\005means\030\003 \003(\0132\026.hemlock" +
-      "pick.QueueMean*\201\001\n\016JobStateRecord\022\031\n\025JOB" +
-      "_STATE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013" +
-      "JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_" +
-      "FAILED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025org.hemloc" +
-      "kpick.protoP\001b\006proto3"
+      "t_millis\030\010 \001(\004\"\222\001\n\010TaskNote\022\r\n\005index\030\001 \001" +
+      "(\r\022\020\n\010failures\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t" +
+      "\022\026\n\016failed_attempt\030\004 \001(\r\022\035\n\025older_failed" +
+      "_attempts\030\005 \003(\r\022\032\n\022checkpoint_attempt\030\006 " +
+      "\001(\r\"d\n\014StepProgress\022\022\n\noccurrence\030\001 \001(\r\022" +
+      "\014\n\004step\030\002 \001(\r\022\014\n\004done\030\003 \001(\014\022$\n\005notes\030\004 \003" +
+      "(\0132\025.hemlockpick.TaskNote\"\217\001\n\016ProgressRe" +
+      "cord\022\016\n\006format\030\001 \001(\r\022*\n\005state\030\002 \001(\0162\033.he" +
+      "mlockpick.JobStateRecord\022(\n\005steps\030\003 \003(\0132" +
+      "\031.hemlockpick.StepProgress\022\027\n\017ended_at_m" +
+      "illis\030\004 \001(\004\"-\n\013QueueLength\022\r\n\005queue\030\001 \001(" +
+      "\t\022\017\n\007waiting\030\002 \001(\r\"}\n\nCellRecord\022\016\n\006form" +
+      "at\030\001 \001(\r\022\016\n\006holder\030\002 \001(\t\022\022\n\ngeneration\030\003" +
+      " \001(\r\022\020\n\010released\030\004 \001(\010\022)\n\007waiting\030\005 \003(\0132" +
+      "\030.hemlockpick.QueueLength\"b\n\013RosterEntry" +
+      "\022\016\n\006worker\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n" +
+      "\007address\030\003 \001(\t\022\016\n\006silent\030\004 \001(\010\022\r\n\005tasks\030" +
+      "\005 \003(\t\"Z\n\014RosterRecord\022\016\n\006format\030\001 \001(\r\022)\n" +
+      "\007workers\030\002 \003(\0132\030.hemlockpick.RosterEntry" +
+      "\022\017\n\007located\030\003 \001(\010\"F\n\tHarmEntry\022\025\n\rservin" +
+      "g_image\030\001 \001(\t\022\024\n\014filler_image\030\002 \001(\t\022\014\n\004h" +
+      "arm\030\003 \001(\001\"*\n\tQueueMean\022\r\n\005queue\030\001 \001(\t\022\016\n" +
+      "\006millis\030\002 \001(\001\"l\n\rLearnedRecord\022\016\n\006format" +
+      "\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026.hemlockpick.HarmE" +
+      "ntry\022%\n\005means\030\003 \003(\0132\026.hemlockpick.QueueM" +
+      "ean*\201\001\n\016JobStateRecord\022\031\n\025JOB_STATE_UNSP" +
+      "ECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_RUNNING" +
+      "\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAILED\020\004\022\020\n" +
+      "\014JOB_CANCELED\020\005B\031\n\025org.hemlockpick.proto" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -161,7 +162,7 @@
     internal_static_hemlockpick_TaskNote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_TaskNote_descriptor,
-        new java.lang.String[] { "Index", "Failures", "Checkpoint", "FailedAttempt", "OlderFailedAttempts", });
+        new java.lang.String[] { "Index", "Failures", "Checkpoint", "FailedAttempt", "OlderFailedAttempts", "CheckpointAttempt", });
     internal_static_hemlockpick_StepProgress_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_hemlockpick_StepProgress_fieldAccessorTable = new
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
@@ -170,6 +170,21 @@
   }
   private int olderFailedAttemptsMemoizedSerializedSize = -1;
 
+  public static final int CHECKPOINT_ATTEMPT_FIELD_NUMBER = 6;
+  private int checkpointAttempt_ = 0;
+  /**
+   * <pre>
+   * Number of the attempt that the checkpoint stems from.
+   * </pre>
+   *
+   * <code>uint32 checkpoint_attempt = 6;</code>
+   * @return The checkpointAttempt.
+   */
+  @java.lang.Override
+  public int getCheckpointAttempt() {
+    return checkpointAttempt_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -204,6 +219,9 @@
     for (int i = 0; i < olderFailedAttempts_.size(); i++) {
       output.writeUInt32NoTag(olderFailedAttempts_.getInt(i));
     }
+    if (checkpointAttempt_ != 0) {
+      output.writeUInt32(6, checkpointAttempt_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -242,6 +260,10 @@
       }
       olderFailedAttemptsMemoizedSerializedSize = dataSize;
     }
+    if (checkpointAttempt_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, checkpointAttempt_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -267,6 +289,8 @@
         != other.getFailedAttempt()) return false;
     if (!getOlderFailedAttemptsList()
         .equals(other.getOlderFailedAttemptsList())) return false;
+    if (getCheckpointAttempt()
+        != other.getCheckpointAttempt()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -290,6 +314,8 @@
       hash = (37 * hash) + OLDER_FAILED_ATTEMPTS_FIELD_NUMBER;
       hash = (53 * hash) + getOlderFailedAttemptsList().hashCode();
     }
+    hash = (37 * hash) + CHECKPOINT_ATTEMPT_FIELD_NUMBER;
+    hash = (53 * hash) + getCheckpointAttempt();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -430,6 +456,7 @@
       checkpoint_ = "";
       failedAttempt_ = 0;
       olderFailedAttempts_ = emptyIntList();
+      checkpointAttempt_ = 0;
       return this;
     }
 
@@ -479,6 +506,9 @@
         olderFailedAttempts_.makeImmutable();
         result.olderFailedAttempts_ = olderFailedAttempts_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.checkpointAttempt_ = checkpointAttempt_;
+      }
     }
 
     @java.lang.Override
@@ -518,6 +548,9 @@
         }
         onChanged();
       }
+      if (other.getCheckpointAttempt() != 0) {
+        setCheckpointAttempt(other.getCheckpointAttempt());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -580,6 +613,11 @@
               input.popLimit(limit);
               break;
             } // case 42
+            case 48: {
+              checkpointAttempt_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -896,6 +934,50 @@
       return this;
     }
 
+    private int checkpointAttempt_ ;
+    /**
+     * <pre>
+     * Number of the attempt that the checkpoint stems from.
+     * </pre>
+     *
+     * <code>uint32 checkpoint_attempt = 6;</code>
+     * @return The checkpointAttempt.
+     */
+    @java.lang.Override
+    public int getCheckpointAttempt() {
+      return checkpointAttempt_;
+    }
+    /**
+     * <pre>
+     * Number of the attempt that the checkpoint stems from.
+     * </pre>
+     *
+     * <code>uint32 checkpoint_attempt = 6;</code>
+     * @param value The checkpointAttempt to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCheckpointAttempt(int value) {
+
+      checkpointAttempt_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the attempt that the checkpoint stems from.
+     * </pre>
+     *
+     * <code>uint32 checkpoint_attempt = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCheckpointAttempt() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      checkpointAttempt_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.TaskNote)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
@@ -75,4 +75,14 @@
    * @return The olderFailedAttempts at the given index.
    */
   int getOlderFailedAttempts(int index);
+
+  /**
+   * <pre>
+   * Number of the attempt that the checkpoint stems from.
+   * </pre>
+   *
+   * <code>uint32 checkpoint_attempt = 6;</code>
+   * @return The checkpointAttempt.
+   */
+  int getCheckpointAttempt();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -167,7 +167,7 @@
         task.failed()
             .restore(
                 note.getFailures(), note.getFailedAttempt(), note.getOlderFailedAttemptsList());
-        task.setCheckpoint(note.getCheckpoint());
+        task.setCheckpoint(note.getCheckpointAttempt(), note.getCheckpoint());
       }
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobKeeper.java
@@ -54,7 +54,7 @@
     switch (kind) {
       case DONE -> onDone(task, worker, run);
       case FAILED -> onFailed(task, attempt, worker, checkpoint, maxAttempts);
-      case STOPPED, LAPSED, BROKEN, ALONE -> keep(task, checkpoint);
+      case STOPPED, LAPSED, BROKEN, ALONE -> keep(task, attempt, checkpoint);
     }
   }
 
@@ -102,9 +102,7 @@
     StepRun step = task.step();
     List<Task> members = step.step().gang() ? step.tasks() : List.of(task);
     members.forEach(member -> member.addFailure(worker.id(), attempt));
-    if (attempt == task.failed().newest()) {
-      task.setCheckpoint(checkpoint);
-    }
+    task.setCheckpoint(attempt, checkpoint);
     task.setNotBefore(clock.monotonicMillis() + RETRY_PAUSE_MILLIS);
     journal.touch(job);
     if (isSpent(task, maxAttempts)) {
@@ -141,9 +139,8 @@
     end(task.job(), JobState.FAILED, task.id() + " failed " + task.failures() + " times");
   }
 
-  private void keep(Task task, String checkpoint) {
-    if (!checkpoint.isEmpty()) {
-      task.setCheckpoint(checkpoint);
+  private void keep(Task task, int attempt, String checkpoint) {
+    if (task.setCheckpoint(attempt, checkpoint)) {
       journal.touch(task.job());
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -182,7 +182,8 @@
                 .setFailures(task.failures())
                 .setFailedAttempt(task.failed().newest())
                 .addAllOlderFailedAttempts(task.failed().older())
-                .setCheckpoint(task.checkpoint()));
+                .setCheckpoint(task.checkpoint())
+                .setCheckpointAttempt(task.checkpointAttempt()));
       }
     }
     return progress.setDone(ByteString.copyFrom(done.toByteArray())).build();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -107,7 +107,7 @@
     gaugeBefore = gauge;
     gauge = report.gauge();
     if (task.run() == this) {
-      task.setCheckpoint(report.checkpoint());
+      task.setCheckpoint(attempt(), report.checkpoint());
     }
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -12,6 +12,7 @@
   private final FailedAttempts failed;
   private int lastAttempt;
   private String checkpoint = "";
+  private int checkpointAttempt;
   private @Nullable Run run;
 
   /** Runs beside that one, or of a task that has ended: they are stopped. */
@@ -85,11 +86,24 @@
     return checkpoint;
   }
 
-  /** Keeps a checkpoint; an empty one leaves the last. */
-  void setCheckpoint(String newest) {
-    if (!newest.isEmpty()) {
-      checkpoint = newest;
+  /** Returns the number of the attempt that the checkpoint stems from; 0 if it is not known. */
+  int checkpointAttempt() {
+    return checkpointAttempt;
+  }
+
+  /**
+   * Keeps the checkpoint of an attempt. An empty one leaves the last, and so does one of an attempt
+   * before that of the last, which is told late.
+   *
+   * @return whether it is kept
+   */
+  boolean setCheckpoint(int attempt, String newest) {
+    if (newest.isEmpty() || attempt < checkpointAttempt) {
+      return false;
     }
+    checkpoint = newest;
+    checkpointAttempt = attempt;
+    return true;
   }
 
   @Nullable Run run() {
