Leave a row out that the table service refuses for good, so that others go on

Callers saw nothing move beside one job whose progress was too large: no end was stored, and the holder of the cell lost its lease.

Cause: a transaction that the service refuses as too large or malformed (413, 400) was taken for one of unknown outcome and sent again for ever.

Such a transaction has an outcome of its own, REFUSED. A row that is refused alone is left out with a log line and is sent again after 10 s, as the row need not have been at fault. While the progress of a job is left out, its ends are not confirmed, nor those behind them at the same worker; while the roster is left out, no worker is opened by it. A caller whose job is refused is told so (TOO_LARGE) instead of an unknown outcome.

StrictStore of EndsTest answered UNKNOWN to what exceeds the limits, as the adapter did; it answers REFUSED now, as the adapter does. No check changed.

Evidence: EndsTest#rowThatIsTooLargeHoldsUpNoOther, #rosterOfManySilentWorkersHoldsUpNoOther and #jobsThatAreTooLargeTogetherAreStoredOneAfterTheOther failed before and pass; new are #endThatCouldNotBeStoredIsNotConfirmed (fails if left-out rows are not asked for), #rowThatWasRefusedIsSentAgainLater, #rosterThatIsRefusedIsNotTakenForStored and PlatformCallsTest#refusalForGoodIsTold.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformCallsTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformCallsTest.java
@@ -140,6 +140,15 @@
     assertEquals(Outcome.UNKNOWN, transact().outcome());
   }
 
+  /** What is too large or malformed is refused every time. */
+  @Test
+  void refusalForGoodIsTold() {
+    status = 400;
+    assertEquals(Outcome.REFUSED, transact().outcome());
+    status = 413;
+    assertEquals(Outcome.REFUSED, transact().outcome());
+  }
+
   @Test
   void storeThatIsAwayDidNothing() {
     server.stop(0);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -118,8 +118,7 @@
     Task task = task(step(1));
     JobKeeper keeper = keeper();
     for (int attempt = 1; attempt <= 3; attempt++) {
-      keeper.onEnded(
-          task, attempt, RunMaker.worker("w0"), EndKind.FAILED, "", null, MAX_ATTEMPTS);
+      keeper.onEnded(task, attempt, RunMaker.worker("w0"), EndKind.FAILED, "", null, MAX_ATTEMPTS);
     }
     assertFalse(keeper.failIfSpent(task.job(), 4));
     assertTrue(keeper.failIfSpent(task.job(), 3));
@@ -375,8 +374,7 @@
     tasks.forEach(task -> runner.start(task, worker));
     ImmutableList<EndReport> ends =
         ImmutableList.of(end(1, tasks.get(0)), end(2, tasks.get(1)), end(3, tasks.get(2)));
-    HoldReply reply =
-        new HoldReply(OrderOutcome.ACCEPTED, 1, 1, ImmutableList.of(), ends, true);
+    HoldReply reply = new HoldReply(OrderOutcome.ACCEPTED, 1, 1, ImmutableList.of(), ends, true);
     runner.onReport(worker, reply, world.time.millis());
     assertTrue(tasks.get(0).isDone());
     assertFalse(tasks.get(1).isDone());
@@ -470,6 +468,57 @@
     assertTrue(stored[0]);
   }
 
+  /** The service refuses the progress of a job: its ends are told again to the next holder. */
+  @Test
+  void endThatCouldNotBeStoredIsNotConfirmed() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.time.runFor(SETTLED);
+    small.store.refusedProgress = "a";
+    small.submit(0, "a", step(2));
+    small.submit(0, "b", step(2));
+    small.time.runFor(5_000);
+    assertEquals(JobState.COMPLETED, small.state("b"));
+    assertTrue(small.workers.get("w0").unconfirmedEnds() > 0);
+    small.holder().kill();
+    small.store.refusedProgress = "";
+    small.time.runFor(20_000);
+    assertEquals(JobState.COMPLETED, small.state("a"));
+    assertEquals(4, small.workers.starts.size());
+    assertEquals(List.of(), small.workers.breaches);
+    assertEquals(0, small.workers.get("w0").unconfirmedEnds());
+  }
+
+  /** The service refused everything for a while, and nothing changes the job any more. */
+  @Test
+  void rowThatWasRefusedIsSentAgainLater() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.time.runFor(SETTLED);
+    small.store.refusedProgress = "a";
+    small.submit(0, "a", step(2));
+    small.time.runFor(5_000);
+    small.store.refusedProgress = "";
+    small.time.runFor(20_000);
+    assertEquals(JobState.COMPLETED, small.state("a"));
+    assertEquals(0, small.workers.get("w0").unconfirmedEnds());
+    assertEquals(2, small.workers.starts.size());
+  }
+
+  /** Workers are opened by a roster that is stored, as a later holder looks for tasks there. */
+  @Test
+  void rosterThatIsRefusedIsNotTakenForStored() {
+    StrictStore store = new StrictStore();
+    CellJournal journal = journal(store);
+    RosterRecord.Builder roster = RosterRecord.newBuilder().setFormat(JobRows.FORMAT);
+    String address = "a".repeat(StrictStore.LARGEST_ROW);
+    roster.addWorkers(RosterEntry.newBuilder().setWorker("w").setAddress(address));
+    journal.setRoster(roster.build());
+    run(journal);
+    assertTrue(journal.isRosterLeftOut());
+    journal.setRoster(roster.clearWorkers().build());
+    run(journal);
+    assertFalse(journal.isRosterLeftOut());
+  }
+
   /** All workers are silent to the holder, and the roster names the tasks of each. */
   @Test
   void rosterOfManySilentWorkersHoldsUpNoOther() {
@@ -635,7 +684,7 @@
     public void transact(
         Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
       if (!isWithinLimits(transaction)) {
-        handler.accept(new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of()));
+        handler.accept(new TransactionResult(Outcome.REFUSED, 0, ImmutableList.of()));
         return;
       }
       version++;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -49,6 +49,9 @@
   /** Longest delay of a transaction that is not answered, in milliseconds. */
   long lateMillis;
 
+  /** Job whose progress is refused for good; empty for none. */
+  String refusedProgress = "";
+
   /** Whether no call is answered. */
   boolean silent;
 
@@ -181,9 +184,19 @@
     @Override
     public void transact(
         Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
+      if (isRefused(transaction)) {
+        TransactionResult refused = new TransactionResult(Outcome.REFUSED, 0, ImmutableList.of());
+        inbox.answer(LATENCY_MILLIS, () -> handler.accept(refused));
+        return;
+      }
       outbox.send(() -> sendTransaction(transaction, timeoutMillis, handler));
     }
 
+    private boolean isRefused(Transaction transaction) {
+      Transaction.RowName refused = JobRows.progress(refusedProgress);
+      return !dead() && transaction.writes().stream().anyMatch(w -> w.row().equals(refused));
+    }
+
     private void sendTransaction(
         Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
       TransactionResult unknown = new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of());
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -337,8 +337,7 @@
       runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(since), 0)));
       ImmutableList<EndReport> listed = listedEnds();
       boolean isWhole = listed.size() < MOST_ENDS;
-      return new HoldReply(
-          OrderOutcome.ACCEPTED, clock(), born, running.build(), listed, isWhole);
+      return new HoldReply(OrderOutcome.ACCEPTED, clock(), born, running.build(), listed, isWhole);
     }
 
     private int percent(long since) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
@@ -188,6 +188,7 @@
         // In a conflict the job is there: this call comes again, or its first answer was lost.
         case COMMITTED, CONFLICT -> answer(CallerReply.of(ResultCode.DONE));
         case NOT_DONE -> onNotDone();
+        case REFUSED -> answer(CallerReply.refused(ResultCode.TOO_LARGE));
         case UNKNOWN -> onUnknown(true);
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -1,6 +1,7 @@
 package org.hemlockpick.cell;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -26,6 +27,21 @@
 
   private static final long RETRY_PAUSE_MILLIS = 100;
 
+  /** Pause before jobs that were left out are sent again: not they may have been at fault. */
+  private static final long LEFT_OUT_PAUSE_MILLIS = 10_000;
+
+  /** Most rows beside that of the lease in the next transaction. */
+  private int mostRows = MAX_ROWS - 1;
+
+  /** Jobs whose newest progress the service has refused for good, so that it is not stored. */
+  private final Set<Job> leftOut = new HashSet<>();
+
+  /** Whether the service has refused the newest list of workers for good. */
+  private boolean rosterLeftOut;
+
+  /** Time on the steady clock from which the jobs that were left out are sent again. */
+  private long nextLeftOutAt;
+
   private final CellSettings settings;
   private final TableService store;
   private final LoopClock clock;
@@ -94,6 +110,16 @@
     changed.add(job);
   }
 
+  /** Tells whether the newest progress of a job was left out, as the service refuses its row. */
+  boolean isLeftOut(Job job) {
+    return leftOut.contains(job);
+  }
+
+  /** Tells whether the newest list of workers was left out, as the service refuses its row. */
+  boolean isRosterLeftOut() {
+    return rosterLeftOut;
+  }
+
   /** Has the list of the workers that may run tasks written with the next transaction. */
   void setRoster(RosterRecord newest) {
     roster = newest;
@@ -108,10 +134,14 @@
 
   /** Has the progress of a job removed. */
   void remove(String job) {
+    leftOut.removeIf(left -> left.id().equals(job));
     removals.add(JobRows.progress(job));
   }
 
-  /** Runs an action once everything that was handed in so far is stored; at once if it is. */
+  /**
+   * Runs an action once everything that was handed in so far is stored or left out; at once if it
+   * is.
+   */
   void whenStored(Runnable action) {
     boolean clean = changed.isEmpty() && roster == null && !underWay;
     if (clean) {
@@ -170,6 +200,7 @@
 
   void run() {
     long now = clock.monotonicMillis();
+    retryLeftOut(now);
     boolean renewal = now - sentAt >= CellTiming.RENEWAL || term.isDoubted();
     boolean due = hasChanges() || releasing || renewal;
     if (!ended && !underWay && due && now >= nextAt) {
@@ -177,6 +208,14 @@
     }
   }
 
+  private void retryLeftOut(long now) {
+    if (underWay || now < nextLeftOutAt) {
+      return;
+    }
+    nextLeftOutAt = now + LEFT_OUT_PAUSE_MILLIS;
+    changed.addAll(leftOut);
+  }
+
   private boolean hasChanges() {
     return !changed.isEmpty() || roster != null || !waiting.isEmpty() || !removals.isEmpty();
   }
@@ -203,14 +242,14 @@
     if (sentRoster != null) {
       writes.add(new Write(CellRows.roster(settings.cell()), sentRoster.toByteString()));
     }
-    if (learned != null) {
+    if (learned != null && writes.size() <= mostRows) {
       writes.add(new Write(CellRows.learned(settings.cell()), learned.toByteString()));
       learned = null;
     }
     sentJobs = new LinkedHashSet<>();
     Set<Job> rest = new LinkedHashSet<>();
     for (Job job : changed) {
-      if (writes.size() < MAX_ROWS) {
+      if (writes.size() <= mostRows) {
         sentJobs.add(job);
         writes.add(new Write(JobRows.progress(job.id()), JobRows.encode(job)));
       } else {
@@ -221,7 +260,7 @@
     // What waits for a job that was left out waits for the transaction after this.
     sentWaiting = rest.isEmpty() ? waiting : List.of();
     waiting = rest.isEmpty() ? new ArrayList<>() : waiting;
-    int room = Math.min(removals.size(), MAX_ROWS - writes.size());
+    int room = Math.min(removals.size(), mostRows + 1 - writes.size());
     List<RowName> removed = new ArrayList<>(removals.subList(0, Math.max(0, room)));
     removals = new ArrayList<>(removals.subList(removed.size(), removals.size()));
     return new Transaction(
@@ -238,6 +277,7 @@
     setReachable(result.outcome() != Outcome.UNKNOWN && result.outcome() != Outcome.NOT_DONE);
     switch (result.outcome()) {
       case COMMITTED -> onCommitted(result.version(), startedAt, now, last);
+      case REFUSED -> onRefused(transaction, now);
       case CONFLICT -> onConflict(result, transaction, now);
       case NOT_DONE, UNKNOWN -> {
         putBack(transaction);
@@ -262,6 +302,7 @@
   private void onCommitted(long newVersion, long startedAt, long now, boolean last) {
     version = newVersion;
     term.renew(startedAt);
+    onAccepted();
     nextAt = Math.max(startedAt + CellTiming.COMMIT_PAUSE, now);
     sentJobs = Set.of();
     sentRoster = null;
@@ -274,6 +315,42 @@
     }
   }
 
+  /** Takes note that the rows of the last transaction are stored. */
+  private void onAccepted() {
+    leftOut.removeAll(sentJobs);
+    rosterLeftOut &= sentRoster == null;
+    mostRows = Math.min(MAX_ROWS - 1, 2 * mostRows);
+  }
+
+  /** Sends half of the rows next; a row that is refused alone is left out, so that others go on. */
+  private void onRefused(Transaction transaction, long now) {
+    int rows = transaction.writes().size() - 1 + transaction.removals().size();
+    mostRows = Math.max(1, rows / 2);
+    nextAt = rows > 0 ? now : now + RETRY_PAUSE_MILLIS;
+    if (rows == 1) {
+      leaveOut(transaction);
+    }
+    putBack(transaction);
+    if (rows == 1) {
+      removals.removeAll(transaction.removals());
+    }
+  }
+
+  private void leaveOut(Transaction transaction) {
+    for (Write write : transaction.writes().subList(1, transaction.writes().size())) {
+      String size = write.value().size() + " bytes, not stored";
+      log.decided("journal", write.row().key(), "row refused", write.row().table() + ", " + size);
+    }
+    transaction
+        .removals()
+        .forEach(row -> log.decided("journal", row.key(), "removal refused", row.table()));
+    leftOut.addAll(sentJobs);
+    sentJobs = Set.of();
+    rosterLeftOut |= sentRoster != null;
+    sentRoster = null;
+    nextLeftOutAt = clock.monotonicMillis() + LEFT_OUT_PAUSE_MILLIS;
+  }
+
   /** A conflict comes from another holder, or from a write of our own whose answer was lost. */
   private void onConflict(TransactionResult result, Transaction transaction, long now) {
     for (StoredRow row : result.current()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -233,8 +233,10 @@
     long born = worker.entry().bornMillis();
     journal.whenStored(
         () -> {
-          if (worker.entry().bornMillis() == born && worker.lastEnd() >= end) {
-            worker.setRecordedEnd(end);
+          long stored = worker.lastStoredEnd(end, journal::isLeftOut);
+          boolean sameBoot = worker.entry().bornMillis() == born && worker.lastEnd() >= end;
+          if (sameBoot && stored > worker.recordedEnd()) {
+            worker.setRecordedEnd(stored);
             worker.setNextHoldAt(Math.min(worker.nextHoldAt(), clock.monotonicMillis()));
           }
         });
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/StoreContact.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/StoreContact.java
@@ -33,7 +33,10 @@
         timeoutMillis,
         result -> {
           boolean answered =
-              result.outcome() == Outcome.COMMITTED || result.outcome() == Outcome.CONFLICT;
+              switch (result.outcome()) {
+                case COMMITTED, CONFLICT, REFUSED -> true;
+                case NOT_DONE, UNKNOWN -> false;
+              };
           onEnded(answered);
           handler.accept(result);
         });
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TableService.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TableService.java
@@ -45,6 +45,8 @@
     CONFLICT,
     /** The service did nothing and will do nothing. */
     NOT_DONE,
+    /** The service did nothing and never will do this: it is too large or malformed. */
+    REFUSED,
     /** It may have been applied, or may be applied later. */
     UNKNOWN
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -268,8 +268,8 @@
   }
 
   /**
-   * Takes the ends of a report. One whose handling fails loses none behind it, and is not confirmed:
-   * it comes with the next report again.
+   * Takes the ends of a report. One whose handling fails loses none behind it, and is not
+   * confirmed: it comes with the next report again.
    *
    * @return the runs whose ends could not be handled
    */
@@ -310,6 +310,7 @@
       log.decided("end", end.run().task().toString(), "unknown task", kind + at(worker, end));
       return;
     }
+    worker.addUnrecorded(end.number(), task.job());
     String known = known(task, end.run().attempt(), run);
     String subject = end.run().task().toString();
     log.decided("end", subject, end.kind().name(), at(worker, end) + known);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -4,8 +4,11 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.cell.WorkerPort.Target;
 
@@ -45,6 +48,9 @@
   private boolean failedEnds;
   private long recordedEnd;
 
+  /** Jobs of the ends above that one. */
+  private final NavigableMap<Long, Job> unrecorded = new TreeMap<>();
+
   /** Number up to which ends were confirmed to this boot. */
   private long confirmedEnd;
 
@@ -112,6 +118,7 @@
     takenAbove.clear();
     failedEnds = false;
     recordedEnd = 0;
+    unrecorded.clear();
     confirmedEnd = 0;
   }
 
@@ -278,6 +285,27 @@
 
   void setRecordedEnd(long number) {
     recordedEnd = Math.max(recordedEnd, number);
+    unrecorded.headMap(recordedEnd, true).clear();
+  }
+
+  /** Takes note of the job of an end that is not recorded yet. */
+  void addUnrecorded(long number, Job job) {
+    unrecorded.put(number, job);
+  }
+
+  /**
+   * Returns the number up to which ends belong to jobs whose progress is stored.
+   *
+   * @param number highest number to return
+   * @param isLeftOut tells whether the newest progress of a job is not stored
+   */
+  long lastStoredEnd(long number, Predicate<Job> isLeftOut) {
+    for (Map.Entry<Long, Job> end : unrecorded.headMap(number, true).entrySet()) {
+      if (isLeftOut.test(end.getValue())) {
+        return end.getKey() - 1;
+      }
+    }
+    return number;
   }
 
   boolean isHolding() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -18,6 +18,9 @@
 final class WorkerList {
   private static final long PAUSE_MILLIS = 450;
 
+  /** Pause before a roster that the table service has refused is written again. */
+  private static final long REFUSED_PAUSE_MILLIS = 10_000;
+
   private final TableService store;
   private final ConfigurationSource source;
   private final WorkerTable workers;
@@ -30,6 +33,7 @@
   private boolean reading;
   private long nextReadAt;
   private boolean rosterChanged;
+  private long nextRefusedAt;
   private long rosterNumber;
 
   /** Hears of changes. */
@@ -82,6 +86,10 @@
       nextReadAt = now + PAUSE_MILLIS;
       PagedRead.start(store, new Range(source.workerTable(), "", "", ""), this::onRows);
     }
+    if (journal.isRosterLeftOut() && now >= nextRefusedAt) {
+      nextRefusedAt = now + REFUSED_PAUSE_MILLIS;
+      rosterChanged = true;
+    }
     if (rosterChanged && read && takeOver.isRead()) {
       rosterChanged = false;
       storeRoster();
@@ -188,8 +196,10 @@
     journal.setRoster(roster.build());
     journal.whenStored(
         () -> {
-          known.forEach(worker -> worker.onRosterStored(number));
-          listener.onRosterStored();
+          if (!journal.isRosterLeftOut()) {
+            known.forEach(worker -> worker.onRosterStored(number));
+            listener.onRosterStored();
+          }
         });
   }
 
