--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -12,6 +12,9 @@
 import java.util.function.Consumer;
 import org.hemlockpick.cell.Transaction.Write;
 import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.hemlockpick.cell.WorkerPort.EndReport;
+import org.hemlockpick.cell.WorkerPort.HoldReply;
+import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.proto.CellRecord;
 import org.hemlockpick.proto.JobStateRecord;
@@ -32,6 +35,9 @@
   /** Longest time for which a task may wait though there is room. */
   private static final long LONGEST_IDLE = 3_000;
 
+  private static final CellSettings SETTINGS =
+      new CellSettings("n", "n:1", "i", "c0", 5_000, 200, 120_000);
+
   private final CellWorld world = new CellWorld(20261204, 3, 4);
 
   /** Failures that were not stored are heard again in the order in which workers answer. */
@@ -73,6 +79,19 @@
     assertEquals("newer", task.checkpoint());
   }
 
+  /** The next holder drops it too: the row names the attempt of the checkpoint. */
+  @Test
+  void checkpointOfAReplacedAttemptIsDroppedByTheNextHolder() throws Exception {
+    Task task = task(step(1));
+    JobKeeper keeper = keeper();
+    Worker worker = RunMaker.worker("w0");
+    keeper.onEnded(task, 2, worker, EndKind.STOPPED, "newer", null, MAX_ATTEMPTS);
+    Task restored = task(step(1));
+    restored.job().restore(ProgressRecord.parseFrom(JobRows.encode(task.job())));
+    keeper.onEnded(restored, 1, worker, EndKind.LAPSED, "older", null, MAX_ATTEMPTS);
+    assertEquals("newer", restored.checkpoint());
+  }
+
   /** A new process hears of the last failure before it has read the configuration. */
   @Test
   void jobFailsThoughItsLastFailureIsHeardBeforeTheConfigurationIsKnown() {
@@ -99,8 +118,7 @@
     Task task = task(step(1));
     JobKeeper keeper = keeper();
     for (int attempt = 1; attempt <= 3; attempt++) {
-      keeper.onEnded(
-          task, attempt, RunMaker.worker("w0"), EndKind.FAILED, "", null, MAX_ATTEMPTS);
+      keeper.onEnded(task, attempt, RunMaker.worker("w0"), EndKind.FAILED, "", null, MAX_ATTEMPTS);
     }
     assertFalse(keeper.failIfSpent(task.job(), 4));
     assertTrue(keeper.failIfSpent(task.job(), 3));
@@ -346,6 +364,67 @@
     assertTrue(jobs.get("second") != null);
   }
 
+  /** The handling of an end fails; it comes again, and those behind it are handled at once. */
+  @Test
+  void endsBehindOneWhoseHandlingFailsAreNotLost() {
+    Task first = task(step(3));
+    List<Task> tasks = first.step().tasks();
+    Worker worker = RunMaker.worker("w0");
+    TaskRunner runner = runnerThatFailsOnce(first.job());
+    tasks.forEach(task -> runner.start(task, worker));
+    ImmutableList<EndReport> ends =
+        ImmutableList.of(end(1, tasks.get(0)), end(2, tasks.get(1)), end(3, tasks.get(2)));
+    HoldReply reply = new HoldReply(OrderOutcome.ACCEPTED, 1, 1, ImmutableList.of(), ends, true);
+    runner.onReport(worker, reply, world.time.millis());
+    assertTrue(tasks.get(0).isDone());
+    assertFalse(tasks.get(1).isDone());
+    assertTrue(tasks.get(1).run() != null);
+    assertTrue(tasks.get(2).isDone());
+    assertEquals(1, worker.lastEnd());
+    runner.onReport(worker, reply, world.time.millis());
+    assertTrue(tasks.get(1).isDone());
+    assertEquals(3, worker.lastEnd());
+  }
+
+  private static EndReport end(long number, Task task) {
+    return new EndReport(number, new RunName(task.id(), 1), EndKind.DONE, "");
+  }
+
+  /** Makes a runner that fails with the second end that it takes. */
+  private TaskRunner runnerThatFailsOnce(Job job) {
+    JobTable jobs = new JobTable();
+    jobs.add(job);
+    TaskRunner.Context context =
+        new TaskRunner.Context() {
+          private int asked;
+
+          @Override
+          public int maxAttempts(Job any) {
+            if (++asked == 2) {
+              throw new IllegalStateException("once");
+            }
+            return MAX_ATTEMPTS;
+          }
+
+          @Override
+          public void onFenced(Worker worker) {}
+
+          @Override
+          public void onChange() {}
+        };
+    return new TaskRunner(
+        SETTINGS,
+        1,
+        1,
+        world.workers.view(),
+        jobs,
+        keeper(),
+        journal(new StrictStore()),
+        world.nodes.get(0),
+        (kind, subject, outcome, reason) -> {},
+        context);
+  }
+
   /** Does what the loop does, which goes on after an action that fails. */
   private void turn(JobFeed feed) {
     try {
@@ -389,6 +468,57 @@
     assertTrue(stored[0]);
   }
 
+  /** The service refuses the progress of a job: its ends are told again to the next holder. */
+  @Test
+  void endThatCouldNotBeStoredIsNotConfirmed() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.time.runFor(SETTLED);
+    small.store.refusedProgress = "a";
+    small.submit(0, "a", step(2));
+    small.submit(0, "b", step(2));
+    small.time.runFor(5_000);
+    assertEquals(JobState.COMPLETED, small.state("b"));
+    assertTrue(small.workers.get("w0").unconfirmedEnds() > 0);
+    small.holder().kill();
+    small.store.refusedProgress = "";
+    small.time.runFor(20_000);
+    assertEquals(JobState.COMPLETED, small.state("a"));
+    assertEquals(4, small.workers.starts.size());
+    assertEquals(List.of(), small.workers.breaches);
+    assertEquals(0, small.workers.get("w0").unconfirmedEnds());
+  }
+
+  /** The service refused everything for a while, and nothing changes the job any more. */
+  @Test
+  void rowThatWasRefusedIsSentAgainLater() {
+    CellWorld small = new CellWorld(20261204, 3, 1);
+    small.time.runFor(SETTLED);
+    small.store.refusedProgress = "a";
+    small.submit(0, "a", step(2));
+    small.time.runFor(5_000);
+    small.store.refusedProgress = "";
+    small.time.runFor(20_000);
+    assertEquals(JobState.COMPLETED, small.state("a"));
+    assertEquals(0, small.workers.get("w0").unconfirmedEnds());
+    assertEquals(2, small.workers.starts.size());
+  }
+
+  /** Workers are opened by a roster that is stored, as a later holder looks for tasks there. */
+  @Test
+  void rosterThatIsRefusedIsNotTakenForStored() {
+    StrictStore store = new StrictStore();
+    CellJournal journal = journal(store);
+    RosterRecord.Builder roster = RosterRecord.newBuilder().setFormat(JobRows.FORMAT);
+    String address = "a".repeat(StrictStore.LARGEST_ROW);
+    roster.addWorkers(RosterEntry.newBuilder().setWorker("w").setAddress(address));
+    journal.setRoster(roster.build());
+    run(journal);
+    assertTrue(journal.isRosterLeftOut());
+    journal.setRoster(roster.clearWorkers().build());
+    run(journal);
+    assertFalse(journal.isRosterLeftOut());
+  }
+
   /** All workers are silent to the holder, and the roster names the tasks of each. */
   @Test
   void rosterOfManySilentWorkersHoldsUpNoOther() {
@@ -499,7 +629,7 @@
     Job job = new Job(CellWorld.job(id, 0, smallStep(tasks)), 1, false);
     job.openDue(0);
     for (Task task : job.stepRuns().get(0).tasks()) {
-      task.setCheckpoint("0123456789abcdef");
+      task.setCheckpoint(1, "0123456789abcdef");
     }
     return job;
   }
@@ -515,7 +645,7 @@
 
   private CellJournal journal(TableService store) {
     return new CellJournal(
-        new CellSettings("n", "n:1", "i", "c0", 5_000, 200, 120_000),
+        SETTINGS,
         store,
         world.nodes.get(0),
         1,
@@ -554,7 +684,7 @@
     public void transact(
         Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
       if (!isWithinLimits(transaction)) {
-        handler.accept(new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of()));
+        handler.accept(new TransactionResult(Outcome.REFUSED, 0, ImmutableList.of()));
         return;
       }
       version++;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -216,7 +216,7 @@
   }
 
   private static long pause(Worker worker, HoldReply reply) {
-    if (worker.recordedEnd() < worker.lastEnd()) {
+    if (worker.recordedEnd() < worker.lastEnd() || worker.hasFailedEnds()) {
       return UNSTORED_PAUSE_MILLIS;
     }
     if (worker.isConfirmationDue()) {
@@ -236,8 +236,10 @@
     long born = worker.entry().bornMillis();
     journal.whenStored(
         () -> {
-          if (worker.entry().bornMillis() == born && worker.lastEnd() >= end) {
-            worker.setRecordedEnd(end);
+          long stored = worker.lastStoredEnd(end, journal::isLeftOut);
+          boolean sameBoot = worker.entry().bornMillis() == born && worker.lastEnd() >= end;
+          if (sameBoot && stored > worker.recordedEnd()) {
+            worker.setRecordedEnd(stored);
             worker.setNextHoldAt(Math.min(worker.nextHoldAt(), clock.monotonicMillis()));
           }
         });
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -1,9 +1,14 @@
 package org.hemlockpick.cell;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.cell.WorkerPort.Target;
 
@@ -34,9 +39,18 @@
   /** Time on the own steady clock at which every lease has certainly ended. */
   private long leasesEndAt = Long.MIN_VALUE;
 
+  /** Number up to which all ends were taken. */
   private long lastEnd;
+
+  /** Numbers of ends above that were taken, too: the handling of one before them failed. */
+  private final Set<Long> takenAbove = new HashSet<>();
+
+  private boolean failedEnds;
   private long recordedEnd;
 
+  /** Jobs of the ends above that one. */
+  private final NavigableMap<Long, Job> unrecorded = new TreeMap<>();
+
   /** Number up to which ends were confirmed to this boot. */
   private long confirmedEnd;
 
@@ -101,7 +115,10 @@
     clockAt = nowMillis;
     noteLease(nowMillis, leaseMillis);
     lastEnd = 0;
+    takenAbove.clear();
+    failedEnds = false;
     recordedEnd = 0;
+    unrecorded.clear();
     confirmedEnd = 0;
   }
 
@@ -218,8 +235,32 @@
     return lastEnd;
   }
 
-  void setLastEnd(long number) {
-    lastEnd = Math.max(lastEnd, number);
+  /** Tells whether an end was taken. */
+  boolean hasTaken(long number) {
+    return number <= lastEnd || takenAbove.contains(number);
+  }
+
+  /**
+   * Takes note that an end was taken.
+   *
+   * @param isInOrder whether all before it were
+   */
+  void setTaken(long number, boolean isInOrder) {
+    if (isInOrder) {
+      lastEnd = Math.max(lastEnd, number);
+      takenAbove.remove(number);
+    } else {
+      takenAbove.add(number);
+    }
+  }
+
+  /** Tells whether its last report brought ends whose handling failed. */
+  boolean hasFailedEnds() {
+    return failedEnds;
+  }
+
+  void setFailedEnds(boolean some) {
+    failedEnds = some;
   }
 
   /** Returns the number up to which the ends are recorded in the table service. */
@@ -248,6 +289,27 @@
 
   void setRecordedEnd(long number) {
     recordedEnd = Math.max(recordedEnd, number);
+    unrecorded.headMap(recordedEnd, true).clear();
+  }
+
+  /** Takes note of the job of an end that is not recorded yet. */
+  void addUnrecorded(long number, Job job) {
+    unrecorded.put(number, job);
+  }
+
+  /**
+   * Returns the number up to which ends belong to jobs whose progress is stored.
+   *
+   * @param number highest number to return
+   * @param isLeftOut tells whether the newest progress of a job is not stored
+   */
+  long lastStoredEnd(long number, Predicate<Job> isLeftOut) {
+    for (Map.Entry<Long, Job> end : unrecorded.headMap(number, true).entrySet()) {
+      if (isLeftOut.test(end.getValue())) {
+        return end.getKey() - 1;
+      }
+    }
+    return number;
   }
 
   boolean isHolding() {
