--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/JournalReviewTest.java
@@ -0,0 +1,103 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.function.Consumer;
+import org.hemlockpick.cell.TableService.Outcome;
+import org.hemlockpick.cell.TableService.TransactionResult;
+import org.hemlockpick.proto.CellRecord;
+import org.junit.jupiter.api.Test;
+
+/** What an answer of the table service proves that comes after the lease was doubted. */
+class JournalReviewTest {
+  private static final long VERSION = 7;
+
+  private final Queue<Consumer<TransactionResult>> underWay = new ArrayDeque<>();
+  private long now = 1_000;
+
+  private final CellJournal journal =
+      new CellJournal(
+          new CellSettings("n0", "n0:1", "i1", "c0", 5_000, 200, 120_000),
+          new Answers(),
+          new Clock(),
+          VERSION,
+          now,
+          CellRecord::getDefaultInstance,
+          (kind, subject, outcome, reason) -> {},
+          new Ignored());
+
+  /** The machine was suspended: its steady clock does not show for how long. */
+  @Test
+  void renewalThatWasSentBeforeADoubtDoesNotEndIt() {
+    now += CellTiming.RENEWAL;
+    journal.run();
+    journal.doubt();
+    answer(Outcome.COMMITTED);
+    assertFalse(journal.isSure(now));
+  }
+
+  @Test
+  void renewalThatWasSentAfterADoubtEndsIt() {
+    journal.doubt();
+    journal.run();
+    answer(Outcome.COMMITTED);
+    assertTrue(journal.isSure(now));
+  }
+
+  private void answer(Outcome outcome) {
+    underWay.remove().accept(new TransactionResult(outcome, VERSION + 1, ImmutableList.of()));
+  }
+
+  /** Time that the test sets. */
+  private final class Clock implements LoopClock {
+    @Override
+    public long monotonicMillis() {
+      return now;
+    }
+
+    @Override
+    public long wallMillis() {
+      return now;
+    }
+  }
+
+  /** Leaves transactions under way until the test answers them. */
+  private final class Answers implements TableService {
+    @Override
+    public void transact(
+        Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
+      underWay.add(handler);
+    }
+
+    @Override
+    public void read(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void watch(
+        String table,
+        long afterVersion,
+        long waitMillis,
+        long timeoutMillis,
+        Consumer<WatchResult> handler) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  /** Takes note of nothing. */
+  private static final class Ignored implements CellJournal.Listener {
+    @Override
+    public void onDeposed(String reason) {}
+
+    @Override
+    public void onReachable(boolean answers) {}
+
+    @Override
+    public void onReleased() {}
+  }
+}
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ReviewTest.java
@@ -0,0 +1,248 @@
+package org.hemlockpick.cell;
+
+import static org.hemlockpick.cell.CellWorld.step;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+
+/** Beliefs about former holders and leases that take-overs and lost answers in series refute. */
+class ReviewTest {
+  /** Time after which the clocks of the workers are beyond the length of a lease. */
+  private static final long SETTLED = 10_000;
+
+  /** Time from a start until the transaction that stores it is under way. */
+  private static final long STORING_MILLIS = 8;
+
+  private static final long HEALING = 25_000;
+  private static final long LONG_HEALING = 60_000;
+
+  private final CellWorld world = new CellWorld(20261204, 3, 4);
+
+  /**
+   * A process whose claim was carried out and not answered found its own name in the row, claimed
+   * again, and took the holder before for ended, which renewed leases for 8 s.
+   */
+  @Test
+  void claimThatIsNotAnsweredDoesNotEndTheHolderBefore() {
+    world.workers.runMillis = 20_000;
+    CellWorld.Node former = holderWithOneWorkerAndNoStore();
+    CellWorld.Node next = other(former);
+    for (CellWorld.Node node : world.nodes) {
+      node.storeView.cut |= node != next;
+    }
+    next.storeView.answersLost = true;
+    runUntil(() -> log(" lease c0 claim UNKNOWN"), 5_000);
+    next.storeView.answersLost = false;
+    healAfterAWhile(former);
+    assertClean();
+  }
+
+  /**
+   * A process took the cell and ended before it stored a roster; the next one at its address took
+   * the roster for its own, and the holder before that for ended.
+   */
+  @Test
+  void rosterOfTheHolderBeforeTheLastIsNotTheLastOnes() {
+    world.workers.runMillis = 20_000;
+    CellWorld.Node former = holderWithOneWorkerAndNoStore();
+    CellWorld.Node next = nextHolder(former);
+    next.kill();
+    next.start();
+    cutAllBut(former.life(), "w1");
+    healAfterAWhile(former);
+    assertClean();
+  }
+
+  /** The same, where the process that took the cell was told to stop at once and released it. */
+  @Test
+  void rosterOfTheHolderBeforeTheLastIsNotTheOneOfAHolderThatReleasedTheCell() {
+    world.workers.runMillis = 20_000;
+    CellWorld.Node former = holderWithOneWorkerAndNoStore();
+    nextHolder(former).process().beginStop();
+    healAfterAWhile(former);
+    assertClean();
+  }
+
+  /**
+   * The stored roster named a worker as silent. The holder reached it again and extended its leases
+   * though it could not store that, and its successor counted them as ended.
+   */
+  @Test
+  void leasesOfAWorkerThatIsStoredAsSilentAreNotExtendedWithoutTheStore() {
+    world.workers.runMillis = 20_000;
+    world.time.runFor(SETTLED);
+    CellWorld.Node former = world.holder();
+    world.submit(world.nodes.indexOf(former) + 1, "a", step(8));
+    world.time.runFor(1_500);
+    former.workerView.unreached.add("w1");
+    runUntil(() -> log(" worker w1 not reached"), 3_000);
+    world.time.runFor(200);
+    former.storeView.cut = true;
+    former.workerView.unreached.addAll(List.of("w0", "w2", "w3"));
+    former.workerView.unreached.remove("w1");
+    cutAllBut(former.life(), "w1");
+    healAfterAWhile(former);
+    assertClean();
+  }
+
+  /**
+   * A call to hold named the end of a lease on the clock of the boot before and reached the new one
+   * late; no answer came, and the holder counted the lease from its decision.
+   */
+  @Test
+  void holdThatReachesANewBootGrantsNoLongerLease() {
+    world.workers.runMillis = 20_000;
+    world.time.runFor(3 * SETTLED + 300);
+    CellWorld.Node holder = world.holder();
+    holder.workerView.hold();
+    world.workers.get("w1").restart(800);
+    world.submit(world.nodes.indexOf(holder) + 1, "a", step(8));
+    world.time.runFor(850);
+    holder.workerView.release();
+    world.time.runFor(6);
+    holder.workerView.hold();
+    world.time.runFor(1_500);
+    holder.workerView.release();
+    world.time.runFor(5);
+    world.workers.get("w1").cut = true;
+    world.time.runFor(9_000);
+    world.workers.get("w1").cut = false;
+    world.list("w1");
+    world.time.runFor(LONG_HEALING);
+    assertClean();
+  }
+
+  /**
+   * An order lay before its socket while a successor took the cell and heard of all workers. One of
+   * these started anew after that, knew no fence, and got the order before any other call.
+   */
+  @Test
+  void orderThatIsSentLateStartsNothingInABootAfterTheTakeOver() {
+    world.workers.runMillis = 6_000;
+    world.time.runFor(SETTLED);
+    CellWorld.Node holder = holderThatKnowsNoRoomAtW0();
+    holder.life().stopBeforeSending(4_500);
+    world.submit(world.nodes.indexOf(holder) + 1, "a", step(9));
+    runUntil(holder::isStill, 2_000);
+    world.list("w0");
+    world.time.runFor(3_300);
+    world.workers.get("w1").restart(1_150);
+    world.time.runFor(HEALING);
+    assertClean();
+  }
+
+  /** What is read right after a suspension is handled before the next tick compares the clocks. */
+  @Test
+  void orderIsNotRepeatedRightAfterASuspension() {
+    world.workers.runMillis = 6_000;
+    world.time.runFor(SETTLED);
+    CellWorld.Node holder = holderThatKnowsNoRoomAtW0();
+    holder.workerView.startsLost = true;
+    world.submit(world.nodes.indexOf(holder) + 1, "a", step(9));
+    runUntil(() -> log(" start a.0.0.0 "), 2_000);
+    world.time.runFor(100);
+    holder.freeze(4_500);
+    holder.workerView.startsLost = false;
+    world.list("w0");
+    world.time.runFor(3_340);
+    world.workers.get("w1").restart(1_150);
+    world.time.runFor(HEALING);
+    assertClean();
+  }
+
+  /**
+   * A holder woke while its last renewal was under way. It saw that it had stood still, and then
+   * took the answer, which came from before the standstill, for the renewal that it had to wait
+   * for.
+   */
+  @Test
+  void renewalFromBeforeAStandstillAllowsNoOrdersAfterIt() {
+    world.workers.runMillis = 1_000;
+    world.time.runFor(SETTLED);
+    CellWorld.Node holder = holderThatKnowsNoRoomAtW0();
+    world.submit(world.nodes.indexOf(holder) + 1, "a", step(1), step(6, 0));
+    runUntil(() -> world.workers.starts.size() >= 1, 1_000);
+    world.time.runFor(STORING_MILLIS);
+    holder.stop(6_000);
+    world.list("w0");
+    world.workers.runMillis = 8_000;
+    world.time.runFor(4_400);
+    world.workers.get("w1").restart(1_500);
+    world.list("w1");
+    world.time.runFor(1_599);
+    // Its loop turns before the answers are read from their connections.
+    holder.process().tick();
+    world.time.runFor(HEALING);
+    assertClean();
+  }
+
+  /** Lets the holder place tasks otherwise than its successor, which finds w0 in the list. */
+  private CellWorld.Node holderThatKnowsNoRoomAtW0() {
+    world.store.remove("workers", "w0");
+    world.time.runFor(600);
+    return world.holder();
+  }
+
+  /** Leaves the holder with its runs at w1 alone, which no other process reaches. */
+  private CellWorld.Node holderWithOneWorkerAndNoStore() {
+    world.time.runFor(SETTLED);
+    CellWorld.Node holder = world.holder();
+    world.submit(world.nodes.indexOf(holder) + 1, "a", step(8));
+    world.time.runFor(1_500);
+    holder.storeView.cut = true;
+    holder.workerView.unreached.addAll(List.of("w0", "w2", "w3"));
+    cutAllBut(holder.life(), "w1");
+    return holder;
+  }
+
+  private void healAfterAWhile(CellWorld.Node former) {
+    world.time.runFor(13_000);
+    former.workerView.unreached.clear();
+    for (CellWorld.Node node : world.nodes) {
+      node.storeView.cut = false;
+      node.workerView.unreached.remove("w1");
+    }
+    world.time.runFor(LONG_HEALING);
+  }
+
+  private CellWorld.Node other(CellWorld.Node node) {
+    return world.nodes.get((world.nodes.indexOf(node) + 1) % world.nodes.size());
+  }
+
+  /** Waits until a process beside a former holder holds the cell, and returns its node. */
+  private CellWorld.Node nextHolder(CellWorld.Node former) {
+    runUntil(() -> world.nodes.stream().anyMatch(node -> holdsBeside(former, node)), 5_000);
+    return world.nodes.stream().filter(node -> holdsBeside(former, node)).findFirst().orElseThrow();
+  }
+
+  private static boolean holdsBeside(CellWorld.Node former, CellWorld.Node node) {
+    return node != former && node.process != null && node.process.isHolder();
+  }
+
+  /** Cuts every other process from a worker. */
+  private void cutAllBut(CellWorld.Life one, String worker) {
+    for (CellWorld.Node node : world.nodes) {
+      if (node.life() != one) {
+        node.workerView.unreached.add(worker);
+      }
+    }
+  }
+
+  private boolean log(String text) {
+    return world.log.stream().anyMatch(line -> line.contains(text));
+  }
+
+  private void runUntil(BooleanSupplier condition, long longestMillis) {
+    long latest = world.time.millis() + longestMillis;
+    while (!condition.getAsBoolean() && world.time.millis() < latest) {
+      world.time.runFor(1);
+    }
+  }
+
+  private void assertClean() {
+    assertEquals(List.of(), world.workers.breaches, () -> String.join("\n", world.log));
+    assertEquals(List.of(), world.unfinished(), () -> String.join("\n", world.log));
+  }
+}
