Let a task that has not failed run although every worker is paused

Callers saw a job wait 4.7 s beside idle workers, as the runs of another job had failed everywhere through its own fault.

Cause: a worker at which runs fail one after the other gets no work for up to 6 s. If that holds for every worker that suits a task, the pauses shield nobody, and hold up the tasks that would show that the workers are well.

A task that has not failed yet is given to a paused worker without runs if every worker that suits it is paused. One that has failed waits as before.

Evidence: EndsTest#jobStartsSoonThoughTheRunsOfAnotherFailEverywhere (4,722 ms) failed before and passes.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -187,8 +187,9 @@
 
   private List<Worker> candidates(Task task, Queue queue, long now) {
     List<Worker> candidates = new ArrayList<>();
+    boolean allPaused = task.failures() == 0 && areAllPaused(task, queue, now);
     for (Worker worker : workers.all()) {
-      if (mayRun(task, queue, worker, now)) {
+      if (mayRun(task, queue, worker, now, allPaused)) {
         candidates.add(worker);
       }
     }
@@ -216,7 +217,25 @@
     return false;
   }
 
-  private static boolean mayRun(Task task, Queue queue, Worker worker, long now) {
+  /**
+   * Tells whether every worker that suits a task is paused. Their failures may be the fault of what
+   * ran there, so that a task that has not failed yet need not wait for the end of the pauses.
+   */
+  private boolean areAllPaused(Task task, Queue queue, long now) {
+    boolean isAny = false;
+    for (Worker worker : workers.all()) {
+      if (suits(task, queue, worker, now)) {
+        if (!worker.health().isPaused(now)) {
+          return false;
+        }
+        isAny = true;
+      }
+    }
+    return isAny;
+  }
+
+  private static boolean mayRun(
+      Task task, Queue queue, Worker worker, long now, boolean allPaused) {
     Step step = task.step().step();
     if (!suits(task, queue, worker, now) || !step.reserved().fitsInto(worker.free())) {
       return false;
@@ -224,7 +243,7 @@
     if (step.maxPerWorker() > 0 && task.step().countAt(worker) >= step.maxPerWorker()) {
       return false;
     }
-    return isTrusted(worker, now);
+    return isTrusted(worker, now, allPaused);
   }
 
   /** Tells whether a worker may be given a task once it has room. */
@@ -237,9 +256,9 @@
   }
 
   /** A suspect worker gets one run as a test. */
-  private static boolean isTrusted(Worker worker, long now) {
+  private static boolean isTrusted(Worker worker, long now, boolean allPaused) {
     WorkerHealth health = worker.health();
-    if (health.isPaused(now)) {
+    if (health.isPaused(now) && !allPaused) {
       return false;
     }
     return !health.isSuspect() || worker.runs().isEmpty();
