--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.cell;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.Map;
 import java.util.TreeMap;
@@ -155,7 +156,7 @@
    * Returns the number of jobs of each queue of which no task has started; what the holder before
    * told until the jobs are read.
    */
-  Map<String, Integer> waiting() {
+  ImmutableMap<String, Integer> waiting() {
     if (!feed.isLoaded()) {
       return lease.waiting();
     }
@@ -165,7 +166,7 @@
         waiting.merge(job.submission().queue(), 1, Integer::sum);
       }
     }
-    return waiting;
+    return ImmutableMap.copyOf(waiting);
   }
 
   void run() {
