Trust the end of the last holder only for workers that it ordered

What callers saw: tasks that ran twice after two take-overs in a row.

Cause: a holder that has certainly ended needs no wait for its orders. But the roster in the store may be that of the holder before it, which may go on: the last one had ended, or released the cell, before it wrote a roster, or its claim was carried out without an answer and it claimed again.

Now the roster names the generation of the holder that wrote it, and the end of the last holder counts for its own roster only.

Evidence: ReviewTest#claimThatIsNotAnsweredDoesNotEndTheHolderBefore, #rosterOfTheHolderBeforeTheLastIsNotTheLastOnes and #rosterOfTheHolderBeforeTheLastIsNotTheOneOfAHolderThatReleasedTheCell failed before (two tasks ran twice in each) and pass now.

--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecord.java
@@ -115,6 +115,21 @@
     return located_;
   }
 
+  public static final int GENERATION_FIELD_NUMBER = 4;
+  private int generation_ = 0;
+  /**
+   * <pre>
+   * Generation of the holder that wrote this.
+   * </pre>
+   *
+   * <code>uint32 generation = 4;</code>
+   * @return The generation.
+   */
+  @java.lang.Override
+  public int getGeneration() {
+    return generation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -138,6 +153,9 @@
     if (located_ != false) {
       output.writeBool(3, located_);
     }
+    if (generation_ != 0) {
+      output.writeUInt32(4, generation_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -159,6 +177,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, located_);
     }
+    if (generation_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, generation_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -180,6 +202,8 @@
         .equals(other.getWorkersList())) return false;
     if (getLocated()
         != other.getLocated()) return false;
+    if (getGeneration()
+        != other.getGeneration()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -200,6 +224,8 @@
     hash = (37 * hash) + LOCATED_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLocated());
+    hash = (37 * hash) + GENERATION_FIELD_NUMBER;
+    hash = (53 * hash) + getGeneration();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -344,6 +370,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000002);
       located_ = false;
+      generation_ = 0;
       return this;
     }
 
@@ -396,6 +423,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.located_ = located_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.generation_ = generation_;
+      }
     }
 
     @java.lang.Override
@@ -442,6 +472,9 @@
       if (other.getLocated() != false) {
         setLocated(other.getLocated());
       }
+      if (other.getGeneration() != 0) {
+        setGeneration(other.getGeneration());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -491,6 +524,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              generation_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -824,6 +862,50 @@
       return this;
     }
 
+    private int generation_ ;
+    /**
+     * <pre>
+     * Generation of the holder that wrote this.
+     * </pre>
+     *
+     * <code>uint32 generation = 4;</code>
+     * @return The generation.
+     */
+    @java.lang.Override
+    public int getGeneration() {
+      return generation_;
+    }
+    /**
+     * <pre>
+     * Generation of the holder that wrote this.
+     * </pre>
+     *
+     * <code>uint32 generation = 4;</code>
+     * @param value The generation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGeneration(int value) {
+
+      generation_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Generation of the holder that wrote this.
+     * </pre>
+     *
+     * <code>uint32 generation = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGeneration() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      generation_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.RosterRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecordOrBuilder.java
@@ -49,4 +49,14 @@
    * @return The located.
    */
   boolean getLocated();
+
+  /**
+   * <pre>
+   * Generation of the holder that wrote this.
+   * </pre>
+   *
+   * <code>uint32 generation = 4;</code>
+   * @return The generation.
+   */
+  int getGeneration();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -33,7 +33,10 @@
 
   private boolean reading;
   private boolean read;
-  private boolean ownRoster;
+
+  /** Whether only the last holder has given tasks to the workers of the roster. */
+  private boolean ofLastHolder;
+
   private boolean located;
   private int unknown;
   private long nextReadAt;
@@ -91,7 +94,7 @@
   }
 
   private void take(RosterRecord roster) {
-    ownRoster = roster.getLocated();
+    ofLastHolder = roster.getLocated() && roster.getGeneration() == lease.generation() - 1;
     roster.getWorkersList().forEach(entry -> unaccounted.put(entry.getWorker(), entry));
     count();
     String tasks = unknown + " not silent, " + doubtful.size() + " tasks at silent ones";
@@ -172,7 +175,7 @@
 
   /** Returns the time at which no lease can be in force that an earlier holder granted. */
   private long lapseAt(RosterEntry entry) {
-    boolean ordersEnded = entry.getSilent() || (lease.formerEnded() && ownRoster);
+    boolean ordersEnded = entry.getSilent() || (lease.formerEnded() && ofLastHolder);
     long lastOrder = lease.renewedAt() + (ordersEnded ? 0 : CellTiming.HOLDER_LEASE);
     return lastOrder + CellTiming.longestLease(settings.workerLeaseMillis());
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -27,6 +27,7 @@
   private final ConfigurationSource source;
   private final WorkerTable workers;
   private final TakeOver takeOver;
+  private final int generation;
   private final CellJournal journal;
   private final DecisionLog log;
   private final Listener listener;
@@ -60,6 +61,7 @@
       ConfigurationSource source,
       WorkerTable workers,
       TakeOver takeOver,
+      int generation,
       CellJournal journal,
       DecisionLog log,
       Listener listener) {
@@ -67,6 +69,7 @@
     this.source = source;
     this.workers = workers;
     this.takeOver = takeOver;
+    this.generation = generation;
     this.journal = journal;
     this.log = log;
     this.listener = listener;
@@ -204,7 +207,10 @@
     rosterNumber++;
     long number = rosterNumber;
     RosterRecord.Builder roster =
-        RosterRecord.newBuilder().setFormat(JobRows.FORMAT).setLocated(takeOver.isLocated());
+        RosterRecord.newBuilder()
+            .setFormat(JobRows.FORMAT)
+            .setGeneration(generation)
+            .setLocated(takeOver.isLocated());
     List<Worker> known = new ArrayList<>(workers.all());
     for (Worker worker : known) {
       if (worker.isLeaving()) {
