End a doubt of the lease only by a renewal that was sent after it

What callers saw: a task that ran twice after a holder had stood still with a renewal under way.

Cause: the answer to that renewal, which came from before the standstill, counted as the renewal that was to go before any further order.

Evidence: ReviewTest#renewalFromBeforeAStandstillAllowsNoOrdersAfterIt and JournalReviewTest#renewalThatWasSentBeforeADoubtDoesNotEndIt failed before and pass now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -65,6 +65,7 @@
   private boolean ended;
   private boolean releasing;
   private long sentAt;
+  private int doubtsWhenSent;
   private long nextAt;
   private boolean reachable = true;
 
@@ -231,6 +232,7 @@
     Transaction transaction = gather(last);
     underWay = true;
     sentAt = now;
+    doubtsWhenSent = term.doubts();
     if (last) {
       term.onReleaseSent();
       log.decided("lease", settings.cell(), "release sent", "version " + version);
@@ -331,7 +333,7 @@
 
   private void onCommitted(long newVersion, long startedAt, long now, boolean last) {
     version = newVersion;
-    term.renew(startedAt);
+    term.renew(startedAt, doubtsWhenSent);
     onAccepted();
     nextAt = Math.max(startedAt + CellTiming.COMMIT_PAUSE, now);
     sentJobs = Set.of();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
@@ -12,6 +12,7 @@
   private long renewedFrom;
   private long lookedAt;
   private boolean doubted;
+  private int doubts;
   private boolean releasing;
   private boolean releaseInDoubt;
 
@@ -29,10 +30,11 @@
    * Takes note of a renewal.
    *
    * @param askedAt time on the steady clock before the renewal was sent, in milliseconds
+   * @param doubtsBefore number of doubts when it was sent; it ends no doubt that came later
    */
-  void renew(long askedAt) {
+  void renew(long askedAt, int doubtsBefore) {
     renewedFrom = askedAt;
-    doubted = false;
+    doubted &= doubts != doubtsBefore;
     // A release that was sent before the renewal does not find its condition any more.
     releasing = false;
     releaseInDoubt = false;
@@ -53,9 +55,15 @@
     releasing = releaseInDoubt;
   }
 
-  /** Demands a renewal before the next order. */
+  /** Demands a renewal before the next order, which must be sent from now on. */
   void doubt() {
     doubted = true;
+    doubts++;
+  }
+
+  /** Returns the number of doubts so far. */
+  int doubts() {
+    return doubts;
   }
 
   /** Tells whether a renewal is needed before the next order. */
