Count the lease of a hold from when it is given up at the latest

What callers saw: tasks that ran twice when a call to hold had lain before it was sent, its worker had started anew meanwhile, and no answer came.

Cause: as with orders to start, a new boot grants its longest lease from when a call with the clock of the boot before arrives; the holder counted from its decision.

Evidence: ReviewTest#holdThatReachesANewBootGrantsNoLongerLease failed before (two tasks ran twice) and passes now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -147,11 +147,14 @@
         worker.setNextHoldAt(now + RETRY_MILLIS);
         listener.onOtherBoot(worker, false, "another worker at " + worker.entry().address());
       }
-      default -> onFailure(worker, reply, now);
+      default -> onFailure(worker, call, reply, now);
     }
   }
 
-  private void onFailure(Worker worker, HoldReply reply, long now) {
+  private void onFailure(Worker worker, HoldCall call, HoldReply reply, long now) {
+    if (call.leaseUntilMillis() != null) {
+      worker.noteLease(now, settings.workerLeaseMillis());
+    }
     boolean isFirst = !worker.isSilent();
     worker.addHoldFailure();
     if (isFirst) {
