--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -186,6 +186,9 @@
     /** Whether it is gone, and another worker answers at its address. */
     boolean replaced;
 
+    /** Whether it is gone, and its machine refuses connections at once. */
+    boolean refusing;
+
     /** Number of calls to hold that arrived at its address. */
     int holds;
 
@@ -343,8 +346,7 @@
       runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(since), 0)));
       ImmutableList<EndReport> listed = listedEnds();
       boolean isWhole = listed.size() < MOST_ENDS;
-      return new HoldReply(
-          OrderOutcome.ACCEPTED, clock(), born, running.build(), listed, isWhole);
+      return new HoldReply(OrderOutcome.ACCEPTED, clock(), born, running.build(), listed, isWhole);
     }
 
     private int percent(long since) {
@@ -484,6 +486,11 @@
     }
 
     private void sendHold(Model model, HoldCall call, Consumer<HoldReply> handler) {
+      if (model.refusing) {
+        HoldReply refused = HoldReply.without(OrderOutcome.NOT_SENT);
+        inbox.answer(1, () -> handler.accept(refused));
+        return;
+      }
       if (isCutFrom(model)) {
         lose(TIMEOUT_MILLIS + call.waitMillis(), handler);
         return;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ReviewTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ReviewTest.java
@@ -178,6 +178,27 @@
     assertClean();
   }
 
+  /**
+   * A worker that was gone refused the first call of a new holder before the others had answered.
+   * The roster was stored without them, and no task was started anywhere for 13 s.
+   */
+  @Test
+  void workersThatAnswerAfterTheFirstRosterGetTasksSoon() {
+    world.time.runFor(SETTLED);
+    CellWorld.Node former = world.holder();
+    world.workers.get("w1").refusing = true;
+    former.kill();
+    CellWorld.Node next = nextHolder(former);
+    for (int i = 0; i < 100; i++) {
+      // The loop turns with every answer.
+      next.process().tick();
+      world.time.runFor(1);
+    }
+    world.submit(world.nodes.indexOf(next), "a", step(4));
+    world.time.runFor(3_000);
+    assertEquals(4, world.workers.starts.size(), () -> String.join("\n", world.log));
+  }
+
   /** Lets the holder place tasks otherwise than its successor, which finds w0 in the list. */
   private CellWorld.Node holderThatKnowsNoRoomAtW0() {
     world.store.remove("workers", "w0");
