Compare the two clocks before every order

What callers saw: tasks that ran twice after a machine was suspended.

Cause: a suspension shows by the difference of the two clocks, which the tick compared. Answers that are read on waking are handled before the next tick, and an order whose answer was lost was sent again by a holder that had lost the cell meanwhile.

Now LeaseTerm compares the clocks with every question whether an order may be given.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -170,7 +170,7 @@
    * @param now time on the steady clock, from which a lease that the order grants must count
    */
   boolean isSure(long now) {
-    return !ended && term.allowsOrders(now);
+    return !ended && term.allowsOrders(now, clock.wallMillis());
   }
 
   /** Tells whether the cell was lost or given up: what is heard from then on changes nothing. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LeaseTerm.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.cell;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Decides whether the holder of a cell may give orders: for a while after each renewal of its
  * lease, but not once the process stood still for so long that another may have taken the cell, and
@@ -11,6 +13,10 @@
 
   private long renewedFrom;
   private long lookedAt;
+
+  /** Time of day less the time on the steady clock at the last look; null before the first. */
+  private @Nullable Long wallLead;
+
   private boolean doubted;
   private int doubts;
   private boolean releasing;
@@ -76,9 +82,11 @@
    * time, as the process may stand still between this call and the order.
    *
    * @param now time on the steady clock in milliseconds
+   * @param wall time of day in milliseconds: it goes on while the machine is suspended
    */
-  boolean allowsOrders(long now) {
+  boolean allowsOrders(long now, long wall) {
     watch(now);
+    compare(wall - now);
     return !doubted && !releasing && age(now) < CellTiming.HOLDER_LEASE;
   }
 
@@ -97,6 +105,15 @@
     return now - renewedFrom;
   }
 
+  /** For how long a machine was suspended is not known, as its time of day may have been set. */
+  private void compare(long lead) {
+    Long before = wallLead;
+    wallLead = lead;
+    if (before != null && Math.abs(lead - before) >= CellTiming.SUSPENSION) {
+      doubt();
+    }
+  }
+
   /** The holder asks many times in the span that counts as a standstill. */
   private void watch(long now) {
     boolean stoodStill = now - lookedAt >= CellTiming.SUSPENSION;
