Write the roster again when a worker has answered a new holder

What was seen: nothing was started for up to 13 s after a take-over at workers that had answered, as one other did not.

Cause: a worker that is accounted for after the first roster gets no task before a later one, and none was due until all were accounted for.

Evidence: ReviewTest#workersThatAnswerAfterTheFirstRosterGetTasksSoon failed before (0 of 4 tasks within 3 s) and passes now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -365,6 +365,7 @@
     @Override
     public void onFirstReport(Worker worker) {
       takeOver.account(worker.id(), "answered");
+      list.touchRoster();
     }
 
     @Override
