Extend no lease at a worker that is stored as silent

What callers saw: tasks that ran twice when a holder reached a silent worker again while it had lost the table service.

Cause: a successor counts the leases of a worker that is stored as silent from the last renewal of the cell, as the holder gives it no order. But the holder extended the leases there as soon as it answered, before it could store that.

Evidence: ReviewTest#leasesOfAWorkerThatIsStoredAsSilentAreNotExtendedWithoutTheStore failed before (two tasks ran twice) and passes now.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -364,6 +364,9 @@
   private final class ReportListener implements HoldSystem.Listener {
     @Override
     public void onFirstReport(Worker worker) {
+      if (takeOver.isStoredAsSilent(worker.id())) {
+        worker.setStoredAsSilent();
+      }
       takeOver.account(worker.id(), "answered");
       list.touchRoster();
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -95,9 +95,8 @@
   }
 
   private void hold(Worker worker, long now) {
-    boolean extend = !worker.runs().isEmpty() && worker.hasClock() && !worker.isSilent();
     @Nullable Long until =
-        extend ? (Long) worker.grantLease(now, settings.workerLeaseMillis()) : null;
+        worker.mayBeExtended() ? (Long) worker.grantLease(now, settings.workerLeaseMillis()) : null;
     long wait = wait(worker);
     long confirmed = worker.endToConfirm(now);
     if (confirmed > 0 && worker.isConfirmationDue()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -125,6 +125,12 @@
     }
   }
 
+  /** Tells whether an earlier holder has stored a worker as silent that is not accounted for. */
+  boolean isStoredAsSilent(String worker) {
+    RosterEntry entry = unaccounted.get(worker);
+    return entry != null && entry.getSilent();
+  }
+
   boolean isUnaccounted(String worker) {
     return unaccounted.containsKey(worker);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -28,6 +28,9 @@
   private boolean unknownRuns;
   private boolean onRoster;
 
+  /** Whether a later holder may find it in the table service as given no more orders. */
+  private boolean storedAsSilent;
+
   /** Number of the first roster since which it has not been written as silent. */
   private long openSince = Long.MAX_VALUE;
 
@@ -166,6 +169,7 @@
   void declare(long number) {
     if (isSilent()) {
       takeOffRoster();
+      storedAsSilent = true;
     } else {
       openSince = Math.min(openSince, number);
     }
@@ -178,7 +182,23 @@
   }
 
   void onRosterStored(long number) {
-    onRoster |= openSince <= number;
+    if (openSince <= number) {
+      onRoster = true;
+      storedAsSilent = false;
+    }
+  }
+
+  /** Takes note that an earlier holder has stored it as silent. */
+  void setStoredAsSilent() {
+    storedAsSilent = true;
+  }
+
+  /**
+   * Tells whether its leases may be extended. A later holder counts those of a worker that is
+   * stored as silent from the last renewal of the cell.
+   */
+  boolean mayBeExtended() {
+    return !runs.isEmpty() && hasClock() && !isSilent() && !storedAsSilent;
   }
 
   /** Tells whether its last call had no answer. */
