Shorten the soak package

A run is a record, delays go through CompletableFuture, rows are compared by their comparator. Nothing that is checked or disturbed changes.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
@@ -5,6 +5,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** The processes of all instances; two processes of one instance may overlap. */
 final class Fleet implements AutoCloseable {
@@ -163,18 +165,6 @@
 
   /** Not under the world's lock: signals and starts take time. */
   private static void after(long millis, Runnable work) {
-    Thread thread =
-        new Thread(
-            () -> {
-              try {
-                Thread.sleep(millis);
-                work.run();
-              } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-              }
-            },
-            "soak-fleet");
-    thread.setDaemon(true);
-    thread.start();
+    CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS).execute(work);
   }
 }
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Oracle.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Oracle.java
@@ -154,10 +154,10 @@
 
   void onStart(SimWorker worker, SimRun run, boolean late) {
     starts++;
-    TaskView task = tasks.computeIfAbsent(run.task, key -> new TaskView());
-    String by = ordered(run.token) + (late ? ", carried out late" : "");
-    task.story.add(at() + " start " + run.attempt + " at " + worker.label() + " by " + by);
-    JobView job = jobs.get(jobOf(run.task));
+    TaskView task = tasks.computeIfAbsent(run.task(), key -> new TaskView());
+    String by = ordered(run.token()) + (late ? ", carried out late" : "");
+    task.story.add(at() + " start " + run.attempt() + " at " + worker.label() + " by " + by);
+    JobView job = jobs.get(jobOf(run.task()));
     if (job == null) {
       breach("TWICE", "a task of no job starts: " + run + " by " + by);
       return;
@@ -181,7 +181,7 @@
   }
 
   private void checkOrder(JobView job, SimRun run, String by) {
-    int step = Integer.parseInt(run.task.split("\\.", -1)[2]);
+    int step = Integer.parseInt(run.task().split("\\.", -1)[2]);
     for (int i = 0; step > 0 && i < job.plan.counts().get(step - 1); i++) {
       TaskView earlier = tasks.get(job.plan.id() + ".0." + (step - 1) + "." + i);
       if (earlier == null || !earlier.done) {
@@ -193,9 +193,9 @@
 
   void onEnd(SimWorker worker, SimRun run, String how) {
     ends++;
-    TaskView task = tasks.computeIfAbsent(run.task, key -> new TaskView());
+    TaskView task = tasks.computeIfAbsent(run.task(), key -> new TaskView());
     task.runs.remove(worker);
-    task.story.add(at() + " " + how + " " + run.attempt + " at " + worker.label());
+    task.story.add(at() + " " + how + " " + run.attempt() + " at " + worker.label());
     task.done |= how.equals("done");
     task.failures += how.equals("failed") ? 1 : 0;
     Consumer<SimWorker> watcher = onNextEnd;
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Rows.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Rows.java
@@ -19,7 +19,7 @@
   private static final int CONFLICT = 412;
 
   private final World world;
-  private final NavigableMap<Name, Row> rows = new TreeMap<>();
+  private final NavigableMap<Name, Row> rows = new TreeMap<>(Name.ORDER);
   private final List<Row> history = new ArrayList<>();
   private long version = 1;
 
@@ -28,7 +28,7 @@
   }
 
   /** Name of a row, in the order of its text. */
-  record Name(String table, String part, String key) implements Comparable<Name> {
+  record Name(String table, String part, String key) {
     private static final Comparator<Name> ORDER =
         Comparator.comparing(Name::table).thenComparing(Name::part).thenComparing(Name::key);
 
@@ -36,11 +36,6 @@
       return new Name(
           node.path("table").asText(), node.path("part").asText(), node.path("key").asText());
     }
-
-    @Override
-    public int compareTo(Name other) {
-      return ORDER.compare(this, other);
-    }
   }
 
   /** A row, or the trace of one that was removed. */
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SimRun.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SimRun.java
@@ -1,33 +1,22 @@
 package org.hemlockpick.platform.soak;
 
-/** One run of a task at a worker. Times are those of the play, in milliseconds. */
-final class SimRun {
-  final String task;
-  final int attempt;
-  final long token;
-  final int cpuMillis;
-  final long startedAt;
-  final long endsAt;
-  final boolean fails;
-
-  /** Time at which an order to stop takes effect. */
-  long stopsAt = Long.MAX_VALUE;
-
-  SimRun(
-      String task,
-      int attempt,
-      long token,
-      int cpuMillis,
-      long startedAt,
-      long endsAt,
-      boolean fails) {
-    this.task = task;
-    this.attempt = attempt;
-    this.token = token;
-    this.cpuMillis = cpuMillis;
-    this.startedAt = startedAt;
-    this.endsAt = endsAt;
-    this.fails = fails;
+/**
+ * One run of a task at a worker. Times are those of the play, in milliseconds.
+ *
+ * @param stopsAt time at which an order to stop takes effect; {@link Long#MAX_VALUE} without one
+ */
+record SimRun(
+    String task,
+    int attempt,
+    long token,
+    int cpuMillis,
+    long startedAt,
+    long endsAt,
+    boolean fails,
+    long stopsAt) {
+  /** Returns the run with an order to stop. */
+  SimRun stopping(long at) {
+    return new SimRun(task, attempt, token, cpuMillis, startedAt, endsAt, fails, at);
   }
 
   long nextAt() {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SimWorker.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SimWorker.java
@@ -149,9 +149,9 @@
   }
 
   private void end(SimRun run, String how) {
-    runs.remove(run.task);
-    highest.merge(run.task, run.attempt, Math::max);
-    ends.put(++lastEnd, new End(run.task, run.attempt, how));
+    runs.remove(run.task());
+    highest.merge(run.task(), run.attempt(), Math::max);
+    ends.put(++lastEnd, new End(run.task(), run.attempt(), how));
     oracle.onEnd(this, run, how);
     world.notifyAll();
   }
@@ -219,7 +219,7 @@
     String task = body.path("task").asText();
     int attempt = body.path("attempt").asInt();
     SimRun there = runs.get(task);
-    if (there != null && there.attempt == attempt) {
+    if (there != null && there.attempt() == attempt) {
       return Reply.of(200, head());
     }
     if (attempt <= highest.getOrDefault(task, 0) || there != null) {
@@ -227,14 +227,14 @@
     }
     JobPlan plan = oracle.plan(task);
     int cpu = plan.cpuMillis();
-    int used = runs.values().stream().mapToInt(run -> run.cpuMillis).sum();
+    int used = runs.values().stream().mapToInt(SimRun::cpuMillis).sum();
     if (used + cpu > CPU_MILLIS) {
       return refusal("room");
     }
     long now = world.now();
     long end = now + takes(plan);
     boolean fails = plan.failsOften() ? oracle.mayFail(task) : world.roll(FAILURE);
-    SimRun run = new SimRun(task, attempt, token, cpu, now, end, fails);
+    SimRun run = new SimRun(task, attempt, token, cpu, now, end, fails, Long.MAX_VALUE);
     oracle.onStart(this, run, late);
     runs.put(task, run);
     return Reply.of(200, head());
@@ -250,8 +250,8 @@
     int attempt = body.path("attempt").asInt();
     highest.merge(task, attempt, Math::max);
     SimRun run = runs.get(task);
-    if (run != null && run.attempt <= attempt && run.stopsAt == Long.MAX_VALUE) {
-      run.stopsAt = world.now() + world.between(0, MAX_STOP_MILLIS);
+    if (run != null && run.attempt() <= attempt && run.stopsAt() == Long.MAX_VALUE) {
+      runs.put(task, run.stopping(world.now() + world.between(0, MAX_STOP_MILLIS)));
     }
     return Reply.of(200, head());
   }
@@ -290,8 +290,8 @@
     for (SimRun run : runs.values()) {
       running
           .addArray()
-          .add(run.task)
-          .add(run.attempt)
+          .add(run.task())
+          .add(run.attempt())
           .add("")
           .add(run.percent(world.now()))
           .add(0);
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SoakTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SoakTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -138,12 +139,10 @@
   /** Removes what an earlier play of the same seed left. */
   private static void clear(Path folder) throws IOException {
     Files.createDirectories(folder);
-    List<Path> old;
-    try (var files = Files.list(folder)) {
-      old = files.toList();
-    }
-    for (Path file : old) {
-      Files.delete(file);
+    try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+      for (Path file : files) {
+        Files.delete(file);
+      }
     }
   }
 
