--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFaultTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFaultTest.java
@@ -296,7 +296,9 @@
     world.time.runFor(LONG_HEALING);
   }
 
-  /** An order whose answer was lost was followed by a stop, though another held the cell by then. */
+  /**
+   * An order whose answer was lost was followed by a stop, though another held the cell by then.
+   */
   @Test
   void holderThatWasDeposedStopsNothing() {
     world.workers.runMillis = 4_000;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -100,15 +100,9 @@
     this.sweeper = new JobSweeper(settings, store, jobs, journal, clock);
     this.experience = new Experience(interference, times, journal);
     this.takeOver = new TakeOver(settings, lease, store, experience, clock, log);
-    this.list = new WorkerList(
-            store,
-            source,
-            workers,
-            takeOver,
-            lease.generation(),
-            journal,
-            log,
-            new ListListener());
+    this.list =
+        new WorkerList(
+            store, source, workers, takeOver, lease.generation(), journal, log, new ListListener());
     this.runner =
         new TaskRunner(
             settings,
