--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/transport/http/LateCallTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/transport/http/LateCallTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.google.common.base.Splitter;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -100,7 +101,7 @@
       for (int c = socket.getInputStream().read(); c >= 0; c = socket.getInputStream().read()) {
         text.append((char) c);
         if (text.toString().endsWith("\r\n\r\n")) {
-          received.add(text.toString().split(" ")[1]);
+          received.add(Splitter.on(' ').splitToList(text).get(1));
           text.setLength(0);
           byte[] ok =
               "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
