Remember a worker that has ended also while the list leaves it out

Its entry had left the list for one reading, and the memory of its end with it. The cause is read from the code, not traced in a run.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -32,9 +32,7 @@
   private final DecisionLog log;
   private final Listener listener;
 
-  /**
-   * Times of birth of workers that have ended, by their identifiers, as long as they are listed.
-   */
+  /** Times of birth of workers that have ended, by their identifiers; the list may go on. */
   private final Map<String, Long> ended = new HashMap<>();
 
   private boolean read;
@@ -128,7 +126,6 @@
                 takeUnlessEnded(entry);
               });
     }
-    ended.keySet().retainAll(listed);
     for (Worker worker : workers.all()) {
       if (worker.isListed() && !listed.contains(worker.id())) {
         worker.setUnlisted();
