Give no order to stop or pace once the lease is in doubt

Reports lead to orders only while orders may be given, and what waited for the last transaction is not run after the release.

No test of its own: ProcessFaultTest#holderThatWasDeposedStopsNothing covers the stops of lost starts only.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -384,6 +384,9 @@
     @Override
     public void onReport(Worker worker) {
       changed = true;
+      if (!journal.isSure(clock.monotonicMillis())) {
+        return;
+      }
       pace.onReport(worker, planner::isPlaceable);
       stalls.onReport(worker);
       drains.onReport(worker);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -332,6 +332,11 @@
   }
 
   private void onCommitted(long newVersion, long startedAt, long now, boolean last) {
+    if (last) {
+      ended = true;
+      listener.onReleased();
+      return;
+    }
     version = newVersion;
     term.renew(startedAt, doubtsWhenSent);
     onAccepted();
@@ -341,10 +346,6 @@
     List<Runnable> stored = sentWaiting;
     sentWaiting = List.of();
     stored.forEach(Runnable::run);
-    if (last) {
-      ended = true;
-      listener.onReleased();
-    }
   }
 
   /** Takes note that the rows of the last transaction are stored. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -357,7 +357,7 @@
       run = find(worker, report.run());
     }
     if (run == null) {
-      port.stop(worker.target(), report.run(), token, reply -> {});
+      stopUnknown(worker, report.run(), now);
       return false;
     }
     run.report(report, now);
@@ -369,6 +369,12 @@
     return true;
   }
 
+  private void stopUnknown(Worker worker, RunName name, long now) {
+    if (journal.isSure(now)) {
+      port.stop(worker.target(), name, token, reply -> {});
+    }
+  }
+
   /**
    * Takes over a run that another holder started. One that must not go on is stopped, and keeps its
    * room until it is certainly gone.
