--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -8,6 +8,7 @@
 /** Holds the texts that this module shows to callers and operators. */
 final class Messages {
   static final String LINE_NOT_WRITTEN = "a line of the log cannot be written";
+  static final String SIGNAL_NOT_HANDLED = "SIGHUP is not handled and would end the process";
   static final String MISSING = "the key is missing";
   static final String UNKNOWN_KEY = "unknown key";
   static final String UNKNOWN_SECTION = "unknown section";
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessLogTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessLogTest.java
@@ -6,6 +6,7 @@
 
 import jakarta.json.JsonObject;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -15,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.hemlockpick.transport.Eventually;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -57,6 +59,29 @@
     }
   }
 
+  /** The signal that the settings file has changed ended the process. */
+  @Test
+  void processGoesOnWhenItsSettingsFileChanges() throws IOException, InterruptedException {
+    Path file = Files.writeString(folder.resolve("settings.toml"), settings(freeAddress()));
+    ChildProcess process = ChildProcess.start(folder, "entry", "serve", "--settings", "" + file);
+    try {
+      Eventually.holds(() -> out(process).contains("started"), () -> out(process));
+      process.reload();
+      Eventually.holds(() -> out(process).contains("goes on"), () -> out(process));
+      assertTrue(process.isAlive());
+    } finally {
+      process.kill();
+    }
+  }
+
+  private static String out(ChildProcess process) {
+    try {
+      return process.out();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private static boolean isOf(JsonObject line, String kind) {
     return line.getString("kind", "").equals(kind);
   }
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/ChildProcess.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/ChildProcess.java
@@ -109,6 +109,11 @@
     int unused = waitFor();
   }
 
+  /** Sends SIGHUP. */
+  public void reload() throws IOException, InterruptedException {
+    signal("-HUP");
+  }
+
   /** Sends SIGSTOP. */
   public void freeze() throws IOException, InterruptedException {
     signal("-STOP");
