Tell a worker that started anew from one that was replaced

One method with a boolean did two unrelated things; a comment of the listener said that nothing is left where runs may be. No decision is changed.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerDesk.java
@@ -33,7 +33,6 @@
   /** Part of the caller's time that is left for the answer's way. */
   private static final long ANSWER_MILLIS = 150;
 
-  /** When a caller may come back while the table service does not answer. */
   private final CellSettings settings;
 
   private final StoreContact store;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -230,19 +230,23 @@
     return inForce == null ? null : inForce.queue(job.submission().queue()).orElse(null);
   }
 
-  /** The next report tells which runs are left; none is if another worker has the address. */
-  private void onOtherBoot(Worker worker, boolean sameId, String evidence) {
+  /**
+   * Its runs stay until its next report tells which are left. It knows no fence: a former holder
+   * may use it until it has answered and is stored anew.
+   */
+  private void onStartedAnew(Worker worker, String evidence) {
     long now = clock.monotonicMillis();
     String before = "born " + worker.entry().bornMillis() + " before, ";
     String runs = ", " + worker.runs().size() + " runs";
     log.decided("worker", worker.id(), "started anew", before + evidence + runs);
-    if (sameId) {
-      // It knows no fence: a former holder may use it until it has answered and is stored anew.
-      worker.reboot(now, settings.workerLeaseMillis());
-      worker.setNextHoldAt(now);
-      list.touchRoster();
-      return;
-    }
+    worker.reboot(now, settings.workerLeaseMillis());
+    worker.setNextHoldAt(now);
+    list.touchRoster();
+  }
+
+  private void onReplaced(Worker worker) {
+    String runs = worker.entry().address() + ", " + worker.runs().size() + " runs";
+    log.decided("worker", worker.id(), "replaced", "another worker at " + runs);
     takeOver.account(worker.id(), "another worker has its address");
     for (Run run : new ArrayList<>(worker.runs())) {
       runner.onGone(run, "another worker has its address");
@@ -345,8 +349,8 @@
     }
 
     @Override
-    public void onOtherBoot(Worker worker, String evidence) {
-      CellHolder.this.onOtherBoot(worker, true, evidence);
+    public void onStartedAnew(Worker worker, String evidence) {
+      CellHolder.this.onStartedAnew(worker, evidence);
     }
 
     @Override
@@ -376,8 +380,14 @@
     }
 
     @Override
-    public void onOtherBoot(Worker worker, boolean sameId, String evidence) {
-      CellHolder.this.onOtherBoot(worker, sameId, evidence);
+    public void onStartedAnew(Worker worker, String evidence) {
+      CellHolder.this.onStartedAnew(worker, evidence);
+      list.readSoon();
+    }
+
+    @Override
+    public void onReplaced(Worker worker) {
+      CellHolder.this.onReplaced(worker);
       list.readSoon();
     }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -56,8 +56,15 @@
     /** Takes note that a worker has seen a higher fencing token. */
     void onFenced(Worker worker);
 
-    /** Takes note that a worker started anew or was replaced: nothing that ran there is left. */
-    void onOtherBoot(Worker worker, boolean sameId, String evidence);
+    /**
+     * Takes note that a worker started anew under its identifier.
+     *
+     * @param evidence what shows it, for the log
+     */
+    void onStartedAnew(Worker worker, String evidence);
+
+    /** Takes note that another worker has its address: nothing that ran on it is left. */
+    void onReplaced(Worker worker);
 
     /** Takes note that runs were reported. */
     void onReport(Worker worker);
@@ -144,7 +151,7 @@
       case FENCED -> listener.onFenced(worker);
       case OTHER_BOOT -> {
         worker.setNextHoldAt(now + RETRY_MILLIS);
-        listener.onOtherBoot(worker, false, "another worker at " + worker.entry().address());
+        listener.onReplaced(worker);
       }
       default -> onFailure(worker, call, reply, now);
     }
@@ -171,7 +178,7 @@
       return;
     }
     if (born != 0 && reply.bornMillis() > born) {
-      listener.onOtherBoot(worker, true, "born " + reply.bornMillis() + " in its answer");
+      listener.onStartedAnew(worker, "born " + reply.bornMillis() + " in its answer");
     }
     if (reply.bornMillis() > born) {
       worker.setBorn(reply.bornMillis());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -12,8 +12,8 @@
 
 /**
  * Knows which tasks may still run, on the orders of an earlier holder, at workers that have not
- * answered to the own fencing token. Such a worker is accounted for when it answers, when it is
- * known to have started anew, or when it can hold no lease any more.
+ * answered to the own fencing token. Such a worker is accounted for when it answers, when another
+ * has its address, or when it can hold no lease any more.
  */
 final class TakeOver {
   private static final long RETRY_MILLIS = 150;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -47,8 +47,12 @@
     /** Takes note that the list was read. */
     void onRead();
 
-    /** Takes note that a worker started anew under its identifier. */
-    void onOtherBoot(Worker worker, String evidence);
+    /**
+     * Takes note that a worker started anew under its identifier.
+     *
+     * @param evidence what shows it, for the log
+     */
+    void onStartedAnew(Worker worker, String evidence);
 
     /** Takes note that tasks may be started at more workers. */
     void onRosterStored();
@@ -162,7 +166,7 @@
       worker.setNextHoldAt(0);
     }
     if (otherBoot) {
-      listener.onOtherBoot(worker, "born " + entry.bornMillis() + " in the list");
+      listener.onStartedAnew(worker, "born " + entry.bornMillis() + " in the list");
     }
     rosterChanged |= otherBoot || entry.draining() != worker.entry().draining();
     worker.update(entry);
