Count only the messages that the test of a peer link has sent

It waited for 1,000 messages more than before; those of sendUntilReceived, which sends until one arrives, may come after that count and stand in for the last one. It now waits for 1,000 of its own. By reading; the failure was not provoked again.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/transport/peer/PeerLinkTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/transport/peer/PeerLinkTest.java
@@ -70,24 +70,27 @@
     Node b = node("b", 0);
     a.link.setPeers(Map.of("b", b.address()));
     sendUntilReceived(a, b, 1);
-    int before = b.received.size();
 
     for (int i = 0; i < 1_000; i++) {
       a.link.send(message("a", "b", 10_000 + i));
     }
-    Eventually.holds(() -> b.received.size() >= before + 1_000, () -> "1000 messages");
+    // Messages from before may still be under way.
+    Eventually.holds(() -> numbersFrom(b, 10_000).size() >= 1_000, () -> "1000 messages");
 
-    List<Long> numbers =
-        b.received.stream()
-            .map(message -> message.getConfigPull().getKnownVersion())
-            .filter(number -> number >= 10_000)
-            .toList();
+    List<Long> numbers = numbersFrom(b, 10_000);
     for (int i = 0; i < 1_000; i++) {
       assertEquals(10_000 + i, numbers.get(i));
     }
     assertEquals(1_000, numbers.size());
   }
 
+  private static List<Long> numbersFrom(Node node, long least) {
+    return node.received.stream()
+        .map(message -> message.getConfigPull().getKnownVersion())
+        .filter(number -> number >= least)
+        .toList();
+  }
+
   @Test
   void aPeerThatRestartsIsConnectedAgain() throws Exception {
     Node a = node("a", 0);
