--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -33,12 +33,23 @@
   final List<String> log = new ArrayList<>();
   private final Map<String, Submission> accepted = new LinkedHashMap<>();
   private final SplittableRandom random;
+  private final long leaseMillis;
   private int incarnations;
 
   CellWorld(long seed, int nodeCount, int workerCount) {
+    this(seed, nodeCount, workerCount, LEASE_MILLIS);
+  }
+
+  /**
+   * Makes a world in which workers grant leases of another length.
+   *
+   * @param leaseMillis longest lease of a worker
+   */
+  CellWorld(long seed, int nodeCount, int workerCount, long leaseMillis) {
+    this.leaseMillis = leaseMillis;
     random = new SplittableRandom(seed);
     store = new FakeStore(time, random.nextLong());
-    workers = new FakeWorkers(time, random.nextLong());
+    workers = new FakeWorkers(time, random.nextLong(), leaseMillis);
     store.put("operator", "configuration", ByteString.copyFromUtf8("1"));
     for (int i = 0; i < workerCount; i++) {
       workers.add("w" + i);
@@ -340,7 +351,7 @@
       this.address = address;
       cell =
           new CellNode(
-              new CellSettings(node.name, address, incarnation, "c0", LEASE_MILLIS, 200, 120_000),
+              new CellSettings(node.name, address, incarnation, "c0", leaseMillis, 200, 120_000),
               storeView,
               workerView,
               new Source(),
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -39,6 +39,7 @@
 
   private final VirtualTime time;
   private final SplittableRandom random;
+  private final long leaseMillis;
   private final Map<String, Model> models = new LinkedHashMap<>();
   private final Set<TaskId> recorded = new HashSet<>();
   private final Set<TaskId> done = new HashSet<>();
@@ -68,9 +69,15 @@
   /** Run time of a task in milliseconds. */
   long runMillis = 500;
 
-  FakeWorkers(VirtualTime time, long seed) {
+  /**
+   * Creates no workers yet.
+   *
+   * @param leaseMillis longest lease that a worker grants
+   */
+  FakeWorkers(VirtualTime time, long seed, long leaseMillis) {
     this.time = time;
     this.random = new SplittableRandom(seed);
+    this.leaseMillis = leaseMillis;
   }
 
   /** Tells what a job consists of, so that the order of its steps is watched. */
@@ -93,7 +100,7 @@
   /** Starts a run at a worker as an order of an earlier holder does that arrives late. */
   void startLate(String worker, RunName run) {
     Model model = get(worker);
-    model.extend(model.clock() + CellWorld.LEASE_MILLIS);
+    model.extend(model.clock() + leaseMillis);
     model.begin(run);
   }
 
@@ -317,7 +324,7 @@
 
     /** Extends the lease, for its longest time at most. */
     private void extend(long until) {
-      leaseUntil = Math.max(leaseUntil, Math.min(until, clock() + CellWorld.LEASE_MILLIS));
+      leaseUntil = Math.max(leaseUntil, Math.min(until, clock() + leaseMillis));
       time.after(leaseUntil - clock(), this::lapse);
     }
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/PaceSystemTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/PaceSystemTest.java
@@ -11,7 +11,8 @@
 class PaceSystemTest {
   private static final int TARGET = 50;
 
-  private final FakeWorkers workers = new FakeWorkers(new VirtualTime(0), 1);
+  private final FakeWorkers workers =
+      new FakeWorkers(new VirtualTime(0), 1, CellWorld.LEASE_MILLIS);
   private final RunMaker maker = new RunMaker(TARGET);
   private final Interference interference = new Interference();
   private final List<Run> stopped = new ArrayList<>();
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
@@ -0,0 +1,264 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+/** How long tasks that last do not run because the cell changes hands. */
+class TakeOverTest {
+  private static final long WORKER_LEASE = 6_000;
+
+  /** Longest time from the end of a run that lasts until the next one. */
+  private static final long LONGEST_AWAY = 9_000;
+
+  /** Longest time from a disturbance until what lasts must run again. */
+  private static final long LONGEST_AFTER_DISTURBANCE = 7_000;
+
+  /** Time after which the clocks of the workers are beyond the length of a lease. */
+  private static final long SETTLED = 10_000;
+
+  private static final long FOREVER = 1_000_000;
+  private static final long LONG_AFTER = 25_000;
+
+  /** Pause between two planned stops, and from a stop until the process starts anew. */
+  private static final long STOP_PAUSE = 1_200;
+
+  private static final long DOWN_MILLIS = 3_000;
+
+  private CellWorld world = world(20261204, 3);
+
+  private static CellWorld world(long seed, int nodes) {
+    CellWorld made = new CellWorld(seed, nodes, 5, WORKER_LEASE);
+    made.workers.runMillis = FOREVER;
+    return made;
+  }
+
+  /** A task that lasts and ran at a worker that died with the holder was missing for 14 s. */
+  @Test
+  void lastingTaskRunsAgainSoonThoughItsWorkerDiesWithTheHolder() {
+    long slowest = 0;
+    for (int i = 0; i < 10; i++) {
+      world = world(20261204 + i, 3);
+      String worker = startLasting();
+      world.time.runFor(i * 61);
+      long from = world.time.millis();
+      world.holder().kill();
+      lose(worker);
+      slowest = Math.max(slowest, timeToRestart(worker, from));
+    }
+    long most = slowest;
+    assertTrue(most <= LONGEST_AWAY, () -> most + " ms\n" + String.join("\n", world.log));
+  }
+
+  /** The wait for the leases of the first holder began anew with each further take-over. */
+  @Test
+  void waitForLeasesDoesNotBeginAnewWithASecondTakeOver() {
+    String worker = startLasting();
+    long from = world.time.millis();
+    CellWorld.Node former = world.holder();
+    former.kill();
+    lose(worker);
+    CellWorld.Node next = nextHolder(former);
+    world.time.runFor(3_000);
+    next.kill();
+    former.start();
+    long taken = timeToRestart(worker, from);
+    assertTrue(taken <= LONGEST_AWAY, () -> taken + " ms\n" + String.join("\n", world.log));
+  }
+
+  /** The same, where the successor died before it had stored anything but its claim. */
+  @Test
+  void waitForLeasesDoesNotBeginAnewAfterAHolderThatStoredNothing() {
+    String worker = startLasting();
+    long from = world.time.millis();
+    CellWorld.Node former = world.holder();
+    former.kill();
+    lose(worker);
+    CellWorld.Node next = nextHolder(former);
+    next.kill();
+    former.start();
+    long taken = timeToRestart(worker, from);
+    assertTrue(taken <= LONGEST_AWAY, () -> taken + " ms\n" + String.join("\n", world.log));
+  }
+
+  /** A task whose run had ended before the take-over waited for a worker where it never ran. */
+  @Test
+  void lastingTaskThatHadEndedWaitsForNoOtherWorker() {
+    String worker = startLasting();
+    CellWorld.Node former = world.holder();
+    // Until the other workers are back there is no room for the task.
+    List<String> others = others(worker);
+    others.forEach(each -> world.store.remove("workers", each));
+    world.time.runFor(600);
+    lose(worker);
+    runUntil(() -> log(" gone "), LONG_AFTER);
+    world.time.runFor(500);
+    others.forEach(world::list);
+    world.time.runFor(10);
+    long from = world.time.millis();
+    former.kill();
+    lose(others.get(0));
+    long taken = timeToRestart(worker, from);
+    assertTrue(
+        taken <= LONGEST_AFTER_DISTURBANCE, () -> taken + " ms\n" + String.join("\n", world.log));
+  }
+
+  /** Each holder was told to stop soon after it had begun; for 4.4 s nobody held the cell. */
+  @Test
+  void leasesGoOnThroughPlannedStopsInARow() {
+    world = world(20261204, 9);
+    startLasting();
+    int starts = world.workers.starts.size();
+    long longest = 0;
+    for (int i = 0; i < 9; i++) {
+      CellWorld.Node holder = nextHolder(null);
+      holder.process().beginStop();
+      world.time.after(
+          DOWN_MILLIS,
+          () -> {
+            holder.kill();
+            holder.start();
+          });
+      longest = Math.max(longest, longestWithoutHolder(STOP_PAUSE));
+    }
+    long most = longest;
+    assertTrue(most <= 800, () -> most + " ms\n" + String.join("\n", world.log));
+    world.time.runFor(LONG_AFTER);
+    assertEquals(starts, world.workers.starts.size(), () -> String.join("\n", world.log));
+    assertEquals(List.of(), world.workers.breaches);
+  }
+
+  /** A run whose stop is never answered kept its task for longer than any lease could last. */
+  @Test
+  void taskOfARunThatIsBeingStoppedRunsElsewhereOnceTheLeasesOfItsWorkerHaveEnded() {
+    world.time.runFor(SETTLED);
+    CellWorld.Node holder = world.holder();
+    holder.workerView.startsLost = true;
+    holder.workerView.stopsUnanswered = true;
+    world.submit(world.nodes.indexOf(holder) + 1, "a", lasting(1));
+    runUntil(() -> log(" stop a.0.0.0 "), 5_000);
+    assertTrue(log(" stop a.0.0.0 "), () -> String.join("\n", world.log));
+    String line = world.log.stream().filter(each -> each.contains(" stop a.0")).findFirst().get();
+    String worker = line.split(" ")[4];
+    long from = world.time.millis();
+    lose(worker);
+    holder.workerView.startsLost = false;
+    holder.workerView.stopsUnanswered = false;
+    runUntil(() -> !world.workers.starts.isEmpty(), LONG_AFTER);
+    long taken = world.time.millis() - from;
+    assertTrue(taken <= LONGEST_AWAY, () -> taken + " ms\n" + String.join("\n", world.log));
+    assertEquals(List.of(), world.workers.breaches);
+  }
+
+  /** Nothing may lapse while nobody can take the cell. */
+  @Test
+  void outageOfTheStoreOfFiveAndAHalfSecondsEndsNoRun() {
+    for (int i = 0; i < 10; i++) {
+      world = world(20261204 + i, 3);
+      startLasting();
+      int starts = world.workers.starts.size();
+      world.time.runFor(i * 61);
+      world.store.silent = true;
+      world.time.runFor(5_500);
+      world.store.silent = false;
+      world.time.runFor(10_000);
+      assertEquals(starts, world.workers.starts.size(), () -> String.join("\n", world.log));
+      assertEquals(List.of(), world.workers.breaches);
+    }
+  }
+
+  private static Step lasting(int count) {
+    return CellWorld.step(count, false, null, 1, true, List.of());
+  }
+
+  /** Starts four tasks that last, each at another worker, and returns the first of these. */
+  private String startLasting() {
+    world.time.runFor(SETTLED);
+    world.submit(world.nodes.indexOf(world.holder()) + 1, "a", lasting(4));
+    runUntil(() -> world.workers.starts.size() == 4, 5_000);
+    assertEquals(4, world.workers.starts.size(), () -> String.join("\n", world.log));
+    world.time.runFor(3_000);
+    return world.workers.startLog.get(0).worker();
+  }
+
+  private List<String> others(String worker) {
+    List<String> others = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      others.add("w" + i);
+    }
+    others.remove(worker);
+    return others;
+  }
+
+  /** A worker loses power for good. */
+  private void lose(String worker) {
+    world.workers.get(worker).restart(FOREVER);
+    world.store.remove("workers", worker);
+  }
+
+  /** Returns the time after which all tasks that first ran at a worker have run again. */
+  private long timeToRestart(String worker, long from) {
+    Set<TaskId> lost = new HashSet<>();
+    for (FakeWorkers.Start start : world.workers.startLog) {
+      if (start.worker().equals(worker) && start.atMillis() < from) {
+        lost.add(start.run().task());
+      }
+    }
+    runUntil(() -> started(from).containsAll(lost), LONG_AFTER);
+    assertEquals(List.of(), world.workers.breaches, () -> String.join("\n", world.log));
+    return world.time.millis() - from;
+  }
+
+  private Set<TaskId> started(long from) {
+    Set<TaskId> tasks = new HashSet<>();
+    for (FakeWorkers.Start start : world.workers.startLog) {
+      if (start.atMillis() >= from) {
+        tasks.add(start.run().task());
+      }
+    }
+    return tasks;
+  }
+
+  private long longestWithoutHolder(long millis) {
+    long longest = 0;
+    long current = 0;
+    for (long i = 0; i < millis; i++) {
+      world.time.runFor(1);
+      boolean held = world.nodes.stream().anyMatch(TakeOverTest::holds);
+      current = held ? 0 : current + 1;
+      longest = Math.max(longest, current);
+    }
+    return longest;
+  }
+
+  private static boolean holds(CellWorld.Node node) {
+    return node.process != null && node.process.isHolder() && !node.process.isStopping();
+  }
+
+  /** Waits until another than a former holder holds the cell, and returns its node. */
+  private CellWorld.Node nextHolder(CellWorld.@Nullable Node former) {
+    runUntil(() -> world.nodes.stream().anyMatch(node -> node != former && holds(node)), 9_000);
+    return world.nodes.stream()
+        .filter(node -> node != former && holds(node))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private boolean log(String text) {
+    return world.log.stream().anyMatch(line -> line.contains(text));
+  }
+
+  private void runUntil(BooleanSupplier condition, long longestMillis) {
+    long latest = world.time.millis() + longestMillis;
+    while (!condition.getAsBoolean() && world.time.millis() < latest) {
+      world.time.runFor(1);
+    }
+  }
+}
