Grant leases at workers for 2 s after a renewal of the cell

Callers saw a task that lasts missing for 14.6 s when its worker died with the holder: the successor waited for the 8 s for which the holder gave orders without a renewal, and then for the longest lease of a worker.

The holder gave leases up to the end of its own. It grants them now only so long that they end with its own lease (8 s less a worker's lease, at least 2 s), so that what runs is kept through an outage of the table service as before, and a successor waits 2 s and the longest lease, 8.3 s in all. Leases that are cut to the end of the holder's own were weighed: a new boot of the worker, whose clock is low, grants the longest lease whatever an order names, so that the bound would not hold there.

The price is that no task starts in an outage of the table service after its first 2 s.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -199,7 +199,7 @@
       return;
     }
     runner.run(workers.all());
-    if (!releasing && (changed || now >= nextPlanAt)) {
+    if (!releasing && journal.mayGrant(now) && (changed || now >= nextPlanAt)) {
       changed = false;
       nextPlanAt = now + PLAN_PAUSE_MILLIS;
       planner.run();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -173,6 +173,20 @@
     return !ended && term.allowsOrders(now, clock.wallMillis());
   }
 
+  /**
+   * Tells whether an order may be given that grants a lease at a worker.
+   *
+   * @param now time on the steady clock, from which the lease must count
+   */
+  boolean mayGrant(long now) {
+    return isSure(now) && grantingLeft(now) > 0;
+  }
+
+  /** Returns the time for which leases may be granted without a renewal, in milliseconds. */
+  long grantingLeft(long now) {
+    return CellTiming.granting(settings.workerLeaseMillis()) - term.age(now);
+  }
+
   /** Tells whether the cell was lost or given up: what is heard from then on changes nothing. */
   boolean hasEnded() {
     return ended;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
@@ -20,6 +20,9 @@
    */
   static final long HOLDER_LEASE = 8_000;
 
+  /** Least time after a renewal for which the holder grants leases at workers. */
+  private static final long LEAST_GRANTING = 2_000;
+
   /** Difference of the two clocks by which a suspension of the process shows. */
   static final long SUSPENSION = 400;
 
@@ -34,6 +37,17 @@
 
   private CellTiming() {}
 
+  /**
+   * Returns the time after a renewal for which the holder grants leases at workers: so long that
+   * they end no sooner than its own lease does, and not longer, as a successor that cannot reach a
+   * worker waits for them.
+   *
+   * @param leaseMillis longest lease on a worker's clock
+   */
+  static long granting(long leaseMillis) {
+    return Math.max(LEAST_GRANTING, HOLDER_LEASE - leaseMillis);
+  }
+
   /**
    * Returns the time after which a lease has certainly ended, counted from before it was granted.
    *
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -17,6 +17,9 @@
   /** Wait where a serving task is not far from its target, so that fillers may have to yield. */
   private static final long BUSY_WAIT_MILLIS = 450;
 
+  /** Time before leases cannot be granted any more at which they are extended once more. */
+  private static final long LAST_GRANT_MILLIS = 150;
+
   /** Tail of a serving task from which its worker is asked more often, as a share of the target. */
   private static final double BUSY = 0.3;
 
@@ -102,9 +105,10 @@
   }
 
   private void hold(Worker worker, long now) {
+    boolean isExtended = worker.mayBeExtended() && journal.mayGrant(now);
     @Nullable Long until =
-        worker.mayBeExtended() ? (Long) worker.grantLease(now, settings.workerLeaseMillis()) : null;
-    long wait = wait(worker);
+        isExtended ? (Long) worker.grantLease(now, settings.workerLeaseMillis()) : null;
+    long wait = wait(worker, journal.grantingLeft(now));
     long confirmed = worker.endToConfirm(now);
     if (confirmed > 0 && worker.isConfirmationDue()) {
       String boot = "to the boot born " + worker.entry().bornMillis();
@@ -115,7 +119,11 @@
     port.hold(worker.target(), call, reply -> onReply(worker, call, reply, now));
   }
 
-  private static long wait(Worker worker) {
+  /**
+   * Returns for how long a call waits for an end. Leases are extended once more shortly before they
+   * cannot be, and soon after they can be again.
+   */
+  private static long wait(Worker worker, long grantingLeft) {
     boolean atOnce =
         worker.runs().isEmpty()
             || !worker.isFenced()
@@ -127,7 +135,11 @@
     if (atOnce) {
       return 0;
     }
-    return Interference.worstLoad(worker) >= BUSY ? BUSY_WAIT_MILLIS : WAIT_MILLIS;
+    boolean isBusy = Interference.worstLoad(worker) >= BUSY;
+    if (isBusy || grantingLeft <= LAST_GRANT_MILLIS) {
+      return BUSY_WAIT_MILLIS;
+    }
+    return Math.min(WAIT_MILLIS, grantingLeft - LAST_GRANT_MILLIS);
   }
 
   /** Tells whether a run was stopped, and only a report can tell whether it was there at all. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -182,7 +182,8 @@
   /** Returns the time at which no lease can be in force that an earlier holder granted. */
   private long lapseAt(RosterEntry entry) {
     boolean ordersEnded = entry.getSilent() || (lease.formerEnded() && ofLastHolder);
-    long lastOrder = lease.renewedAt() + (ordersEnded ? 0 : CellTiming.HOLDER_LEASE);
-    return lastOrder + CellTiming.longestLease(settings.workerLeaseMillis());
+    long longest = settings.workerLeaseMillis();
+    long lastGrant = lease.renewedAt() + (ordersEnded ? 0 : CellTiming.granting(longest));
+    return lastGrant + CellTiming.longestLease(longest);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -102,7 +102,7 @@
   private void sendStart(Run run, String checkpoint) {
     Worker worker = run.worker();
     long now = clock.monotonicMillis();
-    if (!journal.isSure(now)) {
+    if (!journal.mayGrant(now)) {
       onNotSent(run);
       return;
     }
@@ -191,7 +191,7 @@
         run.state() == Run.State.STARTING
             && run.startsSent() < MAX_START_ORDERS
             && !run.worker().isSilent()
-            && journal.isSure(now);
+            && journal.mayGrant(now);
     if (again) {
       sendStart(run, checkpoint);
     } else {
