Keep the bound of an earlier holder's leases over further take-overs

Callers saw tasks that last wait anew with each change of holder: 19.1 s after a second take-over 3 s after the first, 16.3 s where the successor died at once (13.1 and 10.3 s since leases are granted for 2 s).

The roster said which workers had not answered, but not since when, so that each successor counted from the last renewal that it saw. The row of such a worker now names the version of the lease's row under which the last lease may have been granted there, and each entry instance keeps when it saw which version. For that, a holder extends no lease before it has stored the worker as its own, as it starts nothing there either; calls are repeated until then, and extend as soon as the roster is stored.

The scenario of the successor that stored nothing has no new process at the first holder's place any more: one that was not there cannot know when the first holder renewed last, and takes the cell in one of two cases. The one with a stored roster keeps it.

Trial without the rule on extensions: the new scenario leasesOfAWorkerThatIsStoredAsAnEarlierHoldersAreNotExtendedWithoutTheStore fails, a task runs twice.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
@@ -83,11 +83,34 @@
     lose(worker);
     CellWorld.Node next = nextHolder(former);
     next.kill();
-    former.start();
     long taken = timeToRestart(worker, from);
     assertTrue(taken <= LONGEST_AWAY, () -> taken + " ms\n" + String.join("\n", world.log));
   }
 
+  /**
+   * A successor stored that another had given the last order to a worker. It reached the worker
+   * then, and extended its leases though it could not store that.
+   */
+  @Test
+  void leasesOfAWorkerThatIsStoredAsAnEarlierHoldersAreNotExtendedWithoutTheStore() {
+    String worker = startLasting();
+    CellWorld.Node former = world.holder();
+    former.kill();
+    for (CellWorld.Node node : world.nodes) {
+      node.workerView.unreached.add(worker);
+    }
+    CellWorld.Node next = nextHolder(former);
+    world.time.runFor(300);
+    next.storeView.cut = true;
+    next.workerView.unreached.addAll(others(worker));
+    next.workerView.unreached.remove(worker);
+    world.time.runFor(13_000);
+    next.storeView.cut = false;
+    world.nodes.forEach(node -> node.workerView.unreached.clear());
+    world.time.runFor(LONG_AFTER);
+    assertEquals(List.of(), world.workers.breaches, () -> String.join("\n", world.log));
+  }
+
   /** A task whose run had ended before the take-over waited for a worker where it never ran. */
   @Test
   void lastingTaskThatHadEndedWaitsForNoOtherWorker() {
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
@@ -121,25 +121,27 @@
       "mlockpick.JobStateRecord\022(\n\005steps\030\003 \003(\0132" +
       "\031.hemlockpick.StepProgress\022\027\n\017ended_at_m" +
       "illis\030\004 \001(\004\"-\n\013QueueLength\022\r\n\005queue\030\001 \001(" +
-      "\t\022\017\n\007waiting\030\002 \001(\r\"}\n\nCellRecord\022\016\n\006form" +
-      "at\030\001 \001(\r\022\016\n\006holder\030\002 \001(\t\022\022\n\ngeneration\030\003" +
-      " \001(\r\022\020\n\010released\030\004 \001(\010\022)\n\007waiting\030\005 \003(\0132" +
-      "\030.hemlockpick.QueueLength\"b\n\013RosterEntry" +
-      "\022\016\n\006worker\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n" +
-      "\007address\030\003 \001(\t\022\016\n\006silent\030\004 \001(\010\022\r\n\005tasks\030" +
-      "\005 \003(\t\"n\n\014RosterRecord\022\016\n\006format\030\001 \001(\r\022)\n" +
-      "\007workers\030\002 \003(\0132\030.hemlockpick.RosterEntry" +
-      "\022\017\n\007located\030\003 \001(\010\022\022\n\ngeneration\030\004 \001(\r\"F\n" +
-      "\tHarmEntry\022\025\n\rserving_image\030\001 \001(\t\022\024\n\014fil" +
-      "ler_image\030\002 \001(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMe" +
-      "an\022\r\n\005queue\030\001 \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLea" +
-      "rnedRecord\022\016\n\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\013" +
-      "2\026.hemlockpick.HarmEntry\022%\n\005means\030\003 \003(\0132" +
-      "\026.hemlockpick.QueueMean*\201\001\n\016JobStateReco" +
-      "rd\022\031\n\025JOB_STATE_UNSPECIFIED\020\000\022\016\n\nJOB_QUE" +
-      "UED\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020" +
-      "\003\022\016\n\nJOB_FAILED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025o" +
-      "rg.hemlockpick.protoP\001b\006proto3"
+      "\t\022\017\n\007waiting\030\002 \001(\r\"\227\001\n\nCellRecord\022\016\n\006for" +
+      "mat\030\001 \001(\r\022\016\n\006holder\030\002 \001(\t\022\022\n\ngeneration\030" +
+      "\003 \001(\r\022\020\n\010released\030\004 \001(\010\022)\n\007waiting\030\005 \003(\013" +
+      "2\030.hemlockpick.QueueLength\022\030\n\020replaced_v" +
+      "ersion\030\006 \001(\004\"\223\001\n\013RosterEntry\022\016\n\006worker\030\001" +
+      " \001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007address\030\003 \001" +
+      "(\t\022\016\n\006silent\030\004 \001(\010\022\r\n\005tasks\030\005 \003(\t\022\027\n\017gra" +
+      "nted_version\030\006 \001(\004\022\026\n\016granting_ended\030\007 \001" +
+      "(\010\"n\n\014RosterRecord\022\016\n\006format\030\001 \001(\r\022)\n\007wo" +
+      "rkers\030\002 \003(\0132\030.hemlockpick.RosterEntry\022\017\n" +
+      "\007located\030\003 \001(\010\022\022\n\ngeneration\030\004 \001(\r\"F\n\tHa" +
+      "rmEntry\022\025\n\rserving_image\030\001 \001(\t\022\024\n\014filler" +
+      "_image\030\002 \001(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMean\022" +
+      "\r\n\005queue\030\001 \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLearne" +
+      "dRecord\022\016\n\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026." +
+      "hemlockpick.HarmEntry\022%\n\005means\030\003 \003(\0132\026.h" +
+      "emlockpick.QueueMean*\201\001\n\016JobStateRecord\022" +
+      "\031\n\025JOB_STATE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED" +
+      "\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016" +
+      "\n\nJOB_FAILED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025org." +
+      "hemlockpick.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -186,13 +188,13 @@
     internal_static_hemlockpick_CellRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_CellRecord_descriptor,
-        new java.lang.String[] { "Format", "Holder", "Generation", "Released", "Waiting", });
+        new java.lang.String[] { "Format", "Holder", "Generation", "Released", "Waiting", "ReplacedVersion", });
     internal_static_hemlockpick_RosterEntry_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_hemlockpick_RosterEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterEntry_descriptor,
-        new java.lang.String[] { "Worker", "BornMillis", "Address", "Silent", "Tasks", });
+        new java.lang.String[] { "Worker", "BornMillis", "Address", "Silent", "Tasks", "GrantedVersion", "GrantingEnded", });
     internal_static_hemlockpick_RosterRecord_descriptor =
       getDescriptor().getMessageType(8);
     internal_static_hemlockpick_RosterRecord_fieldAccessorTable = new
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/CellRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/CellRecord.java
@@ -166,6 +166,22 @@
     return waiting_.get(index);
   }
 
+  public static final int REPLACED_VERSION_FIELD_NUMBER = 6;
+  private long replacedVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the row that the holder replaced when it took the cell: that of the last renewal of
+   * the holder before.
+   * </pre>
+   *
+   * <code>uint64 replaced_version = 6;</code>
+   * @return The replacedVersion.
+   */
+  @java.lang.Override
+  public long getReplacedVersion() {
+    return replacedVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -195,6 +211,9 @@
     for (int i = 0; i < waiting_.size(); i++) {
       output.writeMessage(5, waiting_.get(i));
     }
+    if (replacedVersion_ != 0L) {
+      output.writeUInt64(6, replacedVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -223,6 +242,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, waiting_.get(i));
     }
+    if (replacedVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, replacedVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -248,6 +271,8 @@
         != other.getReleased()) return false;
     if (!getWaitingList()
         .equals(other.getWaitingList())) return false;
+    if (getReplacedVersion()
+        != other.getReplacedVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -272,6 +297,9 @@
       hash = (37 * hash) + WAITING_FIELD_NUMBER;
       hash = (53 * hash) + getWaitingList().hashCode();
     }
+    hash = (37 * hash) + REPLACED_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReplacedVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -418,6 +446,7 @@
         waitingBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      replacedVersion_ = 0L;
       return this;
     }
 
@@ -476,6 +505,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.released_ = released_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.replacedVersion_ = replacedVersion_;
+      }
     }
 
     @java.lang.Override
@@ -530,6 +562,9 @@
           }
         }
       }
+      if (other.getReplacedVersion() != 0L) {
+        setReplacedVersion(other.getReplacedVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -589,6 +624,11 @@
               }
               break;
             } // case 42
+            case 48: {
+              replacedVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1026,6 +1066,53 @@
       return waitingBuilder_;
     }
 
+    private long replacedVersion_ ;
+    /**
+     * <pre>
+     * Version of the row that the holder replaced when it took the cell: that of the last renewal of
+     * the holder before.
+     * </pre>
+     *
+     * <code>uint64 replaced_version = 6;</code>
+     * @return The replacedVersion.
+     */
+    @java.lang.Override
+    public long getReplacedVersion() {
+      return replacedVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the row that the holder replaced when it took the cell: that of the last renewal of
+     * the holder before.
+     * </pre>
+     *
+     * <code>uint64 replaced_version = 6;</code>
+     * @param value The replacedVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReplacedVersion(long value) {
+
+      replacedVersion_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the row that the holder replaced when it took the cell: that of the last renewal of
+     * the holder before.
+     * </pre>
+     *
+     * <code>uint64 replaced_version = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReplacedVersion() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      replacedVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.CellRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/CellRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/CellRecordOrBuilder.java
@@ -67,4 +67,15 @@
    */
   org.hemlockpick.proto.QueueLengthOrBuilder getWaitingOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Version of the row that the holder replaced when it took the cell: that of the last renewal of
+   * the holder before.
+   * </pre>
+   *
+   * <code>uint64 replaced_version = 6;</code>
+   * @return The replacedVersion.
+   */
+  long getReplacedVersion();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterEntry.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterEntry.java
@@ -204,6 +204,37 @@
     return tasks_.getByteString(index);
   }
 
+  public static final int GRANTED_VERSION_FIELD_NUMBER = 6;
+  private long grantedVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the lease's row with the last renewal of a holder that may have granted a lease
+   * there; only of a worker that has not answered to a later holder, else 0.
+   * </pre>
+   *
+   * <code>uint64 granted_version = 6;</code>
+   * @return The grantedVersion.
+   */
+  @java.lang.Override
+  public long getGrantedVersion() {
+    return grantedVersion_;
+  }
+
+  public static final int GRANTING_ENDED_FIELD_NUMBER = 7;
+  private boolean grantingEnded_ = false;
+  /**
+   * <pre>
+   * Whether that holder granted none after that renewal.
+   * </pre>
+   *
+   * <code>bool granting_ended = 7;</code>
+   * @return The grantingEnded.
+   */
+  @java.lang.Override
+  public boolean getGrantingEnded() {
+    return grantingEnded_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -233,6 +264,12 @@
     for (int i = 0; i < tasks_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, tasks_.getRaw(i));
     }
+    if (grantedVersion_ != 0L) {
+      output.writeUInt64(6, grantedVersion_);
+    }
+    if (grantingEnded_ != false) {
+      output.writeBool(7, grantingEnded_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -264,6 +301,14 @@
       size += dataSize;
       size += 1 * getTasksList().size();
     }
+    if (grantedVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, grantedVersion_);
+    }
+    if (grantingEnded_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, grantingEnded_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -289,6 +334,10 @@
         != other.getSilent()) return false;
     if (!getTasksList()
         .equals(other.getTasksList())) return false;
+    if (getGrantedVersion()
+        != other.getGrantedVersion()) return false;
+    if (getGrantingEnded()
+        != other.getGrantingEnded()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -314,6 +363,12 @@
       hash = (37 * hash) + TASKS_FIELD_NUMBER;
       hash = (53 * hash) + getTasksList().hashCode();
     }
+    hash = (37 * hash) + GRANTED_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getGrantedVersion());
+    hash = (37 * hash) + GRANTING_ENDED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getGrantingEnded());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -451,6 +506,8 @@
       silent_ = false;
       tasks_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      grantedVersion_ = 0L;
+      grantingEnded_ = false;
       return this;
     }
 
@@ -500,6 +557,12 @@
         tasks_.makeImmutable();
         result.tasks_ = tasks_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.grantedVersion_ = grantedVersion_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.grantingEnded_ = grantingEnded_;
+      }
     }
 
     @java.lang.Override
@@ -540,6 +603,12 @@
         }
         onChanged();
       }
+      if (other.getGrantedVersion() != 0L) {
+        setGrantedVersion(other.getGrantedVersion());
+      }
+      if (other.getGrantingEnded() != false) {
+        setGrantingEnded(other.getGrantingEnded());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -592,6 +661,16 @@
               tasks_.add(s);
               break;
             } // case 42
+            case 48: {
+              grantedVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              grantingEnded_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -976,6 +1055,97 @@
       return this;
     }
 
+    private long grantedVersion_ ;
+    /**
+     * <pre>
+     * Version of the lease's row with the last renewal of a holder that may have granted a lease
+     * there; only of a worker that has not answered to a later holder, else 0.
+     * </pre>
+     *
+     * <code>uint64 granted_version = 6;</code>
+     * @return The grantedVersion.
+     */
+    @java.lang.Override
+    public long getGrantedVersion() {
+      return grantedVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the lease's row with the last renewal of a holder that may have granted a lease
+     * there; only of a worker that has not answered to a later holder, else 0.
+     * </pre>
+     *
+     * <code>uint64 granted_version = 6;</code>
+     * @param value The grantedVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGrantedVersion(long value) {
+
+      grantedVersion_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the lease's row with the last renewal of a holder that may have granted a lease
+     * there; only of a worker that has not answered to a later holder, else 0.
+     * </pre>
+     *
+     * <code>uint64 granted_version = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGrantedVersion() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      grantedVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean grantingEnded_ ;
+    /**
+     * <pre>
+     * Whether that holder granted none after that renewal.
+     * </pre>
+     *
+     * <code>bool granting_ended = 7;</code>
+     * @return The grantingEnded.
+     */
+    @java.lang.Override
+    public boolean getGrantingEnded() {
+      return grantingEnded_;
+    }
+    /**
+     * <pre>
+     * Whether that holder granted none after that renewal.
+     * </pre>
+     *
+     * <code>bool granting_ended = 7;</code>
+     * @param value The grantingEnded to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGrantingEnded(boolean value) {
+
+      grantingEnded_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether that holder granted none after that renewal.
+     * </pre>
+     *
+     * <code>bool granting_ended = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGrantingEnded() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      grantingEnded_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.RosterEntry)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterEntryOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterEntryOrBuilder.java
@@ -90,4 +90,25 @@
    */
   com.google.protobuf.ByteString
       getTasksBytes(int index);
+
+  /**
+   * <pre>
+   * Version of the lease's row with the last renewal of a holder that may have granted a lease
+   * there; only of a worker that has not answered to a later holder, else 0.
+   * </pre>
+   *
+   * <code>uint64 granted_version = 6;</code>
+   * @return The grantedVersion.
+   */
+  long getGrantedVersion();
+
+  /**
+   * <pre>
+   * Whether that holder granted none after that renewal.
+   * </pre>
+   *
+   * <code>bool granting_ended = 7;</code>
+   * @return The grantingEnded.
+   */
+  boolean getGrantingEnded();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -289,7 +289,8 @@
         CellRecord.newBuilder()
             .setFormat(JobRows.FORMAT)
             .setHolder(settings.holder())
-            .setGeneration(lease.generation());
+            .setGeneration(lease.generation())
+            .setReplacedVersion(lease.replaced());
     waiting()
         .forEach(
             (queue, count) ->
@@ -362,9 +363,6 @@
   private final class ReportListener implements HoldSystem.Listener {
     @Override
     public void onFirstReport(Worker worker) {
-      if (takeOver.isStoredAsSilent(worker.id())) {
-        worker.setStoredAsSilent();
-      }
       takeOver.account(worker.id(), "answered");
       list.touchRoster();
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -30,6 +30,8 @@
   private final DecisionLog log;
   private final Listener listener;
 
+  private final LeaseHistory history = new LeaseHistory();
+
   private boolean reading;
   private boolean claiming;
   private boolean holding;
@@ -72,6 +74,10 @@
    * @param generation number of holders before this one
    * @param renewedAt time on the steady clock when the last renewal of the holder before was seen
    * @param formerEnded whether the holder before is certain to give no more orders
+   * @param replaced version of the row with that renewal
+   * @param replacedBefore the same of the holder before, when it took the cell; 0 if it is not
+   *     known
+   * @param history when versions of the row were seen
    * @param waiting numbers of waiting jobs that the holder before told last, by queue
    */
   record Acquired(
@@ -80,6 +86,9 @@
       int generation,
       long renewedAt,
       boolean formerEnded,
+      long replaced,
+      long replacedBefore,
+      LeaseHistory history,
       ImmutableMap<String, Integer> waiting) {}
 
   /** Returns the numbers of waiting jobs that the holder told last, by queue. */
@@ -174,6 +183,7 @@
     if (version != seenVersion) {
       seenVersion = version;
       changedAt = now;
+      history.see(version, now);
     }
     seen = record;
     if (record == null) {
@@ -195,11 +205,14 @@
             .setFormat(JobRows.FORMAT)
             .setHolder(settings.holder())
             .setGeneration(generation)
+            .setReplacedVersion(Math.max(0, seenVersion))
             .addAllWaiting(seen == null ? List.of() : seen.getWaitingList())
             .build();
     log.decided("lease", settings.cell(), "claimed", "version " + seenVersion + ", " + free(now));
     var row = CellRows.lease(settings.cell());
     long renewedAt = changedAt;
+    long replaced = Math.max(0, seenVersion);
+    long replacedBefore = seen == null ? 0 : seen.getReplacedVersion();
     boolean formerEnded = hasFormerEnded(seen);
     ImmutableMap<String, Integer> lastWaiting = waiting;
     Transaction transaction =
@@ -215,7 +228,15 @@
             onClaimed(
                 result,
                 new Acquired(
-                    result.version(), now, generation, renewedAt, formerEnded, lastWaiting)));
+                    result.version(),
+                    now,
+                    generation,
+                    renewedAt,
+                    formerEnded,
+                    replaced,
+                    replacedBefore,
+                    history,
+                    lastWaiting)));
   }
 
   /** Returns for the log why the lease is free, and who held it. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -128,6 +128,7 @@
         worker.runs().isEmpty()
             || !worker.isFenced()
             || worker.isSilent()
+            || worker.isStoredAsSilent()
             || worker.recordedEnd() < worker.lastEnd()
             || worker.isConfirmationDue()
             || worker.hasUnknownRuns()
@@ -249,7 +250,11 @@
     if (worker.hasUnknownRuns()) {
       return UNKNOWN_PAUSE_MILLIS;
     }
-    return worker.runs().isEmpty() ? IDLE_PAUSE_MILLIS : 0;
+    if (worker.runs().isEmpty()) {
+      return IDLE_PAUSE_MILLIS;
+    }
+    // Once it is stored as open it is asked at once.
+    return worker.isStoredAsSilent() ? RETRY_MILLIS : 0;
   }
 
   private void confirm(Worker worker) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -95,12 +95,30 @@
 
   private void take(RosterRecord roster) {
     ofLastHolder = roster.getLocated() && roster.getGeneration() == lease.generation() - 1;
-    roster.getWorkersList().forEach(entry -> unaccounted.put(entry.getWorker(), entry));
+    for (RosterEntry entry : roster.getWorkersList()) {
+      unaccounted.put(entry.getWorker(), withLastGrant(entry, roster));
+    }
     count();
     String tasks = unknown + " not silent, " + doubtful.size() + " tasks at silent ones";
     log.decided("cell", settings.cell(), "unaccounted", unaccounted.size() + " workers, " + tasks);
   }
 
+  /**
+   * Adds up to when leases may have been granted at a worker. A holder grants none before it has
+   * stored a roster, and none at a worker that this roster does not name as its own.
+   */
+  private RosterEntry withLastGrant(RosterEntry entry, RosterRecord roster) {
+    if (entry.getGrantedVersion() != 0) {
+      return entry;
+    }
+    boolean nothingStoredSince = roster.getGeneration() == lease.generation() - 2;
+    boolean isOlder = nothingStoredSince && lease.replacedBefore() != 0;
+    return entry.toBuilder()
+        .setGrantedVersion(isOlder ? lease.replacedBefore() : lease.replaced())
+        .setGrantingEnded(entry.getSilent() || (lease.formerEnded() && ofLastHolder))
+        .build();
+  }
+
   private void count() {
     doubtful.clear();
     unknown = 0;
@@ -125,12 +143,6 @@
     }
   }
 
-  /** Tells whether an earlier holder has stored a worker as silent that is not accounted for. */
-  boolean isStoredAsSilent(String worker) {
-    RosterEntry entry = unaccounted.get(worker);
-    return entry != null && entry.getSilent();
-  }
-
   boolean isUnaccounted(String worker) {
     return unaccounted.containsKey(worker);
   }
@@ -181,9 +193,9 @@
 
   /** Returns the time at which no lease can be in force that an earlier holder granted. */
   private long lapseAt(RosterEntry entry) {
-    boolean ordersEnded = entry.getSilent() || (lease.formerEnded() && ofLastHolder);
+    long renewedAt = lease.history().writtenBy(entry.getGrantedVersion(), lease.renewedAt());
     long longest = settings.workerLeaseMillis();
-    long lastGrant = lease.renewedAt() + (ordersEnded ? 0 : CellTiming.granting(longest));
+    long lastGrant = renewedAt + (entry.getGrantingEnded() ? 0 : CellTiming.granting(longest));
     return lastGrant + CellTiming.longestLease(longest);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -28,8 +28,11 @@
   private boolean unknownRuns;
   private boolean onRoster;
 
-  /** Whether a later holder may find it in the table service as given no more orders. */
-  private boolean storedAsSilent;
+  /**
+   * Whether a later holder may find it in the table service as granted no more leases: before this
+   * holder has stored it as open, and once it is stored as silent.
+   */
+  private boolean storedAsSilent = true;
 
   /** Number of the first roster since which it has not been written as silent. */
   private long openSince = Long.MAX_VALUE;
@@ -182,20 +185,26 @@
   }
 
   void onRosterStored(long number) {
-    if (openSince <= number) {
-      onRoster = true;
+    if (openSince > number) {
+      return;
+    }
+    onRoster = true;
+    if (storedAsSilent) {
       storedAsSilent = false;
+      // Its leases can be extended from now on.
+      nextHoldAt = 0;
     }
   }
 
-  /** Takes note that an earlier holder has stored it as silent. */
-  void setStoredAsSilent() {
-    storedAsSilent = true;
+  /** Tells whether a later holder may find it as granted no more leases. */
+  boolean isStoredAsSilent() {
+    return storedAsSilent;
   }
 
   /**
    * Tells whether its leases may be extended. A later holder counts those of a worker that is
-   * stored as silent from the last renewal of the cell.
+   * stored as silent from the last renewal of the cell, and those of one that is not stored as open
+   * from the last renewal of an earlier holder.
    */
   boolean mayBeExtended() {
     return !runs.isEmpty() && hasClock() && !isSilent() && !storedAsSilent;
