Store where a task that lasts is ordered before the order

The worker is now stored with the job's progress before the order, and taken out when the run has certainly ended. A successor holds a task that lasts up for that worker only. The roster says whether all holders kept places, so that a successor of an older version's holder waits as before until all workers are accounted for.

Weighed: places of all tasks, which would be a write for each of hundreds of starts a second.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
@@ -133,6 +133,27 @@
         taken <= LONGEST_AFTER_DISTURBANCE, () -> taken + " ms\n" + String.join("\n", world.log));
   }
 
+  /** A task whose place was not stored before its order ran twice after a take-over. */
+  @Test
+  void lastingTaskIsStartedNowhereElseWhileItsWorkerMayRunIt() {
+    for (int i = 0; i < 60; i += 3) {
+      world = world(20261204 + i, 3);
+      world.time.runFor(SETTLED);
+      CellWorld.Node former = world.holder();
+      for (CellWorld.Node node : world.nodes) {
+        node.workerView.unreached.add("w1");
+      }
+      former.workerView.unreached.clear();
+      world.submit(world.nodes.indexOf(former) + 1, "a", lasting(4));
+      world.time.runFor(i);
+      // It orders at w1 alone, where its successor cannot see it.
+      former.kill();
+      world.time.runFor(LONG_AFTER);
+      assertEquals(List.of(), world.workers.breaches, () -> String.join("\n", world.log));
+      assertEquals(4, started(0).size(), () -> String.join("\n", world.log));
+    }
+  }
+
   /** Each holder was told to stop soon after it had begun; for 4.4 s nobody held the cell. */
   @Test
   void leasesGoOnThroughPlannedStopsInARow() {
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
@@ -110,38 +110,39 @@
       "\003(\0132\027.hemlockpick.StepRecord\022\035\n\025first_st" +
       "art_at_millis\030\005 \001(\004\022\027\n\017interval_millis\030\006" +
       " \001(\004\022\024\n\014repeat_count\030\007 \001(\r\022\032\n\022accepted_a" +
-      "t_millis\030\010 \001(\004\"\222\001\n\010TaskNote\022\r\n\005index\030\001 \001" +
+      "t_millis\030\010 \001(\004\"\241\001\n\010TaskNote\022\r\n\005index\030\001 \001" +
       "(\r\022\020\n\010failures\030\002 \001(\r\022\022\n\ncheckpoint\030\003 \001(\t" +
       "\022\026\n\016failed_attempt\030\004 \001(\r\022\035\n\025older_failed" +
       "_attempts\030\005 \003(\r\022\032\n\022checkpoint_attempt\030\006 " +
-      "\001(\r\"d\n\014StepProgress\022\022\n\noccurrence\030\001 \001(\r\022" +
-      "\014\n\004step\030\002 \001(\r\022\014\n\004done\030\003 \001(\014\022$\n\005notes\030\004 \003" +
-      "(\0132\025.hemlockpick.TaskNote\"\217\001\n\016ProgressRe" +
-      "cord\022\016\n\006format\030\001 \001(\r\022*\n\005state\030\002 \001(\0162\033.he" +
-      "mlockpick.JobStateRecord\022(\n\005steps\030\003 \003(\0132" +
-      "\031.hemlockpick.StepProgress\022\027\n\017ended_at_m" +
-      "illis\030\004 \001(\004\"-\n\013QueueLength\022\r\n\005queue\030\001 \001(" +
-      "\t\022\017\n\007waiting\030\002 \001(\r\"\227\001\n\nCellRecord\022\016\n\006for" +
-      "mat\030\001 \001(\r\022\016\n\006holder\030\002 \001(\t\022\022\n\ngeneration\030" +
-      "\003 \001(\r\022\020\n\010released\030\004 \001(\010\022)\n\007waiting\030\005 \003(\013" +
-      "2\030.hemlockpick.QueueLength\022\030\n\020replaced_v" +
-      "ersion\030\006 \001(\004\"\223\001\n\013RosterEntry\022\016\n\006worker\030\001" +
-      " \001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007address\030\003 \001" +
-      "(\t\022\016\n\006silent\030\004 \001(\010\022\r\n\005tasks\030\005 \003(\t\022\027\n\017gra" +
-      "nted_version\030\006 \001(\004\022\026\n\016granting_ended\030\007 \001" +
-      "(\010\"n\n\014RosterRecord\022\016\n\006format\030\001 \001(\r\022)\n\007wo" +
-      "rkers\030\002 \003(\0132\030.hemlockpick.RosterEntry\022\017\n" +
-      "\007located\030\003 \001(\010\022\022\n\ngeneration\030\004 \001(\r\"F\n\tHa" +
-      "rmEntry\022\025\n\rserving_image\030\001 \001(\t\022\024\n\014filler" +
-      "_image\030\002 \001(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMean\022" +
-      "\r\n\005queue\030\001 \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLearne" +
-      "dRecord\022\016\n\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026." +
-      "hemlockpick.HarmEntry\022%\n\005means\030\003 \003(\0132\026.h" +
-      "emlockpick.QueueMean*\201\001\n\016JobStateRecord\022" +
-      "\031\n\025JOB_STATE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED" +
-      "\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016" +
-      "\n\nJOB_FAILED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025org." +
-      "hemlockpick.protoP\001b\006proto3"
+      "\001(\r\022\r\n\005place\030\007 \001(\t\"d\n\014StepProgress\022\022\n\noc" +
+      "currence\030\001 \001(\r\022\014\n\004step\030\002 \001(\r\022\014\n\004done\030\003 \001" +
+      "(\014\022$\n\005notes\030\004 \003(\0132\025.hemlockpick.TaskNote" +
+      "\"\217\001\n\016ProgressRecord\022\016\n\006format\030\001 \001(\r\022*\n\005s" +
+      "tate\030\002 \001(\0162\033.hemlockpick.JobStateRecord\022" +
+      "(\n\005steps\030\003 \003(\0132\031.hemlockpick.StepProgres" +
+      "s\022\027\n\017ended_at_millis\030\004 \001(\004\"-\n\013QueueLengt" +
+      "h\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\r\"\227\001\n\nCe" +
+      "llRecord\022\016\n\006format\030\001 \001(\r\022\016\n\006holder\030\002 \001(\t" +
+      "\022\022\n\ngeneration\030\003 \001(\r\022\020\n\010released\030\004 \001(\010\022)" +
+      "\n\007waiting\030\005 \003(\0132\030.hemlockpick.QueueLengt" +
+      "h\022\030\n\020replaced_version\030\006 \001(\004\"\223\001\n\013RosterEn" +
+      "try\022\016\n\006worker\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004" +
+      "\022\017\n\007address\030\003 \001(\t\022\016\n\006silent\030\004 \001(\010\022\r\n\005tas" +
+      "ks\030\005 \003(\t\022\027\n\017granted_version\030\006 \001(\004\022\026\n\016gra" +
+      "nting_ended\030\007 \001(\010\"\203\001\n\014RosterRecord\022\016\n\006fo" +
+      "rmat\030\001 \001(\r\022)\n\007workers\030\002 \003(\0132\030.hemlockpic" +
+      "k.RosterEntry\022\017\n\007located\030\003 \001(\010\022\022\n\ngenera" +
+      "tion\030\004 \001(\r\022\023\n\013places_kept\030\005 \001(\010\"F\n\tHarmE" +
+      "ntry\022\025\n\rserving_image\030\001 \001(\t\022\024\n\014filler_im" +
+      "age\030\002 \001(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMean\022\r\n\005" +
+      "queue\030\001 \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLearnedRe" +
+      "cord\022\016\n\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026.hem" +
+      "lockpick.HarmEntry\022%\n\005means\030\003 \003(\0132\026.heml" +
+      "ockpick.QueueMean*\201\001\n\016JobStateRecord\022\031\n\025" +
+      "JOB_STATE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022" +
+      "\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJ" +
+      "OB_FAILED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025org.hem" +
+      "lockpick.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -164,7 +165,7 @@
     internal_static_hemlockpick_TaskNote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_TaskNote_descriptor,
-        new java.lang.String[] { "Index", "Failures", "Checkpoint", "FailedAttempt", "OlderFailedAttempts", "CheckpointAttempt", });
+        new java.lang.String[] { "Index", "Failures", "Checkpoint", "FailedAttempt", "OlderFailedAttempts", "CheckpointAttempt", "Place", });
     internal_static_hemlockpick_StepProgress_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_hemlockpick_StepProgress_fieldAccessorTable = new
@@ -200,7 +201,7 @@
     internal_static_hemlockpick_RosterRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterRecord_descriptor,
-        new java.lang.String[] { "Format", "Workers", "Located", "Generation", });
+        new java.lang.String[] { "Format", "Workers", "Located", "Generation", "PlacesKept", });
     internal_static_hemlockpick_HarmEntry_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_hemlockpick_HarmEntry_fieldAccessorTable = new
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecord.java
@@ -130,6 +130,21 @@
     return generation_;
   }
 
+  public static final int PLACES_KEPT_FIELD_NUMBER = 5;
+  private boolean placesKept_ = false;
+  /**
+   * <pre>
+   * Whether the places of all tasks that last are stored, so that one without a place runs nowhere.
+   * </pre>
+   *
+   * <code>bool places_kept = 5;</code>
+   * @return The placesKept.
+   */
+  @java.lang.Override
+  public boolean getPlacesKept() {
+    return placesKept_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +171,9 @@
     if (generation_ != 0) {
       output.writeUInt32(4, generation_);
     }
+    if (placesKept_ != false) {
+      output.writeBool(5, placesKept_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -181,6 +199,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, generation_);
     }
+    if (placesKept_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, placesKept_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -204,6 +226,8 @@
         != other.getLocated()) return false;
     if (getGeneration()
         != other.getGeneration()) return false;
+    if (getPlacesKept()
+        != other.getPlacesKept()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -226,6 +250,9 @@
         getLocated());
     hash = (37 * hash) + GENERATION_FIELD_NUMBER;
     hash = (53 * hash) + getGeneration();
+    hash = (37 * hash) + PLACES_KEPT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getPlacesKept());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -371,6 +398,7 @@
       bitField0_ = (bitField0_ & ~0x00000002);
       located_ = false;
       generation_ = 0;
+      placesKept_ = false;
       return this;
     }
 
@@ -426,6 +454,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.generation_ = generation_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.placesKept_ = placesKept_;
+      }
     }
 
     @java.lang.Override
@@ -475,6 +506,9 @@
       if (other.getGeneration() != 0) {
         setGeneration(other.getGeneration());
       }
+      if (other.getPlacesKept() != false) {
+        setPlacesKept(other.getPlacesKept());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -529,6 +563,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              placesKept_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -906,6 +945,50 @@
       return this;
     }
 
+    private boolean placesKept_ ;
+    /**
+     * <pre>
+     * Whether the places of all tasks that last are stored, so that one without a place runs nowhere.
+     * </pre>
+     *
+     * <code>bool places_kept = 5;</code>
+     * @return The placesKept.
+     */
+    @java.lang.Override
+    public boolean getPlacesKept() {
+      return placesKept_;
+    }
+    /**
+     * <pre>
+     * Whether the places of all tasks that last are stored, so that one without a place runs nowhere.
+     * </pre>
+     *
+     * <code>bool places_kept = 5;</code>
+     * @param value The placesKept to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPlacesKept(boolean value) {
+
+      placesKept_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the places of all tasks that last are stored, so that one without a place runs nowhere.
+     * </pre>
+     *
+     * <code>bool places_kept = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPlacesKept() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      placesKept_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.RosterRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecordOrBuilder.java
@@ -59,4 +59,14 @@
    * @return The generation.
    */
   int getGeneration();
+
+  /**
+   * <pre>
+   * Whether the places of all tasks that last are stored, so that one without a place runs nowhere.
+   * </pre>
+   *
+   * <code>bool places_kept = 5;</code>
+   * @return The placesKept.
+   */
+  boolean getPlacesKept();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
@@ -34,6 +34,7 @@
   private TaskNote() {
     checkpoint_ = "";
     olderFailedAttempts_ = emptyIntList();
+    place_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -185,6 +186,55 @@
     return checkpointAttempt_;
   }
 
+  public static final int PLACE_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object place_ = "";
+  /**
+   * <pre>
+   * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+   * the order. Empty if it runs nowhere.
+   * </pre>
+   *
+   * <code>string place = 7;</code>
+   * @return The place.
+   */
+  @java.lang.Override
+  public java.lang.String getPlace() {
+    java.lang.Object ref = place_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      place_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+   * the order. Empty if it runs nowhere.
+   * </pre>
+   *
+   * <code>string place = 7;</code>
+   * @return The bytes for place.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPlaceBytes() {
+    java.lang.Object ref = place_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      place_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -222,6 +272,9 @@
     if (checkpointAttempt_ != 0) {
       output.writeUInt32(6, checkpointAttempt_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(place_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, place_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -264,6 +317,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(6, checkpointAttempt_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(place_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, place_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -291,6 +347,8 @@
         .equals(other.getOlderFailedAttemptsList())) return false;
     if (getCheckpointAttempt()
         != other.getCheckpointAttempt()) return false;
+    if (!getPlace()
+        .equals(other.getPlace())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -316,6 +374,8 @@
     }
     hash = (37 * hash) + CHECKPOINT_ATTEMPT_FIELD_NUMBER;
     hash = (53 * hash) + getCheckpointAttempt();
+    hash = (37 * hash) + PLACE_FIELD_NUMBER;
+    hash = (53 * hash) + getPlace().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -457,6 +517,7 @@
       failedAttempt_ = 0;
       olderFailedAttempts_ = emptyIntList();
       checkpointAttempt_ = 0;
+      place_ = "";
       return this;
     }
 
@@ -509,6 +570,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.checkpointAttempt_ = checkpointAttempt_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.place_ = place_;
+      }
     }
 
     @java.lang.Override
@@ -551,6 +615,11 @@
       if (other.getCheckpointAttempt() != 0) {
         setCheckpointAttempt(other.getCheckpointAttempt());
       }
+      if (!other.getPlace().isEmpty()) {
+        place_ = other.place_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -618,6 +687,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              place_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -978,6 +1052,103 @@
       return this;
     }
 
+    private java.lang.Object place_ = "";
+    /**
+     * <pre>
+     * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+     * the order. Empty if it runs nowhere.
+     * </pre>
+     *
+     * <code>string place = 7;</code>
+     * @return The place.
+     */
+    public java.lang.String getPlace() {
+      java.lang.Object ref = place_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        place_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+     * the order. Empty if it runs nowhere.
+     * </pre>
+     *
+     * <code>string place = 7;</code>
+     * @return The bytes for place.
+     */
+    public com.google.protobuf.ByteString
+        getPlaceBytes() {
+      java.lang.Object ref = place_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        place_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+     * the order. Empty if it runs nowhere.
+     * </pre>
+     *
+     * <code>string place = 7;</code>
+     * @param value The place to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPlace(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      place_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+     * the order. Empty if it runs nowhere.
+     * </pre>
+     *
+     * <code>string place = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPlace() {
+      place_ = getDefaultInstance().getPlace();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+     * the order. Empty if it runs nowhere.
+     * </pre>
+     *
+     * <code>string place = 7;</code>
+     * @param value The bytes for place to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPlaceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      place_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.TaskNote)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
@@ -85,4 +85,26 @@
    * @return The checkpointAttempt.
    */
   int getCheckpointAttempt();
+
+  /**
+   * <pre>
+   * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+   * the order. Empty if it runs nowhere.
+   * </pre>
+   *
+   * <code>string place = 7;</code>
+   * @return The place.
+   */
+  java.lang.String getPlace();
+  /**
+   * <pre>
+   * Worker at which a task that lasts may run: the one that it was ordered at last, stored before
+   * the order. Empty if it runs nowhere.
+   * </pre>
+   *
+   * <code>string place = 7;</code>
+   * @return The bytes for place.
+   */
+  com.google.protobuf.ByteString
+      getPlaceBytes();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -193,6 +193,10 @@
     if (takeOver.run(now, journal.heldAloneUntil(now))) {
       list.touchRoster();
       changed = true;
+      if (takeOver.isLocated() && !takeOver.arePlacesKept()) {
+        // What was found is written with its place.
+        journal.whenStored(this::onPlacesStored);
+      }
     }
     holds.run(workers.all());
     if (!journal.isSure(now)) {
@@ -212,6 +216,11 @@
     experience.run(now);
   }
 
+  private void onPlacesStored() {
+    takeOver.setPlacesKept();
+    list.touchRoster();
+  }
+
   private String waitingTasks() {
     long now = clock.monotonicMillis();
     long waiting = 0;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -168,6 +168,7 @@
             .restore(
                 note.getFailures(), note.getFailedAttempt(), note.getOlderFailedAttemptsList());
         task.setCheckpoint(note.getCheckpointAttempt(), note.getCheckpoint());
+        task.setPlace(note.getPlace());
       }
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -183,7 +183,8 @@
                 .setFailedAttempt(task.failed().newest())
                 .addAllOlderFailedAttempts(task.failed().older())
                 .setCheckpoint(task.checkpoint())
-                .setCheckpointAttempt(task.checkpointAttempt()));
+                .setCheckpointAttempt(task.checkpointAttempt())
+                .setPlace(task.place()));
       }
     }
     return progress.setDone(ByteString.copyFrom(done.toByteArray())).build();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -37,6 +37,9 @@
   /** Whether only the last holder has given tasks to the workers of the roster. */
   private boolean ofLastHolder;
 
+  /** Whether the places of all tasks that last were stored before they were ordered. */
+  private boolean placesKept = true;
+
   private boolean located;
   private int unknown;
   private long nextReadAt;
@@ -94,6 +97,7 @@
   }
 
   private void take(RosterRecord roster) {
+    placesKept = roster.getPlacesKept();
     ofLastHolder = roster.getLocated() && roster.getGeneration() == lease.generation() - 1;
     for (RosterEntry entry : roster.getWorkersList()) {
       unaccounted.put(entry.getWorker(), withLastGrant(entry, roster));
@@ -152,14 +156,27 @@
     return unaccounted.values();
   }
 
+  /** Tells whether a later holder finds the places of all tasks that last. */
+  boolean arePlacesKept() {
+    return placesKept;
+  }
+
+  /** Takes note that the places of all tasks that last are stored. */
+  void setPlacesKept() {
+    placesKept = true;
+  }
+
   /**
    * Tells whether a task must not be started yet. It is certain where a task is that was found at a
-   * worker, or was handed in after the lease was taken.
+   * worker, or was handed in after the lease was taken; one that lasts can only be at its place.
    */
   boolean blocks(Task task) {
     if (located || !task.job().isInherited() || task.isLocated()) {
       return false;
     }
+    if (placesKept && task.step().step().lasting()) {
+      return isUnaccounted(task.place());
+    }
     return unknown > 0 || doubtful.contains(task.id().toString());
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -20,6 +20,9 @@
 
   private boolean located;
 
+  /** Worker at which it may run if it lasts, as it is stored; empty if there is none. */
+  private String place = "";
+
   /** Worker at which it failed last; another one is tried first. */
   private @Nullable String failedAt;
 
@@ -136,6 +139,20 @@
     located = true;
   }
 
+  /** Returns the worker at which it may run if it lasts; empty if there is none. */
+  String place() {
+    return place;
+  }
+
+  void setPlace(String worker) {
+    place = worker;
+  }
+
+  /** Tells whether neither a run of it is known nor one beside it that is being stopped. */
+  boolean hasNoRun() {
+    return run == null && strays.isEmpty();
+  }
+
   /** Tells whether it was started before, as far as is known or possible. */
   boolean mayHaveRun() {
     return lastAttempt > 0 || job().isInherited();
@@ -165,11 +182,11 @@
   }
 
   boolean isReady(long nowMillis) {
-    return !done && run == null && strays.isEmpty() && nowMillis >= notBefore;
+    return !done && hasNoRun() && nowMillis >= notBefore;
   }
 
   /** Tells whether more than whether it is done must be stored. */
   boolean isWorthNoting() {
-    return !done && (failures() > 0 || !checkpoint.isEmpty());
+    return !done && (failures() > 0 || !checkpoint.isEmpty() || !place.isEmpty());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -28,6 +28,9 @@
   private static final long UNHEALTHY_PAUSE_MILLIS = 1_000;
   private static final long MALFORMED_PAUSE_MILLIS = 2_000;
 
+  /** Pause before a task whose place the table service refuses to store is tried again. */
+  private static final long NOT_STORED_PAUSE_MILLIS = 10_000;
+
   private final CellSettings settings;
   private final long token;
   private final int firstAttempt;
@@ -96,7 +99,34 @@
     Run run = new Run(task, attempt, worker, Run.State.STARTING, clock.monotonicMillis());
     task.setRun(run);
     worker.add(run);
-    sendStart(run, checkpoint);
+    if (run.step().lasting()) {
+      setPlace(task, worker.id());
+      journal.whenStored(() -> sendStoredStart(run, checkpoint));
+    } else {
+      sendStart(run, checkpoint);
+    }
+  }
+
+  private void setPlace(Task task, String place) {
+    if (!task.place().equals(place)) {
+      task.setPlace(place);
+      journal.touch(task.job());
+    }
+  }
+
+  /** Sends the order for a run whose place is stored, unless something has changed meanwhile. */
+  private void sendStoredStart(Run run, String checkpoint) {
+    if (journal.hasEnded() || !isKnown(run) || run.state() != Run.State.STARTING) {
+      return;
+    }
+    long now = clock.monotonicMillis();
+    boolean isStored = !journal.isLeftOut(run.task().job());
+    if (isStored && run.worker().isOpen(now)) {
+      sendStart(run, checkpoint);
+      return;
+    }
+    run.task().setNotBefore(now + (isStored ? NO_ROOM_PAUSE_MILLIS : NOT_STORED_PAUSE_MILLIS));
+    drop(run);
   }
 
   private void sendStart(Run run, String checkpoint) {
@@ -406,6 +436,9 @@
     task.setRun(run);
     task.setLocated();
     worker.add(run);
+    if (run.step().lasting()) {
+      setPlace(task, worker.id());
+    }
     log.decided("run", name.task().toString(), "adopted", worker.id());
     return run;
   }
@@ -443,6 +476,9 @@
     if (run.task().run() == run) {
       run.task().setRun(null);
     }
+    if (run.task().hasNoRun()) {
+      setPlace(run.task(), "");
+    }
     context.onChange();
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -211,7 +211,8 @@
         RosterRecord.newBuilder()
             .setFormat(JobRows.FORMAT)
             .setGeneration(generation)
-            .setLocated(takeOver.isLocated());
+            .setLocated(takeOver.isLocated())
+            .setPlacesKept(takeOver.arePlacesKept());
     List<Worker> known = new ArrayList<>(workers.all());
     for (Worker worker : known) {
       if (worker.isLeaving()) {
