Bound the lines of decisions by class

Lines of runs, of workers and of the state of the cell now have a bound each, and the number left out of each is told once a second.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DecisionLines.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DecisionLines.java
@@ -1,16 +1,18 @@
 package org.hemlockpick.daemon;
 
-import java.util.concurrent.TimeUnit;
+import java.util.EnumMap;
+import java.util.Map;
 import org.hemlockpick.cell.DecisionLog;
 import org.hemlockpick.cell.LoopClock;
 import org.jboss.logging.Logger;
 
 /**
- * Writes decisions to the log as one JSON object each. At most {@value #MAX_LINES_A_SECOND} lines a
- * second are written; one line says how many were left out.
+ * Writes decisions to the log as one JSON object each. Lines of single runs, of workers and of the
+ * state of the cell have a bound each, so that none crowds out another; once a second a line says
+ * how many of each were left out.
  */
 public final class DecisionLines implements DecisionLog {
-  static final int MAX_LINES_A_SECOND = 600;
+  private static final long SECOND_MILLIS = 1_000;
 
   /** Stands for no fencing token: the cell is not held. */
   private static final long NO_TOKEN = 0;
@@ -19,9 +21,8 @@
 
   private final String instance;
   private final LoopClock clock;
-  private long second;
-  private int written;
-  private int leftOut;
+  private final Map<LineClass, Count> counts = new EnumMap<>(LineClass.class);
+  private long second = Long.MIN_VALUE;
 
   /**
    * Creates a log of the decisions of one process of an entry instance.
@@ -46,29 +47,42 @@
 
   private synchronized void decided(
       long token, String kind, String subject, String outcome, String reason) {
-    long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
+    long now = Math.floorDiv(clock.monotonicMillis(), SECOND_MILLIS);
     if (now != second) {
       second = now;
-      written = 0;
-      if (leftOut > 0) {
-        write(NO_TOKEN, "log", instance, "lines left out", Integer.toString(leftOut));
-        leftOut = 0;
-      }
+      counts.forEach(this::beginSecond);
     }
-    if (written >= MAX_LINES_A_SECOND) {
-      leftOut++;
+    LineClass lineClass = LineClass.of(kind);
+    Count count = counts.computeIfAbsent(lineClass, key -> new Count());
+    if (count.written >= lineClass.maxLinesASecond()) {
+      count.leftOut++;
       return;
     }
-    written++;
+    count.written++;
     write(token, kind, subject, outcome, reason);
   }
 
+  private void beginSecond(LineClass lineClass, Count count) {
+    if (count.leftOut > 0) {
+      String number = count.leftOut + " of " + lineClass.text();
+      write(NO_TOKEN, "log", instance, "lines left out", number);
+    }
+    count.written = 0;
+    count.leftOut = 0;
+  }
+
   private void write(long token, String kind, String subject, String outcome, String reason) {
     long steady = clock.monotonicMillis();
     long wall = clock.wallMillis();
     log.infov("{0}", new Line(token, steady, wall, kind, subject, outcome, reason));
   }
 
+  /** Lines of one class in the current second. */
+  private static final class Count {
+    private int written;
+    private int leftOut;
+  }
+
   /** Shows a decision as a short text; the formatter writes its fields. */
   record Line(
       long token,
