Move the choice of open workers out of the planner

Candidates now says why a worker may not be given a task (Obstacle) instead of only that it may not, so that the same code can tell it in the log. No decision changes: each condition is the one that Planner and Worker had.

--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -0,0 +1,117 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Knows which workers may be given a task. */
+final class Candidates {
+  /** Longest wait of a last attempt for a worker at which the newest run has not failed. */
+  private static final long LAST_ATTEMPT_WAIT_MILLIS = 5_000;
+
+  private final WorkerTable workers;
+
+  Candidates(WorkerTable workers) {
+    this.workers = workers;
+  }
+
+  /** Returns the workers that may be given a task and have room for it. */
+  List<Worker> of(Task task, Queue queue, long now) {
+    List<Worker> candidates = new ArrayList<>();
+    boolean mayBePaused = mayBePaused(task, queue, now);
+    for (Worker worker : workers.all()) {
+      if (obstacle(task, queue, worker, now, mayBePaused) == null) {
+        candidates.add(worker);
+      }
+    }
+    if (isLastAttempt(task, queue) && waitsForUndoubted(task, queue, now)) {
+      candidates.removeIf(worker -> worker.health().isDoubtful());
+    }
+    return candidates;
+  }
+
+  /** Tells whether one more failure of a task fails its job. */
+  static boolean isLastAttempt(Task task, Queue queue) {
+    int failures = task.failures();
+    return failures > 0 && failures + 1 >= queue.maxAttempts() && !task.step().step().lasting();
+  }
+
+  /**
+   * Tells whether a task may be given to a paused worker: if every worker that suits it is paused.
+   * Their failures may be the fault of what ran there, so that a task that has not failed yet need
+   * not wait for the end of the pauses.
+   */
+  boolean mayBePaused(Task task, Queue queue, long now) {
+    return task.failures() == 0 && areAllPaused(task, queue, now);
+  }
+
+  /**
+   * Returns why a worker may not be given a task now; null if it may.
+   *
+   * @param mayBePaused whether the worker may be paused
+   */
+  static @Nullable Obstacle obstacle(
+      Task task, Queue queue, Worker worker, long now, boolean mayBePaused) {
+    Step step = task.step().step();
+    Obstacle unsuited = unsuited(task, queue, worker, now);
+    if (unsuited != null) {
+      return unsuited;
+    }
+    if (!step.reserved().fitsInto(worker.free())) {
+      return Obstacle.NO_ROOM;
+    }
+    if (step.maxPerWorker() > 0 && task.step().countAt(worker) >= step.maxPerWorker()) {
+      return Obstacle.MOST_PER_WORKER;
+    }
+    return distrust(worker, now, mayBePaused);
+  }
+
+  /** Returns why a worker may not be given a task even if it has room; null if it may. */
+  private static @Nullable Obstacle unsuited(Task task, Queue queue, Worker worker, long now) {
+    Obstacle closed = worker.obstacle(now);
+    if (closed != null) {
+      return closed;
+    }
+    if (!worker.entry().service().equals(queue.service())) {
+      return Obstacle.OTHER_SERVICE;
+    }
+    String label = task.step().step().requiredLabel();
+    boolean hasLabel = label == null || worker.entry().labels().contains(label);
+    return hasLabel ? null : Obstacle.OTHER_LABEL;
+  }
+
+  /** A suspect worker gets one run as a test. */
+  private static @Nullable Obstacle distrust(Worker worker, long now, boolean mayBePaused) {
+    WorkerHealth health = worker.health();
+    if (health.isPaused(now) && !mayBePaused) {
+      return Obstacle.PAUSED;
+    }
+    return health.isSuspect() && !worker.runs().isEmpty() ? Obstacle.SUSPECT : null;
+  }
+
+  /** Tells whether a last attempt has to wait for a worker without doubt that has no room yet. */
+  private boolean waitsForUndoubted(Task task, Queue queue, long now) {
+    if (now >= task.notBefore() + LAST_ATTEMPT_WAIT_MILLIS) {
+      return false;
+    }
+    for (Worker worker : workers.all()) {
+      if (!worker.health().isDoubtful() && unsuited(task, queue, worker, now) == null) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean areAllPaused(Task task, Queue queue, long now) {
+    boolean isAny = false;
+    for (Worker worker : workers.all()) {
+      if (unsuited(task, queue, worker, now) == null) {
+        if (!worker.health().isPaused(now)) {
+          return false;
+        }
+        isAny = true;
+      }
+    }
+    return isAny;
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -117,12 +117,14 @@
             new RunnerContext());
     this.holds =
         new HoldSystem(settings, token, port, runner, journal, clock, log, new ReportListener());
+    Candidates candidates = new Candidates(workers);
     this.planner =
         new Planner(
             jobs,
             keeper,
             workers,
             runner,
+            candidates,
             new SlackOrder(times),
             new InterferencePlacement(interference),
             clock,
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -14,13 +14,11 @@
   /** Most orders to start that are sent in one tick; bounds its length. */
   private static final int MAX_STARTS = 150;
 
-  /** Longest wait of a last attempt for a worker at which the newest run has not failed. */
-  private static final long LAST_ATTEMPT_WAIT_MILLIS = 5_000;
-
   private final JobTable jobs;
   private final JobKeeper keeper;
   private final WorkerTable workers;
   private final TaskRunner runner;
+  private final Candidates candidates;
   private final OrderPolicy order;
   private final PlacementPolicy placement;
   private final LoopClock clock;
@@ -36,6 +34,7 @@
       JobKeeper keeper,
       WorkerTable workers,
       TaskRunner runner,
+      Candidates candidates,
       OrderPolicy order,
       PlacementPolicy placement,
       LoopClock clock,
@@ -45,6 +44,7 @@
     this.keeper = keeper;
     this.workers = workers;
     this.runner = runner;
+    this.candidates = candidates;
     this.order = order;
     this.placement = placement;
     this.clock = clock;
@@ -126,12 +126,12 @@
       if (!isReady(task, now)) {
         continue;
       }
-      List<Worker> candidates = candidates(task, entry.queue(), now);
+      List<Worker> open = candidates.of(task, entry.queue(), now);
       if (task.step().step().lasting() && !task.mayHaveRun()) {
-        candidates = apart.leaveOut(candidates, entry.queue().service());
+        open = apart.leaveOut(open, entry.queue().service());
       }
-      Worker worker = placement.choose(task, candidates);
-      if (worker == null && isLastAttempt(task, entry.queue())) {
+      Worker worker = placement.choose(task, open);
+      if (worker == null && Candidates.isLastAttempt(task, entry.queue())) {
         // It is choosier than the other tasks, and tells nothing of the room for them.
         continue;
       }
@@ -156,7 +156,7 @@
     List<Worker> places = new ArrayList<>();
     List<Run> trials = new ArrayList<>();
     for (Task task : tasks) {
-      Worker worker = placement.choose(task, candidates(task, entry.queue(), now));
+      Worker worker = placement.choose(task, candidates.of(task, entry.queue(), now));
       if (worker == null) {
         break;
       }
@@ -179,89 +179,10 @@
     if (queue == null) {
       return false;
     }
-    List<Worker> candidates = candidates(task, queue, clock.monotonicMillis());
+    List<Worker> open = candidates.of(task, queue, clock.monotonicMillis());
     Run run = task.run();
-    candidates.removeIf(worker -> run != null && worker == run.worker());
-    return placement.choose(task, candidates) != null;
-  }
-
-  private List<Worker> candidates(Task task, Queue queue, long now) {
-    List<Worker> candidates = new ArrayList<>();
-    boolean allPaused = task.failures() == 0 && areAllPaused(task, queue, now);
-    for (Worker worker : workers.all()) {
-      if (mayRun(task, queue, worker, now, allPaused)) {
-        candidates.add(worker);
-      }
-    }
-    if (isLastAttempt(task, queue) && waitsForUndoubted(task, queue, now)) {
-      candidates.removeIf(worker -> worker.health().isDoubtful());
-    }
-    return candidates;
-  }
-
-  private static boolean isLastAttempt(Task task, Queue queue) {
-    int failures = task.failures();
-    return failures > 0 && failures + 1 >= queue.maxAttempts() && !task.step().step().lasting();
-  }
-
-  /** Tells whether a last attempt has to wait for a worker without doubt that has no room yet. */
-  private boolean waitsForUndoubted(Task task, Queue queue, long now) {
-    if (now >= task.notBefore() + LAST_ATTEMPT_WAIT_MILLIS) {
-      return false;
-    }
-    for (Worker worker : workers.all()) {
-      if (!worker.health().isDoubtful() && suits(task, queue, worker, now)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /**
-   * Tells whether every worker that suits a task is paused. Their failures may be the fault of what
-   * ran there, so that a task that has not failed yet need not wait for the end of the pauses.
-   */
-  private boolean areAllPaused(Task task, Queue queue, long now) {
-    boolean isAny = false;
-    for (Worker worker : workers.all()) {
-      if (suits(task, queue, worker, now)) {
-        if (!worker.health().isPaused(now)) {
-          return false;
-        }
-        isAny = true;
-      }
-    }
-    return isAny;
-  }
-
-  private static boolean mayRun(
-      Task task, Queue queue, Worker worker, long now, boolean allPaused) {
-    Step step = task.step().step();
-    if (!suits(task, queue, worker, now) || !step.reserved().fitsInto(worker.free())) {
-      return false;
-    }
-    if (step.maxPerWorker() > 0 && task.step().countAt(worker) >= step.maxPerWorker()) {
-      return false;
-    }
-    return isTrusted(worker, now, allPaused);
-  }
-
-  /** Tells whether a worker may be given a task once it has room. */
-  private static boolean suits(Task task, Queue queue, Worker worker, long now) {
-    if (!worker.isOpen(now) || !worker.entry().service().equals(queue.service())) {
-      return false;
-    }
-    String label = task.step().step().requiredLabel();
-    return label == null || worker.entry().labels().contains(label);
-  }
-
-  /** A suspect worker gets one run as a test. */
-  private static boolean isTrusted(Worker worker, long now, boolean allPaused) {
-    WorkerHealth health = worker.health();
-    if (health.isPaused(now) && !allPaused) {
-      return false;
-    }
-    return !health.isSuspect() || worker.runs().isEmpty();
+    open.removeIf(worker -> run != null && worker == run.worker());
+    return placement.choose(task, open) != null;
   }
 
   private record Ready(StepRun step, Queue queue, OrderPolicy.Rank rank) {}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.cell.WorkerPort.Target;
+import org.jspecify.annotations.Nullable;
 
 /** A worker that the cell gives tasks to. */
 final class Worker {
@@ -251,6 +252,11 @@
     return nowMillis >= leasesEndAt;
   }
 
+  /** Returns the time for which a lease may still be in force, in milliseconds. */
+  long leaseLeft(long nowMillis) {
+    return isLapsed(nowMillis) ? 0 : leasesEndAt - nowMillis;
+  }
+
   long lastEnd() {
     return lastEnd;
   }
@@ -419,14 +425,33 @@
 
   /** Tells whether it may be given tasks. */
   boolean isOpen(long nowMillis) {
-    return listed
-        && fenced
-        && onRoster
-        && !unknownRuns
-        && !entry.draining()
-        && holdFailures == 0
-        && nowMillis >= closedUntil
-        && hasClock();
+    return obstacle(nowMillis) == null;
+  }
+
+  /** Returns why it may be given no task at all; null if it may. */
+  @Nullable Obstacle obstacle(long nowMillis) {
+    if (!listed) {
+      return Obstacle.UNLISTED;
+    }
+    if (holdFailures > 0) {
+      return Obstacle.SILENT;
+    }
+    if (!fenced) {
+      return Obstacle.NOT_FENCED;
+    }
+    if (!onRoster) {
+      return Obstacle.NOT_ON_ROSTER;
+    }
+    if (unknownRuns) {
+      return Obstacle.UNKNOWN_RUNS;
+    }
+    if (entry.draining()) {
+      return Obstacle.DRAINING;
+    }
+    if (nowMillis < closedUntil) {
+      return Obstacle.CLOSED;
+    }
+    return hasClock() ? null : Obstacle.NO_CLOCK;
   }
 
   WorkerHealth health() {
