Tell each second why a task that lasts does not run

The record of the incident could not tell why two tasks were not placed in each of nine seconds: not known to have ended, held up by a take-over, no worker open, no room, or behind other work. A line of kind "wait" now says so for each task that lasts and has not run for a second or more, with the number of workers by what keeps each from it; at most ten tasks a second, then a count.

LastingWaitsTest (five tests) has a case for each of these reasons.

--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LastingWaitsTest.java
@@ -0,0 +1,101 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the log tells of tasks that last and do not run. */
+class LastingWaitsTest {
+  private static final long SETTLED = 3_000;
+  private static final int WORKERS = 4;
+
+  /** Number of tasks that all workers have room for. */
+  private static final int ROOM = 16;
+
+  private final CellWorld world = new CellWorld(20261204, 3, WORKERS);
+
+  private static Step lasting(int count, @Nullable String label, int maxPerWorker) {
+    return CellWorld.step(count, false, label, maxPerWorker, true, List.of());
+  }
+
+  @BeforeEach
+  void settle() {
+    world.workers.runMillis = 600_000;
+    world.time.runFor(SETTLED);
+  }
+
+  /** The record of the incident did not tell why a task was not placed in a second. */
+  @Test
+  void taskWithoutRoomIsToldOfOnceASecond() {
+    world.submit(0, "a", CellWorld.step(ROOM));
+    world.time.runFor(500);
+    world.submit(0, "l", lasting(1, null, 0));
+    world.time.runFor(5_500);
+    List<String> lines = lines(" wait l\\.0\\.0\\.0 no worker ");
+    assertTrue(lines.size() >= 4 && lines.size() <= 5, () -> String.join("\n", lines));
+    String wanted =
+        "0 workers open to it, 4 no room, largest room without: 0 mcpu 16000 MB at w0,"
+            + " wants 2000 mcpu 4000 MB";
+    assertTrue(lines.get(0).contains(wanted), lines.get(0));
+  }
+
+  @Test
+  void workersAreCountedByWhatKeepsThemFromTheTask() {
+    world.submit(0, "l", lasting(1, "none", 0));
+    world.submit(0, "m", lasting(WORKERS + 1, null, 1));
+    world.time.runFor(3_500);
+    assertFalse(lines(" wait l\\.0\\.0\\.0 no worker .* 0 workers.*, 4 other label,").isEmpty());
+    assertFalse(
+        lines(" wait m\\.0\\.0\\.\\d no worker .* 0 workers.*, 4 at the most per worker,")
+            .isEmpty());
+  }
+
+  /** A holder that cannot know whether a run has ended does not start it again. */
+  @Test
+  void runAtASilentWorkerIsToldOf() {
+    world.submit(0, "l", lasting(WORKERS, null, 1));
+    world.time.runFor(1_000);
+    assertEquals(List.of(), lines(" wait l"));
+    world.workers.get("w2").cut = true;
+    world.time.runFor(4_500);
+    assertFalse(
+        lines(
+                " wait l\\.0\\.0\\.\\d last run not certainly gone .*attempt \\d+ RUNNING at w2,"
+                    + " worker silent, its lease may last [1-9]\\d* ms")
+            .isEmpty());
+  }
+
+  /** A successor starts nothing that a worker which does not answer to it may still run. */
+  @Test
+  void taskThatIsBlockedByATakeOverIsToldOf() {
+    world.submit(0, "l", lasting(WORKERS, null, 1));
+    world.time.runFor(1_000);
+    world.holder().kill();
+    world.workers.get("w2").cut = true;
+    world.time.runFor(8_000);
+    assertFalse(
+        lines(
+                " wait l\\.0\\.0\\.\\d blocked by the take-over .*1 workers not accounted for,"
+                    + " 1 of them not silent")
+            .isEmpty());
+  }
+
+  @Test
+  void manyTasksThatWaitTakeABoundedNumberOfLines() {
+    world.submit(0, "l", lasting(ROOM + 25, null, 0));
+    world.time.runFor(1_900);
+    assertEquals(10, lines(" wait l\\.0\\.0\\.\\d+ no worker ").size());
+    assertEquals(1, lines(" wait c0 tasks wait \\(15 more tasks that last\\)").size());
+  }
+
+  private List<String> lines(String pattern) {
+    Pattern wanted = Pattern.compile(pattern);
+    return world.log.stream().filter(line -> wanted.matcher(line).find()).toList();
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -49,6 +49,7 @@
   private final PaceSystem pace;
   private final StallSystem stalls;
   private final DrainSystem drains;
+  private final LastingWaits waits;
 
   private boolean ended;
   private boolean releasing;
@@ -133,6 +134,8 @@
     this.pace = new PaceSystem(token, port, runner::stop, interference, log);
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
+    this.waits =
+        new LastingWaits(settings.cell(), jobs, workers, takeOver, journal, this::queue, log);
   }
 
   /** Starts nothing more and gives the cell up, so that another can take it at once. */
@@ -197,6 +200,7 @@
       changed = true;
     }
     holds.run(workers.all());
+    waits.run(now);
     if (!journal.isSure(now)) {
       return;
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetApart.java
@@ -73,6 +73,14 @@
     return others.isEmpty() && isHalfFree(service) ? candidates : others;
   }
 
+  /** Tells whether a worker is set apart. */
+  boolean contains(Worker worker) {
+    if (!chosen) {
+      choose();
+    }
+    return apart.contains(worker);
+  }
+
   private boolean isHalfFree(String service) {
     long capacity = 0;
     long free = 0;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -135,6 +135,11 @@
     return unaccounted.containsKey(worker);
   }
 
+  /** Returns how many workers are not accounted for, for the log. */
+  String unaccountedText() {
+    return unaccounted.size() + " workers not accounted for, " + unknown + " of them not silent";
+  }
+
   /** Returns the workers that are not accounted for. */
   Collection<RosterEntry> unaccounted() {
     return unaccounted.values();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -123,6 +123,11 @@
     sawAttempt(stray.attempt());
   }
 
+  /** Returns one of the runs beside its own; null if there is none. */
+  @Nullable Run stray() {
+    return strays.stream().findFirst().orElse(null);
+  }
+
   void removeStray(Run run) {
     strays.remove(run);
   }
