--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.base.Splitter;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -47,7 +48,7 @@
     for (int i = 0; i < 10; i++) {
       world = world(20261204 + i, 3);
       String worker = startLasting();
-      world.time.runFor(i * 61);
+      world.time.runFor(i * 61L);
       long from = world.time.millis();
       world.holder().kill();
       lose(worker);
@@ -169,7 +170,7 @@
     runUntil(() -> log(" stop a.0.0.0 "), 5_000);
     assertTrue(log(" stop a.0.0.0 "), () -> String.join("\n", world.log));
     String line = world.log.stream().filter(each -> each.contains(" stop a.0")).findFirst().get();
-    String worker = line.split(" ")[4];
+    String worker = Splitter.on(" ").splitToList(line).get(4);
     long from = world.time.millis();
     lose(worker);
     holder.workerView.startsLost = false;
@@ -187,7 +188,7 @@
       world = world(20261204 + i, 3);
       startLasting();
       int starts = world.workers.starts.size();
-      world.time.runFor(i * 61);
+      world.time.runFor(i * 61L);
       world.store.silent = true;
       world.time.runFor(5_500);
       world.store.silent = false;
