Read the connections once more before a call is given up

The workers were sound; their leases lapsed.

Cause: the event loop reads its connections, then runs what is due. While it read and opened other connections for longer than a call's time limit, the answer came and lay in its connection; the time limit was run before the next reading. Now the call is given up only after one more turn of the loop, which reads first. The request is handed to the client on the loop, so that the check whether its time is over stands right before it, as LateCallTest asks.

Ruled out: a loop that is held up by a task, not by a reading. It reads before it looks at time limits, so that the answer counted before as well.

Evidence: LateReaderTest before the change: expected: <ANSWERED> but was: <LOST>; after it passes, with LateCallTest, WorkerPortTest, TableServicePortTest, CallFailuresTest and PlatformCallsTest.

Not mended by this: a connection that opens in that turn sends its request in it, one turn later than before.

--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
@@ -160,8 +160,18 @@
     }
 
     void start(MutableHttpRequest<?> request) {
-      timeout =
-          transport.loop().schedule(this::expire, call.timeoutMillis(), TimeUnit.MILLISECONDS);
+      long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(call.timeoutMillis());
+      transport.loop().execute(() -> send(request, deadline));
+    }
+
+    /** Sends the request, unless the loop comes to it only after its time. */
+    private void send(MutableHttpRequest<?> request, long deadlineNanos) {
+      long leftNanos = deadlineNanos - System.nanoTime();
+      if (leftNanos <= 0) {
+        giveUp();
+        return;
+      }
+      timeout = transport.loop().schedule(this::expire, leftNanos, TimeUnit.NANOSECONDS);
       used.client().exchange(request, BYTES, BYTES).subscribe(this);
     }
 
@@ -191,7 +201,17 @@
       endFailed(HttpAnswer.lost(), "the connection ended without an answer");
     }
 
+    /**
+     * Lets the loop read once more before the call is given up: the answer may lie in its
+     * connection while the loop was busy with others. What is scheduled now runs after that.
+     */
     private void expire() {
+      if (!ended.get()) {
+        timeout = transport.loop().schedule(this::giveUp, 0, TimeUnit.NANOSECONDS);
+      }
+    }
+
+    private void giveUp() {
       if (ended.get()) {
         return;
       }
