Let the workers of the tests lose answers, and let a holder be small

A process may now need time to open a connection and to read an answer, one after the other, and gives up a call whose answer it has not handled in time; the answers to single calls to hold may be lost. Runs whose lease passed are noted.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -53,6 +53,9 @@
   /** The same with its place and time. */
   final List<Start> startLog = new ArrayList<>();
 
+  /** Runs that ended as the lease of their worker had passed, in the order of time. */
+  final List<RunName> lapsed = new ArrayList<>();
+
   /** A start that was carried out. */
   record Start(RunName run, String worker, long atMillis) {}
 
@@ -323,6 +326,7 @@
 
     private void lapse() {
       if (clock() >= leaseUntil) {
+        lapsed.addAll(runs.keySet());
         new ArrayList<>(runs.keySet()).forEach(run -> end(run, EndKind.LAPSED));
       }
     }
@@ -386,6 +390,20 @@
     /** Whether orders of this process are carried out and not answered. */
     boolean answersLost;
 
+    /** Numbers of the next calls to hold that are carried out and not answered, by worker. */
+    final Map<String, Integer> lostHolds = new HashMap<>();
+
+    /** Handles what this process sends and reads; null for one that takes no time. */
+    @Nullable SmallProcessor processor;
+
+    /** Workers to which a connection is open, where the processor takes time. */
+    private final Set<String> connected = new HashSet<>();
+
+    /** Numbers of calls that were sent and of connections that were opened for them. */
+    int calls;
+
+    int connections;
+
     /** What happens right before the next order to start a run is sent. */
     private @Nullable Runnable beforeStart;
 
@@ -444,7 +462,10 @@
 
     private void order(
         Target target, Function<Model, OrderReply> action, Consumer<OrderReply> handler) {
-      outbox.send(() -> sendOrder(get(target.id()), action, handler));
+      Model model = get(target.id());
+      OrderReply none = new OrderReply(OrderOutcome.LOST, 0);
+      outbox.send(
+          () -> exchange(model, TIMEOUT_MILLIS, none, handler, h -> sendOrder(model, action, h)));
     }
 
     private void sendOrder(
@@ -482,7 +503,49 @@
 
     @Override
     public void hold(Target target, HoldCall call, Consumer<HoldReply> handler) {
-      outbox.send(() -> sendHold(get(target.id()), call, handler));
+      Model model = get(target.id());
+      HoldReply none = HoldReply.without(OrderOutcome.LOST);
+      long timeout = TIMEOUT_MILLIS + call.waitMillis();
+      outbox.send(() -> exchange(model, timeout, none, handler, h -> sendHold(model, call, h)));
+    }
+
+    /** Sends a call, and gives it up if its answer is not handled in time. */
+    private <R> void exchange(
+        Model model, long timeoutMillis, R none, Consumer<R> handler, Consumer<Consumer<R>> send) {
+      SmallProcessor used = processor;
+      calls++;
+      if (used == null) {
+        send.accept(handler);
+        return;
+      }
+      boolean[] ended = new boolean[1];
+      Consumer<R> first =
+          reply -> {
+            if (!ended[0]) {
+              ended[0] = true;
+              handler.accept(reply);
+            }
+          };
+      time.after(timeoutMillis, () -> giveUp(model, ended, () -> first.accept(none)));
+      Runnable call =
+          () -> {
+            if (!ended[0]) {
+              send.accept(reply -> used.handle(used.answerMicros, () -> first.accept(reply)));
+            }
+          };
+      if (connected.add(model.id)) {
+        connections++;
+        used.handle(used.connectMicros, call);
+      } else {
+        call.run();
+      }
+    }
+
+    private void giveUp(Model model, boolean[] ended, Runnable action) {
+      if (!ended[0]) {
+        connected.remove(model.id);
+        action.run();
+      }
     }
 
     private void sendHold(Model model, HoldCall call, Consumer<HoldReply> handler) {
@@ -524,6 +587,12 @@
         return;
       }
       HoldReply reply = model.hold(new HoldCall(call.token(), call.endsSeen(), null, 0));
+      int lost = lostHolds.getOrDefault(model.id, 0);
+      if (lost > 0) {
+        lostHolds.put(model.id, lost - 1);
+        lose(Math.max(0, until - time.millis()) + TIMEOUT_MILLIS, handler);
+        return;
+      }
       inbox.answer(LATENCY_MILLIS, () -> handler.accept(reply));
     }
 
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/SmallProcessor.java
@@ -0,0 +1,31 @@
+package org.hemlockpick.cell;
+
+import org.hemlockpick.fakes.VirtualTime;
+
+/** The processor of a small machine: it handles one event of a process after the other. */
+final class SmallProcessor {
+  private static final long MICROS_PER_MILLI = 1_000;
+
+  private final VirtualTime time;
+
+  /** Time that it needs to open a connection, in microseconds. */
+  final long connectMicros;
+
+  /** Time that it needs to read and handle an answer, in microseconds. */
+  final long answerMicros;
+
+  private long busyUntilMicros;
+
+  SmallProcessor(VirtualTime time, long connectMicros, long answerMicros) {
+    this.time = time;
+    this.connectMicros = connectMicros;
+    this.answerMicros = answerMicros;
+  }
+
+  /** Does something that takes a time in microseconds, after all that came before. */
+  void handle(long micros, Runnable action) {
+    long now = time.millis() * MICROS_PER_MILLI;
+    busyUntilMicros = Math.max(now, busyUntilMicros) + micros;
+    time.after((busyUntilMicros - now) / MICROS_PER_MILLI, action);
+  }
+}
