Store a worker as silent only after three calls in a row without an answer

Cause: one call without an answer made a worker silent. Stored as silent, its lease may not be extended until a later roster is stored, as a successor counts it from the last renewal. While the store is slow or away, one lost answer so cost the lease: a lapse that the holder itself had ordered. Now a worker that had answered gets no task after one failed call, as before, and is written as silent after three. While calls fail its lease is extended only when a third of it is left, as each such call puts off the time at which its tasks may start elsewhere.

Unchanged: what is stored as silent is not extended, and a successor counts its leases from the last renewal. The former moment, after one failed call, is a second test.

Weighed: giving up later leaves 1.7 s more in which a holder's end makes its successor wait for the worker as for any other; given up after two calls, two lost answers in a row would still cost a lease.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ReviewTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ReviewTest.java
@@ -2,6 +2,7 @@
 
 import static org.hemlockpick.cell.CellWorld.step;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -71,20 +72,32 @@
    */
   @Test
   void leasesOfAWorkerThatIsStoredAsSilentAreNotExtendedWithoutTheStore() {
+    extendWithoutTheStoreAfter(" worker w1 given up");
+    assertClean();
+  }
+
+  /** The same, where the worker did not answer one call and is not stored as silent yet. */
+  @Test
+  void leasesOfAWorkerThatFailedOnceAreCountedBySuccessors() {
+    extendWithoutTheStoreAfter(" worker w1 not reached");
+    assertClean();
+  }
+
+  private void extendWithoutTheStoreAfter(String decision) {
     world.workers.runMillis = 20_000;
     world.time.runFor(SETTLED);
     CellWorld.Node former = world.holder();
     world.submit(world.nodes.indexOf(former) + 1, "a", step(8));
     world.time.runFor(1_500);
     former.workerView.unreached.add("w1");
-    runUntil(() -> log(" worker w1 not reached"), 3_000);
+    runUntil(() -> log(decision), 6_000);
+    assertTrue(log(decision), () -> String.join("\n", world.log));
     world.time.runFor(200);
     former.storeView.cut = true;
     former.workerView.unreached.addAll(List.of("w0", "w2", "w3"));
     former.workerView.unreached.remove("w1");
     cutAllBut(former.life(), "w1");
     healAfterAWhile(former);
-    assertClean();
   }
 
   /**
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -50,7 +50,7 @@
      */
     void onFirstReport(Worker worker);
 
-    /** Takes note that a worker stopped or began to answer. */
+    /** Takes note that a worker was given up or answers again. */
     void onSilenceChanged(Worker worker);
 
     /** Takes note that a worker has seen a higher fencing token. */
@@ -102,8 +102,9 @@
   }
 
   private void hold(Worker worker, long now) {
+    long lease = settings.workerLeaseMillis();
     @Nullable Long until =
-        worker.mayBeExtended() ? (Long) worker.grantLease(now, settings.workerLeaseMillis()) : null;
+        worker.mayBeExtended(now, lease) ? (Long) worker.grantLease(now, lease) : null;
     long wait = wait(worker);
     long confirmed = worker.endToConfirm(now);
     if (confirmed > 0 && worker.isConfirmationDue()) {
@@ -162,9 +163,13 @@
       worker.noteLease(now, settings.workerLeaseMillis());
     }
     boolean isFirst = !worker.isSilent();
+    boolean wasGivenUp = worker.isGivenUp();
     worker.addHoldFailure();
     if (isFirst) {
       log.decided("worker", worker.id(), "not reached", reply.outcome().name());
+    }
+    if (worker.isGivenUp() && !wasGivenUp) {
+      log.decided("worker", worker.id(), "given up", worker.holdFailures() + " failed calls");
       listener.onSilenceChanged(worker);
     }
     worker.setNextHoldAt(now + RETRY_MILLIS);
@@ -183,15 +188,18 @@
     if (reply.bornMillis() > born) {
       worker.setBorn(reply.bornMillis());
     }
-    boolean wasSilent = worker.isSilent();
-    if (wasSilent) {
+    boolean wasGivenUp = worker.isGivenUp();
+    if (worker.isSilent()) {
       log.decided("worker", worker.id(), "reached again", worker.holdFailures() + " failed calls");
     }
     worker.answered(askedAt);
+    if (call.leaseUntilMillis() != null) {
+      worker.setExtended(askedAt);
+    }
     if (reply.bornMillis() == born) {
       worker.onConfirmed(call.endsSeen());
     }
-    if (wasSilent) {
+    if (wasGivenUp) {
       listener.onSilenceChanged(worker);
     }
     if (!worker.isFenced()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -17,9 +17,15 @@
   /** Share of the own steady clock at which a worker's clock goes at least. */
   private static final double SLOWEST_CLOCK = 0.98;
 
+  /** A time before all others, from which spans can be counted. */
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   /** Least time in which a worker can end and start anew, in milliseconds. */
   private static final long SHORTEST_RESTART_MILLIS = 700;
 
+  /** Calls in a row without an answer after which a worker that had answered is given up. */
+  private static final int FAILURES_UNTIL_GIVEN_UP = 3;
+
   private final Map<RunName, Run> runs = new LinkedHashMap<>();
   private WorkerEntry entry;
   private boolean listed = true;
@@ -59,7 +65,8 @@
 
   private boolean holding;
   private long nextHoldAt;
-  private long answeredAfter = Long.MIN_VALUE / 2;
+  private long answeredAfter = NEVER;
+  private long extendedAt = NEVER;
   private int holdFailures;
 
   private Amounts reserved = Amounts.NONE;
@@ -116,6 +123,7 @@
     takeOffRoster();
     clockMillis = 0;
     clockAt = nowMillis;
+    extendedAt = NEVER;
     noteLease(nowMillis, leaseMillis);
     lastEnd = 0;
     takenAbove.clear();
@@ -167,7 +175,7 @@
 
   /** Takes note of how it is written into the roster of a number. */
   void declare(long number) {
-    if (isSilent()) {
+    if (isGivenUp()) {
       takeOffRoster();
       storedAsSilent = true;
     } else {
@@ -195,17 +203,36 @@
 
   /**
    * Tells whether its leases may be extended. A later holder counts those of a worker that is
-   * stored as silent from the last renewal of the cell.
+   * stored as silent from the last renewal of the cell. While calls fail they are extended only if
+   * they would end soon: each such call puts off the time at which they have certainly ended.
    */
-  boolean mayBeExtended() {
-    return !runs.isEmpty() && hasClock() && !isSilent() && !storedAsSilent;
+  boolean mayBeExtended(long nowMillis, long leaseMillis) {
+    boolean isDue = !isSilent() || nowMillis - extendedAt >= leaseMillis * 2 / 3;
+    return !runs.isEmpty() && hasClock() && !storedAsSilent && isDue;
   }
 
-  /** Tells whether its last call had no answer. */
+  /**
+   * Takes note that its leases were extended.
+   *
+   * @param askedAt time from which they certainly last
+   */
+  void setExtended(long askedAt) {
+    extendedAt = askedAt;
+  }
+
+  /** Tells whether its last call had no answer, so that it gets no task. */
   boolean isSilent() {
     return holdFailures > 0;
   }
 
+  /**
+   * Tells whether it is to be stored as silent, so that its leases are extended no more. That holds
+   * up to the storing of a later roster, and so is worth more than single answers that are lost.
+   */
+  boolean isGivenUp() {
+    return holdFailures >= (fenced ? FAILURES_UNTIL_GIVEN_UP : 1);
+  }
+
   /** Tells whether it will end soon, and nothing runs or will run there. */
   boolean isLeaving() {
     return entry.draining() && fenced && runs.isEmpty();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -239,8 +239,8 @@
             .setWorker(worker.id())
             .setBornMillis(worker.entry().bornMillis())
             .setAddress(worker.entry().address())
-            .setSilent(worker.isSilent());
-    if (worker.isSilent()) {
+            .setSilent(worker.isGivenUp());
+    if (worker.isGivenUp()) {
       worker.runs().forEach(run -> entry.addTasks(run.name().task().toString()));
     }
     return entry.build();
