Pass over only tasks for which the same workers are open

What callers saw: a task waited although a worker had room for it, until an older task of the same size had found room. A plan left out all further tasks of one size, service and kind once one of them found none, also those for which other workers are open: a task that lasts and has run may go to workers that are set apart, one that has not may not; one without failures may go to a paused worker if all are, one that failed may not; fillers harm by image. And it ended the step of that task.

ReadyQueue now groups the ready tasks of a step by these differences, and the shape that is passed over has them, the label and the image too.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -44,6 +44,11 @@
   private final Set<TaskId> done = new HashSet<>();
   private final Map<String, List<Step>> steps = new HashMap<>();
 
+  /**
+   * Mean run times of the tasks of single jobs in milliseconds; the others take the general one.
+   */
+  final Map<String, Long> runMillisOf = new HashMap<>();
+
   /** What was breached, in the order of time. */
   final List<String> breaches = new ArrayList<>();
 
@@ -106,6 +111,23 @@
     return count;
   }
 
+  /** Tells whether a task runs at a worker that is up. */
+  boolean isRunning(TaskId task) {
+    return running(task) > 0;
+  }
+
+  /** Returns the processor time that all runs have reserved. */
+  long reservedCpu() {
+    long sum = 0;
+    for (Model model : models.values()) {
+      for (RunName run : model.runs.keySet()) {
+        Step step = step(run.task());
+        sum += step == null ? 0 : step.reserved().cpuMillis();
+      }
+    }
+    return sum;
+  }
+
   /** Returns how many tasks run in all. */
   int running() {
     return models.values().stream().mapToInt(model -> model.runs.size()).sum();
@@ -263,8 +285,9 @@
       long born = this.born;
       runs.put(run, time.millis());
       EndKind kind = random.nextDouble() < failing ? EndKind.FAILED : EndKind.DONE;
+      long mean = runMillisOf.getOrDefault(task.job(), runMillis);
       time.after(
-          runMillis / 2 + random.nextLong(runMillis),
+          mean / 2 + random.nextLong(mean),
           () -> {
             if (born == this.born) {
               end(run, kind);
@@ -272,6 +295,15 @@
           });
     }
 
+    /** Ends the runs of a job. */
+    void endRunsOf(String job, EndKind kind) {
+      for (RunName run : List.copyOf(runs.keySet())) {
+        if (run.task().job().equals(job)) {
+          end(run, kind);
+        }
+      }
+    }
+
     private void end(RunName run, EndKind kind) {
       if (runs.remove(run) == null) {
         return;
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/PlanTest.java
@@ -0,0 +1,68 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.hemlockpick.cell.FakeWorkers.Start;
+import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.junit.jupiter.api.Test;
+
+/** Tasks that are alike, of which one finds no room in a plan and another does. */
+class PlanTest {
+  private static final long SETTLED = 3_000;
+  private static final int WORKERS = 12;
+
+  /** Number of tasks of {@link CellWorld#step} that fill a worker. */
+  private static final int TASKS_A_WORKER = 4;
+
+  private static Step lasting(int count) {
+    return CellWorld.step(count, false, null, 0, true, List.of());
+  }
+
+  /** One that had not run and was due first kept it from the worker that is set apart. */
+  @Test
+  void taskThatHasRunIsNotHeldUpByOneThatHasNot() {
+    CellWorld world = new CellWorld(20261204, 2, WORKERS);
+    world.workers.runMillis = 600_000;
+    world.time.runFor(SETTLED);
+    long later = world.time.millis() + 60_000;
+    Submission job =
+        new Submission("l", CellWorld.QUEUE, "spec", List.of(lasting(2)), 0, 0, 0, later);
+    world.submit(0, job);
+    world.time.runFor(1_000);
+    world.submit(0, "due", lasting(TASKS_A_WORKER * WORKERS));
+    world.time.runFor(1_000);
+    TaskId lost = new TaskId("l", 0, 0, 0);
+    world.workers.get(workerOf(world, lost)).endRunsOf("l", EndKind.LAPSED);
+    world.time.runFor(1_000);
+    assertTrue(world.workers.isRunning(lost), () -> String.join("\n", world.log));
+    assertEquals(List.of(), world.workers.breaches);
+  }
+
+  /** One that had failed, and waits for the end of the worker's pause, kept it from its test. */
+  @Test
+  void taskWithoutFailuresIsNotHeldUpByOneThatFailed() {
+    CellWorld world = new CellWorld(20261204, 2, 1);
+    world.workers.failing = 1;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", CellWorld.step(2));
+    world.time.runFor(1_300);
+    int before = world.workers.starts.size();
+    world.submit(0, "b", CellWorld.step(1));
+    // Later it would go first, as the other is late by then.
+    world.time.runFor(150);
+    List<TaskId> started = world.workers.starts.subList(before, world.workers.starts.size());
+    assertTrue(
+        started.stream().anyMatch(task -> task.job().equals("b")),
+        () -> String.join("\n", world.log));
+  }
+
+  private static String workerOf(CellWorld world, TaskId task) {
+    return world.workers.startLog.stream()
+        .filter(start -> start.run().task().equals(task))
+        .map(Start::worker)
+        .findFirst()
+        .orElseThrow();
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -119,18 +119,17 @@
     this.holds =
         new HoldSystem(settings, token, port, runner, journal, clock, log, new ReportListener());
     Candidates candidates = new Candidates(workers);
+    ReadyQueue ready =
+        new ReadyQueue(jobs, keeper, new SlackOrder(times), clock, this::queue, this::isStartable);
     this.planner =
         new Planner(
-            jobs,
-            keeper,
+            ready,
             workers,
             runner,
             candidates,
-            new SlackOrder(times),
             new InterferencePlacement(interference),
             clock,
-            this::queue,
-            this::isStartable);
+            this::queue);
     this.pace = new PaceSystem(token, port, runner::stop, interference, log);
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
@@ -0,0 +1,96 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.hemlockpick.cell.ReadyTasks.Kind;
+import org.jspecify.annotations.Nullable;
+
+/** Finds the tasks that are ready, in the order in which they get room. */
+final class ReadyQueue {
+  private final JobTable jobs;
+  private final JobKeeper keeper;
+  private final OrderPolicy order;
+  private final LoopClock clock;
+
+  /** Returns the queue of a job; null if it is in no configuration. */
+  private final Function<Job, @Nullable Queue> queues;
+
+  /** Tells whether it is certain that a task runs nowhere. */
+  private final Predicate<Task> isStartable;
+
+  ReadyQueue(
+      JobTable jobs,
+      JobKeeper keeper,
+      OrderPolicy order,
+      LoopClock clock,
+      Function<Job, @Nullable Queue> queues,
+      Predicate<Task> isStartable) {
+    this.jobs = jobs;
+    this.keeper = keeper;
+    this.order = order;
+    this.clock = clock;
+    this.queues = queues;
+    this.isStartable = isStartable;
+  }
+
+  /** Opens what is due and returns all that is ready. */
+  List<ReadyTasks> take() {
+    long wall = clock.wallMillis();
+    long now = clock.monotonicMillis();
+    List<ReadyTasks> ready = new ArrayList<>();
+    for (Job job : List.copyOf(jobs.open())) {
+      Queue queue = queues.apply(job);
+      if (queue == null || keeper.failIfSpent(job, queue.maxAttempts())) {
+        continue;
+      }
+      job.openDue(wall);
+      for (StepRun step : job.stepRuns()) {
+        if (!step.isDone() && hasReady(step, now) && job.isOpen(step)) {
+          add(step, queue, now, wall, ready);
+        }
+      }
+    }
+    ready.sort(Comparator.comparing(ReadyTasks::rank));
+    return ready;
+  }
+
+  private boolean hasReady(StepRun step, long now) {
+    for (Task task : step.tasks()) {
+      if (isReady(task, now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean isReady(Task task, long now) {
+    return task.isReady(now) && isStartable.test(task);
+  }
+
+  private void add(StepRun step, Queue queue, long now, long wall, List<ReadyTasks> ready) {
+    if (step.step().gang()) {
+      if (step.tasks().stream().allMatch(task -> isReady(task, now))) {
+        Kind kind = Kind.of(step.tasks().get(0));
+        OrderPolicy.Rank rank = order.rank(step, queue, wall);
+        ready.add(new ReadyTasks(step, kind, step.tasks(), queue, rank));
+      }
+      return;
+    }
+    Map<Kind, List<Task>> kinds = new LinkedHashMap<>();
+    for (Task task : step.tasks()) {
+      if (isReady(task, now)) {
+        kinds.computeIfAbsent(Kind.of(task), kind -> new ArrayList<>()).add(task);
+      }
+    }
+    kinds.forEach(
+        (kind, tasks) -> {
+          OrderPolicy.Rank rank = order.rank(step, queue, wall);
+          ready.add(new ReadyTasks(step, kind, tasks, queue, rank));
+        });
+  }
+}
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyTasks.java
@@ -0,0 +1,68 @@
+package org.hemlockpick.cell;
+
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Ready tasks of one step for which the same workers are open, so that none finds room if one does
+ * not; or all tasks of a gang.
+ *
+ * @param tasks tasks, in the order in which they get room
+ * @param rank rank among all ready tasks
+ */
+record ReadyTasks(StepRun step, Kind kind, List<Task> tasks, Queue queue, OrderPolicy.Rank rank) {
+
+  /** What distinguishes tasks of one step in where they may run. */
+  record Kind(boolean hasRun, boolean hasFailed) {
+    static Kind of(Task task) {
+      return new Kind(hasRun(task), task.failures() > 0);
+    }
+
+    /** Tells whether a task lasts, and may run at workers that are set apart. */
+    private static boolean hasRun(Task task) {
+      return task.step().step().lasting() && task.mayHaveRun();
+    }
+  }
+
+  /**
+   * What tasks have in common of which none finds room if one does not.
+   *
+   * @param image image of fillers, which harm serving tasks by their image; null for other tasks
+   * @param label label that a worker must have; null if any will do
+   * @param apart step whose tasks must be apart from each other; null if they need not
+   * @param together number of tasks that need room at once, from 1; a gang that does not fit tells
+   *     nothing of fewer tasks
+   */
+  record Shape(
+      String service,
+      Kind kind,
+      Amounts demand,
+      boolean lasting,
+      @Nullable String image,
+      @Nullable String label,
+      @Nullable StepRun apart,
+      int together) {
+
+    /** Returns the shape of a single task. */
+    Shape single() {
+      return new Shape(service, kind, demand, lasting, image, label, apart, 1);
+    }
+  }
+
+  Shape shape() {
+    Step plan = step.step();
+    return new Shape(
+        queue.service(),
+        kind,
+        plan.demand(),
+        plan.lasting(),
+        plan.filler() ? plan.image() : null,
+        plan.requiredLabel(),
+        plan.maxPerWorker() > 0 ? step : null,
+        isGang() ? tasks.size() : 1);
+  }
+
+  boolean isGang() {
+    return step.step().gang();
+  }
+}
