Wait longer for a worker's report than for its answer to an order

An answer is as true if it comes late: it is of that boot and of a call whose time is known. A report may now take 2,000 ms beside its wait, and the answer to an order 1,000 ms. Orders keep the shorter one, as one without an answer is sent again and the same run is started only once.

SlowAnswerTest failed before with 600 ms: the job of four tasks stayed QUEUED for 20 s and its workers were not reached.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPort.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPort.java
@@ -9,6 +9,15 @@
  * once, and may be carried out seconds after it was reported as lost.
  */
 public interface WorkerPort {
+  /** Time limit of an order, in milliseconds. */
+  long ORDER_TIMEOUT_MILLIS = 1_000;
+
+  /**
+   * Time limit of a hold beside its wait, in milliseconds. Longer than that of an order: a report
+   * that comes late is as true, and without it what the worker runs counts as lost.
+   */
+  long HOLD_TIMEOUT_MILLIS = 2_000;
+
   /** Starts a run of a task. */
   void start(Target target, StartOrder order, Consumer<OrderReply> handler);
 
