--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -30,7 +30,6 @@
  */
 final class FakeWorkers {
   private static final long LATENCY_MILLIS = 2;
-  private static final long TIMEOUT_MILLIS = 600;
   private static final long RESTART_MILLIS = 1_500;
   private static final long STOP_MILLIS = 100;
 
@@ -221,6 +220,9 @@
     /** Whether it is gone, and its machine refuses connections at once. */
     boolean refusing;
 
+    /** Time that its answers are under way, in milliseconds. */
+    long answerMillis = LATENCY_MILLIS;
+
     /** Number of calls to hold that arrived at its address. */
     int holds;
 
@@ -504,7 +506,9 @@
       Model model = get(target.id());
       OrderReply none = new OrderReply(OrderOutcome.LOST, 0);
       outbox.send(
-          () -> exchange(model, TIMEOUT_MILLIS, none, handler, h -> sendOrder(model, action, h)));
+          () ->
+              exchange(
+                  model, ORDER_TIMEOUT_MILLIS, none, handler, h -> sendOrder(model, action, h)));
     }
 
     private void sendOrder(
@@ -530,21 +534,25 @@
             LATENCY_MILLIS,
             () -> {
               OrderReply reply = action.apply(model);
-              inbox.answer(LATENCY_MILLIS, () -> handler.accept(reply));
+              if (model.answerMillis > ORDER_TIMEOUT_MILLIS) {
+                loseOrder(handler);
+                return;
+              }
+              inbox.answer(model.answerMillis, () -> handler.accept(reply));
             });
       }
     }
 
     private void loseOrder(Consumer<OrderReply> handler) {
       OrderReply none = new OrderReply(OrderOutcome.LOST, 0);
-      inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
+      inbox.timeout(WorkerPort.ORDER_TIMEOUT_MILLIS, () -> handler.accept(none));
     }
 
     @Override
     public void hold(Target target, HoldCall call, Consumer<HoldReply> handler) {
       Model model = get(target.id());
       HoldReply none = HoldReply.without(OrderOutcome.LOST);
-      long timeout = TIMEOUT_MILLIS + call.waitMillis();
+      long timeout = HOLD_TIMEOUT_MILLIS + call.waitMillis();
       outbox.send(() -> exchange(model, timeout, none, handler, h -> sendHold(model, call, h)));
     }
 
@@ -594,7 +602,7 @@
         return;
       }
       if (isCutFrom(model)) {
-        lose(TIMEOUT_MILLIS + call.waitMillis(), handler);
+        lose(WorkerPort.HOLD_TIMEOUT_MILLIS + call.waitMillis(), handler);
         return;
       }
       model.holds++;
@@ -614,7 +622,7 @@
     private void answer(
         Model model, HoldCall call, long until, long born, Consumer<HoldReply> handler) {
       if (model.born != born) {
-        lose(TIMEOUT_MILLIS, handler);
+        lose(WorkerPort.HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
       if (model.ends.isEmpty() && time.millis() < until) {
@@ -622,17 +630,21 @@
         return;
       }
       if (isCutFrom(model)) {
-        lose(Math.max(0, until - time.millis()) + TIMEOUT_MILLIS, handler);
+        lose(Math.max(0, until - time.millis()) + WorkerPort.HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
       HoldReply reply = model.hold(new HoldCall(call.token(), call.endsSeen(), null, 0));
       int lost = lostHolds.getOrDefault(model.id, 0);
       if (lost > 0) {
         lostHolds.put(model.id, lost - 1);
-        lose(Math.max(0, until - time.millis()) + TIMEOUT_MILLIS, handler);
+        lose(Math.max(0, until - time.millis()) + HOLD_TIMEOUT_MILLIS, handler);
+        return;
+      }
+      if (model.answerMillis > HOLD_TIMEOUT_MILLIS) {
+        lose(HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
-      inbox.answer(LATENCY_MILLIS, () -> handler.accept(reply));
+      inbox.answer(model.answerMillis, () -> handler.accept(reply));
     }
 
     private void lose(long delay, Consumer<HoldReply> handler) {
