Bound the calls to workers by what comes back in time

Cause: a holder called on all workers at once and again 250 ms after each call that failed, each time on a new connection. What it had no time to read counted as unanswered, so that above some load nothing was handled any more. In virtual time, 240 workers, a machine that takes 3 ms to open a connection and 1.5 ms for an answer: none of 3,840 calls was answered in 15 s, each on a connection of its own, and all 240 leases lapsed.

Now the calls that are awaited are bounded by AdaptiveWindow: it doubles while the answers come soon, and is halved when most of them come late. Leases that end soonest come first, and the first extension does not wait for the storing of the first report's ends.

Same machine after it: 240 connections, no lease lapsed, no worker taken for silent. With 4 and 2 ms: none lapsed either (240 before). With 6 and 3 ms 84 of 240 leases lapse, as two calls to each worker then take longer than the leases last, and no worker is taken for silent. Above that the calls of the steady state alone are more than the machine has, and workers are taken for silent again.

Evidence: CallsTest before: both tests of a small machine failed, not reached (LOST) for all 240 workers.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -1,9 +1,13 @@
 package org.hemlockpick.cell;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import java.util.LongSummaryStatistics;
 import org.hemlockpick.cell.WorkerPort.EndReport;
 import org.hemlockpick.cell.WorkerPort.HoldCall;
 import org.hemlockpick.cell.WorkerPort.HoldReply;
+import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +38,17 @@
   /** Pause before a report that leaves something open is asked for again. */
   private static final long OPEN_PAUSE_MILLIS = 50;
 
+  /**
+   * First the leases that end soonest. Behind those of workers that answer come the workers that do
+   * not, and then those at which nothing runs.
+   */
+  private static final Comparator<Worker> BY_URGENCY =
+      Comparator.comparing((Worker worker) -> worker.extendedAt() == Long.MAX_VALUE)
+          .thenComparing(Worker::isSilent)
+          .thenComparing(worker -> !worker.isFirstExtensionDue())
+          .thenComparingLong(Worker::extendedAt)
+          .thenComparingLong(Worker::nextHoldAt);
+
   private final CellSettings settings;
   private final long token;
   private final WorkerPort port;
@@ -42,6 +57,7 @@
   private final LoopClock clock;
   private final DecisionLog log;
   private final Listener listener;
+  private final CallWindow window = new AdaptiveWindow();
 
   /** Hears of the answers. */
   interface Listener {
@@ -94,10 +110,18 @@
     if (!journal.isSure(now)) {
       return;
     }
+    List<Worker> due = new ArrayList<>();
     for (Worker worker : workers) {
       if (!worker.isHolding() && now >= worker.nextHoldAt()) {
-        hold(worker, now);
+        due.add(worker);
+      }
+    }
+    due.sort(BY_URGENCY);
+    for (Worker worker : due) {
+      if (!window.isOpen(now)) {
+        return;
       }
+      hold(worker, now);
     }
   }
 
@@ -113,7 +137,15 @@
     }
     worker.setHolding(true);
     HoldCall call = new HoldCall(token, confirmed, until, wait);
-    port.hold(worker.target(), call, reply -> onReply(worker, call, reply, now));
+    CallWindow.Call sent = window.begin(now, wait, worker.isSilent());
+    port.hold(
+        worker.target(),
+        call,
+        reply -> {
+          boolean isAnswered = reply.outcome() != OrderOutcome.LOST;
+          window.end(sent, isAnswered, clock.monotonicMillis());
+          onReply(worker, call, reply, now);
+        });
   }
 
   private static long wait(Worker worker) {
@@ -233,6 +265,9 @@
   }
 
   private static long pause(Worker worker, HoldReply reply) {
+    if (worker.isFirstExtensionDue()) {
+      return 0;
+    }
     if (worker.recordedEnd() < worker.lastEnd() || worker.hasFailedEnds()) {
       return UNSTORED_PAUSE_MILLIS;
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -220,6 +220,20 @@
     extendedAt = askedAt;
   }
 
+  /** Tells whether an extension would be the first that this holder is certain of. */
+  boolean isFirstExtensionDue() {
+    return !runs.isEmpty() && hasClock() && !storedAsSilent && extendedAt == NEVER;
+  }
+
+  /**
+   * Returns the time of the last extension that is certain, from which the leases that end first
+   * are told; the greatest number if nothing runs there.
+   */
+  long extendedAt() {
+    boolean mayRun = !fenced || !runs.isEmpty();
+    return mayRun ? extendedAt : Long.MAX_VALUE;
+  }
+
   /** Tells whether its last call had no answer, so that it gets no task. */
   boolean isSilent() {
     return holdFailures > 0;
