--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.LongSummaryStatistics;
+import java.util.Set;
 import org.hemlockpick.cell.WorkerPort.EndReport;
 import org.hemlockpick.cell.WorkerPort.HoldCall;
 import org.hemlockpick.cell.WorkerPort.HoldReply;
@@ -27,6 +29,9 @@
   /** Tail of a serving task from which its worker is asked more often, as a share of the target. */
   private static final double BUSY = 0.3;
 
+  /** Time beside its wait after which a call counts as failed, in milliseconds. */
+  private static final long LATE_MILLIS = 600;
+
   /** Pause between two looks at a worker without runs. */
   private static final long IDLE_PAUSE_MILLIS = 3_000;
 
@@ -62,6 +67,9 @@
   private final Listener listener;
   private final CallWindow window = new AdaptiveWindow();
 
+  /** Calls under way that do not count as failed yet. */
+  private final Set<Asked> awaited = new LinkedHashSet<>();
+
   /** Hears of the answers. */
   interface Listener {
     /**
@@ -110,6 +118,7 @@
 
   void run(Iterable<Worker> workers) {
     long now = clock.monotonicMillis();
+    giveUpLate(now);
     if (!journal.isSure(now)) {
       return;
     }
@@ -140,15 +149,20 @@
     }
     worker.setHolding(true);
     HoldCall call = new HoldCall(token, confirmed, until, wait);
-    CallWindow.Call sent = window.begin(now, wait, worker.isSilent());
-    port.hold(
-        worker.target(),
-        call,
-        reply -> {
-          boolean isAnswered = reply.outcome() != OrderOutcome.LOST;
-          window.end(sent, isAnswered, clock.monotonicMillis());
-          onReply(worker, call, reply, now);
-        });
+    Asked asked = new Asked(worker, call, window.begin(now, wait, worker.isSilent()), now);
+    awaited.add(asked);
+    port.hold(worker.target(), call, reply -> onReply(asked, reply));
+  }
+
+  /** Counts calls whose answers are late as failed; what they bring is taken all the same. */
+  private void giveUpLate(long now) {
+    for (Asked asked : List.copyOf(awaited)) {
+      if (now >= asked.lateAt()) {
+        awaited.remove(asked);
+        asked.worker.setHolding(false);
+        onFailure(asked.worker, asked.call, OrderOutcome.LOST, now);
+      }
+    }
   }
 
   /**
@@ -185,24 +199,42 @@
     return false;
   }
 
-  private void onReply(Worker worker, HoldCall call, HoldReply reply, long askedAt) {
+  private void onReply(Asked asked, HoldReply reply) {
     if (journal.hasEnded()) {
       return;
     }
     long now = clock.monotonicMillis();
+    window.end(asked.sent, reply.outcome() != OrderOutcome.LOST, now);
+    Worker worker = asked.worker;
+    if (!awaited.remove(asked)) {
+      onLateReply(asked, reply, now);
+      return;
+    }
     worker.setHolding(false);
     switch (reply.outcome()) {
-      case ACCEPTED -> onReport(worker, call, reply, askedAt, now);
+      case ACCEPTED -> onReport(worker, asked.call, reply, asked.askedAt, now);
       case FENCED -> listener.onFenced(worker);
       case OTHER_BOOT -> {
         worker.setNextHoldAt(now + RETRY_MILLIS);
         listener.onReplaced(worker);
       }
-      default -> onFailure(worker, call, reply, now);
+      default -> onFailure(worker, asked.call, reply.outcome(), now);
     }
   }
 
-  private void onFailure(Worker worker, HoldCall call, HoldReply reply, long now) {
+  /** Takes an answer whose call counts as failed, unless a later call was answered before. */
+  private void onLateReply(Asked asked, HoldReply reply, long now) {
+    Worker worker = asked.worker;
+    if (reply.outcome() == OrderOutcome.FENCED) {
+      listener.onFenced(worker);
+    } else if (reply.outcome() == OrderOutcome.ACCEPTED
+        && !worker.isRemoved()
+        && asked.askedAt > worker.answeredAfter()) {
+      onReport(worker, asked.call, reply, asked.askedAt, now);
+    }
+  }
+
+  private void onFailure(Worker worker, HoldCall call, OrderOutcome outcome, long now) {
     if (call.leaseUntilMillis() != null) {
       worker.noteLease(now, settings.workerLeaseMillis());
     }
@@ -210,7 +242,7 @@
     boolean wasGivenUp = worker.isGivenUp();
     worker.addHoldFailure();
     if (isFirst) {
-      log.decided("worker", worker.id(), "not reached", reply.outcome().name());
+      log.decided("worker", worker.id(), "not reached", outcome.name());
     }
     if (worker.isGivenUp() && !wasGivenUp) {
       log.decided("worker", worker.id(), "given up", worker.holdFailures() + " failed calls");
@@ -312,4 +344,23 @@
           }
         });
   }
+
+  /** A call to a worker. Each is one of its own, also if two are alike. */
+  private static final class Asked {
+    private final Worker worker;
+    private final HoldCall call;
+    private final CallWindow.Call sent;
+    private final long askedAt;
+
+    Asked(Worker worker, HoldCall call, CallWindow.Call sent, long askedAt) {
+      this.worker = worker;
+      this.call = call;
+      this.sent = sent;
+      this.askedAt = askedAt;
+    }
+
+    long lateAt() {
+      return askedAt + call.waitMillis() + LATE_MILLIS;
+    }
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -68,6 +68,7 @@
   private long confirmedEnd;
 
   private boolean holding;
+  private boolean removed;
   private long nextHoldAt;
   private long answeredAfter = NEVER;
   private long extendedAt = NEVER;
@@ -414,6 +415,20 @@
     holdFailures = 0;
   }
 
+  /** Returns the time at which the newest answer that was taken was asked for. */
+  long answeredAfter() {
+    return answeredAfter;
+  }
+
+  /** Tells whether the cell has forgotten it: answers that still come change nothing. */
+  boolean isRemoved() {
+    return removed;
+  }
+
+  void setRemoved() {
+    removed = true;
+  }
+
   int holdFailures() {
     return holdFailures;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -201,6 +201,7 @@
   /** Removes a worker that is gone, at which nothing can run any more. */
   void remove(Worker worker) {
     workers.remove(worker);
+    worker.setRemoved();
     rosterChanged = true;
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPort.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPort.java
@@ -13,11 +13,10 @@
   long ORDER_TIMEOUT_MILLIS = 1_000;
 
   /**
-   * Time limit of a hold beside its wait, in milliseconds. Longer than that of an order: a report
-   * that comes late is as true, and without it what the worker runs counts as lost. Short enough
-   * that two calls may be lost in a row before a lease ends.
+   * Time limit of a hold beside its wait, in milliseconds. Long, as a report that comes late is as
+   * true.
    */
-  long HOLD_TIMEOUT_MILLIS = 1_200;
+  long HOLD_TIMEOUT_MILLIS = 3_000;
 
   /** Starts a run of a task. */
   void start(Target target, StartOrder order, Consumer<OrderReply> handler);
