--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/OutgoingConnection.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/OutgoingConnection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.util.Backoff;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/PeerLink.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/PeerLink.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hemlockpick.proto.PeerMessage;
+import org.hemlockpick.util.Backoff;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
@@ -35,6 +36,8 @@
 
   private static final Logger log = Logger.getLogger(PeerLink.class);
   private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final long FIRST_RETRY_MILLIS = 50;
+  private static final long LAST_RETRY_MILLIS = 1_000;
   private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
   private final String own;
@@ -183,7 +186,12 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .handler(pipeline(false));
     OutgoingConnection connection =
-        new OutgoingConnection(address, bootstrap, loop, traffic, new Backoff(random.split()));
+        new OutgoingConnection(
+            address,
+            bootstrap,
+            loop,
+            traffic,
+            new Backoff(FIRST_RETRY_MILLIS, LAST_RETRY_MILLIS, random.split()));
     connections.put(name, connection);
     loop.execute(connection::connect);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/util/package-info.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/util/package-info.java
@@ -1,4 +1,4 @@
-/** Small helpers without state. */
+/** Small helpers that know nothing of instances and workers. */
 @NullMarked
 package org.hemlockpick.util;
 
