Let a large answer take as long as it keeps coming

A call's time limit counted from its sending to the end of its answer, so that a large answer on a slow way was given up at its limit, its connection closed, and what had come thrown away.

A call may now limit the silence instead: the time in which nothing of its answer comes. It is sent with the client's stream, and its parts are put together as before. An answer that has begun and comes to a standstill is still given up.

Ruled out on the way: an expired call doesn't cut off others that are in flight. HttpEndpoint.reset retires the connections, and they close with the last call on them; it only makes later calls open new ones.

Evidence: LongAnswerTest.answerThatKeepsComingIsWaitedFor, 30 parts 60 ms apart at a limit of 1,000 ms, with HttpCall.get as it was: expected <ANSWERED> but was <LOST>. Passes with getLarge.

--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/Connections.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/Connections.java
@@ -1,21 +1,21 @@
 package org.hemlockpick.transport.http;
 
-import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.StreamingHttpClient;
 
 /**
  * The connections to one destination that were opened since the last reset. Once retired, they take
  * no new call and are closed when the last call on them has ended.
  */
 final class Connections {
-  private final HttpClient client;
+  private final StreamingHttpClient client;
   private int inFlight;
   private boolean retired;
 
-  Connections(HttpClient client) {
+  Connections(StreamingHttpClient client) {
     this.client = client;
   }
 
-  HttpClient client() {
+  StreamingHttpClient client() {
     return client;
   }
 
--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpCall.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpCall.java
@@ -10,6 +10,7 @@
  * @param headers headers besides those of the body
  * @param body body in JSON; empty for none
  * @param timeoutMillis time until the call counts as lost
+ * @param limit what the time limit counts
  */
 @SuppressWarnings("ArrayRecordComponent") // Only read; a copy of each body would cost time.
 public record HttpCall(
@@ -17,7 +18,8 @@
     String path,
     ImmutableMap<String, String> headers,
     byte[] body,
-    long timeoutMillis) {
+    long timeoutMillis,
+    Limit limit) {
 
   /** Methods of calls. */
   public enum Method {
@@ -27,11 +29,39 @@
     POST
   }
 
+  /** What a time limit counts. */
+  public enum Limit {
+    /** The time from the call to the end of its answer. */
+    WHOLE,
+    /** The time in which nothing of the answer came, however long all of it takes. */
+    SILENCE
+  }
+
+  /** Creates a call whose time limit counts the whole of it. */
+  public HttpCall(
+      Method method,
+      String path,
+      ImmutableMap<String, String> headers,
+      byte[] body,
+      long timeoutMillis) {
+    this(method, path, headers, body, timeoutMillis, Limit.WHOLE);
+  }
+
   /** Returns a call without headers and body. */
   public static HttpCall get(String path, long timeoutMillis) {
     return new HttpCall(Method.GET, path, ImmutableMap.of(), new byte[0], timeoutMillis);
   }
 
+  /**
+   * Returns a call without headers and body, whose answer may be large.
+   *
+   * @param silenceMillis time without any part of the answer after which the call counts as lost
+   */
+  public static HttpCall getLarge(String path, long silenceMillis) {
+    return new HttpCall(
+        Method.GET, path, ImmutableMap.of(), new byte[0], silenceMillis, Limit.SILENCE);
+  }
+
   /** Returns a call with a body and without headers. */
   public static HttpCall post(String path, byte[] body, long timeoutMillis) {
     return new HttpCall(Method.POST, path, ImmutableMap.of(), body, timeoutMillis);
--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
@@ -145,13 +145,15 @@
   }
 
   /** One call in flight, from its sending to its only answer. */
-  private final class Exchange implements Subscriber<HttpResponse<byte[]>> {
+  private final class Exchange
+      implements Subscriber<HttpResponse<byte[]>>, ArrivingAnswer.Listener {
     private final Connections used;
     private final HttpCall call;
     private final Consumer<HttpAnswer> handler;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile @Nullable Subscription subscription;
     private volatile @Nullable Future<?> timeout;
+    private volatile long heardAtNanos = System.nanoTime();
 
     Exchange(Connections used, HttpCall call, Consumer<HttpAnswer> handler) {
       this.used = used;
@@ -160,9 +162,14 @@
     }
 
     void start(MutableHttpRequest<?> request) {
-      timeout =
-          transport.loop().schedule(this::expire, call.timeoutMillis(), TimeUnit.MILLISECONDS);
-      used.client().exchange(request, BYTES, BYTES).subscribe(this);
+      timeout = transport.loop().schedule(this::look, call.timeoutMillis(), TimeUnit.MILLISECONDS);
+      switch (call.limit()) {
+        case WHOLE -> used.client().exchange(request, BYTES, BYTES).subscribe(this);
+        case SILENCE ->
+            used.client()
+                .exchangeStream(request, BYTES)
+                .subscribe(new ArrivingAnswer(HttpTransport.MAX_ANSWER_BYTES, this));
+      }
     }
 
     @Override
@@ -176,6 +183,16 @@
       end(answer(response));
     }
 
+    @Override
+    public void onPart() {
+      heardAtNanos = System.nanoTime();
+    }
+
+    @Override
+    public void onWhole(HttpAnswer whole) {
+      end(whole);
+    }
+
     @Override
     public void onError(Throwable thrown) {
       if (thrown instanceof HttpClientResponseException refused) {
@@ -191,10 +208,21 @@
       endFailed(HttpAnswer.lost(), "the connection ended without an answer");
     }
 
-    private void expire() {
+    /** Gives the call up, unless a part of the answer came within its time limit. */
+    private void look() {
       if (ended.get()) {
         return;
       }
+      long silentNanos = System.nanoTime() - heardAtNanos;
+      long leftNanos = TimeUnit.MILLISECONDS.toNanos(call.timeoutMillis()) - silentNanos;
+      if (leftNanos > 0) {
+        timeout = transport.loop().schedule(this::look, leftNanos, TimeUnit.NANOSECONDS);
+        return;
+      }
+      expire();
+    }
+
+    private void expire() {
       // The connection may have gone silent for good, and others with it.
       resetUnlessReplaced(used);
       endFailed(HttpAnswer.lost(), "no answer within " + call.timeoutMillis() + " ms");
--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
@@ -8,10 +8,10 @@
 import io.micronaut.http.body.ContextlessMessageBodyHandlerRegistry;
 import io.micronaut.http.body.MessageBodyHandlerRegistry;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
-import io.micronaut.http.client.HttpClient;
 import io.micronaut.http.client.HttpClientConfiguration;
 import io.micronaut.http.client.HttpClientConfiguration.ConnectionPoolConfiguration;
 import io.micronaut.http.client.HttpVersionSelection;
+import io.micronaut.http.client.StreamingHttpClient;
 import io.micronaut.http.client.netty.DefaultHttpClient;
 import io.micronaut.http.client.netty.NettyClientCustomizer;
 import io.micronaut.http.codec.MediaTypeCodecRegistry;
@@ -43,7 +43,7 @@
   private static final Logger log = Logger.getLogger(HttpTransport.class);
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
-  private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+  static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
   private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
 
   private final ThreadFactory threads = new DefaultThreadFactory("platform-http", true);
@@ -93,7 +93,7 @@
 
   /** Creates a client with its own pool of connections on the shared thread. */
   @SuppressWarnings("deprecation") // The builder takes no event loop group from outside.
-  HttpClient newClient(int maxConnections) {
+  StreamingHttpClient newClient(int maxConnections) {
     return new DefaultHttpClient(
         null,
         null,
