Read the configuration without filling the link again and again

Cause: a reading had 1,000 ms and a watch 1,500 ms for the whole answer. With 19 instances on a link of 42 Mbit/s x 0.7, 300 kB take 1.55 s for each of them together. So every reading failed, what had come was thrown away, and all asked again 150 ms later. This needs no storm: one change is enough, and it doesn't end by itself.

For readiness a large answer on its way is no silence of the table service.

Ruled out: more time in place of waiting for progress would notice a silent connection late. Watching on through a series brings each version to each instance.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformCallsTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformCallsTest.java
@@ -58,6 +58,11 @@
   private volatile String body = "";
   private volatile String intended = "";
 
+  /** Begin of the paths that are not answered; empty for none. */
+  private volatile String silentPath = "";
+
+  private volatile int callerPort;
+
   PlatformCallsTest() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
   }
@@ -68,6 +73,10 @@
         "/",
         exchange -> {
           path = exchange.getRequestURI().toString();
+          callerPort = exchange.getRemoteAddress().getPort();
+          if (!silentPath.isEmpty() && path.startsWith(silentPath)) {
+            return;
+          }
           body = new String(exchange.getRequestBody().readAllBytes(), UTF_8);
           intended = String.valueOf(exchange.getRequestHeaders().getFirst("Expected-Instance"));
           byte[] bytes = answer.getBytes(UTF_8);
@@ -174,6 +183,26 @@
     assertEquals("/v1/rows-feed?table=jobs&depends_on=7&wait_ms=100", path);
   }
 
+  /** One large answer that failed to come made all small calls open new connections. */
+  @Test
+  void smallCallsKeepTheirConnectionWhenALargeOneFails() {
+    answer = "{\"rows\":[],\"schema_version\":3}";
+    PlatformStore store = store();
+    int before = portOfARead(store);
+    silentPath = "/v1/rows-feed";
+    CompletableFuture<WatchResult> watched = new CompletableFuture<>();
+    store.watch("op", 7, 100, 200, watched::complete);
+    assertEquals(WatchOutcome.FAILED, watched.join().outcome());
+    assertEquals(before, portOfARead(store));
+  }
+
+  private int portOfARead(PlatformStore store) {
+    CompletableFuture<ReadResult> result = new CompletableFuture<>();
+    store.read(new Range("cells", "c0", "a", "b"), TIMEOUT, result::complete);
+    assertTrue(result.join().isWhole());
+    return callerPort;
+  }
+
   @Test
   void startNamesTheIntendedWorkerAndItsRefusalIsRead() {
     status = 409;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -417,7 +417,7 @@
       Queue queue = new Queue(QUEUE, "host", "/topup/", SERVICE, 0, MAX_ATTEMPTS, 2, 1_000, false);
       return Optional.of(
           new Configuration(
-              Long.parseLong(value.toStringUtf8()),
+              Long.parseLong(value.toStringUtf8().strip()),
               List.of(queue),
               ImmutableMap.of(SERVICE, new ServiceEntry(SERVICE, true, false)),
               100_000));
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EndsTest.java
@@ -714,12 +714,17 @@
       handler.accept(new ReadResult(false, ImmutableList.of(), false, 0));
     }
 
+    @Override
+    public void readLarge(Range range, long silenceMillis, Consumer<ReadResult> handler) {
+      read(range, silenceMillis, handler);
+    }
+
     @Override
     public void watch(
         String table,
         long afterVersion,
         long waitMillis,
-        long timeoutMillis,
+        long silenceMillis,
         Consumer<WatchResult> handler) {
       handler.accept(new WatchResult(WatchOutcome.FAILED, ImmutableList.of(), 0));
     }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -16,12 +16,16 @@
 import org.hemlockpick.cell.TableService.WatchOutcome;
 import org.hemlockpick.cell.TableService.WatchResult;
 import org.hemlockpick.fakes.VirtualTime;
+import org.jspecify.annotations.Nullable;
 
 /** The table service in memory: linearizable, with one counter of versions and a feed. */
 final class FakeStore {
   private static final long LATENCY_MILLIS = 4;
   private static final int PAGE = 7;
 
+  /** Bytes of an answer besides the values of its rows. */
+  private static final long ENVELOPE_BYTES = 300;
+
   /** A part refuses transactions when more than this waits. */
   private static final long LONGEST_QUEUE_MILLIS = 1_000;
 
@@ -173,6 +177,9 @@
     /** Whether transactions of this process are applied and not answered. */
     boolean answersLost;
 
+    /** The link that reads and watches are answered over; null for one without bounds. */
+    @Nullable SharedLink link;
+
     View(Inbox inbox) {
       this.inbox = inbox;
     }
@@ -241,20 +248,31 @@
 
     @Override
     public void read(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
-      outbox.send(() -> sendRead(range, timeoutMillis, handler));
+      outbox.send(() -> sendRead(range, timeoutMillis, false, handler));
+    }
+
+    @Override
+    public void readLarge(Range range, long silenceMillis, Consumer<ReadResult> handler) {
+      outbox.send(() -> sendRead(range, silenceMillis, true, handler));
     }
 
-    private void sendRead(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
+    private void sendRead(
+        Range range, long timeoutMillis, boolean isLarge, Consumer<ReadResult> handler) {
       if (dead()) {
         ReadResult none = new ReadResult(false, ImmutableList.of(), false, 0);
         inbox.timeout(timeoutMillis, () -> handler.accept(none));
         return;
       }
+      Reply reply =
+          new Reply(
+              timeoutMillis,
+              isLarge,
+              () -> handler.accept(new ReadResult(false, ImmutableList.of(), false, 0)));
       time.after(
           LATENCY_MILLIS,
           () -> {
             ReadResult result = FakeStore.this.read(range);
-            inbox.answer(() -> handler.accept(result));
+            reply.send(bytes(result.rows()), () -> handler.accept(result));
           });
     }
 
@@ -263,39 +281,105 @@
         String table,
         long afterVersion,
         long waitMillis,
-        long timeoutMillis,
+        long silenceMillis,
         Consumer<WatchResult> handler) {
-      outbox.send(() -> sendWatch(table, afterVersion, waitMillis, timeoutMillis, handler));
+      outbox.send(() -> sendWatch(table, afterVersion, waitMillis, silenceMillis, handler));
     }
 
     private void sendWatch(
         String table,
         long afterVersion,
         long waitMillis,
-        long timeoutMillis,
+        long silenceMillis,
         Consumer<WatchResult> handler) {
       if (dead()) {
         WatchResult none = new WatchResult(WatchOutcome.FAILED, ImmutableList.of(), 0);
-        inbox.timeout(timeoutMillis, () -> handler.accept(none));
+        inbox.timeout(silenceMillis, () -> handler.accept(none));
         return;
       }
-      time.after(
-          LATENCY_MILLIS, () -> poll(table, afterVersion, time.millis() + waitMillis, handler));
+      Reply reply =
+          new Reply(
+              silenceMillis,
+              true,
+              () -> handler.accept(new WatchResult(WatchOutcome.FAILED, ImmutableList.of(), 0)));
+      long until = time.millis() + LATENCY_MILLIS + waitMillis;
+      time.after(LATENCY_MILLIS, () -> poll(table, afterVersion, until, reply, handler));
     }
 
-    private void poll(String table, long afterVersion, long until, Consumer<WatchResult> handler) {
+    private void poll(
+        String table, long afterVersion, long until, Reply reply, Consumer<WatchResult> handler) {
+      if (reply.isEnded()) {
+        return;
+      }
       if (afterVersion < historyFrom) {
         WatchResult gone = new WatchResult(WatchOutcome.HISTORY_LOST, ImmutableList.of(), 0);
-        inbox.answer(() -> handler.accept(gone));
+        reply.send(ENVELOPE_BYTES, () -> handler.accept(gone));
         return;
       }
       ImmutableList<StoredRow> changes = changes(table, afterVersion);
       if (!changes.isEmpty() || time.millis() >= until) {
         WatchResult result = new WatchResult(WatchOutcome.CHANGES, changes, version);
-        inbox.answer(() -> handler.accept(result));
+        reply.send(bytes(changes), () -> handler.accept(result));
         return;
       }
-      time.after(LATENCY_MILLIS, () -> poll(table, afterVersion, until, handler));
+      time.after(LATENCY_MILLIS, () -> poll(table, afterVersion, until, reply, handler));
+    }
+
+    private static long bytes(List<StoredRow> found) {
+      return found.stream().mapToLong(row -> ENVELOPE_BYTES + row.value().size()).sum()
+          + ENVELOPE_BYTES;
+    }
+
+    /** The answer to one call: over the link if there is one, and then only within its time. */
+    private final class Reply {
+      private final long timeoutMillis;
+      private final boolean isLarge;
+      private final Runnable onTimeout;
+      private SharedLink.@Nullable Transfer transfer;
+      private boolean ended;
+
+      /** Creates the answer; the time limit of a large one counts while nothing of it comes. */
+      Reply(long timeoutMillis, boolean isLarge, Runnable onTimeout) {
+        this.timeoutMillis = timeoutMillis;
+        this.isLarge = isLarge;
+        this.onTimeout = onTimeout;
+        if (link != null) {
+          time.after(timeoutMillis, this::look);
+        }
+      }
+
+      boolean isEnded() {
+        return ended;
+      }
+
+      void send(long bytes, Runnable onAnswer) {
+        SharedLink way = link;
+        if (way == null) {
+          end(() -> inbox.answer(onAnswer));
+        } else if (!ended) {
+          transfer = way.send(bytes, () -> end(() -> inbox.answer(onAnswer)));
+        }
+      }
+
+      private void look() {
+        SharedLink.Transfer begun = transfer;
+        long left = begun == null ? 0 : begun.heardAt + timeoutMillis - time.millis();
+        if (isLarge && left > 0) {
+          time.after(left, this::look);
+          return;
+        }
+        if (!ended && begun != null) {
+          begun.giveUp();
+        }
+        end(() -> inbox.timeout(0, onTimeout));
+      }
+
+      private void end(Runnable action) {
+        if (!ended) {
+          ended = true;
+          action.run();
+        }
+      }
     }
   }
 }
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FullLinkTest.java
@@ -0,0 +1,144 @@
+package org.hemlockpick.cell;
+
+import static org.hemlockpick.cell.CellWorld.step;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.hemlockpick.errors.ResultCode;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Entry instances that share a link to the table service which a configuration fills. */
+class FullLinkTest {
+  private static final int INSTANCES = 19;
+
+  /** A link of 42 Mbit/s of which a share of 0.7 is left. */
+  private static final long BYTES_PER_SECOND = 42_000_000 / 8 * 7 / 10;
+
+  private static final int CONFIGURATION_BYTES = 300_000;
+  private static final long GAP_MILLIS = 160;
+  private static final int VERSIONS = 27;
+
+  /** Time within which a confirmed configuration has to be in force. */
+  private static final long APPLY_MILLIS = 4_000;
+
+  /** Each instance may take so many configurations out of a series of 27. */
+  private static final int MOST_READINGS = 6;
+
+  /** Time for which callers wait for an answer. */
+  private static final long CALLER_MILLIS = 3_000;
+
+  private final CellWorld world = new CellWorld(20261204, INSTANCES, 4);
+  private final SharedLink link = new SharedLink(world.time, BYTES_PER_SECOND);
+  private final List<String> notReady = new ArrayList<>();
+  private long version = 1;
+
+  @BeforeEach
+  void settle() {
+    world.nodes.forEach(node -> node.storeView.link = link);
+    world.time.runFor(10_000);
+    watchReadiness();
+  }
+
+  private void watchReadiness() {
+    for (CellWorld.Node node : world.nodes) {
+      CellNode process = node.process;
+      if (process != null && !process.isReady()) {
+        notReady.add(node.name + " at " + world.time.millis());
+      }
+    }
+    world.time.after(10, this::watchReadiness);
+  }
+
+  /** Readings of a second or more were thrown away and asked for again, by all at once, forever. */
+  @Test
+  void newestConfigurationIsInForceInTime() {
+    playStorm();
+    world.time.runFor(APPLY_MILLIS);
+    assertEquals(List.of(), behind());
+  }
+
+  /** The same for one change that comes alone. */
+  @Test
+  void loneConfigurationIsInForceInTime() {
+    change();
+    world.time.runFor(APPLY_MILLIS);
+    assertEquals(List.of(), behind());
+  }
+
+  /** An answer that was on its way for long counted as silence of the table service. */
+  @Test
+  void instancesStayReadyWhileTheLinkIsFull() {
+    playStorm();
+    world.time.runFor(APPLY_MILLIS);
+    assertEquals(List.of(), notReady);
+  }
+
+  /** The configuration was read without end, so that the link stayed full. */
+  @Test
+  void configurationsOfASeriesAreReadAFewTimesOnly() {
+    long before = link.crossed;
+    playStorm();
+    world.time.runFor(2 * APPLY_MILLIS);
+    long once = (long) CONFIGURATION_BYTES * INSTANCES;
+    long crossed = link.crossed - before;
+    assertTrue(
+        crossed <= MOST_READINGS * once,
+        () -> crossed + " bytes crossed, " + (double) crossed / once + " of each configuration");
+  }
+
+  /** A link that is full of one kind of reading leaves the lease and callers without answers. */
+  @Test
+  void holderAndCallersAreServedWhileTheLinkIsFull() {
+    CellWorld.Node holder = world.holder();
+    List<ResultCode> answers = new ArrayList<>();
+    for (int i = 0; i < VERSIONS; i++) {
+      change();
+      askForState(world.nodes.get(i % INSTANCES), answers);
+      world.submit(i, "job" + i, step(1));
+      world.time.runFor(GAP_MILLIS);
+    }
+    world.time.runFor(APPLY_MILLIS);
+    assertEquals(Collections.nCopies(VERSIONS, ResultCode.UNKNOWN_JOB), answers);
+    assertEquals(holder, world.holder());
+    assertEquals(1, timesHeld(), () -> String.join("\n", world.log));
+    assertEquals(List.of(), world.unfinished());
+  }
+
+  /** Asks for a job that does not exist, so that only a refusal is no such answer. */
+  private static void askForState(CellWorld.Node node, List<ResultCode> answers) {
+    node.process().state("none", CALLER_MILLIS, reply -> answers.add(reply.code()));
+  }
+
+  private long timesHeld() {
+    return world.log.stream().filter(line -> line.contains(" cell c0 held ")).count();
+  }
+
+  private void playStorm() {
+    for (int i = 0; i < VERSIONS; i++) {
+      world.time.runFor(GAP_MILLIS);
+      change();
+    }
+  }
+
+  private void change() {
+    version++;
+    String text = version + " ".repeat(CONFIGURATION_BYTES);
+    world.store.put("operator", "configuration", ByteString.copyFromUtf8(text));
+  }
+
+  private List<String> behind() {
+    List<String> late = new ArrayList<>();
+    for (CellWorld.Node node : world.nodes) {
+      long known = node.process().configuration().orElseThrow().version();
+      if (known != version) {
+        late.add(node.name + " knows " + known + " of " + version);
+      }
+    }
+    return late;
+  }
+}
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/JournalReviewTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/JournalReviewTest.java
@@ -78,12 +78,17 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public void readLarge(Range range, long silenceMillis, Consumer<ReadResult> handler) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public void watch(
         String table,
         long afterVersion,
         long waitMillis,
-        long timeoutMillis,
+        long silenceMillis,
         Consumer<WatchResult> handler) {
       throw new UnsupportedOperationException();
     }
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/SharedLink.java
@@ -0,0 +1,106 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import org.hemlockpick.fakes.VirtualTime;
+
+/**
+ * A link of limited bandwidth that many transfers share. It carries one packet after the other; of
+ * each transfer a window of packets is on its way at a time, so that a short one passes long ones.
+ */
+final class SharedLink {
+  private static final long PACKET_BYTES = 16_384;
+  private static final int WINDOW_PACKETS = 8;
+  private static final long MICROS_IN_MILLI = 1_000;
+  private static final long MICROS_IN_SECOND = 1_000_000;
+
+  private record Packet(Transfer transfer, long bytes) {}
+
+  private final VirtualTime time;
+  private final long bytesPerSecond;
+  private final Queue<Packet> packets = new ArrayDeque<>();
+  private boolean busy;
+  private long freeAtMicros;
+
+  /** Bytes that have crossed the link so far, those of calls that were given up included. */
+  long crossed;
+
+  SharedLink(VirtualTime time, long bytesPerSecond) {
+    this.time = time;
+    this.bytesPerSecond = bytesPerSecond;
+  }
+
+  /** Begins a transfer; the action runs when its last byte has crossed, unless it is given up. */
+  Transfer send(long bytes, Runnable onWhole) {
+    Transfer transfer = new Transfer(bytes, onWhole);
+    for (int i = 0; i < WINDOW_PACKETS; i++) {
+      transfer.enqueue();
+    }
+    return transfer;
+  }
+
+  private void carryNext() {
+    Packet packet = packets.poll();
+    busy = packet != null;
+    if (packet == null) {
+      return;
+    }
+    long nowMicros = time.millis() * MICROS_IN_MILLI;
+    freeAtMicros =
+        Math.max(nowMicros, freeAtMicros) + packet.bytes() * MICROS_IN_SECOND / bytesPerSecond;
+    time.after(freeAtMicros / MICROS_IN_MILLI - time.millis(), () -> onCarried(packet));
+  }
+
+  private void onCarried(Packet packet) {
+    crossed += packet.bytes();
+    packet.transfer().onCarried(packet.bytes());
+    carryNext();
+  }
+
+  /** One answer on its way. */
+  final class Transfer {
+    private final Runnable onWhole;
+    private long unsent;
+    private long uncarried;
+    private boolean givenUp;
+
+    /** Time at which the last packet so far came, in milliseconds; that of the begin before. */
+    long heardAt = time.millis();
+
+    private Transfer(long bytes, Runnable onWhole) {
+      this.onWhole = onWhole;
+      unsent = bytes;
+      uncarried = bytes;
+    }
+
+    /** Sends nothing more; what is on its way crosses the link all the same. */
+    void giveUp() {
+      givenUp = true;
+    }
+
+    private void enqueue() {
+      if (unsent == 0 || givenUp) {
+        return;
+      }
+      long bytes = Math.min(PACKET_BYTES, unsent);
+      unsent -= bytes;
+      packets.add(new Packet(this, bytes));
+      if (!busy) {
+        carryNext();
+      }
+    }
+
+    private void onCarried(long bytes) {
+      heardAt = time.millis();
+      uncarried -= bytes;
+      if (givenUp) {
+        return;
+      }
+      if (uncarried == 0) {
+        onWhole.run();
+        return;
+      }
+      enqueue();
+    }
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellNode.java
@@ -55,7 +55,7 @@
     this.source = source;
     this.clock = clock;
     this.log = log;
-    this.configuration = new ConfigurationWatch(this.store, source, clock, this::decided);
+    this.configuration = new ConfigurationWatch(this.store, source, clock, this::decided, random);
     this.lease = new CellLease(settings, this.store, clock, random, log, this::onAcquired);
     this.desk = new CallerDesk(settings, this.store, clock, this::decided);
     this.lastWall = clock.wallMillis();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationWatch.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationWatch.java
@@ -1,34 +1,67 @@
 package org.hemlockpick.cell;
 
+import java.util.random.RandomGenerator;
+import org.hemlockpick.cell.TableService.Range;
 import org.hemlockpick.cell.TableService.ReadResult;
 import org.hemlockpick.cell.TableService.WatchResult;
+import org.hemlockpick.util.Backoff;
 import org.jspecify.annotations.Nullable;
 
-/** Keeps the configuration in force: reads it once, then waits for changes. */
+/**
+ * Keeps the configuration in force: reads it once, then waits for changes. A watch brings every
+ * version since the last one, so that changes that come in series or are large are followed by
+ * readings with pauses between them, until one finds nothing new.
+ */
 final class ConfigurationWatch {
   /** Wait of the service for a change; short, as a connection may go silent meanwhile. */
   private static final long WAIT_MILLIS = 1_000;
 
-  private static final long WATCH_TIMEOUT_MILLIS = WAIT_MILLIS + 500;
-  private static final long RETRY_MILLIS = 150;
+  private static final long WATCH_SILENCE_MILLIS = WAIT_MILLIS + 500;
+  private static final long FIRST_RETRY_MILLIS = 150;
+  private static final long LAST_RETRY_MILLIS = 1_000;
+
+  /** Failed watches in a row after which the row is read, as the way to the history may fail. */
+  private static final int FAILED_WATCHES = 2;
+
+  /** Size from which on a version is too large to be sent several times in one answer. */
+  private static final int LARGE_BYTES = 65_536;
+
+  /** Time between two changes up to which they count as a series. */
+  private static final long SERIES_MILLIS = 2_000;
+
+  /**
+   * Mean pause before another reading: short enough that a change which a long reading has just
+   * missed is still in force within a few seconds.
+   */
+  private static final long PAUSE_MILLIS = 600;
 
   private final TableService store;
   private final ConfigurationSource source;
   private final LoopClock clock;
   private final DecisionLog log;
+  private final RandomGenerator random;
+  private final Backoff backoff;
 
   private boolean underWay;
-  private boolean isRead;
+  private boolean watching;
+  private int failedWatches;
   private long nextAt;
   private long fromVersion;
+  private long changedAt = Long.MIN_VALUE / 2;
   private @Nullable Configuration current;
 
   ConfigurationWatch(
-      TableService store, ConfigurationSource source, LoopClock clock, DecisionLog log) {
+      TableService store,
+      ConfigurationSource source,
+      LoopClock clock,
+      DecisionLog log,
+      RandomGenerator random) {
     this.store = store;
     this.source = source;
     this.clock = clock;
     this.log = log;
+    this.random = random;
+    this.backoff = new Backoff(FIRST_RETRY_MILLIS, LAST_RETRY_MILLIS, random);
   }
 
   /** Returns the configuration in force; null until one was read. */
@@ -41,14 +74,14 @@
       return;
     }
     underWay = true;
-    if (isRead) {
+    if (watching) {
       store.watch(
-          source.operatorTable(), fromVersion, WAIT_MILLIS, WATCH_TIMEOUT_MILLIS, this::onChanges);
+          source.operatorTable(), fromVersion, WAIT_MILLIS, WATCH_SILENCE_MILLIS, this::onChanges);
       return;
     }
     String key = source.configurationKey();
-    store.read(
-        new TableService.Range(source.operatorTable(), "", key, key + "~"),
+    store.readLarge(
+        new Range(source.operatorTable(), "", key, key + "~"),
         CellTiming.STORE_TIMEOUT,
         this::onRead);
   }
@@ -56,42 +89,89 @@
   private void onRead(ReadResult result) {
     underWay = false;
     if (!result.isWhole()) {
-      nextAt = clock.monotonicMillis() + RETRY_MILLIS;
+      nextAt = clock.monotonicMillis() + backoff.next();
       return;
     }
-    isRead = true;
-    fromVersion = result.version();
-    result.rows().forEach(this::take);
+    onAnswer(result.version());
+    boolean isFirst = current == null;
+    boolean changed = takeAll(result.rows());
+    if (changed && (!isFirst || isLarge(result.rows()))) {
+      readAfterPause();
+      return;
+    }
+    watching = true;
   }
 
   private void onChanges(WatchResult result) {
     underWay = false;
     switch (result.outcome()) {
-      case CHANGES -> {
-        fromVersion = Math.max(fromVersion, result.version());
-        result.rows().forEach(this::take);
-      }
-      case HISTORY_LOST -> isRead = false;
+      case CHANGES -> takeChanges(result);
+      case HISTORY_LOST -> watching = false;
       case FAILED -> {
-        // The row itself is read next, in case the way to the history is what fails.
-        isRead = false;
-        nextAt = clock.monotonicMillis() + RETRY_MILLIS;
+        failedWatches++;
+        watching = failedWatches < FAILED_WATCHES;
+        nextAt = clock.monotonicMillis() + backoff.next();
       }
     }
   }
 
-  private void take(StoredRow row) {
-    if (!row.key().equals(source.configurationKey()) || row.removed()) {
+  private void takeChanges(WatchResult result) {
+    onAnswer(Math.max(fromVersion, result.version()));
+    long lastChangeAt = changedAt;
+    if (!takeAll(result.rows())) {
       return;
     }
+    boolean isSeries = changedAt - lastChangeAt < SERIES_MILLIS;
+    if (isSeries || isLarge(result.rows())) {
+      readAfterPause();
+    }
+  }
+
+  private void onAnswer(long version) {
+    fromVersion = version;
+    failedWatches = 0;
+    backoff.reset();
+  }
+
+  /** Has the row read after a pause, so that instances do not all read at the same time. */
+  private void readAfterPause() {
+    watching = false;
+    nextAt = clock.monotonicMillis() + PAUSE_MILLIS / 2 + random.nextLong(PAUSE_MILLIS);
+  }
+
+  private static boolean isLarge(Iterable<StoredRow> rows) {
+    long bytes = 0;
+    for (StoredRow row : rows) {
+      bytes += row.value().size();
+    }
+    return bytes >= LARGE_BYTES;
+  }
+
+  /** Takes rows; returns whether one of them has put another configuration in force. */
+  private boolean takeAll(Iterable<StoredRow> rows) {
+    boolean changed = false;
+    for (StoredRow row : rows) {
+      changed |= take(row);
+    }
+    if (changed) {
+      changedAt = clock.monotonicMillis();
+    }
+    return changed;
+  }
+
+  /** Takes a row; returns whether it has put another configuration in force. */
+  private boolean take(StoredRow row) {
+    if (!row.key().equals(source.configurationKey()) || row.removed()) {
+      return false;
+    }
     Configuration newest = source.configuration(row.value()).orElse(null);
     if (newest == null) {
       log.decided("configuration", row.key(), "ignored", "unreadable, row " + row.version());
-      return;
+      return false;
     }
     Configuration known = current;
     if (known != null && newest.version() <= known.version()) {
-      return;
+      return false;
     }
     current = newest;
     log.decided(
@@ -99,5 +179,6 @@
         "v" + newest.version(),
         "in force",
         newest.queues().size() + " queues, row " + row.version());
+    return true;
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/StoreContact.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/StoreContact.java
@@ -54,19 +54,33 @@
         });
   }
 
+  /** A large answer may be on its way for long, so that waiting for it tells nothing. */
+  @Override
+  public void readLarge(Range range, long silenceMillis, Consumer<ReadResult> handler) {
+    service.readLarge(
+        range,
+        silenceMillis,
+        result -> {
+          if (result.isWhole()) {
+            onAnswer();
+          }
+          handler.accept(result);
+        });
+  }
+
   /** A watch may wait for long, so that its silence tells nothing. */
   @Override
   public void watch(
       String table,
       long afterVersion,
       long waitMillis,
-      long timeoutMillis,
+      long silenceMillis,
       Consumer<WatchResult> handler) {
     service.watch(
         table,
         afterVersion,
         waitMillis,
-        timeoutMillis,
+        silenceMillis,
         result -> {
           if (result.outcome() != WatchOutcome.FAILED) {
             onAnswer();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TableService.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TableService.java
@@ -11,20 +11,30 @@
   /** Carries out a transaction. */
   void transact(Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler);
 
-  /** Reads rows of a range of keys. */
+  /** Reads a few small rows of a range of keys. */
   void read(Range range, long timeoutMillis, Consumer<ReadResult> handler);
 
   /**
-   * Waits for changes of a table.
+   * Reads rows of a range of keys that may be large. The call keeps no small one waiting, and goes
+   * on for as long as its answer keeps coming.
+   *
+   * @param silenceMillis time without any part of the answer after which the call has failed
+   */
+  void readLarge(Range range, long silenceMillis, Consumer<ReadResult> handler);
+
+  /**
+   * Waits for changes of a table, which may be large. The call keeps no small one waiting, and goes
+   * on for as long as its answer keeps coming.
    *
    * @param afterVersion version after which changes are asked for
    * @param waitMillis longest wait of the service for a first change
+   * @param silenceMillis time without any part of the answer after which the call has failed
    */
   void watch(
       String table,
       long afterVersion,
       long waitMillis,
-      long timeoutMillis,
+      long silenceMillis,
       Consumer<WatchResult> handler);
 
   /**
