Read the jobs at a take-over over a slow link

A holder whose way to the table service carries less than a page a second never knew the jobs: each page had 1,000 ms, nine ranges were read at once, and one page that took longer made it read all of them again, 150 ms later, for ever. Nothing that it had inherited was started.

Pages are waited for as long as they keep coming, and three ranges are read at a time. With all nine at once and the new time limit the test still failed: on a link of 7 Mbit/s x 0.7 they kept each other waiting for more than a second.

Evidence: FullLinkTest.jobsAreReadAtATakeOverOverASlowLink, 4 MB of jobs at 612.5 kB/s, no "jobs read" within 4 s and twice the time that the link needs; it passes now. Price: three reads one after the other in place of one, some 50 ms more at a take-over from the other region (worked out from 24 ms there and back, not measured).

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FullLinkTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FullLinkTest.java
@@ -32,6 +32,16 @@
   /** Time for which callers wait for an answer. */
   private static final long CALLER_MILLIS = 3_000;
 
+  /** A machine's own link of 7 Mbit/s of which a share of 0.7 is left. */
+  private static final long SLOW_BYTES_PER_SECOND = 7_000_000 / 8 * 7 / 10;
+
+  private static final int LARGE_JOBS = 40;
+  private static final int SPEC_BYTES = 100_000;
+  private static final long LASTING_MILLIS = 60_000;
+
+  /** Time in which the cell is free and taken. */
+  private static final long TAKE_OVER_MILLIS = 4_000;
+
   private final CellWorld world = new CellWorld(20261204, INSTANCES, 4);
   private final SharedLink link = new SharedLink(world.time, BYTES_PER_SECOND);
   private final List<String> notReady = new ArrayList<>();
@@ -114,6 +124,32 @@
     node.process().state("none", CALLER_MILLIS, reply -> answers.add(reply.code()));
   }
 
+  /** Pages that took a second or more were thrown away, so that the jobs were never known. */
+  @Test
+  void jobsAreReadAtATakeOverOverASlowLink() {
+    CellWorld.Node former = world.holder();
+    world.workers.runMillis = LASTING_MILLIS;
+    for (int i = 0; i < LARGE_JOBS; i++) {
+      world.submit(i, largeJob("job" + i));
+    }
+    world.time.runFor(5_000);
+    CellWorld.Node next = world.nodes.get(world.nodes.indexOf(former) == 0 ? 1 : 0);
+    next.storeView.link = new SharedLink(world.time, SLOW_BYTES_PER_SECOND);
+    world.nodes.stream().filter(node -> node != next).forEach(CellWorld.Node::kill);
+    long whole = LARGE_JOBS * (long) SPEC_BYTES * 1_000 / SLOW_BYTES_PER_SECOND;
+    world.time.runFor(TAKE_OVER_MILLIS + 2 * whole);
+    String read = " " + next.name + "/";
+    boolean isRead =
+        world.log.stream().anyMatch(line -> line.contains(read) && line.contains("jobs read"));
+    assertTrue(isRead, () -> String.join("\n", world.log));
+  }
+
+  private Submission largeJob(String id) {
+    String spec = "s".repeat(SPEC_BYTES);
+    return new Submission(
+        id, CellWorld.QUEUE, spec, List.of(step(1)), 0, 0, 0, world.time.millis());
+  }
+
   private long timesHeld() {
     return world.log.stream().filter(line -> line.contains(" cell c0 held ")).count();
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobReading.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobReading.java
@@ -1,27 +1,35 @@
 package org.hemlockpick.cell;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.hemlockpick.cell.TableService.Range;
 import org.hemlockpick.proto.ProgressRecord;
 import org.jspecify.annotations.Nullable;
 
-/** Reads all rows of the jobs of a cell, from all parts at once. */
+/** Reads all rows of the jobs of a cell, from a few parts at a time. */
 final class JobReading {
+  /** Parts that are read at a time; more would only wait for each other on a slow link. */
+  private static final int AT_A_TIME = 3;
+
+  private final TableService store;
   private final Consumer<@Nullable JobReading> handler;
   private final List<StoredRow> rows = new ArrayList<>();
   private final Map<String, ProgressRecord> progress = new HashMap<>();
-  private int underWay = JobRows.PARTS + 1;
+  private final Queue<Runnable> waiting = new ArrayDeque<>();
+  private int underWay;
   private long version = Long.MAX_VALUE;
   private boolean failed;
 
-  private JobReading(Consumer<@Nullable JobReading> handler) {
+  private JobReading(TableService store, Consumer<@Nullable JobReading> handler) {
+    this.store = store;
     this.handler = handler;
   }
 
@@ -31,12 +39,22 @@
    * @param handler takes the reading once it is whole, or null if a call was not answered
    */
   static void start(String cell, TableService store, Consumer<@Nullable JobReading> handler) {
-    JobReading reading = new JobReading(handler);
-    Range all = new Range(JobRows.PROGRESS_TABLE, cell, "", "");
-    PagedRead.start(store, all, reading::onProgress);
+    JobReading reading = new JobReading(store, handler);
+    reading.add(new Range(JobRows.PROGRESS_TABLE, cell, "", ""), reading::onProgress);
     for (int i = 0; i < JobRows.PARTS; i++) {
-      Range part = new Range(JobRows.TABLE, JobRows.part(cell, i), "", "");
-      PagedRead.start(store, part, reading::onPart);
+      reading.add(new Range(JobRows.TABLE, JobRows.part(cell, i), "", ""), reading::onPart);
+    }
+    reading.startNext();
+  }
+
+  private void add(Range range, Consumer<PagedRead.@Nullable Rows> taker) {
+    waiting.add(() -> PagedRead.start(store, range, taker));
+  }
+
+  private void startNext() {
+    while (underWay < AT_A_TIME && !waiting.isEmpty()) {
+      underWay++;
+      waiting.remove().run();
     }
   }
 
@@ -60,9 +78,14 @@
   private void end(boolean isMissing) {
     failed |= isMissing;
     underWay--;
-    if (underWay == 0) {
+    if (failed) {
+      waiting.clear();
+    }
+    if (underWay == 0 && waiting.isEmpty()) {
       handler.accept(failed ? null : this);
+      return;
     }
+    startNext();
   }
 
   /** Returns a version after which changes have to be asked for. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PagedRead.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PagedRead.java
@@ -43,7 +43,7 @@
 
   private void readFrom(String key) {
     Range rest = new Range(range.table(), range.part(), key, range.toKey());
-    store.read(rest, CellTiming.STORE_TIMEOUT, this::onPage);
+    store.readLarge(rest, CellTiming.STORE_TIMEOUT, this::onPage);
   }
 
   private void onPage(ReadResult page) {
