Write no stack trace for a connection that ends after its call

A large call that is given up before its answer began cancels the client's stream; the end of the connection then comes as an error that nobody takes, and Reactor writes it with thirty lines of stack trace. Seen in the run of PlatformCallsTest (GET /v1/rows-feed, "no answer within 200 ms", then "ERROR [reactor.core.publisher.Operators] Operator called default onErrorDropped"). The endpoint has logged the call by then. Other dropped errors are written as before.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Logging.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Logging.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.daemon;
 
+import io.micronaut.http.client.exceptions.HttpClientException;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.logging.Handler;
 import java.util.logging.Level;
+import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jspecify.annotations.Nullable;
@@ -28,6 +30,9 @@
 
   private static final String NOT_CONNECTED = "Failed to connect to remote";
 
+  /** Writes a stack trace for each call whose connection ends after the call was given up. */
+  private static final Logger DROPPED_ERRORS = Logger.getLogger("reactor.core.publisher.Operators");
+
   private static final int QUEUED_LINES = 4_096;
 
   private static final Logger TIMELINE = Logger.getLogger(TimelineLog.LOGGER_NAME);
@@ -71,6 +76,12 @@
     LIBRARIES.forEach(library -> library.setLevel(Level.WARNING));
     HARDWARE_ADDRESS.setLevel(Level.SEVERE);
     HTTP_CLIENT.setFilter(line -> !NOT_CONNECTED.equals(line.getMessage()));
+    DROPPED_ERRORS.setFilter(Logging::isNews);
+  }
+
+  /** Tells whether a dropped error is no end of a call: its endpoint has logged that. */
+  static boolean isNews(LogRecord line) {
+    return !(line.getThrown() instanceof HttpClientException);
   }
 
   /**
--- /dev/null
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/DroppedErrorTest.java
@@ -0,0 +1,28 @@
+package org.hemlockpick.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micronaut.http.client.exceptions.ResponseClosedException;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+
+class DroppedErrorTest {
+  /** Each large call that was given up before its answer began wrote thirty lines of stack trace. */
+  @Test
+  void endOfAConnectionAfterItsCallIsNotWritten() {
+    assertFalse(Logging.isNews(line(new ResponseClosedException("closed"))));
+  }
+
+  @Test
+  void otherDroppedErrorsAreWritten() {
+    assertTrue(Logging.isNews(line(new IllegalStateException("fault"))));
+  }
+
+  private static LogRecord line(Throwable thrown) {
+    LogRecord line = new LogRecord(Level.SEVERE, "Operator called default onErrorDropped");
+    line.setThrown(thrown);
+    return line;
+  }
+}
