--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
@@ -145,13 +145,15 @@
   }
 
   /** One call in flight, from its sending to its only answer. */
-  private final class Exchange implements Subscriber<HttpResponse<byte[]>> {
+  private final class Exchange
+      implements Subscriber<HttpResponse<byte[]>>, ArrivingAnswer.Listener {
     private final Connections used;
     private final HttpCall call;
     private final Consumer<HttpAnswer> handler;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile @Nullable Subscription subscription;
     private volatile @Nullable Future<?> timeout;
+    private volatile long heardAtNanos = System.nanoTime();
 
     Exchange(Connections used, HttpCall call, Consumer<HttpAnswer> handler) {
       this.used = used;
@@ -171,8 +173,14 @@
         giveUp();
         return;
       }
-      timeout = transport.loop().schedule(this::expire, leftNanos, TimeUnit.NANOSECONDS);
-      used.client().exchange(request, BYTES, BYTES).subscribe(this);
+      timeout = transport.loop().schedule(this::readBeforeLook, leftNanos, TimeUnit.NANOSECONDS);
+      switch (call.limit()) {
+        case WHOLE -> used.client().exchange(request, BYTES, BYTES).subscribe(this);
+        case SILENCE ->
+            used.client()
+                .exchangeStream(request, BYTES)
+                .subscribe(new ArrivingAnswer(HttpTransport.MAX_ANSWER_BYTES, this));
+      }
     }
 
     @Override
@@ -186,6 +194,16 @@
       end(answer(response));
     }
 
+    @Override
+    public void onPart() {
+      heardAtNanos = System.nanoTime();
+    }
+
+    @Override
+    public void onWhole(HttpAnswer whole) {
+      end(whole);
+    }
+
     @Override
     public void onError(Throwable thrown) {
       if (thrown instanceof HttpClientResponseException refused) {
@@ -202,19 +220,30 @@
     }
 
     /**
-     * Lets the loop read once more before the call is given up: the answer may lie in its
+     * Lets the loop read once more before the call is looked at: the answer may lie in its
      * connection while the loop was busy with others. What is scheduled now runs after that.
      */
-    private void expire() {
+    private void readBeforeLook() {
       if (!ended.get()) {
-        timeout = transport.loop().schedule(this::giveUp, 0, TimeUnit.NANOSECONDS);
+        timeout = transport.loop().schedule(this::look, 0, TimeUnit.NANOSECONDS);
       }
     }
 
-    private void giveUp() {
+    /** Gives the call up, unless a part of the answer came within its time limit. */
+    private void look() {
       if (ended.get()) {
         return;
       }
+      long silentNanos = System.nanoTime() - heardAtNanos;
+      long leftNanos = TimeUnit.MILLISECONDS.toNanos(call.timeoutMillis()) - silentNanos;
+      if (leftNanos > 0) {
+        timeout = transport.loop().schedule(this::readBeforeLook, leftNanos, TimeUnit.NANOSECONDS);
+        return;
+      }
+      giveUp();
+    }
+
+    private void giveUp() {
       // The connection may have gone silent for good, and others with it.
       resetUnlessReplaced(used);
       endFailed(HttpAnswer.lost(), "no answer within " + call.timeoutMillis() + " ms");
