Let larger entry instances take a free cell before smaller ones

Reported to us, not measured here: after a power loss of all, the cell went to an instance with 0.36 cores and 10 Mbit/s, which took seconds to take the workers over.

Only the distance to the table service decided who claims first. An entry instance now reads from its settings what its machine gives it, and waits by the share that it lacks of one core or 100 Mbit/s, within the 0.6 s that the farthest waited before. The platform's limits are rendered into the settings; an empty value counts as ample, anything but a number is refused.

Trial without the wait: cellGoesToALargerInstanceThoughASmallOneStartedFirst fails.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
@@ -2,12 +2,14 @@
 
 import java.net.InetSocketAddress;
 import java.util.Map;
+import org.hemlockpick.cell.InstanceSize;
 
 /**
  * Settings of an entry instance that runs on a platform.
  *
  * @param name name of the entry instance
  * @param zone availability zone
+ * @param size what its machine gives it
  * @param callers address at which callers connect
  * @param readiness address at which the platform asks for readiness
  * @param metrics address at which metrics are served
@@ -20,6 +22,7 @@
 public record CellDaemonSettings(
     String name,
     String zone,
+    InstanceSize size,
     InetSocketAddress callers,
     InetSocketAddress readiness,
     InetSocketAddress metrics,
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import org.hemlockpick.cell.InstanceSize;
 import org.hemlockpick.util.TomlText;
 import org.tomlj.TomlParseResult;
 
@@ -17,6 +18,9 @@
   private static final Duration LEAST = Duration.ofMillis(1);
   private static final Duration MOST = Duration.ofHours(1);
 
+  private static final double MOST_CORES = 1_024;
+  private static final double MOST_LINK_MBITS = 1_000_000;
+
   private final Faults faults;
   private final TomlSections sections;
 
@@ -72,6 +76,7 @@
     Section instance = sections.get("instance");
     String name = instance.name("name");
     String zone = instance.name("zone");
+    InstanceSize size = size(instance);
     instance.refuseUnknownKeys();
     Section listen = sections.get("listen");
     InetSocketAddress callers = listen.address("callers");
@@ -93,6 +98,7 @@
         new CellDaemonSettings(
             Objects.requireNonNull(name),
             Objects.requireNonNull(zone),
+            size,
             Objects.requireNonNull(callers),
             Objects.requireNonNull(readiness),
             Objects.requireNonNull(metrics),
@@ -103,6 +109,13 @@
             grace.toMillis()));
   }
 
+  private static InstanceSize size(Section instance) {
+    double share = instance.amount("processor-share", 1, MOST_CORES);
+    double speed = instance.amount("processor-speed", 1, MOST_CORES);
+    double link = instance.amount("link-mbits", InstanceSize.AMPLE.linkMbits(), MOST_LINK_MBITS);
+    return new InstanceSize(share * speed, link);
+  }
+
   private static String text(InetSocketAddress address) {
     return address.getHostString() + ":" + address.getPort();
   }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -82,6 +82,10 @@
     return "must be from " + least + " to " + most;
   }
 
+  static String amountOutOfRange(double most) {
+    return "must be above 0 and at most " + most;
+  }
+
   static String fractionOutOfRange(double below) {
     return "must be at least 0 and less than " + below;
   }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Section.java
@@ -28,6 +28,7 @@
   private static final Pattern ADDRESS =
       Pattern.compile("(?<host>[^:\\s]+|\\[[^]]+]):(?<port>\\d+)");
   private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
+  private static final Pattern AMOUNT = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
   private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
 
   private final Faults faults;
@@ -130,6 +131,24 @@
     return standard;
   }
 
+  /** Reads a number in a text, above 0 and up to the most; the standard if the text is empty. */
+  double amount(String key, double standard, double most) {
+    String text = text(key);
+    if (text == null || text.isEmpty()) {
+      return standard;
+    }
+    if (!AMOUNT.matcher(text).matches()) {
+      fault(key, Messages.NOT_A_NUMBER);
+      return standard;
+    }
+    double amount = Double.parseDouble(text);
+    if (amount > 0 && amount <= most) {
+      return amount;
+    }
+    fault(key, Messages.amountOutOfRange(most));
+    return standard;
+  }
+
   <T extends Enum<T>> T choice(String key, Class<T> type, T standard) {
     String text = text(key);
     if (text == null) {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellSettingsReaderTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellSettingsReaderTest.java
@@ -13,17 +13,20 @@
 
 class CellSettingsReaderTest {
   private static final Map<String, String> FIELDS =
-      Map.of(
-          "{{node_name}}", "edge-kgn-a-1",
-          "{{zone}}", "kgn-a",
-          "{{listen.frontend}}", "10.1.0.13:8161",
-          "{{listen.readiness}}", "10.1.0.13:8167",
-          "{{ip}}:{{port_range.0}}", "10.1.0.13:7720",
-          "{{platform.address}}", "10.200.1.7:8169",
-          "{{bounds.hold_max_ms}}", "10000",
-          "{{bounds.stop_ms}}", "900",
-          "{{bounds.status_s}}", "120",
-          "{{bounds.grace_s}}", "6");
+      Map.ofEntries(
+          Map.entry("{{node_name}}", "edge-kgn-a-1"),
+          Map.entry("{{zone}}", "kgn-a"),
+          Map.entry("{{listen.frontend}}", "10.1.0.13:8161"),
+          Map.entry("{{listen.readiness}}", "10.1.0.13:8167"),
+          Map.entry("{{ip}}:{{port_range.0}}", "10.1.0.13:7720"),
+          Map.entry("{{platform.address}}", "10.200.1.7:8169"),
+          Map.entry("{{bounds.hold_max_ms}}", "10000"),
+          Map.entry("{{bounds.stop_ms}}", "900"),
+          Map.entry("{{bounds.status_s}}", "120"),
+          Map.entry("{{bounds.grace_s}}", "6"),
+          Map.entry("{{limits.cpu_share}}", "0.75"),
+          Map.entry("{{limits.cores}}", "2"),
+          Map.entry("{{limits.link_mbps}}", "1000.0"));
 
   @TempDir private Path folder = Path.of("");
 
@@ -49,6 +52,21 @@
     assertEquals(10_000, settings.workerLeaseMillis());
     assertEquals(120_000, settings.statusKeepMillis());
     assertEquals(8161, settings.callers().getPort());
+    assertEquals(1.5, settings.size().cores());
+    assertEquals(1_000, settings.size().linkMbits());
+  }
+
+  /** A platform that gives no limits, and one that gives nonsense. */
+  @Test
+  void sizeIsAmpleUnlessItIsGivenAndRefusedUnlessItIsANumber() throws IOException {
+    String without = rendered().replace("\"0.75\"", "\"\"").replace("\"1000.0\"", "\"\"");
+    assertEquals(2, CellSettingsReader.read(write(without)).get().size().cores());
+    assertEquals(100, CellSettingsReader.read(write(without)).get().size().linkMbits());
+    String wrong = rendered().replace("\"0.75\"", "\"fast\"").replace("\"1000.0\"", "\"0\"");
+    List<Fault> faults = CellSettingsReader.read(write(wrong)).getLeft();
+    assertEquals(
+        List.of("instance.processor-share", "instance.link-mbits"),
+        faults.stream().map(Fault::key).toList());
   }
 
   @Test
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -312,6 +312,9 @@
       return time.millis() + wallAhead;
     }
 
+    /** What its machine gives to the processes that are started from now on. */
+    InstanceSize size = InstanceSize.AMPLE;
+
     /** Time by which the time of day is set ahead, in milliseconds. */
     long wallAhead;
   }
@@ -351,7 +354,8 @@
       this.address = address;
       cell =
           new CellNode(
-              new CellSettings(node.name, address, incarnation, "c0", leaseMillis, 200, 120_000),
+              new CellSettings(
+                  node.name, address, incarnation, "c0", leaseMillis, 200, 120_000, node.size),
               storeView,
               workerView,
               new Source(),
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
@@ -221,6 +221,25 @@
     }
   }
 
+  /** After a power loss of all, the cell went to the weakest instance, which had started first. */
+  @Test
+  void cellGoesToALargerInstanceThoughASmallOneStartedFirst() {
+    for (int i = 0; i < 10; i++) {
+      world = world(20261204 + i, 3);
+      world.time.runFor(SETTLED + i * 61);
+      CellWorld.Node former = world.holder();
+      world.nodes.forEach(CellWorld.Node::killAll);
+      List<CellWorld.Node> others = new ArrayList<>(world.nodes);
+      others.remove(former);
+      others.get(0).size = new InstanceSize(0.36, 10);
+      others.get(0).start();
+      world.time.runFor(300);
+      others.get(1).start();
+      world.time.runFor(CellTiming.TAKEOVER + 1_200);
+      assertEquals(others.get(1), world.holder(), () -> String.join("\n", world.log));
+    }
+  }
+
   private static Step lasting(int count) {
     return CellWorld.step(count, false, null, 1, true, List.of());
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -17,7 +17,7 @@
  * it was taken is the fencing token: it is higher than that of every holder before.
  */
 final class CellLease {
-  /** Slower entry instances leave the cell to those that are closer to the table service. */
+  /** Entry instances leave the cell to larger ones and to those closer to the table service. */
   private static final int CLAIM_DELAY_ROUND_TRIPS = 12;
 
   private static final long MAX_CLAIM_DELAY_MILLIS = 600;
@@ -175,8 +175,10 @@
   }
 
   private long claimDelay() {
-    return Math.min(MAX_CLAIM_DELAY_MILLIS, roundTrip * CLAIM_DELAY_ROUND_TRIPS)
-        + random.nextInt(20);
+    double lacking = 1 - settings.size().fitness();
+    long distance = roundTrip * CLAIM_DELAY_ROUND_TRIPS;
+    long weakness = (long) (lacking * MAX_CLAIM_DELAY_MILLIS);
+    return Math.min(MAX_CLAIM_DELAY_MILLIS, distance + weakness) + random.nextInt(20);
   }
 
   private void see(long version, @Nullable CellRecord record, long now) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
@@ -10,6 +10,7 @@
  * @param workerLeaseMillis length of the lease of what runs on a worker
  * @param stopMillis longest time that a worker takes to stop a run
  * @param statusKeepMillis least time for which the state of an ended job is kept
+ * @param size what its machine gives it; a small one leaves the cell to others for a while
  */
 public record CellSettings(
     String instance,
@@ -18,7 +19,28 @@
     String cell,
     long workerLeaseMillis,
     long stopMillis,
-    long statusKeepMillis) {
+    long statusKeepMillis,
+    InstanceSize size) {
+
+  /** Makes settings of an entry instance of ample size. */
+  public CellSettings(
+      String instance,
+      String address,
+      String incarnation,
+      String cell,
+      long workerLeaseMillis,
+      long stopMillis,
+      long statusKeepMillis) {
+    this(
+        instance,
+        address,
+        incarnation,
+        cell,
+        workerLeaseMillis,
+        stopMillis,
+        statusKeepMillis,
+        InstanceSize.AMPLE);
+  }
 
   /**
    * Tells whether a holder is this process or one before it, which has ended: it listened at the
