--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
@@ -122,7 +122,7 @@
     others.forEach(each -> world.store.remove("workers", each));
     world.time.runFor(600);
     lose(worker);
-    runUntil(() -> log(" gone "), LONG_AFTER);
+    runUntil(() -> log(" gone ("), LONG_AFTER);
     world.time.runFor(500);
     others.forEach(world::list);
     world.time.runFor(10);
