Extend the leases of a worker that fails calls only if something runs there for long

An accepted start counts as an extension now, and a worker without runs forgets the last one.

While the last renewal of the cell is late, failing calls extend at once, as leases cannot be granted any more soon.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -182,6 +182,11 @@
     return isSure(now) && grantingLeft(now) > 0;
   }
 
+  /** Tells whether the last renewal is older than it ever is while the table service answers. */
+  boolean isRenewalLate(long now) {
+    return term.age(now) > CellTiming.LATE_RENEWAL;
+  }
+
   /** Returns the time for which leases may be granted without a renewal, in milliseconds. */
   long grantingLeft(long now) {
     return CellTiming.granting(settings.workerLeaseMillis()) - term.age(now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
@@ -8,6 +8,9 @@
   /** Longest pause between two writes of the holder. */
   static final long RENEWAL = 600;
 
+  /** Age of the last renewal from which the table service is taken to be slow or away. */
+  static final long LATE_RENEWAL = 1_000;
+
   /** Least pause between two writes of the holder; gathers what is to be stored. */
   static final long COMMIT_PAUSE = 50;
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -106,7 +106,8 @@
 
   private void hold(Worker worker, long now) {
     long lease = settings.workerLeaseMillis();
-    boolean isExtended = worker.mayBeExtended(now, lease) && journal.mayGrant(now);
+    boolean isExtended =
+        worker.mayBeExtended(now, lease, journal.isRenewalLate(now)) && journal.mayGrant(now);
     @Nullable Long until = isExtended ? (Long) worker.grantLease(now, lease) : null;
     long wait = wait(worker, journal.grantingLeft(now));
     long confirmed = worker.endToConfirm(now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -171,7 +171,10 @@
       return;
     }
     switch (reply.outcome()) {
-      case ACCEPTED -> onAccepted(run, now);
+      case ACCEPTED -> {
+        worker.setExtended(sentAt);
+        onAccepted(run, now);
+      }
       case FENCED -> {
         drop(run);
         context.onFenced(worker);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -216,8 +216,9 @@
    * from the last renewal of an earlier holder. While calls fail they are extended only if they
    * would end soon: each such call puts off the time at which they have certainly ended.
    */
-  boolean mayBeExtended(long nowMillis, long leaseMillis) {
-    boolean isDue = !isSilent() || nowMillis - extendedAt >= leaseMillis * 2 / 3;
+  boolean mayBeExtended(long nowMillis, long leaseMillis, boolean isRenewalLate) {
+    boolean endsSoon = extendedAt != NEVER && nowMillis - extendedAt >= leaseMillis * 2 / 3;
+    boolean isDue = !isSilent() || isRenewalLate || endsSoon;
     return !runs.isEmpty() && hasClock() && !storedAsSilent && isDue;
   }
 
@@ -426,6 +427,9 @@
     if (runs.remove(run.name()) == null) {
       return;
     }
+    if (runs.isEmpty()) {
+      extendedAt = NEVER;
+    }
     reserved = reserved.minus(run.step().reserved());
     fillerCpu -= run.step().filler() ? run.step().demand().cpuMillis() : 0;
   }
