--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -241,7 +241,7 @@
    * up to the storing of a later roster, and so is worth more than single answers that are lost.
    */
   boolean isGivenUp() {
-    return holdFailures >= (fenced ? FAILURES_UNTIL_GIVEN_UP : 1);
+    return holdFailures >= (fenced && listed ? FAILURES_UNTIL_GIVEN_UP : 1);
   }
 
   /** Tells whether it will end soon, and nothing runs or will run there. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -133,6 +133,7 @@
     for (Worker worker : workers.all()) {
       if (worker.isListed() && !listed.contains(worker.id())) {
         worker.setUnlisted();
+        rosterChanged |= worker.isSilent();
         log.decided("worker", worker.id(), "left the list", worker.runs().size() + " runs");
       }
     }
