--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverTest.java
@@ -226,7 +226,7 @@
   void cellGoesToALargerInstanceThoughASmallOneStartedFirst() {
     for (int i = 0; i < 10; i++) {
       world = world(20261204 + i, 3);
-      world.time.runFor(SETTLED + i * 61);
+      world.time.runFor(SETTLED + i * 61L);
       CellWorld.Node former = world.holder();
       world.nodes.forEach(CellWorld.Node::killAll);
       List<CellWorld.Node> others = new ArrayList<>(world.nodes);
