--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -217,8 +217,9 @@
    * from the last renewal of an earlier holder. While calls fail they are extended only if they
    * would end soon: each such call puts off the time at which they have certainly ended.
    */
-  boolean mayBeExtended(long nowMillis, long leaseMillis) {
-    boolean isDue = !isSilent() || nowMillis - extendedAt >= leaseMillis * 2 / 3;
+  boolean mayBeExtended(long nowMillis, long leaseMillis, boolean isRenewalLate) {
+    boolean endsSoon = extendedAt != NEVER && nowMillis - extendedAt >= leaseMillis * 2 / 3;
+    boolean isDue = !isSilent() || isRenewalLate || endsSoon;
     return !runs.isEmpty() && hasClock() && !storedAsSilent && isDue;
   }
 
@@ -255,7 +256,7 @@
    * up to the storing of a later roster, and so is worth more than single answers that are lost.
    */
   boolean isGivenUp() {
-    return holdFailures >= (fenced ? FAILURES_UNTIL_GIVEN_UP : 1);
+    return holdFailures >= (fenced && listed ? FAILURES_UNTIL_GIVEN_UP : 1);
   }
 
   /** Tells whether it will end soon, and nothing runs or will run there. */
@@ -455,6 +456,9 @@
     if (runs.remove(run.name()) == null) {
       return;
     }
+    if (runs.isEmpty()) {
+      extendedAt = NEVER;
+    }
     reserved = reserved.minus(run.step().reserved());
     fillerCpu -= run.step().filler() ? run.step().demand().cpuMillis() : 0;
   }
