Restart tasks that last before short jobs, and keep room for them

What callers saw: a task that lasts lost its run and did not run again for more than 9 s on a full service. SlackOrder put what lasts behind all short jobs in time, also when it had lost its run, and nothing kept room for it: short tasks took each gap as it opened, so that 6 free cores never came together on one worker. That every task was ready and that workers were open is in the wait lines of the tests ("12 no room, largest room without: 2000 mcpu, wants 6000"): no take-over, pause, label or worker set apart was in play.

A task that lasts and has lost its run now goes first. If it finds no room, a worker is kept for it, from 1 s before its run is given up if its worker does not answer; at most a fifth of a service's workers at a time. Waiting alone was not enough where no short task ends in time (runs of 40 s in the test), so that the cheapest short runs at the kept worker are stopped 5 s after the task last ran, and after 300 ms at least. Tasks that last are never stopped for it. An inherited task of a job of which none had started counts as one that has not run, so that a take-over does not put new work before short jobs.

RunTimes.remaining is the forecast that DrainSystem had.

--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LastingRestartTest.java
@@ -0,0 +1,197 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.hemlockpick.cell.FakeWorkers.Start;
+import org.hemlockpick.cell.WorkerPort.EndKind;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Tasks that last and lose their runs while short jobs take every gap as it opens. */
+class LastingRestartTest {
+  private static final long SETTLED = 3_000;
+
+  /** Time from the end of its run within which a task that lasts must run again. */
+  private static final long RESTART_MILLIS = 9_000;
+
+  private static final int WORKERS = 12;
+
+  /** Wider than what one short task leaves. */
+  private static final long WIDE_CPU = 6_000;
+
+  private static final long SHORT_CPU = 2_000;
+  private static final int WIDE_TASKS = 7;
+  private static final long SUBMIT_PAUSE_MILLIS = 100;
+  private static final Pattern RESERVED = Pattern.compile(" reserve l\\.\\S+ (w\\d+) ");
+  private static final Pattern STARTED = Pattern.compile(" start l\\.\\S+ (w\\d+) ");
+
+  private final CellWorld world = new CellWorld(20261204, 2, WORKERS);
+  private int shortJobs;
+
+  private static Step step(int count, long cpuMillis, boolean lasting) {
+    return new Step(
+        count,
+        new Amounts(cpuMillis, 1_000, 0),
+        500,
+        List.of(),
+        false,
+        false,
+        false,
+        null,
+        null,
+        0,
+        false,
+        lasting,
+        "image",
+        0,
+        false,
+        null);
+  }
+
+  @BeforeEach
+  void settle() {
+    world.workers.runMillis = 1_000;
+    world.workers.runMillisOf.put("l", 600_000L);
+    world.time.runFor(SETTLED);
+  }
+
+  /** With all short jobs in time, what lasts went behind them for as long as they came. */
+  @Test
+  void taskOfALostWorkerRunsAgainThoughShortTasksTakeEachGap() {
+    fill(4, SHORT_CPU);
+    loseWorkersOf(1);
+    world.time.runFor(RESTART_MILLIS);
+    assertAllRun("l", WIDE_TASKS);
+    assertClean();
+  }
+
+  /** Waiting for a gap is too long where no task ends within the time. */
+  @Test
+  void taskOfALostWorkerRunsAgainThoughNoShortTaskEndsInTime() {
+    world.workers.runMillis = 40_000;
+    fill(4, SHORT_CPU);
+    loseWorkersOf(1);
+    world.time.runFor(RESTART_MILLIS);
+    assertAllRun("l", WIDE_TASKS);
+    assertClean();
+  }
+
+  /** What it leaves is room for three short tasks, which were placed before it. */
+  @ParameterizedTest
+  @EnumSource(names = {"LAPSED", "FAILED"})
+  void taskWhoseRunEndsRunsAgainThoughShortTasksTakeEachGap(EndKind kind) {
+    fill(4, SHORT_CPU);
+    world.workers.get(workersOf("l").get(0)).endRunsOf("l", kind);
+    world.time.runFor(RESTART_MILLIS);
+    assertAllRun("l", WIDE_TASKS);
+    assertClean();
+  }
+
+  /** A sixth of the workers is an availability zone. */
+  @Test
+  void allTasksOfASixthOfTheWorkersRunAgainAndShortJobsGoOn() {
+    fill(4, SHORT_CPU);
+    int before = starts("s");
+    loseWorkersOf(WORKERS / 6);
+    world.time.runFor(RESTART_MILLIS);
+    assertAllRun("l", WIDE_TASKS);
+    // Of 10 workers left, 7 hold a wide task; one short task of 1 s fits beside it, 4 elsewhere.
+    int served = starts("s") - before;
+    assertTrue(served >= 90, () -> served + " short tasks were started");
+    assertClean();
+  }
+
+  /** A loss of many workers would else end all short work until the last task runs again. */
+  @Test
+  void atMostAFifthOfTheWorkersIsKeptAtATime() {
+    world.workers.runMillis = 40_000;
+    fill(4, SHORT_CPU);
+    int before = world.log.size();
+    loseWorkersOf(2);
+    world.time.runFor(RESTART_MILLIS);
+    assertAllRun("l", WIDE_TASKS);
+    Set<String> kept = new HashSet<>();
+    for (String line : world.log.subList(before, world.log.size())) {
+      Matcher reserved = RESERVED.matcher(line);
+      Matcher started = STARTED.matcher(line);
+      if (reserved.find()) {
+        kept.add(reserved.group(1));
+      } else if (started.find()) {
+        kept.remove(started.group(1));
+      }
+      // Of the 10 that are left.
+      assertTrue(kept.size() <= 2, () -> kept + " at " + line);
+    }
+    assertClean();
+  }
+
+  /** Starts tasks that last, and then short jobs without end, until nearly all room is taken. */
+  private void fill(int tasksAJob, long cpuMillis) {
+    world.submit(0, "l", step(WIDE_TASKS, WIDE_CPU, true));
+    world.time.runFor(1_000);
+    assertAllRun("l", WIDE_TASKS);
+    submitShort(tasksAJob, cpuMillis);
+    world.time.runFor(3_000);
+    long room = WORKERS * CellWorld.ROOM.cpuMillis();
+    long taken = world.workers.reservedCpu();
+    assertTrue(taken * 100 >= room * 90, () -> taken + " of " + room + " are taken");
+  }
+
+  private void submitShort(int tasks, long cpuMillis) {
+    world.submit(0, "s" + shortJobs++, step(tasks, cpuMillis, false));
+    world.time.after(SUBMIT_PAUSE_MILLIS, () -> submitShort(tasks, cpuMillis));
+  }
+
+  /** Ends some workers at which tasks that last run, without a word. */
+  private void loseWorkersOf(int count) {
+    for (String worker : workersOf("l").subList(0, count)) {
+      world.workers.get(worker).cut = true;
+      world.store.remove("workers", worker);
+    }
+  }
+
+  /** Returns the workers at which tasks of a job were started. */
+  private List<String> workersOf(String job) {
+    TreeSet<String> found = new TreeSet<>();
+    for (Start start : world.workers.startLog) {
+      if (start.run().task().job().equals(job)) {
+        found.add(start.worker());
+      }
+    }
+    return new ArrayList<>(found);
+  }
+
+  /** Returns how many tasks of jobs were started whose names begin with a text. */
+  private int starts(String prefix) {
+    return (int)
+        world.workers.starts.stream().filter(task -> task.job().startsWith(prefix)).count();
+  }
+
+  private void assertAllRun(String job, int count) {
+    List<Integer> missing = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      if (!world.workers.isRunning(new TaskId(job, 0, 0, i))) {
+        missing.add(i);
+      }
+    }
+    assertEquals(List.of(), missing, () -> String.join("\n", waits()));
+  }
+
+  private List<String> waits() {
+    return world.log.stream().filter(line -> line.contains(" wait l.")).toList();
+  }
+
+  private void assertClean() {
+    assertEquals(List.of(), world.workers.breaches);
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -10,9 +10,11 @@
   private static final long LAST_ATTEMPT_WAIT_MILLIS = 5_000;
 
   private final WorkerTable workers;
+  private final ReservationTable reservations;
 
-  Candidates(WorkerTable workers) {
+  Candidates(WorkerTable workers, ReservationTable reservations) {
     this.workers = workers;
+    this.reservations = reservations;
   }
 
   /** Returns the workers that may be given a task and have room for it. */
@@ -50,22 +52,36 @@
    *
    * @param mayBePaused whether the worker may be paused
    */
-  static @Nullable Obstacle obstacle(
+  @Nullable Obstacle obstacle(
       Task task, Queue queue, Worker worker, long now, boolean mayBePaused) {
-    Step step = task.step().step();
     Obstacle unsuited = unsuited(task, queue, worker, now);
     if (unsuited != null) {
       return unsuited;
     }
-    if (!step.reserved().fitsInto(worker.free())) {
+    if (!task.step().step().reserved().fitsInto(worker.free())) {
       return Obstacle.NO_ROOM;
     }
-    if (step.maxPerWorker() > 0 && task.step().countAt(worker) >= step.maxPerWorker()) {
+    if (isAtMost(task.step(), worker)) {
       return Obstacle.MOST_PER_WORKER;
     }
+    if (reservations.isKeptFrom(worker, task)) {
+      return Obstacle.KEPT;
+    }
     return distrust(worker, now, mayBePaused);
   }
 
+  /** Tells whether a worker that is not paused may be given a task once it has room. */
+  boolean suits(Task task, Queue queue, Worker worker, long now) {
+    return unsuited(task, queue, worker, now) == null
+        && !isAtMost(task.step(), worker)
+        && distrust(worker, now, false) == null;
+  }
+
+  private static boolean isAtMost(StepRun step, Worker worker) {
+    int most = step.step().maxPerWorker();
+    return most > 0 && step.countAt(worker) >= most;
+  }
+
   /** Returns why a worker may not be given a task even if it has room; null if it may. */
   private static @Nullable Obstacle unsuited(Task task, Queue queue, Worker worker, long now) {
     Obstacle closed = worker.obstacle(now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -118,15 +118,20 @@
             new RunnerContext());
     this.holds =
         new HoldSystem(settings, token, port, runner, journal, clock, log, new ReportListener());
-    Candidates candidates = new Candidates(workers);
+    ReservationTable reservations = new ReservationTable();
+    Candidates candidates = new Candidates(workers, reservations);
     ReadyQueue ready =
         new ReadyQueue(jobs, keeper, new SlackOrder(times), clock, this::queue, this::isStartable);
+    RoomForecast forecast = new RoomForecast(times);
     this.planner =
         new Planner(
             ready,
             workers,
             runner,
             candidates,
+            new RoomKeeper(
+                workers, candidates, reservations, forecast, runner::stop, this::queue, log),
+            reservations,
             new InterferencePlacement(interference),
             clock,
             this::queue);
@@ -134,7 +139,16 @@
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
     this.waits =
-        new LastingWaits(settings.cell(), jobs, workers, takeOver, journal, this::queue, log);
+        new LastingWaits(
+            settings.cell(),
+            jobs,
+            workers,
+            candidates,
+            reservations,
+            takeOver,
+            journal,
+            this::queue,
+            log);
   }
 
   /** Starts nothing more and gives the cell up, so that another can take it at once. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainSystem.java
@@ -34,11 +34,6 @@
       return false;
     }
     long left = worker.entry().remainingMillis() - settings.stopMillis() - MARGIN_MILLIS;
-    long elapsed = clock.monotonicMillis() - run.startedAt();
-    long whole = times.expected(run.task().step());
-    if (run.percent() > 0) {
-      whole = elapsed * 100 / run.percent();
-    }
-    return whole - elapsed <= left;
+    return times.remaining(run, clock.monotonicMillis()) <= left;
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LastingWaits.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LastingWaits.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.StringJoiner;
 import java.util.function.Function;
+import org.hemlockpick.cell.ReservationTable.Reservation;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,6 +23,8 @@
   private final String cell;
   private final JobTable jobs;
   private final WorkerTable workers;
+  private final Candidates candidates;
+  private final ReservationTable reservations;
   private final TakeOver takeOver;
   private final CellJournal journal;
   private final Function<Job, @Nullable Queue> queues;
@@ -36,6 +39,8 @@
       String cell,
       JobTable jobs,
       WorkerTable workers,
+      Candidates candidates,
+      ReservationTable reservations,
       TakeOver takeOver,
       CellJournal journal,
       Function<Job, @Nullable Queue> queues,
@@ -43,6 +48,8 @@
     this.cell = cell;
     this.jobs = jobs;
     this.workers = workers;
+    this.candidates = candidates;
+    this.reservations = reservations;
     this.takeOver = takeOver;
     this.journal = journal;
     this.queues = queues;
@@ -139,7 +146,7 @@
 
   /** Counts the workers of the queue's service by what keeps each from being given the task. */
   private void tellWorkers(Task task, Queue queue, long waited, SetApart apart, long now) {
-    boolean mayBePaused = new Candidates(workers).mayBePaused(task, queue, now);
+    boolean mayBePaused = candidates.mayBePaused(task, queue, now);
     Map<Obstacle, Integer> counts = new EnumMap<>(Obstacle.class);
     int open = 0;
     Worker freest = null;
@@ -147,7 +154,7 @@
       if (!worker.entry().service().equals(queue.service())) {
         continue;
       }
-      Obstacle obstacle = Candidates.obstacle(task, queue, worker, now, mayBePaused);
+      Obstacle obstacle = candidates.obstacle(task, queue, worker, now, mayBePaused);
       if (obstacle == null && !task.mayHaveRun() && apart.contains(worker)) {
         obstacle = Obstacle.SET_APART;
       }
@@ -166,6 +173,10 @@
     if (freest != null) {
       text.add("largest room without: " + amounts(freest.free()) + " at " + freest.id());
     }
+    Reservation kept = reservations.of(task);
+    if (kept != null) {
+      text.add(kept.worker().id() + " kept for it for " + (now - kept.sinceMillis()) + " ms");
+    }
     text.add("wants " + amounts(task.step().step().reserved()));
     decided(task, waited, open > 0 ? "not placed" : "no worker", text.toString());
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Obstacle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Obstacle.java
@@ -40,6 +40,9 @@
   /** Runs failed there, and another run is its test. */
   SUSPECT("suspect"),
 
+  /** It is kept for tasks that last and have lost their runs. */
+  KEPT("kept for others"),
+
   /** It is kept free of tasks that last and have not run. */
   SET_APART("set apart");
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/OrderPolicy.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/OrderPolicy.java
@@ -8,10 +8,11 @@
    * Returns the rank of a step; lower ranks go first.
    *
    * @param step step that is ready
+   * @param isRestart whether its tasks last and have lost their runs
    * @param queue queue of its job
    * @param wallMillis time of day
    */
-  Rank rank(StepRun step, Queue queue, long wallMillis);
+  Rank rank(StepRun step, boolean isRestart, Queue queue, long wallMillis);
 
   /**
    * A rank.
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.hemlockpick.cell.ReadyTasks.Shape;
+import org.hemlockpick.cell.ReservationTable.Reservation;
 import org.jspecify.annotations.Nullable;
 
 /** Gives room to the tasks that are ready, in the order of a policy. */
@@ -17,6 +18,8 @@
   private final WorkerTable workers;
   private final TaskRunner runner;
   private final Candidates candidates;
+  private final RoomKeeper keeper;
+  private final ReservationTable reservations;
   private final PlacementPolicy placement;
   private final LoopClock clock;
 
@@ -28,6 +31,8 @@
       WorkerTable workers,
       TaskRunner runner,
       Candidates candidates,
+      RoomKeeper keeper,
+      ReservationTable reservations,
       PlacementPolicy placement,
       LoopClock clock,
       Function<Job, @Nullable Queue> queues) {
@@ -35,6 +40,8 @@
     this.workers = workers;
     this.runner = runner;
     this.candidates = candidates;
+    this.keeper = keeper;
+    this.reservations = reservations;
     this.placement = placement;
     this.clock = clock;
     this.queues = queues;
@@ -43,6 +50,7 @@
   /** Starts what can be started. */
   void run() {
     long now = clock.monotonicMillis();
+    keeper.review(now);
     new Plan(now).place(queue.take());
   }
 
@@ -66,6 +74,9 @@
     /** Shapes of which a task has found no room. */
     private final Set<Shape> full = new HashSet<>();
 
+    /** Shapes for which no room can be kept. */
+    private final Set<Shape> unkept = new HashSet<>();
+
     private int starts;
 
     Plan(long now) {
@@ -80,6 +91,8 @@
         }
         if (tasks.isGang()) {
           placeGang(tasks);
+        } else if (tasks.kind().isRestart()) {
+          placeRestarts(tasks);
         } else {
           placeTasks(tasks);
         }
@@ -111,6 +124,40 @@
       return placement.choose(task, open);
     }
 
+    /** Places tasks that have lost their runs, each at the worker that is kept for it at last. */
+    private void placeRestarts(ReadyTasks tasks) {
+      Shape shape = tasks.shape();
+      for (Task task : tasks.tasks()) {
+        Worker worker = keptWorker(task, tasks.queue());
+        if (worker == null && !full.contains(shape)) {
+          worker = choose(task, tasks.queue());
+        }
+        if (worker != null) {
+          start(task, worker);
+          continue;
+        }
+        full.add(shape);
+        keep(task, tasks.queue(), shape);
+      }
+    }
+
+    /** Returns the worker that is kept for a task if it has room by now. */
+    private @Nullable Worker keptWorker(Task task, Queue queue) {
+      Reservation kept = reservations.of(task);
+      if (kept == null) {
+        return null;
+      }
+      Worker worker = kept.worker();
+      return candidates.obstacle(task, queue, worker, now, false) == null ? worker : null;
+    }
+
+    private void keep(Task task, Queue queue, Shape shape) {
+      boolean isKept = reservations.of(task) != null || !RoomKeeper.isKeepable(task.step().step());
+      if (!isKept && !unkept.contains(shape) && !keeper.reserve(task, queue, now)) {
+        unkept.add(shape);
+      }
+    }
+
     private void start(Task task, Worker worker) {
       runner.start(task, worker);
       starts++;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
@@ -76,7 +76,7 @@
     if (step.step().gang()) {
       if (step.tasks().stream().allMatch(task -> isReady(task, now))) {
         Kind kind = Kind.of(step.tasks().get(0));
-        OrderPolicy.Rank rank = order.rank(step, queue, wall);
+        OrderPolicy.Rank rank = order.rank(step, kind.isRestart(), queue, wall);
         ready.add(new ReadyTasks(step, kind, step.tasks(), queue, rank));
       }
       return;
@@ -89,7 +89,7 @@
     }
     kinds.forEach(
         (kind, tasks) -> {
-          OrderPolicy.Rank rank = order.rank(step, queue, wall);
+          OrderPolicy.Rank rank = order.rank(step, kind.isRestart(), queue, wall);
           ready.add(new ReadyTasks(step, kind, tasks, queue, rank));
         });
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyTasks.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyTasks.java
@@ -13,13 +13,13 @@
 record ReadyTasks(StepRun step, Kind kind, List<Task> tasks, Queue queue, OrderPolicy.Rank rank) {
 
   /** What distinguishes tasks of one step in where they may run. */
-  record Kind(boolean hasRun, boolean hasFailed) {
+  record Kind(boolean isRestart, boolean hasFailed) {
     static Kind of(Task task) {
-      return new Kind(hasRun(task), task.failures() > 0);
+      return new Kind(isRestart(task), task.failures() > 0);
     }
 
-    /** Tells whether a task lasts, and may run at workers that are set apart. */
-    private static boolean hasRun(Task task) {
+    /** Tells whether a task lasts and has lost its run. */
+    private static boolean isRestart(Task task) {
       return task.step().step().lasting() && task.mayHaveRun();
     }
   }
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RoomForecast.java
@@ -0,0 +1,79 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Foresees when the short tasks of a worker leave room, and which to stop for it. */
+final class RoomForecast {
+  private final RunTimes times;
+
+  RoomForecast(RunTimes times) {
+    this.times = times;
+  }
+
+  /** Returns the room that a worker would have without all tasks that do not last. */
+  static Amounts roomBesideLasting(Worker worker) {
+    Amounts room = worker.entry().capacity();
+    for (Run run : worker.runs()) {
+      room = run.step().lasting() ? room.minus(run.step().reserved()) : room;
+    }
+    return room;
+  }
+
+  /** Returns the time until a worker has some room if nothing more is started there. */
+  long millisUntil(Worker worker, Amounts wanted, long now) {
+    if (wanted.fitsInto(worker.free())) {
+      return 0;
+    }
+    Amounts free = worker.free();
+    List<Run> runs = shortRuns(worker);
+    runs.sort(Comparator.comparingLong(run -> times.remaining(run, now)));
+    for (Run run : runs) {
+      free = free.plus(run.step().reserved());
+      if (wanted.fitsInto(free)) {
+        return Math.max(0, times.remaining(run, now));
+      }
+    }
+    return Long.MAX_VALUE;
+  }
+
+  /**
+   * Returns the runs to stop for some room at a worker, those first whose stop loses least; none if
+   * what is being stopped already leaves it, or if all that may be stopped would not.
+   */
+  static List<Run> toStop(Worker worker, Amounts wanted, long now) {
+    Amounts free = worker.free();
+    List<Run> candidates = new ArrayList<>();
+    for (Run run : shortRuns(worker)) {
+      if (run.state() == Run.State.STOPPING) {
+        free = free.plus(run.step().reserved());
+      } else if (run.state() == Run.State.RUNNING) {
+        candidates.add(run);
+      }
+    }
+    candidates.sort(Comparator.comparingLong(run -> lostWork(run, now)));
+    List<Run> stopped = new ArrayList<>();
+    for (Run run : candidates) {
+      if (wanted.fitsInto(free)) {
+        break;
+      }
+      free = free.plus(run.step().reserved());
+      stopped.add(run);
+    }
+    return wanted.fitsInto(free) ? stopped : List.of();
+  }
+
+  private static List<Run> shortRuns(Worker worker) {
+    List<Run> runs = new ArrayList<>(worker.runs());
+    runs.removeIf(run -> run.step().lasting());
+    return runs;
+  }
+
+  /** Returns the processor time that a stop loses; the end of one member of a gang ends all. */
+  private static long lostWork(Run run, long now) {
+    Step step = run.step();
+    long elapsed = step.checkpoints() ? 0 : now - run.startedAt();
+    return step.demand().cpuMillis() * elapsed * (step.gang() ? step.count() : 1);
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -19,6 +19,7 @@
   private final Worker worker;
   private final long startedAt;
   private State state;
+  private boolean hasRun;
   private long knownSince = Long.MAX_VALUE;
   private long stopSentAt = Long.MIN_VALUE / 2;
   private int startsSent;
@@ -33,6 +34,7 @@
     this.name = new RunName(task.id(), attempt);
     this.worker = worker;
     this.state = state;
+    this.hasRun = state == State.RUNNING;
     this.startedAt = nowMillis;
     this.progressAt = nowMillis;
   }
@@ -63,6 +65,12 @@
 
   void setState(State newState) {
     state = newState;
+    hasRun |= newState == State.RUNNING;
+  }
+
+  /** Tells whether it was ever known to be on the worker. */
+  boolean hasRun() {
+    return hasRun;
   }
 
   long startedAt() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunTimes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunTimes.java
@@ -42,6 +42,13 @@
     return mean == null ? step.estimateMillis() : (long) (0.5 * mean + 0.5 * step.estimateMillis());
   }
 
+  /** Returns the time that a run still takes; negative if it takes longer than was expected. */
+  long remaining(Run run, long nowMillis) {
+    long elapsed = nowMillis - run.startedAt();
+    long whole = run.percent() > 0 ? elapsed * 100 / run.percent() : expected(run.task().step());
+    return whole - elapsed;
+  }
+
   /** Adds the means of the queues to a record, at most a number of them. */
   void store(LearnedRecord.Builder record, int most) {
     queueMeans.forEach(
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackOrder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackOrder.java
@@ -3,14 +3,15 @@
 import java.util.List;
 
 /**
- * Puts urgent queues first, then what can still be in time, by the latest start; then what lasts
- * and what can still be late, then the rest.
+ * Puts first what lasts and has lost its run. Of the rest, puts urgent queues first, then what can
+ * still be in time, by the latest start; then what lasts and what can still be late, then the rest.
  */
 final class SlackOrder implements OrderPolicy {
   /** A job earns something until it has taken this many times its objective. */
   private static final int LATE_FACTOR = 3;
 
   private static final int GROUPS_PER_PRIORITY = 3;
+  private static final int RESTARTS = -1;
 
   private final RunTimes times;
 
@@ -19,9 +20,12 @@
   }
 
   @Override
-  public Rank rank(StepRun step, Queue queue, long wallMillis) {
+  public Rank rank(StepRun step, boolean isRestart, Queue queue, long wallMillis) {
     Submission job = step.job().submission();
     long due = job.dueAtMillis(step.occurrence());
+    if (isRestart) {
+      return new Rank(RESTARTS, due + queue.latencyTargetMillis());
+    }
     if (job.isLasting()) {
       // Behind short jobs in time: these leave their room again, and are worth more for it.
       return new Rank(
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -26,6 +26,8 @@
   /** Time on the steady clock before which it is not started. */
   private long notBefore;
 
+  private long lastRanAt = Long.MIN_VALUE / 2;
+
   Task(StepRun step, int index) {
     this.step = step;
     this.index = index;
@@ -143,7 +145,7 @@
 
   /** Tells whether it was started before, as far as is known or possible. */
   boolean mayHaveRun() {
-    return lastAttempt > 0 || job().isInherited();
+    return lastAttempt > 0 || (job().isInherited() && job().state() != JobState.QUEUED);
   }
 
   /** Notes an attempt that another holder made. */
@@ -160,6 +162,15 @@
     return Math.max(lastAttempt + 1, first);
   }
 
+  /** Returns the last time on the steady clock at which it ran, as far as is known. */
+  long lastRanAt() {
+    return lastRanAt;
+  }
+
+  void setLastRanAt(long monotonicMillis) {
+    lastRanAt = Math.max(lastRanAt, monotonicMillis);
+  }
+
   void setNotBefore(long monotonicMillis) {
     notBefore = monotonicMillis;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -330,6 +330,7 @@
         task.run() == run ? run : null,
         context.maxAttempts(task.job()));
     if (run != null) {
+      noteLastRan(run, clock.monotonicMillis());
       remove(run);
     }
   }
@@ -421,9 +422,16 @@
         "",
         run,
         context.maxAttempts(run.task().job()));
+    noteLastRan(run, run.worker().answeredAfter());
     remove(run);
   }
 
+  private static void noteLastRan(Run run, long millis) {
+    if (run.hasRun()) {
+      run.task().setLastRanAt(millis);
+    }
+  }
+
   private void drop(Run run) {
     if (run.step().gang()) {
       // The other members would wait in vain.
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -364,6 +364,11 @@
     holdFailures = 0;
   }
 
+  /** Returns a time on the steady clock after which it gave its last answer. */
+  long answeredAfter() {
+    return answeredAfter;
+  }
+
   int holdFailures() {
     return holdFailures;
   }
