--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -218,7 +218,7 @@
       return;
     }
     runner.run(workers.all());
-    if (!releasing && (changed || now >= nextPlanAt)) {
+    if (!releasing && journal.mayGrant(now) && (changed || now >= nextPlanAt)) {
       changed = false;
       nextPlanAt = now + PLAN_PAUSE_MILLIS;
       planner.run();
@@ -308,7 +308,8 @@
         CellRecord.newBuilder()
             .setFormat(JobRows.FORMAT)
             .setHolder(settings.holder())
-            .setGeneration(lease.generation());
+            .setGeneration(lease.generation())
+            .setReplacedVersion(lease.replaced());
     waiting()
         .forEach(
             (queue, count) ->
@@ -381,9 +382,6 @@
   private final class ReportListener implements HoldSystem.Listener {
     @Override
     public void onFirstReport(Worker worker) {
-      if (takeOver.isStoredAsSilent(worker.id())) {
-        worker.setStoredAsSilent();
-      }
       takeOver.account(worker.id(), "answered");
       list.touchRoster();
     }
