Word the wait line of a doubtful run without the word of an end

TakeOverTest waits for a log line with " gone ", which only the end of a run had; the wait line "last run not certainly gone" matched it too, so that the test took its next step six seconds early. The line now says "last run may go on".

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LastingWaitsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LastingWaitsTest.java
@@ -66,7 +66,7 @@
     world.time.runFor(4_500);
     assertFalse(
         lines(
-                " wait l\\.0\\.0\\.\\d last run not certainly gone .*attempt \\d+ RUNNING at w2,"
+                " wait l\\.0\\.0\\.\\d last run may go on .*attempt \\d+ RUNNING at w2,"
                     + " worker silent, its lease may last [1-9]\\d* ms")
             .isEmpty());
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LastingWaits.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LastingWaits.java
@@ -109,7 +109,7 @@
     Queue queue = queues.apply(task.job());
     Run run = task.run();
     if (run != null || task.stray() != null) {
-      decided(task, waited, "last run not certainly gone", lastRun(task, now));
+      decided(task, waited, "last run may go on", lastRun(task, now));
     } else if (queue == null) {
       decided(task, waited, "queue not in the configuration", task.job().submission().queue());
     } else if (!journal.isSure(now)) {
