--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -211,7 +211,8 @@
         RosterRecord.newBuilder()
             .setFormat(JobRows.FORMAT)
             .setGeneration(generation)
-            .setLocated(takeOver.isLocated());
+            .setLocated(takeOver.isLocated())
+            .setPlacesKept(takeOver.arePlacesKept());
     List<Worker> known = new ArrayList<>(workers.all());
     for (Worker worker : known) {
       if (worker.isLeaving()) {
@@ -239,8 +240,8 @@
             .setWorker(worker.id())
             .setBornMillis(worker.entry().bornMillis())
             .setAddress(worker.entry().address())
-            .setSilent(worker.isSilent());
-    if (worker.isSilent()) {
+            .setSilent(worker.isGivenUp());
+    if (worker.isGivenUp()) {
       worker.runs().forEach(run -> entry.addTasks(run.name().task().toString()));
     }
     return entry.build();
