--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -217,8 +217,9 @@
    * would end soon: each such call puts off the time at which they have certainly ended.
    */
   boolean mayBeExtended(long nowMillis, long leaseMillis) {
+    boolean isLost = isSilent() && !listed;
     boolean isDue = !isSilent() || nowMillis - extendedAt >= leaseMillis * 2 / 3;
-    return !runs.isEmpty() && hasClock() && !storedAsSilent && isDue;
+    return !runs.isEmpty() && hasClock() && !storedAsSilent && !isLost && isDue;
   }
 
   /**
