--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LastingRestartTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LastingRestartTest.java
@@ -24,6 +24,9 @@
   /** Time from the end of its run within which a task that lasts must run again. */
   private static final long RESTART_MILLIS = 9_000;
 
+  /** Time for which the entry of a lost worker stays in the platform's list. */
+  private static final long UNLISTED_AFTER_MILLIS = 3_000;
+
   private static final int WORKERS = 12;
 
   /** Wider than what one short task leaves. */
@@ -75,6 +78,19 @@
     assertClean();
   }
 
+  /** The platform removes the entry of a lost worker after three heartbeats without one. */
+  @Test
+  void taskOfALostWorkerRunsAgainThoughItsEntryIsStillListed() {
+    world.workers.runMillis = 40_000;
+    fill(4, SHORT_CPU);
+    String lost = workersOf("l").get(0);
+    world.workers.get(lost).cut = true;
+    world.time.after(UNLISTED_AFTER_MILLIS, () -> world.store.remove("workers", lost));
+    world.time.runFor(RESTART_MILLIS);
+    assertAllRun("l", WIDE_TASKS);
+    assertClean();
+  }
+
   /** Waiting for a gap is too long where no task ends within the time. */
   @Test
   void taskOfALostWorkerRunsAgainThoughNoShortTaskEndsInTime() {
