--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -29,6 +29,8 @@
   /** Time on the steady clock before which it is not started. */
   private long notBefore;
 
+  private long lastRanAt = Long.MIN_VALUE / 2;
+
   Task(StepRun step, int index) {
     this.step = step;
     this.index = index;
@@ -160,7 +162,7 @@
 
   /** Tells whether it was started before, as far as is known or possible. */
   boolean mayHaveRun() {
-    return lastAttempt > 0 || job().isInherited();
+    return lastAttempt > 0 || (job().isInherited() && job().state() != JobState.QUEUED);
   }
 
   /** Notes an attempt that another holder made. */
@@ -177,6 +179,15 @@
     return Math.max(lastAttempt + 1, first);
   }
 
+  /** Returns the last time on the steady clock at which it ran, as far as is known. */
+  long lastRanAt() {
+    return lastRanAt;
+  }
+
+  void setLastRanAt(long monotonicMillis) {
+    lastRanAt = Math.max(lastRanAt, monotonicMillis);
+  }
+
   void setNotBefore(long monotonicMillis) {
     notBefore = monotonicMillis;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -218,9 +218,10 @@
    * would end soon: each such call puts off the time at which they have certainly ended.
    */
   boolean mayBeExtended(long nowMillis, long leaseMillis, boolean isRenewalLate) {
+    boolean isLost = isSilent() && !listed;
     boolean endsSoon = extendedAt != NEVER && nowMillis - extendedAt >= leaseMillis * 2 / 3;
     boolean isDue = !isSilent() || isRenewalLate || endsSoon;
-    return !runs.isEmpty() && hasClock() && !storedAsSilent && isDue;
+    return !runs.isEmpty() && hasClock() && !storedAsSilent && !isLost && isDue;
   }
 
   /**
