--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -30,7 +30,6 @@
  */
 final class FakeWorkers {
   private static final long LATENCY_MILLIS = 2;
-  private static final long TIMEOUT_MILLIS = 600;
   private static final long RESTART_MILLIS = 1_500;
   private static final long STOP_MILLIS = 100;
 
@@ -39,11 +38,17 @@
 
   private final VirtualTime time;
   private final SplittableRandom random;
+  private final long leaseMillis;
   private final Map<String, Model> models = new LinkedHashMap<>();
   private final Set<TaskId> recorded = new HashSet<>();
   private final Set<TaskId> done = new HashSet<>();
   private final Map<String, List<Step>> steps = new HashMap<>();
 
+  /**
+   * Mean run times of the tasks of single jobs in milliseconds; the others take the general one.
+   */
+  final Map<String, Long> runMillisOf = new HashMap<>();
+
   /** What was breached, in the order of time. */
   final List<String> breaches = new ArrayList<>();
 
@@ -71,9 +76,15 @@
   /** Run time of a task in milliseconds. */
   long runMillis = 500;
 
-  FakeWorkers(VirtualTime time, long seed) {
+  /**
+   * Creates no workers yet.
+   *
+   * @param leaseMillis longest lease that a worker grants
+   */
+  FakeWorkers(VirtualTime time, long seed, long leaseMillis) {
     this.time = time;
     this.random = new SplittableRandom(seed);
+    this.leaseMillis = leaseMillis;
   }
 
   /** Tells what a job consists of, so that the order of its steps is watched. */
@@ -96,7 +107,7 @@
   /** Starts a run at a worker as an order of an earlier holder does that arrives late. */
   void startLate(String worker, RunName run) {
     Model model = get(worker);
-    model.extend(model.clock() + CellWorld.LEASE_MILLIS);
+    model.extend(model.clock() + leaseMillis);
     model.begin(run);
   }
 
@@ -109,6 +120,23 @@
     return count;
   }
 
+  /** Tells whether a task runs at a worker that is up. */
+  boolean isRunning(TaskId task) {
+    return running(task) > 0;
+  }
+
+  /** Returns the processor time that all runs have reserved. */
+  long reservedCpu() {
+    long sum = 0;
+    for (Model model : models.values()) {
+      for (RunName run : model.runs.keySet()) {
+        Step step = step(run.task());
+        sum += step == null ? 0 : step.reserved().cpuMillis();
+      }
+    }
+    return sum;
+  }
+
   /** Returns how many tasks run in all. */
   int running() {
     return models.values().stream().mapToInt(model -> model.runs.size()).sum();
@@ -192,6 +220,9 @@
     /** Whether it is gone, and its machine refuses connections at once. */
     boolean refusing;
 
+    /** Time that its answers are under way, in milliseconds. */
+    long answerMillis = LATENCY_MILLIS;
+
     /** Number of calls to hold that arrived at its address. */
     int holds;
 
@@ -266,8 +297,9 @@
       long born = this.born;
       runs.put(run, time.millis());
       EndKind kind = random.nextDouble() < failing ? EndKind.FAILED : EndKind.DONE;
+      long mean = runMillisOf.getOrDefault(task.job(), runMillis);
       time.after(
-          runMillis / 2 + random.nextLong(runMillis),
+          mean / 2 + random.nextLong(mean),
           () -> {
             if (born == this.born) {
               end(run, kind);
@@ -275,6 +307,15 @@
           });
     }
 
+    /** Ends the runs of a job. */
+    void endRunsOf(String job, EndKind kind) {
+      for (RunName run : List.copyOf(runs.keySet())) {
+        if (run.task().job().equals(job)) {
+          end(run, kind);
+        }
+      }
+    }
+
     private void end(RunName run, EndKind kind) {
       if (runs.remove(run) == null) {
         return;
@@ -320,7 +361,7 @@
 
     /** Extends the lease, for its longest time at most. */
     private void extend(long until) {
-      leaseUntil = Math.max(leaseUntil, Math.min(until, clock() + CellWorld.LEASE_MILLIS));
+      leaseUntil = Math.max(leaseUntil, Math.min(until, clock() + leaseMillis));
       time.after(leaseUntil - clock(), this::lapse);
     }
 
@@ -465,7 +506,9 @@
       Model model = get(target.id());
       OrderReply none = new OrderReply(OrderOutcome.LOST, 0);
       outbox.send(
-          () -> exchange(model, TIMEOUT_MILLIS, none, handler, h -> sendOrder(model, action, h)));
+          () ->
+              exchange(
+                  model, ORDER_TIMEOUT_MILLIS, none, handler, h -> sendOrder(model, action, h)));
     }
 
     private void sendOrder(
@@ -491,21 +534,25 @@
             LATENCY_MILLIS,
             () -> {
               OrderReply reply = action.apply(model);
-              inbox.answer(LATENCY_MILLIS, () -> handler.accept(reply));
+              if (model.answerMillis > ORDER_TIMEOUT_MILLIS) {
+                loseOrder(handler);
+                return;
+              }
+              inbox.answer(model.answerMillis, () -> handler.accept(reply));
             });
       }
     }
 
     private void loseOrder(Consumer<OrderReply> handler) {
       OrderReply none = new OrderReply(OrderOutcome.LOST, 0);
-      inbox.timeout(TIMEOUT_MILLIS, () -> handler.accept(none));
+      inbox.timeout(WorkerPort.ORDER_TIMEOUT_MILLIS, () -> handler.accept(none));
     }
 
     @Override
     public void hold(Target target, HoldCall call, Consumer<HoldReply> handler) {
       Model model = get(target.id());
       HoldReply none = HoldReply.without(OrderOutcome.LOST);
-      long timeout = TIMEOUT_MILLIS + call.waitMillis();
+      long timeout = HOLD_TIMEOUT_MILLIS + call.waitMillis();
       outbox.send(() -> exchange(model, timeout, none, handler, h -> sendHold(model, call, h)));
     }
 
@@ -555,7 +602,7 @@
         return;
       }
       if (isCutFrom(model)) {
-        lose(TIMEOUT_MILLIS + call.waitMillis(), handler);
+        lose(WorkerPort.HOLD_TIMEOUT_MILLIS + call.waitMillis(), handler);
         return;
       }
       model.holds++;
@@ -575,7 +622,7 @@
     private void answer(
         Model model, HoldCall call, long until, long born, Consumer<HoldReply> handler) {
       if (model.born != born) {
-        lose(TIMEOUT_MILLIS, handler);
+        lose(WorkerPort.HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
       if (model.ends.isEmpty() && time.millis() < until) {
@@ -583,17 +630,21 @@
         return;
       }
       if (isCutFrom(model)) {
-        lose(Math.max(0, until - time.millis()) + TIMEOUT_MILLIS, handler);
+        lose(Math.max(0, until - time.millis()) + WorkerPort.HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
       HoldReply reply = model.hold(new HoldCall(call.token(), call.endsSeen(), null, 0));
       int lost = lostHolds.getOrDefault(model.id, 0);
       if (lost > 0) {
         lostHolds.put(model.id, lost - 1);
-        lose(Math.max(0, until - time.millis()) + TIMEOUT_MILLIS, handler);
+        lose(Math.max(0, until - time.millis()) + HOLD_TIMEOUT_MILLIS, handler);
+        return;
+      }
+      if (model.answerMillis > HOLD_TIMEOUT_MILLIS) {
+        lose(HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
-      inbox.answer(LATENCY_MILLIS, () -> handler.accept(reply));
+      inbox.answer(model.answerMillis, () -> handler.accept(reply));
     }
 
     private void lose(long delay, Consumer<HoldReply> handler) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -49,6 +49,7 @@
   private final PaceSystem pace;
   private final StallSystem stalls;
   private final DrainSystem drains;
+  private final LastingWaits waits;
 
   private boolean ended;
   private boolean releasing;
@@ -117,20 +118,23 @@
             new RunnerContext());
     this.holds =
         new HoldSystem(settings, token, port, runner, journal, clock, log, new ReportListener());
+    Candidates candidates = new Candidates(workers);
+    ReadyQueue ready =
+        new ReadyQueue(jobs, keeper, new SlackOrder(times), clock, this::queue, this::isStartable);
     this.planner =
         new Planner(
-            jobs,
-            keeper,
+            ready,
             workers,
             runner,
-            new SlackOrder(times),
+            candidates,
             new InterferencePlacement(interference),
             clock,
-            this::queue,
-            this::isStartable);
+            this::queue);
     this.pace = new PaceSystem(token, port, runner::stop, interference, log);
     this.stalls = new StallSystem(runner, times, clock, log);
     this.drains = new DrainSystem(settings, runner, times, clock);
+    this.waits =
+        new LastingWaits(settings.cell(), jobs, workers, takeOver, journal, this::queue, log);
   }
 
   /** Starts nothing more and gives the cell up, so that another can take it at once. */
@@ -193,13 +197,18 @@
     if (takeOver.run(now, journal.heldAloneUntil(now))) {
       list.touchRoster();
       changed = true;
+      if (takeOver.isLocated() && !takeOver.arePlacesKept()) {
+        // What was found is written with its place.
+        journal.whenStored(this::onPlacesStored);
+      }
     }
     holds.run(workers.all());
+    waits.run(now);
     if (!journal.isSure(now)) {
       return;
     }
     runner.run(workers.all());
-    if (!releasing && (changed || now >= nextPlanAt)) {
+    if (!releasing && journal.mayGrant(now) && (changed || now >= nextPlanAt)) {
       changed = false;
       nextPlanAt = now + PLAN_PAUSE_MILLIS;
       planner.run();
@@ -212,6 +221,11 @@
     experience.run(now);
   }
 
+  private void onPlacesStored() {
+    takeOver.setPlacesKept();
+    list.touchRoster();
+  }
+
   private String waitingTasks() {
     long now = clock.monotonicMillis();
     long waiting = 0;
@@ -289,7 +303,8 @@
         CellRecord.newBuilder()
             .setFormat(JobRows.FORMAT)
             .setHolder(settings.holder())
-            .setGeneration(lease.generation());
+            .setGeneration(lease.generation())
+            .setReplacedVersion(lease.replaced());
     waiting()
         .forEach(
             (queue, count) ->
@@ -362,9 +377,6 @@
   private final class ReportListener implements HoldSystem.Listener {
     @Override
     public void onFirstReport(Worker worker) {
-      if (takeOver.isStoredAsSilent(worker.id())) {
-        worker.setStoredAsSilent();
-      }
       takeOver.account(worker.id(), "answered");
       list.touchRoster();
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -21,6 +21,9 @@
   /** Wait where a serving task is not far from its target, so that fillers may have to yield. */
   private static final long BUSY_WAIT_MILLIS = 450;
 
+  /** Time before leases cannot be granted any more at which they are extended once more. */
+  private static final long LAST_GRANT_MILLIS = 150;
+
   /** Tail of a serving task from which its worker is asked more often, as a share of the target. */
   private static final double BUSY = 0.3;
 
@@ -127,9 +130,9 @@
 
   private void hold(Worker worker, long now) {
     long lease = settings.workerLeaseMillis();
-    @Nullable Long until =
-        worker.mayBeExtended(now, lease) ? (Long) worker.grantLease(now, lease) : null;
-    long wait = wait(worker);
+    boolean isExtended = worker.mayBeExtended(now, lease) && journal.mayGrant(now);
+    @Nullable Long until = isExtended ? (Long) worker.grantLease(now, lease) : null;
+    long wait = wait(worker, journal.grantingLeft(now));
     long confirmed = worker.endToConfirm(now);
     if (confirmed > 0 && worker.isConfirmationDue()) {
       String boot = "to the boot born " + worker.entry().bornMillis();
@@ -148,11 +151,16 @@
         });
   }
 
-  private static long wait(Worker worker) {
+  /**
+   * Returns for how long a call waits for an end. Leases are extended once more shortly before they
+   * cannot be, and soon after they can be again.
+   */
+  private static long wait(Worker worker, long grantingLeft) {
     boolean atOnce =
         worker.runs().isEmpty()
             || !worker.isFenced()
             || worker.isSilent()
+            || worker.isStoredAsSilent()
             || worker.recordedEnd() < worker.lastEnd()
             || worker.isConfirmationDue()
             || worker.hasUnknownRuns()
@@ -160,7 +168,11 @@
     if (atOnce) {
       return 0;
     }
-    return Interference.worstLoad(worker) >= BUSY ? BUSY_WAIT_MILLIS : WAIT_MILLIS;
+    boolean isBusy = Interference.worstLoad(worker) >= BUSY;
+    if (isBusy || grantingLeft <= LAST_GRANT_MILLIS) {
+      return BUSY_WAIT_MILLIS;
+    }
+    return Math.min(WAIT_MILLIS, grantingLeft - LAST_GRANT_MILLIS);
   }
 
   /** Tells whether a run was stopped, and only a report can tell whether it was there at all. */
@@ -280,7 +292,11 @@
     if (worker.hasUnknownRuns()) {
       return UNKNOWN_PAUSE_MILLIS;
     }
-    return worker.runs().isEmpty() ? IDLE_PAUSE_MILLIS : 0;
+    if (worker.runs().isEmpty()) {
+      return IDLE_PAUSE_MILLIS;
+    }
+    // Once it is stored as open it is asked at once.
+    return worker.isStoredAsSilent() ? RETRY_MILLIS : 0;
   }
 
   private void confirm(Worker worker) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -1,12 +1,11 @@
 package org.hemlockpick.cell;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.function.Predicate;
+import org.hemlockpick.cell.ReadyTasks.Shape;
 import org.jspecify.annotations.Nullable;
 
 /** Gives room to the tasks that are ready, in the order of a policy. */
@@ -14,163 +13,37 @@
   /** Most orders to start that are sent in one tick; bounds its length. */
   private static final int MAX_STARTS = 150;
 
-  /** Longest wait of a last attempt for a worker at which the newest run has not failed. */
-  private static final long LAST_ATTEMPT_WAIT_MILLIS = 5_000;
-
-  private final JobTable jobs;
-  private final JobKeeper keeper;
+  private final ReadyQueue queue;
   private final WorkerTable workers;
   private final TaskRunner runner;
-  private final OrderPolicy order;
+  private final Candidates candidates;
   private final PlacementPolicy placement;
   private final LoopClock clock;
 
   /** Returns the queue of a job; null if it is in no configuration. */
   private final Function<Job, @Nullable Queue> queues;
 
-  /** Tells whether it is certain that a task runs nowhere. */
-  private final Predicate<Task> isStartable;
-
   Planner(
-      JobTable jobs,
-      JobKeeper keeper,
+      ReadyQueue queue,
       WorkerTable workers,
       TaskRunner runner,
-      OrderPolicy order,
+      Candidates candidates,
       PlacementPolicy placement,
       LoopClock clock,
-      Function<Job, @Nullable Queue> queues,
-      Predicate<Task> isStartable) {
-    this.jobs = jobs;
-    this.keeper = keeper;
+      Function<Job, @Nullable Queue> queues) {
+    this.queue = queue;
     this.workers = workers;
     this.runner = runner;
-    this.order = order;
+    this.candidates = candidates;
     this.placement = placement;
     this.clock = clock;
     this.queues = queues;
-    this.isStartable = isStartable;
   }
 
   /** Starts what can be started. */
   void run() {
-    long wall = clock.wallMillis();
     long now = clock.monotonicMillis();
-    List<Ready> ready = new ArrayList<>();
-    for (Job job : List.copyOf(jobs.open())) {
-      Queue queue = queues.apply(job);
-      if (queue == null || keeper.failIfSpent(job, queue.maxAttempts())) {
-        continue;
-      }
-      job.openDue(wall);
-      addReady(job, queue, now, wall, ready);
-    }
-    ready.sort(Comparator.comparing(Ready::rank));
-    place(ready, now);
-  }
-
-  private void addReady(Job job, Queue queue, long now, long wall, List<Ready> ready) {
-    for (StepRun step : job.stepRuns()) {
-      if (!step.isDone() && hasReady(step, now) && job.isOpen(step)) {
-        ready.add(new Ready(step, queue, order.rank(step, queue, wall)));
-      }
-    }
-  }
-
-  private boolean hasReady(StepRun step, long now) {
-    for (Task task : step.tasks()) {
-      if (isReady(task, now)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private boolean isReady(Task task, long now) {
-    return task.isReady(now) && isStartable.test(task);
-  }
-
-  private void place(List<Ready> ready, long now) {
-    Set<Shape> full = new HashSet<>();
-    SetApart apart = new SetApart(workers.all(), now);
-    int starts = 0;
-    for (Ready entry : ready) {
-      Step step = entry.step().step();
-      Shape shape = shape(entry, step.gang() ? step.count() : 1);
-      boolean isFull = full.contains(shape) || full.contains(shape(entry, 1));
-      if (starts >= MAX_STARTS || (isPlain(step) && isFull)) {
-        continue;
-      }
-      int placed = step.gang() ? placeGang(entry, now) : placeTasks(entry, apart, now);
-      starts += Math.abs(placed);
-      if (placed < 0 && isPlain(step)) {
-        full.add(shape);
-      }
-    }
-  }
-
-  private static Shape shape(Ready entry, int together) {
-    Step step = entry.step().step();
-    String service = entry.queue().service();
-    return new Shape(service, step.demand(), step.filler(), step.lasting(), together);
-  }
-
-  private static boolean isPlain(Step step) {
-    return step.requiredLabel() == null && step.maxPerWorker() == 0;
-  }
-
-  /** Places what has room; returns the number of starts, negative if a task found none. */
-  private int placeTasks(Ready entry, SetApart apart, long now) {
-    int placed = 0;
-    for (Task task : entry.step().tasks()) {
-      if (!isReady(task, now)) {
-        continue;
-      }
-      List<Worker> candidates = candidates(task, entry.queue(), now);
-      if (task.step().step().lasting() && !task.mayHaveRun()) {
-        candidates = apart.leaveOut(candidates, entry.queue().service());
-      }
-      Worker worker = placement.choose(task, candidates);
-      if (worker == null && isLastAttempt(task, entry.queue())) {
-        // It is choosier than the other tasks, and tells nothing of the room for them.
-        continue;
-      }
-      if (worker == null) {
-        return -placed - 1;
-      }
-      runner.start(task, worker);
-      placed++;
-    }
-    return placed;
-  }
-
-  /** Places all members of a gang or none. */
-  private int placeGang(Ready entry, long now) {
-    List<Task> tasks = entry.step().tasks();
-    for (Task task : tasks) {
-      if (!isReady(task, now)) {
-        return 0;
-      }
-    }
-    // Room is tried out with runs that are never sent.
-    List<Worker> places = new ArrayList<>();
-    List<Run> trials = new ArrayList<>();
-    for (Task task : tasks) {
-      Worker worker = placement.choose(task, candidates(task, entry.queue(), now));
-      if (worker == null) {
-        break;
-      }
-      Run trial = new Run(task, 0, worker, Run.State.STARTING, now);
-      worker.add(trial);
-      trials.add(trial);
-      places.add(worker);
-    }
-    trials.forEach(trial -> trial.worker().remove(trial));
-    if (places.size() < tasks.size()) {
-      return -1;
-    }
-    runner.startGang(tasks, places);
-    return tasks.size();
+    new Plan(now).place(queue.take());
   }
 
   /** Tells whether a task that runs would find room at another worker. */
@@ -179,99 +52,96 @@
     if (queue == null) {
       return false;
     }
-    List<Worker> candidates = candidates(task, queue, clock.monotonicMillis());
+    List<Worker> open = candidates.of(task, queue, clock.monotonicMillis());
     Run run = task.run();
-    candidates.removeIf(worker -> run != null && worker == run.worker());
-    return placement.choose(task, candidates) != null;
+    open.removeIf(worker -> run != null && worker == run.worker());
+    return placement.choose(task, open) != null;
   }
 
-  private List<Worker> candidates(Task task, Queue queue, long now) {
-    List<Worker> candidates = new ArrayList<>();
-    boolean allPaused = task.failures() == 0 && areAllPaused(task, queue, now);
-    for (Worker worker : workers.all()) {
-      if (mayRun(task, queue, worker, now, allPaused)) {
-        candidates.add(worker);
-      }
-    }
-    if (isLastAttempt(task, queue) && waitsForUndoubted(task, queue, now)) {
-      candidates.removeIf(worker -> worker.health().isDoubtful());
-    }
-    return candidates;
-  }
+  /** One pass over all that is ready. */
+  private final class Plan {
+    private final long now;
+    private final SetApart apart;
 
-  private static boolean isLastAttempt(Task task, Queue queue) {
-    int failures = task.failures();
-    return failures > 0 && failures + 1 >= queue.maxAttempts() && !task.step().step().lasting();
-  }
+    /** Shapes of which a task has found no room. */
+    private final Set<Shape> full = new HashSet<>();
 
-  /** Tells whether a last attempt has to wait for a worker without doubt that has no room yet. */
-  private boolean waitsForUndoubted(Task task, Queue queue, long now) {
-    if (now >= task.notBefore() + LAST_ATTEMPT_WAIT_MILLIS) {
-      return false;
+    private int starts;
+
+    Plan(long now) {
+      this.now = now;
+      this.apart = new SetApart(workers.all(), now);
     }
-    for (Worker worker : workers.all()) {
-      if (!worker.health().isDoubtful() && suits(task, queue, worker, now)) {
-        return true;
+
+    void place(List<ReadyTasks> ready) {
+      for (ReadyTasks tasks : ready) {
+        if (starts >= MAX_STARTS) {
+          return;
+        }
+        if (tasks.isGang()) {
+          placeGang(tasks);
+        } else {
+          placeTasks(tasks);
+        }
       }
     }
-    return false;
-  }
 
-  /**
-   * Tells whether every worker that suits a task is paused. Their failures may be the fault of what
-   * ran there, so that a task that has not failed yet need not wait for the end of the pauses.
-   */
-  private boolean areAllPaused(Task task, Queue queue, long now) {
-    boolean isAny = false;
-    for (Worker worker : workers.all()) {
-      if (suits(task, queue, worker, now)) {
-        if (!worker.health().isPaused(now)) {
-          return false;
+    private void placeTasks(ReadyTasks tasks) {
+      Shape shape = tasks.shape();
+      if (full.contains(shape)) {
+        return;
+      }
+      for (Task task : tasks.tasks()) {
+        Worker worker = choose(task, tasks.queue());
+        if (worker != null) {
+          start(task, worker);
+        } else if (!Candidates.isLastAttempt(task, tasks.queue())) {
+          // A last attempt is choosier than other tasks, and tells nothing of the room for them.
+          full.add(shape);
+          return;
         }
-        isAny = true;
       }
     }
-    return isAny;
-  }
 
-  private static boolean mayRun(
-      Task task, Queue queue, Worker worker, long now, boolean allPaused) {
-    Step step = task.step().step();
-    if (!suits(task, queue, worker, now) || !step.reserved().fitsInto(worker.free())) {
-      return false;
-    }
-    if (step.maxPerWorker() > 0 && task.step().countAt(worker) >= step.maxPerWorker()) {
-      return false;
+    private @Nullable Worker choose(Task task, Queue queue) {
+      List<Worker> open = candidates.of(task, queue, now);
+      if (task.step().step().lasting() && !task.mayHaveRun()) {
+        open = apart.leaveOut(open, queue.service());
+      }
+      return placement.choose(task, open);
     }
-    return isTrusted(worker, now, allPaused);
-  }
 
-  /** Tells whether a worker may be given a task once it has room. */
-  private static boolean suits(Task task, Queue queue, Worker worker, long now) {
-    if (!worker.isOpen(now) || !worker.entry().service().equals(queue.service())) {
-      return false;
+    private void start(Task task, Worker worker) {
+      runner.start(task, worker);
+      starts++;
     }
-    String label = task.step().step().requiredLabel();
-    return label == null || worker.entry().labels().contains(label);
-  }
 
-  /** A suspect worker gets one run as a test. */
-  private static boolean isTrusted(Worker worker, long now, boolean allPaused) {
-    WorkerHealth health = worker.health();
-    if (health.isPaused(now) && !allPaused) {
-      return false;
+    /** Places all members of a gang or none. */
+    private void placeGang(ReadyTasks gang) {
+      Shape shape = gang.shape();
+      if (full.contains(shape) || full.contains(shape.single())) {
+        return;
+      }
+      // Room is tried out with runs that are never sent.
+      List<Worker> places = new ArrayList<>();
+      List<Run> trials = new ArrayList<>();
+      for (Task task : gang.tasks()) {
+        Worker worker = placement.choose(task, candidates.of(task, gang.queue(), now));
+        if (worker == null) {
+          break;
+        }
+        Run trial = new Run(task, 0, worker, Run.State.STARTING, now);
+        worker.add(trial);
+        trials.add(trial);
+        places.add(worker);
+      }
+      trials.forEach(trial -> trial.worker().remove(trial));
+      if (places.size() < gang.tasks().size()) {
+        full.add(shape);
+        return;
+      }
+      runner.startGang(gang.tasks(), places);
+      starts += gang.tasks().size();
     }
-    return !health.isSuspect() || worker.runs().isEmpty();
   }
-
-  private record Ready(StepRun step, Queue queue, OrderPolicy.Rank rank) {}
-
-  /**
-   * What tasks have in common of which none fits if one does not.
-   *
-   * @param together number of tasks that need room at once, from 1; a gang that does not fit tells
-   *     nothing of fewer tasks
-   */
-  private record Shape(
-      String service, Amounts demand, boolean filler, boolean lasting, int together) {}
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeOver.java
@@ -37,6 +37,9 @@
   /** Whether only the last holder has given tasks to the workers of the roster. */
   private boolean ofLastHolder;
 
+  /** Whether the places of all tasks that last were stored before they were ordered. */
+  private boolean placesKept = true;
+
   private boolean located;
   private int unknown;
   private long nextReadAt;
@@ -94,13 +97,32 @@
   }
 
   private void take(RosterRecord roster) {
+    placesKept = roster.getPlacesKept();
     ofLastHolder = roster.getLocated() && roster.getGeneration() == lease.generation() - 1;
-    roster.getWorkersList().forEach(entry -> unaccounted.put(entry.getWorker(), entry));
+    for (RosterEntry entry : roster.getWorkersList()) {
+      unaccounted.put(entry.getWorker(), withLastGrant(entry, roster));
+    }
     count();
     String tasks = unknown + " not silent, " + doubtful.size() + " tasks at silent ones";
     log.decided("cell", settings.cell(), "unaccounted", unaccounted.size() + " workers, " + tasks);
   }
 
+  /**
+   * Adds up to when leases may have been granted at a worker. A holder grants none before it has
+   * stored a roster, and none at a worker that this roster does not name as its own.
+   */
+  private RosterEntry withLastGrant(RosterEntry entry, RosterRecord roster) {
+    if (entry.getGrantedVersion() != 0) {
+      return entry;
+    }
+    boolean nothingStoredSince = roster.getGeneration() == lease.generation() - 2;
+    boolean isOlder = nothingStoredSince && lease.replacedBefore() != 0;
+    return entry.toBuilder()
+        .setGrantedVersion(isOlder ? lease.replacedBefore() : lease.replaced())
+        .setGrantingEnded(entry.getSilent() || (lease.formerEnded() && ofLastHolder))
+        .build();
+  }
+
   private void count() {
     doubtful.clear();
     unknown = 0;
@@ -125,29 +147,41 @@
     }
   }
 
-  /** Tells whether an earlier holder has stored a worker as silent that is not accounted for. */
-  boolean isStoredAsSilent(String worker) {
-    RosterEntry entry = unaccounted.get(worker);
-    return entry != null && entry.getSilent();
-  }
-
   boolean isUnaccounted(String worker) {
     return unaccounted.containsKey(worker);
   }
 
+  /** Returns how many workers are not accounted for, for the log. */
+  String unaccountedText() {
+    return unaccounted.size() + " workers not accounted for, " + unknown + " of them not silent";
+  }
+
   /** Returns the workers that are not accounted for. */
   Collection<RosterEntry> unaccounted() {
     return unaccounted.values();
   }
 
+  /** Tells whether a later holder finds the places of all tasks that last. */
+  boolean arePlacesKept() {
+    return placesKept;
+  }
+
+  /** Takes note that the places of all tasks that last are stored. */
+  void setPlacesKept() {
+    placesKept = true;
+  }
+
   /**
    * Tells whether a task must not be started yet. It is certain where a task is that was found at a
-   * worker, or was handed in after the lease was taken.
+   * worker, or was handed in after the lease was taken; one that lasts can only be at its place.
    */
   boolean blocks(Task task) {
     if (located || !task.job().isInherited() || task.isLocated()) {
       return false;
     }
+    if (placesKept && task.step().step().lasting()) {
+      return isUnaccounted(task.place());
+    }
     return unknown > 0 || doubtful.contains(task.id().toString());
   }
 
@@ -181,8 +215,9 @@
 
   /** Returns the time at which no lease can be in force that an earlier holder granted. */
   private long lapseAt(RosterEntry entry) {
-    boolean ordersEnded = entry.getSilent() || (lease.formerEnded() && ofLastHolder);
-    long lastOrder = lease.renewedAt() + (ordersEnded ? 0 : CellTiming.HOLDER_LEASE);
-    return lastOrder + CellTiming.longestLease(settings.workerLeaseMillis());
+    long renewedAt = lease.history().writtenBy(entry.getGrantedVersion(), lease.renewedAt());
+    long longest = settings.workerLeaseMillis();
+    long lastGrant = renewedAt + (entry.getGrantingEnded() ? 0 : CellTiming.granting(longest));
+    return lastGrant + CellTiming.longestLease(longest);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.RunName;
 import org.hemlockpick.cell.WorkerPort.Target;
+import org.jspecify.annotations.Nullable;
 
 /** A worker that the cell gives tasks to. */
 final class Worker {
@@ -34,8 +35,11 @@
   private boolean unknownRuns;
   private boolean onRoster;
 
-  /** Whether a later holder may find it in the table service as given no more orders. */
-  private boolean storedAsSilent;
+  /**
+   * Whether a later holder may find it in the table service as granted no more leases: before this
+   * holder has stored it as open, and once it is stored as silent.
+   */
+  private boolean storedAsSilent = true;
 
   /** Number of the first roster since which it has not been written as silent. */
   private long openSince = Long.MAX_VALUE;
@@ -190,21 +194,27 @@
   }
 
   void onRosterStored(long number) {
-    if (openSince <= number) {
-      onRoster = true;
+    if (openSince > number) {
+      return;
+    }
+    onRoster = true;
+    if (storedAsSilent) {
       storedAsSilent = false;
+      // Its leases can be extended from now on.
+      nextHoldAt = 0;
     }
   }
 
-  /** Takes note that an earlier holder has stored it as silent. */
-  void setStoredAsSilent() {
-    storedAsSilent = true;
+  /** Tells whether a later holder may find it as granted no more leases. */
+  boolean isStoredAsSilent() {
+    return storedAsSilent;
   }
 
   /**
    * Tells whether its leases may be extended. A later holder counts those of a worker that is
-   * stored as silent from the last renewal of the cell. While calls fail they are extended only if
-   * they would end soon: each such call puts off the time at which they have certainly ended.
+   * stored as silent from the last renewal of the cell, and those of one that is not stored as open
+   * from the last renewal of an earlier holder. While calls fail they are extended only if they
+   * would end soon: each such call puts off the time at which they have certainly ended.
    */
   boolean mayBeExtended(long nowMillis, long leaseMillis) {
     boolean isDue = !isSilent() || nowMillis - extendedAt >= leaseMillis * 2 / 3;
@@ -292,6 +302,11 @@
     return nowMillis >= leasesEndAt;
   }
 
+  /** Returns the time for which a lease may still be in force, in milliseconds. */
+  long leaseLeft(long nowMillis) {
+    return isLapsed(nowMillis) ? 0 : leasesEndAt - nowMillis;
+  }
+
   long lastEnd() {
     return lastEnd;
   }
@@ -460,14 +475,33 @@
 
   /** Tells whether it may be given tasks. */
   boolean isOpen(long nowMillis) {
-    return listed
-        && fenced
-        && onRoster
-        && !unknownRuns
-        && !entry.draining()
-        && holdFailures == 0
-        && nowMillis >= closedUntil
-        && hasClock();
+    return obstacle(nowMillis) == null;
+  }
+
+  /** Returns why it may be given no task at all; null if it may. */
+  @Nullable Obstacle obstacle(long nowMillis) {
+    if (!listed) {
+      return Obstacle.UNLISTED;
+    }
+    if (holdFailures > 0) {
+      return Obstacle.SILENT;
+    }
+    if (!fenced) {
+      return Obstacle.NOT_FENCED;
+    }
+    if (!onRoster) {
+      return Obstacle.NOT_ON_ROSTER;
+    }
+    if (unknownRuns) {
+      return Obstacle.UNKNOWN_RUNS;
+    }
+    if (entry.draining()) {
+      return Obstacle.DRAINING;
+    }
+    if (nowMillis < closedUntil) {
+      return Obstacle.CLOSED;
+    }
+    return hasClock() ? null : Obstacle.NO_CLOCK;
   }
 
   WorkerHealth health() {
