Count a lease that a lost call named from its sending

Cause: each call to hold without an answer put the end of the worker's leases off to a whole lease after it was given up. But the end that a call names is on the clock of the boot that is known, so that it counts from the sending there; only a later boot counts it from when it is carried out, and runs are there only if an order to start was under way since the known boot last answered. Only then the count goes on to the end of the call. After a failed call one more extends, and by two thirds of a lease.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CallsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CallsTest.java
@@ -1,6 +1,7 @@
 package org.hemlockpick.cell;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -16,8 +17,15 @@
 
   private static final long ANSWER_MICROS = 1_500;
 
-  /** Longer than a lease, and shorter than the time for which a holder goes on by itself. */
-  private static final long STORE_AWAY_MILLIS = 6_500;
+  /** Time beyond a lease within which a task runs again, and time after which a test gives up. */
+  private static final long LATEST_MILLIS = 1_500;
+
+  private static final long LONGEST_MILLIS = 20_000;
+
+  /** The first call has failed when the store is away, and a lease would end before it is back. */
+  private static final long STORE_STAYS_MILLIS = 1_000;
+
+  private static final long STORE_AWAY_MILLIS = 4_500;
 
   /**
    * A holder called all workers at once, and had no time to read the answers: it took the workers
@@ -79,6 +87,7 @@
     world.submit(0, "a", lastingOnePerWorker(4));
     world.time.runFor(3_000);
     world.holder().workerView.lostHolds.put("w1", number);
+    world.time.runFor(STORE_STAYS_MILLIS);
     world.store.silent = true;
     world.time.runFor(STORE_AWAY_MILLIS);
     world.store.silent = false;
@@ -87,6 +96,27 @@
     return world;
   }
 
+  /**
+   * Each call without an answer put off the time at which the task could start elsewhere, by its
+   * time limit and a lease.
+   */
+  @Test
+  void taskThatLastsRunsElsewhereSoonAfterItsWorkerDied() {
+    CellWorld world = new CellWorld(20261204, 3, 4);
+    world.workers.runMillis = 600_000;
+    world.time.runFor(SETTLED);
+    world.submit(0, "a", lastingOnePerWorker(1));
+    world.time.runFor(SETTLED);
+    world.workers.get(world.workers.startLog.get(0).worker()).cut = true;
+    long died = world.time.millis();
+    while (world.workers.starts.size() < 2 && world.time.millis() < died + LONGEST_MILLIS) {
+      world.time.runFor(1);
+    }
+    long taken = world.time.millis() - died;
+    assertTrue(taken <= CellWorld.LEASE_MILLIS + LATEST_MILLIS, () -> taken + " ms");
+    assertEquals(List.of(), world.workers.breaches);
+  }
+
   private static Step lastingOnePerWorker(int count) {
     return CellWorld.step(count, false, null, 1, true, List.of());
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -131,7 +131,7 @@
   private void hold(Worker worker, long now) {
     long lease = settings.workerLeaseMillis();
     boolean isExtended = worker.mayBeExtended(now, lease) && journal.mayGrant(now);
-    @Nullable Long until = isExtended ? (Long) worker.grantLease(now, lease) : null;
+    @Nullable Long until = isExtended ? (Long) worker.extendLease(now, lease) : null;
     long wait = wait(worker, journal.grantingLeft(now));
     long confirmed = worker.endToConfirm(now);
     if (confirmed > 0 && worker.isConfirmationDue()) {
@@ -204,7 +204,7 @@
 
   private void onFailure(Worker worker, HoldCall call, HoldReply reply, long now) {
     if (call.leaseUntilMillis() != null) {
-      worker.noteLease(now, settings.workerLeaseMillis());
+      worker.onExtensionLost(now, settings.workerLeaseMillis());
     }
     boolean isFirst = !worker.isSilent();
     boolean wasGivenUp = worker.isGivenUp();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -165,7 +165,7 @@
       return;
     }
     if (reply.outcome() == OrderOutcome.ACCEPTED || reply.outcome() == OrderOutcome.LOST) {
-      worker.noteLease(now, settings.workerLeaseMillis());
+      worker.onOrdered(now, settings.workerLeaseMillis());
     }
     if (!isKnown(run)) {
       return;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -18,6 +18,9 @@
   /** Share of the own steady clock at which a worker's clock goes at least. */
   private static final double SLOWEST_CLOCK = 0.98;
 
+  /** Share of a lease after which, and by which, it is extended though a call has failed. */
+  private static final double UNANSWERED_SHARE = 2.0 / 3;
+
   /** A time before all others, from which spans can be counted. */
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -71,6 +74,7 @@
   private long nextHoldAt;
   private long answeredAfter = NEVER;
   private long extendedAt = NEVER;
+  private long orderedAt = NEVER;
   private int holdFailures;
 
   private Amounts reserved = Amounts.NONE;
@@ -213,14 +217,42 @@
   /**
    * Tells whether its leases may be extended. A later holder counts those of a worker that is
    * stored as silent from the last renewal of the cell, and those of one that is not stored as open
-   * from the last renewal of an earlier holder. While calls fail they are extended only if they
-   * would end soon: each such call puts off the time at which they have certainly ended.
+   * from the last renewal of an earlier holder. After a call that failed they are extended once, by
+   * a part, if they would end soon: each such call puts off the time at which they have certainly
+   * ended.
    */
   boolean mayBeExtended(long nowMillis, long leaseMillis) {
-    boolean isDue = !isSilent() || nowMillis - extendedAt >= leaseMillis * 2 / 3;
+    boolean isDue = !isSilent() || (holdFailures == 1 && isEndNear(nowMillis, leaseMillis));
     return !runs.isEmpty() && hasClock() && !storedAsSilent && isDue;
   }
 
+  private boolean isEndNear(long nowMillis, long leaseMillis) {
+    return nowMillis - extendedAt >= leaseMillis * UNANSWERED_SHARE;
+  }
+
+  /** Returns the end, on the worker's clock, of a lease that a call to hold is to name. */
+  long extendLease(long nowMillis, long leaseMillis) {
+    return grantLease(
+        nowMillis, isSilent() ? (long) (leaseMillis * UNANSWERED_SHARE) : leaseMillis);
+  }
+
+  /**
+   * Takes note that a call that named a lease was given up. On the boot that is known the lease
+   * counts from its sending. On a later one it counts from when it was carried out; runs are there
+   * only by orders that were answered or given up after the boot that is known last answered.
+   */
+  void onExtensionLost(long nowMillis, long leaseMillis) {
+    if (orderedAt >= answeredAfter) {
+      noteLease(nowMillis, leaseMillis);
+    }
+  }
+
+  /** Takes note that an order to start a run was answered or given up, and may be carried out. */
+  void onOrdered(long nowMillis, long leaseMillis) {
+    orderedAt = nowMillis;
+    noteLease(nowMillis, leaseMillis);
+  }
+
   /**
    * Takes note that its leases were extended.
    *
