Measure what a take-over costs in calls to workers

bin/capacity takeover prints calls, connections and bytes at 246, 342 and 1,500 workers, in virtual time. Processor time is not measured: the virtual world takes most of it.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/Capacity.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/capacity/Capacity.java
@@ -3,17 +3,19 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.hemlockpick.cell.TakeOverCost;
 
 /** Prints the measurements behind {@code docs/CAPACITY.md}. */
 public final class Capacity {
-  private static final List<String> PARTS = List.of("memory", "tick", "load", "messages", "store");
+  private static final List<String> PARTS =
+      List.of("memory", "tick", "load", "messages", "store", "takeover");
 
   private Capacity() {}
 
   /**
    * Runs the named measurements.
    *
-   * @param args some of "memory", "tick", "load", "messages" and "store"; none for all
+   * @param args some of "memory", "tick", "load", "messages", "store" and "takeover"; none for all
    */
   public static void main(String[] args) {
     PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
@@ -31,7 +33,8 @@
       case "tick" -> new TickSlopes(out).print();
       case "load" -> new LoadSlopes(out).print();
       case "messages" -> new MessageSlopes(out).print();
-      default -> new StoreSlopes(out).print();
+      case "store" -> new StoreSlopes(out).print();
+      default -> new TakeOverCost(out).print();
     }
   }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -445,6 +445,14 @@
 
     int connections;
 
+    /** Bytes of the values in calls to hold and in their answers. */
+    long bytesSent;
+
+    long bytesRead;
+
+    /** Workers whose lease this process has extended. */
+    final Set<String> extended = new HashSet<>();
+
     /** What happens right before the next order to start a run is sent. */
     private @Nullable Runnable beforeStart;
 
@@ -554,6 +562,11 @@
       HoldReply none = HoldReply.without(OrderOutcome.LOST);
       long timeout = HOLD_TIMEOUT_MILLIS + call.waitMillis();
       outbox.send(() -> exchange(model, timeout, none, handler, h -> sendHold(model, call, h)));
+      bytesSent += TakeOverCost.size(call.token()) + TakeOverCost.size(call.endsSeen());
+      if (call.leaseUntilMillis() != null) {
+        bytesSent += TakeOverCost.size(call.leaseUntilMillis());
+        extended.add(target.id());
+      }
     }
 
     /** Sends a call, and gives it up if its answer is not handled in time. */
@@ -644,6 +657,7 @@
         lose(HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
+      bytesRead += TakeOverCost.size(reply);
       inbox.answer(model.answerMillis, () -> handler.accept(reply));
     }
 
--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TakeOverCost.java
@@ -0,0 +1,79 @@
+package org.hemlockpick.cell;
+
+import java.io.PrintStream;
+import java.util.List;
+import org.hemlockpick.cell.WorkerPort.EndReport;
+import org.hemlockpick.cell.WorkerPort.HoldReply;
+import org.hemlockpick.cell.WorkerPort.RunReport;
+
+/** What it costs to take a cell over: calls to workers, connections and bytes. */
+public final class TakeOverCost {
+  private static final int[] WORKERS = {246, 342, 1_500};
+  private static final int RUNS_PER_WORKER = 4;
+  private static final long SETTLED = 10_000;
+  private static final long LONGEST_MILLIS = 20_000;
+
+  /** Quotes and separators around a value in a message. */
+  private static final long BYTES_AROUND = 3;
+
+  private final PrintStream out;
+
+  /** Creates the measurement; it prints to a stream. */
+  public TakeOverCost(PrintStream out) {
+    this.out = out;
+  }
+
+  /** Prints a line for each number of workers. */
+  public void print() {
+    out.println("A take-over until every worker was heard and all that runs was extended once,");
+    out.println(RUNS_PER_WORKER + " runs a worker; bytes are those of the values in the messages.");
+    out.println("workers | calls | connections | bytes sent | bytes read | ms");
+    for (int workers : WORKERS) {
+      measure(workers);
+    }
+  }
+
+  private void measure(int workers) {
+    CellWorld world = new CellWorld(20261204, 2, workers);
+    world.workers.runMillis = 600_000;
+    world.time.runFor(SETTLED);
+    int tasks = workers * RUNS_PER_WORKER;
+    world.submit(0, "0123456789abcdef", CellWorld.step(tasks, false, null, 0, true, List.of()));
+    world.time.runFor(SETTLED);
+    CellWorld.Node former = world.holder();
+    CellWorld.Node next = world.nodes.get(former == world.nodes.get(0) ? 1 : 0);
+    FakeWorkers.View view = next.workerView;
+    view.processor = new SmallProcessor(world.time, 0, 0);
+    former.kill();
+    while (!next.process().isHolder()) {
+      world.time.runFor(1);
+    }
+    long begun = world.time.millis();
+    while (view.extended.size() < workers && world.time.millis() < begun + LONGEST_MILLIS) {
+      world.time.runFor(1);
+    }
+    long millis = world.time.millis() - begun;
+    out.printf(
+        "%d | %d | %d | %d | %d | %d%n",
+        workers, view.calls, view.connections, view.bytesSent, view.bytesRead, millis);
+  }
+
+  /** Returns the size of an answer's values. */
+  static long size(HoldReply reply) {
+    long size = size(reply.clockMillis()) + size(reply.bornMillis());
+    for (RunReport run : reply.running()) {
+      size += size(run.run().task()) + size(run.run().attempt()) + size(run.checkpoint());
+      size += size(run.percent()) + size(run.gauge());
+    }
+    for (EndReport end : reply.ended()) {
+      size += size(end.number()) + size(end.run().task()) + size(end.run().attempt());
+      size += size(end.kind()) + size(end.checkpoint());
+    }
+    return size;
+  }
+
+  /** Returns the size of a value as text. */
+  static long size(Object value) {
+    return value.toString().length() + BYTES_AROUND;
+  }
+}
