--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/DroppedErrorTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/DroppedErrorTest.java
@@ -9,7 +9,9 @@
 import org.junit.jupiter.api.Test;
 
 class DroppedErrorTest {
-  /** Each large call that was given up before its answer began wrote thirty lines of stack trace. */
+  /**
+   * Each large call that was given up before its answer began wrote thirty lines of stack trace.
+   */
   @Test
   void endOfAConnectionAfterItsCallIsNotWritten() {
     assertFalse(Logging.isNews(line(new ResponseClosedException("closed"))));
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -141,7 +141,7 @@
     long lease = settings.workerLeaseMillis();
     boolean isExtended =
         worker.mayBeExtended(now, lease, journal.isRenewalLate(now)) && journal.mayGrant(now);
-    @Nullable Long until = isExtended ? (Long) worker.grantLease(now, lease) : null;
+    @Nullable Long until = isExtended ? (Long) worker.extendLease(now, lease) : null;
     long wait = wait(worker, journal.grantingLeft(now));
     long confirmed = worker.endToConfirm(now);
     if (confirmed > 0 && worker.isConfirmationDue()) {
@@ -237,7 +237,7 @@
 
   private void onFailure(Worker worker, HoldCall call, OrderOutcome outcome, long now) {
     if (call.leaseUntilMillis() != null) {
-      worker.noteLease(now, settings.workerLeaseMillis());
+      worker.onExtensionLost(now, settings.workerLeaseMillis());
     }
     boolean isFirst = !worker.isSilent();
     boolean wasGivenUp = worker.isGivenUp();
