Extend a worker's leases at once after an answer that came late

With answers that take 1.5 s each call was sent while the worker counted as not reached, and so named no lease: SlowAnswerTest's second test saw all four runs lapse once calls count as failed after 700 ms. An answer that comes late now lets a call with an extension follow at once.

A call counts as failed after 700 ms, as 600 ms were too few for the smallest machine of CallsTest (240 workers, 3 ms an answer: 720 ms for one round).

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -30,7 +30,7 @@
   private static final double BUSY = 0.3;
 
   /** Time beside its wait after which a call counts as failed, in milliseconds. */
-  private static final long LATE_MILLIS = 600;
+  private static final long LATE_MILLIS = 700;
 
   /** Pause between two looks at a worker without runs. */
   private static final long IDLE_PAUSE_MILLIS = 3_000;
@@ -232,6 +232,17 @@
         && !worker.isRemoved()
         && asked.askedAt > worker.answeredAfter()) {
       onReport(worker, asked.call, reply, asked.askedAt, now);
+      replaceTrial(worker);
+    }
+  }
+
+  /** Lets a call that extends the leases follow at once on one that was sent without. */
+  private void replaceTrial(Worker worker) {
+    for (Asked asked : List.copyOf(awaited)) {
+      if (asked.worker == worker && asked.call.leaseUntilMillis() == null) {
+        awaited.remove(asked);
+        worker.setHolding(false);
+      }
     }
   }
 
