Stop no short run for a lasting task right after a take-over

Found by a review, by reading: a successor does not know when an inherited task ran last, so that each one that found no room had short runs stopped 300 ms after its room was kept. The time now counts from the first review of the holder at least.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/RoomKeeper.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RoomKeeper.java
@@ -43,6 +43,9 @@
   private final DecisionLog log;
   private int newLeft;
 
+  /** Time of the first review: before it nothing is known of when a task ran last. */
+  private long begunAt = Long.MAX_VALUE;
+
   RoomKeeper(
       WorkerTable workers,
       Candidates candidates,
@@ -63,6 +66,7 @@
   /** Ends the reservations that have no use any more, and makes room for those that wait. */
   void review(long now) {
     newLeft = MAX_NEW;
+    begunAt = Math.min(begunAt, now);
     Set<Worker> seen = new HashSet<>();
     for (Reservation reservation : table.all()) {
       if (!isUseful(reservation, now)) {
@@ -125,10 +129,11 @@
     return step.lasting() && !step.filler() && !step.gang();
   }
 
-  private static boolean isOverdue(Reservation reservation, long now) {
+  private boolean isOverdue(Reservation reservation, long now) {
+    long lastRanAt = Math.max(begunAt, reservation.task().lastRanAt());
     return reservation.task().run() == null
         && now >= reservation.sinceMillis() + PATIENCE_MILLIS
-        && now >= reservation.task().lastRanAt() + STOP_AFTER_MILLIS;
+        && now >= lastRanAt + STOP_AFTER_MILLIS;
   }
 
   private void makeRoom(Reservation reservation, long now) {
