--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpTransport.java
@@ -41,7 +41,10 @@
   public static final String CLOCK_HEADER = "X-Hemlockpick-Clock";
 
   private static final Logger log = Logger.getLogger(HttpTransport.class);
-  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+  /** Longer than the time limit of most calls, which is what a log is to tell of. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1_250);
+
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(10);
   static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
   private static final long CLOSE_TIMEOUT_MILLIS = 5_000;
