Take no run for gone by a call that overtook its start

Found by a review, by reading: calls to one worker overlap since late answers are taken. A run that one of them reports counted as known from the time at which that call was asked for; another that was asked for a little later, and carried out before the start, could then count as proof that the run is gone, and its task ran twice. It counts as known from when the report is read, as in the other two places.

Two more of the same review: a run that a report shows is not stopped because the answer to its start did not come in time; and a start is not repeated at a worker that is not on the stored roster, where it would grant a lease that a successor does not wait for.

No test of its own yet: the fake workers carry out holds in the order of their sending.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -220,10 +220,15 @@
 
   private void onStartLost(Run run, String checkpoint, long now) {
     run.worker().setNextHoldAt(now);
+    if (run.state() == Run.State.RUNNING) {
+      // A report has shown it.
+      return;
+    }
     boolean again =
         run.state() == Run.State.STARTING
             && run.startsSent() < MAX_START_ORDERS
             && !run.worker().isSilent()
+            && run.worker().isOnRoster()
             && journal.mayGrant(now);
     if (again) {
       sendStart(run, checkpoint);
@@ -292,7 +297,7 @@
     boolean isUnknown = false;
     for (RunReport report : reply.running()) {
       reported.add(report.run());
-      isUnknown |= !onRunning(worker, report, askedAt, now);
+      isUnknown |= !onRunning(worker, report, now);
     }
     worker.setUnknownRuns(isUnknown);
     if (!reply.isWhole()) {
@@ -385,7 +390,7 @@
   }
 
   /** Takes note of a run at a worker; returns false if its task is not known. */
-  private boolean onRunning(Worker worker, RunReport report, long askedAt, long now) {
+  private boolean onRunning(Worker worker, RunReport report, long now) {
     Run run = worker.run(report.run()).orElse(null);
     if (run == null) {
       run = find(worker, report.run());
@@ -397,7 +402,8 @@
     run.report(report, now);
     if (run.state() == Run.State.STARTING) {
       run.setState(Run.State.RUNNING);
-      run.setKnownSince(askedAt);
+      // Calls overlap: one that was asked later may have been carried out before the start.
+      run.setKnownSince(now);
       keeper.onStarted(run.task().job());
     }
     return true;
