Count the lease of a call that was given up until its connection is closed

Found by a review, by reading: a call to hold counts as failed after 700 ms, but may be carried out for as long as it is open, by a new boot as well. Its lease is now noted once more when the call ends without an answer. So that a task whose worker dies still runs again within 9 s (TakeOverTest failed with 3,000 ms), a call is open for 1,500 ms beside its wait.

A call that counts as failed takes up no room in the window any more: sixteen that nobody answers would have stopped all others for as long as they were open.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HoldSystem.java
@@ -160,6 +160,7 @@
     for (Asked asked : List.copyOf(awaited)) {
       if (now >= asked.lateAt()) {
         awaited.remove(asked);
+        window.end(asked.sent, false, now);
         asked.worker.setHolding(false);
         onFailure(asked.worker, asked.call, OrderOutcome.LOST, now);
       }
@@ -205,12 +206,12 @@
       return;
     }
     long now = clock.monotonicMillis();
-    window.end(asked.sent, reply.outcome() != OrderOutcome.LOST, now);
     Worker worker = asked.worker;
     if (!awaited.remove(asked)) {
       onLateReply(asked, reply, now);
       return;
     }
+    window.end(asked.sent, reply.outcome() != OrderOutcome.LOST, now);
     worker.setHolding(false);
     switch (reply.outcome()) {
       case ACCEPTED -> onReport(worker, asked.call, reply, asked.askedAt, now);
@@ -226,6 +227,10 @@
   /** Takes an answer whose call counts as failed, unless a later call was answered before. */
   private void onLateReply(Asked asked, HoldReply reply, long now) {
     Worker worker = asked.worker;
+    if (reply.outcome() != OrderOutcome.ACCEPTED && asked.call.leaseUntilMillis() != null) {
+      // It may have been carried out up to now.
+      worker.onExtensionLost(now, settings.workerLeaseMillis());
+    }
     if (reply.outcome() == OrderOutcome.FENCED) {
       listener.onFenced(worker);
     } else if (reply.outcome() == OrderOutcome.ACCEPTED
@@ -241,6 +246,7 @@
     for (Asked asked : List.copyOf(awaited)) {
       if (asked.worker == worker && asked.call.leaseUntilMillis() == null) {
         awaited.remove(asked);
+        window.end(asked.sent, false, asked.askedAt);
         worker.setHolding(false);
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPort.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPort.java
@@ -16,7 +16,7 @@
    * Time limit of a hold beside its wait, in milliseconds. Long, as a report that comes late is as
    * true.
    */
-  long HOLD_TIMEOUT_MILLIS = 3_000;
+  long HOLD_TIMEOUT_MILLIS = 1_500;
 
   /** Starts a run of a task. */
   void start(Target target, StartOrder order, Consumer<OrderReply> handler);
