Refuse calls before the end of a planned stop can be seen

Cause: the future of the stop was completed by the loop's thread, and only the thread that waited for it refused new calls; a call between the two was served by a loop that had stopped. Now the loop's thread refuses new calls first. Readiness answers STOPPING in that time, too: it took the refusal of its own query for "not ready" (endsWhenThePlannedStopIsComplete found that).

Test: refusesCallsBeforeTheEndOfTheStopIsKnown makes the call on the thread that completes the stop, so that it does not depend on time.

Also WorkerClientTest#aResetCutsOffNoCallInFlight (known red, a race of the test, traced before): it asked for a new lease while its request was on the way, so that the worker refused the request for its epoch. It renews the lease that it has.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
@@ -47,7 +47,7 @@
     trace = openTrace(settings, new TraceHeader(settings.instance(), startedAt, seed, startedAt));
     Loop core = loopFactory.create(settings.instance(), startedAt, clock, RandomSource.of(seed));
     effects = effectsFactory.create(settings, queue::put, this::lamportClock, metrics);
-    router = new OutputRouter(exchanges, effects, events, metrics, () -> ended.complete(null));
+    router = new OutputRouter(exchanges, effects, events, metrics, this::onStopped);
     String name = settings.instance().name();
     loop =
         new LoopThread(
@@ -149,12 +149,17 @@
     return complete;
   }
 
+  /** Refuses new calls before the end of the stop can be seen. */
+  private void onStopped() {
+    exchanges.refuseNew();
+    ended.complete(null);
+  }
+
   /**
    * Refuses new calls for a while before the connections close: a caller may already have sent its
    * next request on an open connection, which closing would cut off.
    */
   private void drainCallers() {
-    exchanges.refuseNew();
     try {
       Thread.sleep(CALLER_DRAIN_MILLIS);
     } catch (InterruptedException e) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/HealthController.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/HealthController.java
@@ -55,7 +55,7 @@
     if (status.getReady()) {
       return Replies.of(ResultCode.DONE, "");
     }
-    if (status.getStopping()) {
+    if (status.getStopping() || answer.getCode() == ResultCode.STOPPING.number()) {
       return Replies.of(ResultCode.STOPPING, "");
     }
     return Replies.of(ResultCode.NOT_READY, status.getNotReadyReason());
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CallerApiTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CallerApiTest.java
@@ -245,6 +245,24 @@
     stop.join();
   }
 
+  /**
+   * Guards against a call that is still served after the end of the stop is known. The call is made
+   * on the thread that completes the stop, before anything else can follow.
+   */
+  @Test
+  void refusesCallsBeforeTheEndOfTheStopIsKnown() throws Exception {
+    HttpRequest request =
+        builder(REQUEST, KEY).POST(HttpRequest.BodyPublishers.ofString("{}")).build();
+    var answer =
+        daemon
+            .ended()
+            .thenApply(
+                none ->
+                    client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).join().body());
+    daemon.beginStop();
+    assertEquals("STOPPING", json(answer.get()).getString("result"));
+  }
+
   @Test
   void endsWhenATickThrows() {
     var unused =
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/transport/http/WorkerClientTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/transport/http/WorkerClientTest.java
@@ -187,7 +187,7 @@
     long epoch = acquire();
     WorkerCall slow = request(epoch, 1, "{\"sleepMillis\":300}");
     client.call(slow, 100);
-    Eventually.holds(() -> !runningRequests().isEmpty(), () -> "the request runs");
+    Eventually.holds(() -> !runningRequests(epoch).isEmpty(), () -> "the request runs");
 
     client.resetConnections("w1");
 
@@ -204,9 +204,11 @@
     assertEquals(CallFate.NOT_SENT, fate(lease(server.address(PREFIX), LONG_TIMEOUT_MILLIS)));
   }
 
-  private List<?> runningRequests() {
-    WorkerReply reply = call(lease(server.address(PREFIX), LONG_TIMEOUT_MILLIS)).getWorkerReply();
-    return reply.getLease().getRunningRequestsList();
+  /** Renews the lease: with a new one, a request in flight would be refused for its epoch. */
+  private List<?> runningRequests(long epoch) {
+    WorkerCall.Builder renewal = lease(server.address(PREFIX), LONG_TIMEOUT_MILLIS).toBuilder();
+    renewal.getLeaseBuilder().setEpoch(epoch);
+    return call(renewal.build()).getWorkerReply().getLease().getRunningRequestsList();
   }
 
   private long acquire() {
