Prove by a higher fencing token that an unanswered order starts nothing

What callers see: a task whose start order and stop order both stay without an answer is not started anywhere for as long as stops go unanswered (30 s in the test), beside free workers.

Cause: only an answered stop, another boot or the end of the worker's leases proved that the order, still on its way, starts nothing. Reports did not count, as the order may be carried out after them.

Now the holder gives such a worker a higher token: the version of its newest renewal, which is above all orders that it has sent and below the claim of any successor. A report that was asked for with that token and does not name the run proves it gone, as the worker refuses the orders in flight from then on. An answer "fenced" to an order under a token that the holder itself has replaced ends no holder any more.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
@@ -168,6 +168,26 @@
     assertEquals(JobState.COMPLETED, world.state("a"), () -> String.join("\n", world.log));
   }
 
+  /**
+   * All orders to start a task and to stop it are carried out seconds late. The next call under a
+   * higher fencing token proves that none of them starts it any more; the worker then refuses them,
+   * which must not be taken for a successor.
+   */
+  @Test
+  void taskRunsElsewhereWhileItsOrdersAreCarriedOutLate() {
+    world.time.runFor(SETTLE_MILLIS);
+    CellWorld.Node holder = world.holder();
+    world.workers.lateOrderProbability = 1;
+    world.submit(0, "a", step(1));
+    world.time.runFor(3_500);
+    world.workers.lateOrderProbability = 0;
+    world.time.runFor(3_500);
+    assertEquals(JobState.COMPLETED, world.state("a"), () -> String.join("\n", world.log));
+    world.time.runFor(10_000);
+    assertEquals(List.of(), world.workers.violations);
+    assertEquals(holder, world.holder());
+  }
+
   /** A gang that does not fit must not block single tasks of the same size. */
   @Test
   void taskStartsWhileAGangWaitsForCapacity() {
@@ -400,13 +420,13 @@
             completion(1, tasks.get(0)), completion(2, tasks.get(1)), completion(3, tasks.get(2)));
     HoldReply reply =
         new HoldReply(OrderOutcome.ACCEPTED, 1, 1, ImmutableList.of(), completions, true);
-    runner.onReport(worker, reply, world.time.millis());
+    runner.onReport(worker, reply, world.time.millis(), 0);
     assertTrue(tasks.get(0).isDone());
     assertFalse(tasks.get(1).isDone());
     assertTrue(tasks.get(1).run() != null);
     assertTrue(tasks.get(2).isDone());
     assertEquals(1, worker.lastCompletion());
-    runner.onReport(worker, reply, world.time.millis());
+    runner.onReport(worker, reply, world.time.millis(), 0);
     assertTrue(tasks.get(1).isDone());
     assertEquals(3, worker.lastCompletion());
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -218,6 +218,14 @@
     return validity.exclusiveUntil(now);
   }
 
+  /**
+   * Returns the version of the newest renewal. It is a valid fencing token: higher than those of
+   * all earlier holders and renewals, and lower than those of all later holders.
+   */
+  long renewalVersion() {
+    return leaseVersion;
+  }
+
   /** Returns the time since the last successful renewal was sent, in milliseconds. */
   long millisSinceRenewal() {
     return validity.renewalAge(clock.monotonicMillis());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceController.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceController.java
@@ -119,7 +119,7 @@
         run.worker().target(),
         run.id(),
         pace,
-        token,
+        run.worker().token(token),
         reply -> {
           if (reply.outcome() != OrderOutcome.ACCEPTED) {
             run.setPace(before);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -25,6 +25,10 @@
   private long reportableSince = Long.MAX_VALUE;
   private long stopSentAt = Long.MIN_VALUE / 2;
   private int startOrdersSent;
+
+  /** Highest fencing token of the orders to start it; 0 if this holder has sent none. */
+  private long orderToken;
+
   private int progressPercent;
   private long lastProgressAt;
   private long gauge;
@@ -79,9 +83,10 @@
     return startedAt;
   }
 
-  /** Counts an order to start it. */
-  void countStartOrder() {
+  /** Counts an order to start it that carries a fencing token. */
+  void countStartOrder(long token) {
     startOrdersSent++;
+    orderToken = Math.max(orderToken, token);
   }
 
   int startOrdersSent() {
@@ -100,6 +105,22 @@
     reportableSince = nowMillis;
   }
 
+  /**
+   * Returns whether a report that does not name it proves that it is gone and cannot begin later.
+   *
+   * @param sentAt time on the monotonic clock at which the report was requested
+   * @param token fencing token of that request, with which the worker refuses orders that carry a
+   *     lower one
+   */
+  boolean isProvenGone(long sentAt, long token) {
+    return sentAt > reportableSince || (orderToken > 0 && token > orderToken);
+  }
+
+  /** Returns whether a report that is requested now with a fencing token can prove it gone. */
+  boolean isProvableGone(long token) {
+    return reportableSince != Long.MAX_VALUE || (orderToken > 0 && token > orderToken);
+  }
+
   long stopSentAt() {
     return stopSentAt;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -147,13 +147,15 @@
       return;
     }
     long until = worker.grantLease(now, settings.workerLeaseMillis());
-    run.countStartOrder();
+    long orderToken = worker.token(token);
+    run.countStartOrder(orderToken);
     String order = "attempt " + run.attempt() + ", order " + run.startOrdersSent();
     String terms = ", lease until " + until + ", free cpu " + worker.freeCpu();
     log.decided("start", run.id().task().toString(), worker.id(), order + terms);
     StartOrder call =
-        new StartOrder(run.id(), run.task().job().submission().spec(), until, token, checkpoint);
-    port.start(worker.target(), call, reply -> onStartReply(run, checkpoint, reply, now));
+        new StartOrder(
+            run.id(), run.task().job().submission().spec(), until, orderToken, checkpoint);
+    port.start(worker.target(), call, reply -> onStartReply(run, call, reply, now));
   }
 
   /**
@@ -166,13 +168,13 @@
     }
   }
 
-  private void onStartReply(Run run, String checkpoint, OrderReply reply, long sentAt) {
+  private void onStartReply(Run run, StartOrder order, OrderReply reply, long sentAt) {
     Worker worker = run.worker();
     long now = clock.monotonicMillis();
     if (reply.outcome() != OrderOutcome.ACCEPTED) {
-      String order = "attempt " + run.attempt() + " at " + worker.id();
+      String attempt = "attempt " + run.attempt() + " at " + worker.id();
       String age = ", " + (now - sentAt) + " ms after the order" + (isCurrent(run) ? "" : ", gone");
-      log.decided("start", run.id().task().toString(), reply.outcome().name(), order + age);
+      log.decided("start", run.id().task().toString(), reply.outcome().name(), attempt + age);
     }
     if (journal.hasEnded()) {
       return;
@@ -188,10 +190,7 @@
         worker.setExtended(sentAt);
         onAccepted(run, now);
       }
-      case FENCED -> {
-        drop(run);
-        context.onFenced(worker);
-      }
+      case FENCED -> onStartFenced(run, order.token());
       case NO_ROOM -> {
         worker.backOffUntil(now + NO_CAPACITY_BACKOFF_MILLIS);
         dropUnlessRetried(run, reply.outcome());
@@ -209,8 +208,27 @@
         worker.setNextHoldAt(now);
         dropUnlessRetried(run, reply.outcome());
       }
-      case LOST -> onStartLost(run, checkpoint, now);
+      case LOST -> onStartLost(run, order.checkpoint(), now);
+    }
+  }
+
+  /**
+   * Handles an order that the worker refused for its fencing token. If this holder has set a higher
+   * one meanwhile, the next report shows whether an earlier order has started the run.
+   */
+  private void onStartFenced(Run run, long orderToken) {
+    Worker worker = run.worker();
+    if (isTokenReplaced(worker, orderToken)) {
+      worker.setNextHoldAt(clock.monotonicMillis());
+      return;
     }
+    drop(run);
+    context.onFenced(worker);
+  }
+
+  /** Returns whether this holder itself has set a higher fencing token than that of an order. */
+  private boolean isTokenReplaced(Worker worker, long orderToken) {
+    return orderToken < worker.token(token);
   }
 
   private void onAccepted(Run run, long now) {
@@ -268,21 +286,47 @@
       return;
     }
     run.setStopSentAt(now);
-    port.stop(run.worker().target(), run.id(), token, reply -> onStopReply(run, reply));
+    long orderToken = run.worker().token(token);
+    port.stop(
+        run.worker().target(),
+        run.id(),
+        orderToken,
+        reply -> onStopReply(run, orderToken, reply.outcome()));
   }
 
-  private void onStopReply(Run run, OrderReply reply) {
+  private void onStopReply(Run run, long orderToken, OrderOutcome outcome) {
     long now = clock.monotonicMillis();
     if (journal.hasEnded() || !isCurrent(run)) {
       return;
     }
-    switch (reply.outcome()) {
+    switch (outcome) {
       case ACCEPTED -> {
         run.setReportableSince(now);
         run.worker().setNextHoldAt(now);
       }
-      case FENCED -> context.onFenced(run.worker());
-      default -> run.worker().setNextHoldAt(now);
+      case FENCED -> {
+        if (!isTokenReplaced(run.worker(), orderToken)) {
+          context.onFenced(run.worker());
+        }
+      }
+      default -> {
+        raiseToken(run.worker());
+        run.worker().setNextHoldAt(now);
+      }
+    }
+  }
+
+  /**
+   * Sets a higher fencing token at a worker that does not answer the order to stop a run. The next
+   * report that is requested with it shows whether the run exists: orders to start it that are
+   * still in flight are refused from then on.
+   */
+  private void raiseToken(Worker worker) {
+    long before = worker.token(token);
+    worker.raiseToken(journal.renewalVersion());
+    long raised = worker.token(token);
+    if (raised > before) {
+      log.decided("worker", worker.id(), "token raised", "from " + before + " to " + raised);
     }
   }
 
@@ -305,8 +349,9 @@
    * Handles the report of a worker.
    *
    * @param sentAt time on the monotonic clock at which the report was requested
+   * @param callToken fencing token of the request
    */
-  void onReport(Worker worker, HoldReply reply, long sentAt) {
+  void onReport(Worker worker, HoldReply reply, long sentAt, long callToken) {
     long now = clock.monotonicMillis();
     Set<RunId> reported = new HashSet<>(processCompletions(worker, reply));
     boolean isUnknown = false;
@@ -320,7 +365,7 @@
       return;
     }
     for (Run run : new ArrayList<>(worker.runs())) {
-      if (!reported.contains(run.id()) && sentAt > run.reportableSince()) {
+      if (!reported.contains(run.id()) && run.isProvenGone(sentAt, callToken)) {
         onRunGone(run, "the worker does not report it");
       }
     }
@@ -439,7 +484,7 @@
 
   private void stopUnknownRun(Worker worker, RunId id, long now) {
     if (journal.allowsOrders(now)) {
-      port.stop(worker.target(), id, token, reply -> {});
+      port.stop(worker.target(), id, worker.token(token), reply -> {});
     }
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -82,6 +82,9 @@
   /** Number up to which completions have been acknowledged to this boot. */
   private long acknowledgedCompletion;
 
+  /** Fencing token that has replaced the holder's at this worker; 0 if none has. */
+  private long raisedToken;
+
   private boolean holdInFlight;
   private boolean removed;
   private long nextHoldAt;
@@ -173,6 +176,23 @@
     recordLease(nowMillis, leaseMillis);
   }
 
+  /**
+   * Returns the fencing token for the next call to it.
+   *
+   * @param holderToken fencing token of this holder, which is used until a higher one is set
+   */
+  long token(long holderToken) {
+    return Math.max(holderToken, raisedToken);
+  }
+
+  /**
+   * Sets a higher fencing token for later calls to it. Once it has answered one of them, it refuses
+   * every earlier order that is still in flight.
+   */
+  void raiseToken(long token) {
+    raisedToken = Math.max(raisedToken, token);
+  }
+
   /** Returns whether its boot has reported all its runs and completions to this holder. */
   boolean isFullyReported() {
     return fullyReported;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
@@ -166,7 +166,7 @@
       log.decided("worker", worker.id(), "ends confirmed", "up to " + acknowledged + " " + boot);
     }
     worker.setHoldInFlight(true);
-    HoldCall call = new HoldCall(token, acknowledged, until, wait);
+    HoldCall call = new HoldCall(worker.token(token), acknowledged, until, wait);
     HoldInFlight hold =
         new HoldInFlight(worker, call, window.begin(now, wait, worker.isUnresponsive()), now);
     inFlight.add(hold);
@@ -189,7 +189,7 @@
    * Returns how long a call waits for a completion. Leases are extended once more shortly before
    * they cannot be, and soon after they can be again.
    */
-  private static long holdWait(Worker worker, long grantMillisLeft) {
+  private long holdWait(Worker worker, long grantMillisLeft) {
     boolean answersAtOnce =
         worker.runs().isEmpty()
             || !worker.hasAcknowledgedToken()
@@ -210,9 +210,9 @@
   }
 
   /** Returns whether a run was stopped and only a report can show whether it exists at all. */
-  private static boolean hasUnprovenStop(Worker worker) {
+  private boolean hasUnprovenStop(Worker worker) {
     for (Run run : worker.runs()) {
-      if (run.state() == Run.State.STOPPING && run.reportableSince() != Long.MAX_VALUE) {
+      if (run.state() == Run.State.STOPPING && run.isProvableGone(worker.token(token))) {
         return true;
       }
     }
@@ -233,7 +233,7 @@
     worker.setHoldInFlight(false);
     switch (reply.outcome()) {
       case ACCEPTED -> onReport(worker, hold.call, reply, hold.sentAt, now);
-      case FENCED -> listener.onFenced(worker);
+      case FENCED -> onFenced(hold, now);
       case OTHER_BOOT -> {
         worker.setNextHoldAt(now + RETRY_MILLIS);
         listener.onReplaced(worker);
@@ -242,6 +242,16 @@
     }
   }
 
+  /** Handles a call that was refused for its fencing token, which may be outdated by now. */
+  private void onFenced(HoldInFlight hold, long now) {
+    Worker worker = hold.worker;
+    if (hold.call.token() < worker.token(token)) {
+      worker.setNextHoldAt(now);
+      return;
+    }
+    listener.onFenced(worker);
+  }
+
   /** Handles an answer whose call counts as failed, unless a later call was answered before. */
   private void onLateReply(HoldInFlight hold, HoldReply reply, long now) {
     Worker worker = hold.worker;
@@ -250,7 +260,7 @@
       worker.onExtensionLost(now, settings.workerLeaseMillis());
     }
     if (reply.outcome() == OrderOutcome.FENCED) {
-      listener.onFenced(worker);
+      onFenced(hold, now);
     } else if (reply.outcome() == OrderOutcome.ACCEPTED
         && !worker.isRemoved()
         && hold.sentAt > worker.lastAnswerSentAt()) {
@@ -322,7 +332,7 @@
     }
     worker.observeClock(reply.clockMillis(), now);
     long before = worker.lastCompletion();
-    runner.onReport(worker, reply, sentAt);
+    runner.onReport(worker, reply, sentAt, call.token());
     if (!worker.hasAcknowledgedToken()) {
       worker.setTokenAcknowledged(now, settings.workerLeaseMillis());
     }
@@ -349,7 +359,7 @@
     return boot + runs + range + ", " + age + " ms after it was asked";
   }
 
-  private static long nextInterval(Worker worker, HoldReply reply) {
+  private long nextInterval(Worker worker, HoldReply reply) {
     if (worker.isFirstExtensionDue()) {
       return 0;
     }
