Keep max_unavailable of a step with every stop of ours

Draining stopped all long-running tasks of a worker that leaves at its first report, however many others of the step were away; a long-running filler could be moved in the same way.

A worker that leaves is emptied one task after the other within the budget; in its last 1.5 s before the latest stop all that is left is stopped, as it would be lost anyway.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -66,6 +66,19 @@
     store.put("workers", worker, ByteString.copyFromUtf8(bootTime));
   }
 
+  /** Lists a worker as draining; it leaves after a time in milliseconds. */
+  void drainWorker(String worker, long remainingMillis) {
+    String entry = workers.get(worker).bootTimeMillis() + " " + remainingMillis;
+    store.put("workers", worker, ByteString.copyFromUtf8(entry));
+    time.after(
+        remainingMillis,
+        () -> {
+          workers.get(worker).disconnected = true;
+          workers.get(worker).endAllRuns();
+          store.remove("workers", worker);
+        });
+  }
+
   static Step step(int count, Integer... dependsOn) {
     return step(count, false, null, 0, false, List.of(dependsOn));
   }
@@ -418,7 +431,10 @@
     }
   }
 
-  /** Parses the rows of the fakes: a configuration's version, and the boot time of a worker. */
+  /**
+   * Parses the rows of the fakes: a configuration's version, and the boot time of a worker,
+   * followed by its remaining time if it is draining.
+   */
   private static final class Source implements ConfigurationSource {
     @Override
     public String operatorTable() {
@@ -448,15 +464,17 @@
 
     @Override
     public Optional<WorkerEntry> worker(String key, ByteString value) {
+      String[] fields = value.toStringUtf8().split(" ", -1);
+      boolean draining = fields.length > 1;
       return Optional.of(
           new WorkerEntry(
               key,
-              Long.parseLong(value.toStringUtf8()),
+              Long.parseLong(fields[0]),
               SERVICE,
               key + ":1",
               "zone-a",
-              false,
-              0,
+              draining,
+              draining ? Long.parseLong(fields[1]) : 0,
               WORKER_CAPACITY,
               ImmutableSet.of("a", "r1")));
     }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -34,6 +34,9 @@
   private static final long RESTART_MILLIS = 1_500;
   private static final long STOP_MILLIS = 100;
 
+  /** Time after which a long-running task is at work. */
+  private static final long STARTUP_MILLIS = 300;
+
   /** Maximum number of completions in one reply. */
   private static final int MAX_COMPLETIONS = 500;
 
@@ -126,6 +129,15 @@
     return running(task) > 0;
   }
 
+  /** Returns whether a long-running task is at work at a worker that is up. */
+  boolean isAtWork(TaskId task) {
+    return models.values().stream()
+        .anyMatch(
+            model ->
+                model.runs.keySet().stream()
+                    .anyMatch(run -> run.task().equals(task) && model.isAtWork(run)));
+  }
+
   /** Returns the processor time that all runs have reserved. */
   long reservedCpu() {
     long sum = 0;
@@ -311,6 +323,11 @@
           });
     }
 
+    /** Ends all runs, as its machine is switched off. */
+    void endAllRuns() {
+      runs.clear();
+    }
+
     /** Ends the runs of a job. */
     void endRunsOf(String job, CompletionKind kind) {
       for (RunId run : List.copyOf(runs.keySet())) {
@@ -393,17 +410,28 @@
       }
       completions.removeIf(completion -> completion.number() <= call.acknowledgedUpTo());
       ImmutableList.Builder<RunReport> running = ImmutableList.builder();
-      runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(since), 0)));
+      runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(run, since), 0)));
       ImmutableList<CompletionReport> listed = reportedCompletions();
       boolean isComplete = listed.size() < MAX_COMPLETIONS;
       return new HoldReply(
           OrderOutcome.ACCEPTED, clock(), bootTimeMillis, running.build(), listed, isComplete);
     }
 
-    private int percent(long since) {
+    private int percent(RunId run, long since) {
+      if (isAtWork(run)) {
+        return 100;
+      }
       return (int) Math.min(99, (time.millis() - since) * 100 / (2 * runMillis));
     }
 
+    /** Returns whether it has a long-running run that has started up. */
+    private boolean isAtWork(RunId run) {
+      Step step = step(run.task());
+      Long since = runs.get(run);
+      boolean isStartedUp = since != null && time.millis() - since >= STARTUP_MILLIS;
+      return isStartedUp && step != null && step.longRunning();
+    }
+
     /** Returns the completions to report; the others follow when these are acknowledged. */
     private ImmutableList<CompletionReport> reportedCompletions() {
       return ImmutableList.copyOf(
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -145,12 +145,12 @@
             runner,
             candidates,
             new CapacityReserver(
-                workers, candidates, reservations, forecast, runner::stop, this::queue, log),
+                workers, candidates, reservations, forecast, runner::tryStop, this::queue, log),
             reservations,
             new InterferenceAwarePlacement(interference),
             clock,
             this::queue);
-    this.paceController = new PaceController(token, port, runner::stop, interference, log);
+    this.paceController = new PaceController(token, port, runner::tryStop, interference, log);
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController = new DrainController(settings, runner, estimator, clock);
     this.pendingTaskReporter =
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainController.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainController.java
@@ -8,6 +8,12 @@
   /** Part of the remaining time that is reserved for the stop itself. */
   private static final long STOP_MARGIN_MILLIS = 300;
 
+  /**
+   * Remaining time in which no further report of the worker is expected, so that its runs are
+   * stopped however many tasks are unavailable, in milliseconds.
+   */
+  private static final long LAST_REPORT_MILLIS = 1_500;
+
   private final CellSettings settings;
   private final TaskRunner runner;
   private final RunTimeEstimator estimator;
@@ -27,17 +33,26 @@
       return;
     }
     for (Run run : worker.runs()) {
-      if (run.state() == Run.State.RUNNING && !completesInTime(run, worker)) {
+      if (run.state() != Run.State.RUNNING || completesInTime(run, worker)) {
+        continue;
+      }
+      if (millisForStop(worker) <= LAST_REPORT_MILLIS) {
         runner.stop(run, "its worker leaves");
+      } else {
+        runner.tryStop(run, "its worker leaves");
       }
     }
   }
 
+  /** Returns the time in which a stop can still be ordered, in milliseconds. */
+  private long millisForStop(Worker worker) {
+    return worker.entry().remainingMillis() - settings.stopMillis() - STOP_MARGIN_MILLIS;
+  }
+
   private boolean completesInTime(Run run, Worker worker) {
     if (run.step().longRunning()) {
       return false;
     }
-    long left = worker.entry().remainingMillis() - settings.stopMillis() - STOP_MARGIN_MILLIS;
-    return estimator.remainingMillis(run, clock.monotonicMillis()) <= left;
+    return estimator.remainingMillis(run, clock.monotonicMillis()) <= millisForStop(worker);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceController.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceController.java
@@ -1,6 +1,6 @@
 package org.hemlockpick.cell;
 
-import java.util.function.BiConsumer;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 
@@ -35,8 +35,8 @@
   private final long token;
   private final WorkerPort port;
 
-  /** Stops a run for a given reason. */
-  private final BiConsumer<Run, String> stop;
+  /** Stops a run for a given reason, unless too many tasks of its step are unavailable. */
+  private final BiPredicate<Run, String> tryStop;
 
   private final InterferenceModel interference;
   private final DecisionLog log;
@@ -44,12 +44,12 @@
   PaceController(
       long token,
       WorkerPort port,
-      BiConsumer<Run, String> stop,
+      BiPredicate<Run, String> tryStop,
       InterferenceModel interference,
       DecisionLog log) {
     this.token = token;
     this.port = port;
-    this.stop = stop;
+    this.tryStop = tryStop;
     this.interference = interference;
     this.log = log;
   }
@@ -97,8 +97,10 @@
       return;
     }
     boolean isCheapToMove = run.step().checkpoints() || run.progressPercent() < MAX_LOST_PERCENT;
-    if (isCheapToMove && (tailRatio >= FORCED_MOVE_TAIL_RATIO || isPlaceable.test(run.task()))) {
-      stop.accept(run, "harms serving tasks, worst at " + percent(tailRatio) + "% of its target");
+    boolean isMoved =
+        isCheapToMove && (tailRatio >= FORCED_MOVE_TAIL_RATIO || isPlaceable.test(run.task()));
+    String reason = "harms serving tasks, worst at " + percent(tailRatio) + "% of its target";
+    if (isMoved && tryStop.test(run, reason)) {
       return;
     }
     setPace(run, tailRatio >= NEAR_TARGET_RATIO ? 0 : HALF_PERCENT, tailRatio);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.cell;
 
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -280,6 +281,19 @@
     sendStop(run);
   }
 
+  /**
+   * Stops a run so that its task runs elsewhere or its capacity becomes free, unless too many tasks
+   * of its step are unavailable; returns whether it is stopped.
+   */
+  @CanIgnoreReturnValue
+  boolean tryStop(Run run, String reason) {
+    if (!DisruptionBudget.allowsStop(run)) {
+      return false;
+    }
+    stop(run, reason);
+    return true;
+  }
+
   private void sendStop(Run run) {
     long now = clock.monotonicMillis();
     if (!journal.allowsOrders(now) || now - run.stopSentAt() < STOP_RETRY_MILLIS) {
