Let the holder's processor time follow the work, not the number of workers

In the process, a tick with loops over all workers and runs followed each batch of answers.

- WorkerRuns keeps the totals of a worker's runs as they come and go.
- SchedulableWorkers are selected once for a planning pass.
- At most one planning pass in 10 ms, one tick in 5 ms, and one look for runs to stop in 50 ms.
Actions still run at once.
- A call to hold that acknowledges completions waits for the next one, so that a completion costs one call instead of two.
- Calls awaited are kept by identity, not searched in a list.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellLoop.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellLoop.java
@@ -10,14 +10,20 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Runs actions and ticks on one thread: a tick follows each batch of actions and runs at least
- * every {@value #MAX_TICK_INTERVAL_MILLIS} ms.
+ * Runs actions and ticks on one thread. Actions run at once. A tick follows them within {@value
+ * #MIN_TICK_INTERVAL_MILLIS} ms, and runs at least every {@value #MAX_TICK_INTERVAL_MILLIS} ms.
  */
 public final class CellLoop implements Executor, AutoCloseable {
   static final long MAX_TICK_INTERVAL_MILLIS = 20;
 
+  /**
+   * Minimum time between ticks: at thousands of actions a second, a tick after each would take most
+   * of the processor's time.
+   */
+  static final long MIN_TICK_INTERVAL_MILLIS = 5;
+
   private static final Logger log = Logger.getLogger(CellLoop.class);
-  private static final int MAX_ACTIONS_PER_TICK = 256;
+  private static final int MAX_ACTIONS_PER_BATCH = 256;
   private static final long MAX_TICK_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final BlockingQueue<Runnable> actions = new LinkedBlockingQueue<>();
@@ -61,20 +67,36 @@
   }
 
   private void run() {
-    List<Runnable> batch = new ArrayList<>();
+    boolean hasActed = false;
     while (!closed) {
-      batch.clear();
-      Runnable first = poll();
-      if (first != null) {
-        batch.add(first);
-        actions.drainTo(batch, MAX_ACTIONS_PER_TICK - 1);
+      hasActed |= runActions(nanosUntilTick(hasActed));
+      if (nanosUntilTick(hasActed) <= 0) {
+        runSafely(tick);
+        lastTickNanos = System.nanoTime();
+        hasActed = false;
       }
-      batch.forEach(CellLoop::runSafely);
-      runSafely(tick);
-      lastTickNanos = System.nanoTime();
     }
   }
 
+  /** Returns the time until the next tick, which is sooner once an action has run. */
+  private long nanosUntilTick(boolean hasActed) {
+    long interval = hasActed ? MIN_TICK_INTERVAL_MILLIS : MAX_TICK_INTERVAL_MILLIS;
+    return TimeUnit.MILLISECONDS.toNanos(interval) - (System.nanoTime() - lastTickNanos);
+  }
+
+  /** Runs a batch of actions; returns whether there was one within a time. */
+  private boolean runActions(long waitNanos) {
+    Runnable first = poll(waitNanos);
+    if (first == null) {
+      return false;
+    }
+    List<Runnable> batch = new ArrayList<>();
+    batch.add(first);
+    actions.drainTo(batch, MAX_ACTIONS_PER_BATCH - 1);
+    batch.forEach(CellLoop::runSafely);
+    return true;
+  }
+
   /** Logs the failure of an action, which must not stop the scheduling of all others. */
   private static void runSafely(Runnable action) {
     try {
@@ -84,9 +106,9 @@
     }
   }
 
-  private @Nullable Runnable poll() {
+  private @Nullable Runnable poll(long waitNanos) {
     try {
-      return actions.poll(MAX_TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+      return actions.poll(Math.max(0, waitNanos), TimeUnit.NANOSECONDS);
     } catch (InterruptedException e) {
       return null;
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/AdaptiveWindow.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/AdaptiveWindow.java
@@ -1,7 +1,8 @@
 package org.hemlockpick.cell;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.Set;
 
 /**
  * A window that adapts to the answers that arrive in time: it grows while it is full and most
@@ -31,7 +32,9 @@
   /** Time by which answers may be reordered, in milliseconds. */
   private static final long REORDERING_MILLIS = 100;
 
-  private final List<Call> inFlight = new ArrayList<>();
+  /** Calls in flight, by identity: two calls with the same times are distinct. */
+  private final Set<Call> inFlight = Collections.newSetFromMap(new IdentityHashMap<>());
+
   private int size = INITIAL_SIZE;
   private boolean isHalved;
   private boolean wasFull;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -20,16 +20,23 @@
     this.reservations = reservations;
   }
 
+  /** Returns the workers that may be assigned tasks now. */
+  SchedulableWorkers schedulable(long now) {
+    return new SchedulableWorkers(workers.all(), now);
+  }
+
   /** Returns the workers that are eligible for a task and have enough free capacity. */
-  List<Worker> of(Task task, Queue queue, long now) {
+  List<Worker> of(Task task, Queue queue, SchedulableWorkers schedulable) {
+    long now = schedulable.nowMillis();
+    List<Worker> suitable = schedulable.of(queue.service());
     List<Worker> candidates = new ArrayList<>();
-    boolean mayBePaused = mayBePaused(task, queue, now);
-    for (Worker worker : workers.all()) {
-      if (ineligibleReason(task, queue, worker, now, mayBePaused) == null) {
+    boolean mayBePaused = task.failures() == 0 && areAllPaused(task, suitable, now);
+    for (Worker worker : suitable) {
+      if (hasLabel(task, worker) && loadReason(task, worker, now, mayBePaused) == null) {
         candidates.add(worker);
       }
     }
-    if (isLastAttempt(task, queue) && waitsForHealthy(task, queue, now)) {
+    if (isLastAttempt(task, queue) && waitsForHealthy(task, suitable, now)) {
       candidates.removeIf(worker -> worker.health().hasLastRunFailed());
     }
     return candidates;
@@ -47,7 +54,7 @@
    * not failed yet need not wait for the pauses to end.
    */
   boolean mayBePaused(Task task, Queue queue, long now) {
-    return task.failures() == 0 && areAllPaused(task, queue, now);
+    return task.failures() == 0 && areAllPaused(task, schedulable(now).of(queue.service()), now);
   }
 
   /**
@@ -58,9 +65,12 @@
   @Nullable IneligibleReason ineligibleReason(
       Task task, Queue queue, Worker worker, long now, boolean mayBePaused) {
     IneligibleReason unsuitable = unsuitableReason(task, queue, worker, now);
-    if (unsuitable != null) {
-      return unsuitable;
-    }
+    return unsuitable != null ? unsuitable : loadReason(task, worker, now, mayBePaused);
+  }
+
+  /** Returns why what runs or ran on a suitable worker rules it out; null if it does not. */
+  private @Nullable IneligibleReason loadReason(
+      Task task, Worker worker, long now, boolean mayBePaused) {
     if (!task.step().step().reserved().fitsInto(worker.free())) {
       return IneligibleReason.NO_CAPACITY;
     }
@@ -97,9 +107,12 @@
     if (!worker.entry().service().equals(queue.service())) {
       return IneligibleReason.OTHER_SERVICE;
     }
+    return hasLabel(task, worker) ? null : IneligibleReason.OTHER_LABEL;
+  }
+
+  private static boolean hasLabel(Task task, Worker worker) {
     String label = task.step().step().requiredLabel();
-    boolean hasLabel = label == null || worker.entry().labels().contains(label);
-    return hasLabel ? null : IneligibleReason.OTHER_LABEL;
+    return label == null || worker.entry().labels().contains(label);
   }
 
   /**
@@ -118,23 +131,22 @@
    * Returns whether a last attempt has to wait for a suitable worker whose newest run has not
    * failed.
    */
-  private boolean waitsForHealthy(Task task, Queue queue, long now) {
+  private static boolean waitsForHealthy(Task task, List<Worker> schedulable, long now) {
     if (now >= task.notBefore() + LAST_ATTEMPT_WAIT_MILLIS) {
       return false;
     }
-    for (Worker worker : workers.all()) {
-      if (!worker.health().hasLastRunFailed()
-          && unsuitableReason(task, queue, worker, now) == null) {
+    for (Worker worker : schedulable) {
+      if (!worker.health().hasLastRunFailed() && hasLabel(task, worker)) {
         return true;
       }
     }
     return false;
   }
 
-  private boolean areAllPaused(Task task, Queue queue, long now) {
+  private static boolean areAllPaused(Task task, List<Worker> schedulable, long now) {
     boolean isAnySuitable = false;
-    for (Worker worker : workers.all()) {
-      if (unsuitableReason(task, queue, worker, now) == null) {
+    for (Worker worker : schedulable) {
+      if (hasLabel(task, worker)) {
         if (!worker.health().isPaused(now)) {
           return false;
         }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -17,7 +17,15 @@
  * {@link TakeoverTracker}.
  */
 final class CellHolder {
+  /** Maximum interval between planning passes, in milliseconds. */
   private static final long PLAN_INTERVAL_MILLIS = 100;
+
+  /**
+   * Minimum interval between planning passes, in milliseconds: each looks at all open jobs, so that
+   * one pass for each report would take all of the processor's time.
+   */
+  private static final long MIN_PLAN_INTERVAL_MILLIS = 10;
+
   private static final long LOAD_REPORT_INTERVAL_MILLIS = 2_000;
 
   /** Number of attempt numbers per task that each generation of the holder may use. */
@@ -53,7 +61,7 @@
 
   private boolean ended;
   private boolean releasing;
-  private long nextPlanAt;
+  private long lastPlanAt = Long.MIN_VALUE / 2;
   private long nextLoadReportAt;
   private boolean changedSincePlan = true;
 
@@ -141,7 +149,6 @@
     this.planner =
         new Planner(
             ready,
-            workers,
             runner,
             candidates,
             new CapacityReserver(
@@ -239,9 +246,9 @@
       return;
     }
     runner.run(workers.all());
-    if (!releasing && journal.mayGrantLeases(now) && (changedSincePlan || now >= nextPlanAt)) {
+    if (!releasing && journal.mayGrantLeases(now) && isPlanDue(now)) {
       changedSincePlan = false;
-      nextPlanAt = now + PLAN_INTERVAL_MILLIS;
+      lastPlanAt = now;
       planner.run();
     }
     if (now >= nextLoadReportAt) {
@@ -252,6 +259,11 @@
     learnedState.run(now);
   }
 
+  private boolean isPlanDue(long now) {
+    long interval = changedSincePlan ? MIN_PLAN_INTERVAL_MILLIS : PLAN_INTERVAL_MILLIS;
+    return now - lastPlanAt >= interval;
+  }
+
   private void onPlacementsStored() {
     takeoverTracker.setPlacementsStored();
     workerList.requestRosterWrite();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceAwarePlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceAwarePlacement.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.cell;
 
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -98,14 +99,9 @@
    * with few fillers.
    */
   private long servingScore(Step step, Worker worker) {
-    boolean hasSameImage = false;
-    boolean hasOtherImage = false;
-    for (Run run : worker.runs()) {
-      if (run.step().isServing()) {
-        hasSameImage |= run.step().image().equals(step.image());
-        hasOtherImage |= !run.step().image().equals(step.image());
-      }
-    }
+    Set<String> images = worker.servingImages();
+    boolean hasSameImage = images.contains(step.image());
+    boolean hasOtherImage = images.size() > (hasSameImage ? 1 : 0);
     if (hasSameImage) {
       return (hasOtherImage ? KIND_BONUS_MILLICORES : 2 * KIND_BONUS_MILLICORES) - worker.freeCpu();
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceModel.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceModel.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import org.hemlockpick.proto.HarmEntry;
 import org.hemlockpick.proto.LearnedRecord;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Learns which fillers harm which serving tasks, by the images of both.
@@ -69,10 +68,8 @@
   /** Returns the highest probability that a filler harms a serving task of a worker. */
   double maxHarmProbability(Worker worker, String filler) {
     double max = 0;
-    for (Run run : worker.runs()) {
-      if (run.step().isServing()) {
-        max = Math.max(max, harmProbability(run.step().image(), filler));
-      }
+    for (String serving : worker.servingImages()) {
+      max = Math.max(max, harmProbability(serving, filler));
     }
     return max;
   }
@@ -118,21 +115,10 @@
 
   /** Returns the highest tail latency of a serving task on a worker, relative to its target. */
   static double worstTailRatio(Worker worker) {
-    Run worst = worstServingRun(worker);
+    Run worst = worker.worstServingRun();
     return worst == null ? 0 : tailRatio(worst);
   }
 
-  /** Returns the serving task on a worker with the highest tail latency; null if there is none. */
-  static @Nullable Run worstServingRun(Worker worker) {
-    Run worst = null;
-    for (Run run : worker.runs()) {
-      if (run.step().isServing() && (worst == null || tailRatio(run) > tailRatio(worst))) {
-        worst = run;
-      }
-    }
-    return worst;
-  }
-
   /** Returns whether the tail latency of a serving task has grown since the previous report. */
   static boolean isTailGrowing(Run run) {
     return run.gauge() > run.previousGauge() * GROWTH_FACTOR;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceController.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceController.java
@@ -61,7 +61,7 @@
    */
   void onReport(Worker worker, Predicate<Task> isPlaceable) {
     interference.learn(worker);
-    Run worst = InterferenceModel.worstServingRun(worker);
+    Run worst = worker.worstServingRun();
     double tailRatio = worst == null ? 0 : InterferenceModel.tailRatio(worst);
     boolean isGrowing =
         worst != null && tailRatio >= HIGH_TAIL_RATIO && InterferenceModel.isTailGrowing(worst);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
@@ -95,7 +95,7 @@
       }
     }
     overdue.sort(Map.Entry.comparingByValue(Comparator.naturalOrder()));
-    ShortTaskPool shortTaskPool = new ShortTaskPool(workers.all(), now);
+    ShortTaskPool shortTaskPool = new ShortTaskPool(candidates.schedulable(now));
     for (Map.Entry<Task, Long> entry : overdue.subList(0, Math.min(MAX_LINES, overdue.size()))) {
       report(entry.getKey(), now - entry.getValue(), shortTaskPool, now);
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -15,7 +15,6 @@
   private static final int MAX_STARTS_PER_PASS = 150;
 
   private final ReadyQueue readyQueue;
-  private final WorkerTable workers;
   private final TaskRunner runner;
   private final Candidates candidates;
   private final CapacityReserver reserver;
@@ -28,7 +27,6 @@
 
   Planner(
       ReadyQueue readyQueue,
-      WorkerTable workers,
       TaskRunner runner,
       Candidates candidates,
       CapacityReserver reserver,
@@ -37,7 +35,6 @@
       LoopClock clock,
       Function<Job, @Nullable Queue> queues) {
     this.readyQueue = readyQueue;
-    this.workers = workers;
     this.runner = runner;
     this.candidates = candidates;
     this.reserver = reserver;
@@ -60,7 +57,8 @@
     if (queue == null) {
       return false;
     }
-    List<Worker> eligible = candidates.of(task, queue, clock.monotonicMillis());
+    List<Worker> eligible =
+        candidates.of(task, queue, candidates.schedulable(clock.monotonicMillis()));
     Run run = task.run();
     eligible.removeIf(worker -> run != null && worker == run.worker());
     return placement.choose(task, eligible) != null;
@@ -69,6 +67,7 @@
   /** One pass over all ready tasks. */
   private final class Pass {
     private final long now;
+    private final SchedulableWorkers schedulable;
     private final ShortTaskPool shortTaskPool;
 
     /** Shapes of which a task fitted on no worker. */
@@ -81,7 +80,8 @@
 
     Pass(long now) {
       this.now = now;
-      this.shortTaskPool = new ShortTaskPool(workers.all(), now);
+      this.schedulable = candidates.schedulable(now);
+      this.shortTaskPool = new ShortTaskPool(schedulable);
     }
 
     void place(List<ReadyTasks> ready) {
@@ -118,7 +118,7 @@
     }
 
     private @Nullable Worker choose(Task task, Queue queue) {
-      List<Worker> eligible = candidates.of(task, queue, now);
+      List<Worker> eligible = candidates.of(task, queue, schedulable);
       if (task.step().step().longRunning() && !task.mayHaveStarted()) {
         eligible = shortTaskPool.exclude(eligible, queue.service());
       }
@@ -180,7 +180,7 @@
       List<Worker> chosen = new ArrayList<>();
       List<Run> trials = new ArrayList<>();
       for (Task task : gang.tasks()) {
-        Worker worker = placement.choose(task, candidates.of(task, gang.queue(), now));
+        Worker worker = placement.choose(task, candidates.of(task, gang.queue(), schedulable));
         if (worker == null) {
           break;
         }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -137,6 +137,7 @@
     }
     previousGauge = gauge;
     gauge = report.gauge();
+    worker.onReported(this);
     if (task.run() == this) {
       task.setCheckpoint(attempt(), report.checkpoint());
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ShortTaskPool.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ShortTaskPool.java
@@ -1,14 +1,10 @@
 package org.hemlockpick.cell;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * Keeps some workers of each service free of long-running tasks: short tasks find free capacity
@@ -24,38 +20,26 @@
    */
   private static final int ROUND_UP_FROM_PERCENT = 75;
 
-  private final Iterable<Worker> workers;
-  private final long nowMillis;
+  private final SchedulableWorkers schedulable;
   private boolean selected;
   private final Set<Worker> pool = new HashSet<>();
-  private final Map<String, List<Worker>> services = new TreeMap<>();
 
   /**
-   * Creates a pool of the workers that are schedulable at the given time. They are selected on
-   * first use, because most planning passes have no long-running task.
+   * Creates a pool of schedulable workers. They are selected on first use, because most planning
+   * passes have no long-running task.
    */
-  ShortTaskPool(Iterable<Worker> workers, long nowMillis) {
-    this.workers = workers;
-    this.nowMillis = nowMillis;
+  ShortTaskPool(SchedulableWorkers schedulable) {
+    this.schedulable = schedulable;
   }
 
   /** Selects by a hash, so that the selection hardly changes when workers come and go. */
   private void select() {
     selected = true;
-    for (Worker worker : workers) {
-      if (worker.isSchedulable(nowMillis)) {
-        String service = worker.entry().service();
-        services.computeIfAbsent(service, key -> new ArrayList<>()).add(worker);
-      }
+    for (List<Worker> all : schedulable.byService()) {
+      List<Worker> sorted = new ArrayList<>(all);
+      sorted.sort(Comparator.comparing(Worker::idHash));
+      pool.addAll(sorted.subList(0, poolSize(sorted.size())));
     }
-    for (List<Worker> all : services.values()) {
-      all.sort(Comparator.comparing(ShortTaskPool::hash));
-      pool.addAll(all.subList(0, poolSize(all.size())));
-    }
-  }
-
-  private static int hash(Worker worker) {
-    return Hashing.murmur3_32_fixed().hashString(worker.id(), StandardCharsets.UTF_8).asInt();
   }
 
   private static int poolSize(int workers) {
@@ -87,7 +71,7 @@
   private boolean isHalfFree(String service) {
     long capacity = 0;
     long free = 0;
-    for (Worker worker : services.getOrDefault(service, List.of())) {
+    for (Worker worker : schedulable.of(service)) {
       capacity += worker.entry().capacity().cpuMillis();
       free += worker.free().cpuMillis();
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -28,6 +28,10 @@
   private static final int MAX_START_ORDERS = 3;
 
   private static final long STOP_RETRY_MILLIS = 400;
+
+  /** Interval between two looks for runs that have to be stopped, in milliseconds. */
+  private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
+
   private static final long NO_CAPACITY_BACKOFF_MILLIS = 250;
   private static final long UNHEALTHY_BACKOFF_MILLIS = 1_000;
   private static final long MALFORMED_BACKOFF_MILLIS = 2_000;
@@ -49,6 +53,9 @@
   private final DecisionLog log;
   private final Context context;
 
+  /** Time on the monotonic clock of the next look for runs that have to be stopped. */
+  private long nextStopCheckAt = Long.MIN_VALUE;
+
   /** Provides what the runner needs from the holder. */
   interface Context {
     /** Returns the maximum number of failed runs of a task of a job. */
@@ -346,17 +353,27 @@
 
   /** Retries unanswered stop orders and stops the runs of finished tasks and jobs. */
   void run(Iterable<Worker> workers) {
+    long now = clock.monotonicMillis();
+    if (now < nextStopCheckAt) {
+      return;
+    }
+    nextStopCheckAt = now + STOP_CHECK_INTERVAL_MILLIS;
+    List<Run> toStop = new ArrayList<>();
     for (Worker worker : workers) {
-      for (Run run : new ArrayList<>(worker.runs())) {
-        if (run.state() == Run.State.STOPPING) {
-          if (run.reportableSince() == Long.MAX_VALUE) {
-            sendStop(run);
-          }
-        } else if (run.task().job().state().isFinal() || run.task().isDone()) {
-          stop(run, "its job or task has ended");
+      for (Run run : worker.runs()) {
+        if (needsStopOrder(run)) {
+          toStop.add(run);
         }
       }
     }
+    toStop.forEach(run -> stop(run, "its job or task has ended"));
+  }
+
+  private static boolean needsStopOrder(Run run) {
+    if (run.state() == Run.State.STOPPING) {
+      return run.reportableSince() == Long.MAX_VALUE;
+    }
+    return run.task().job().state().isFinal() || run.task().isDone();
   }
 
   /**
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -1,8 +1,9 @@
 package org.hemlockpick.cell;
 
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
@@ -35,8 +36,13 @@
    */
   private static final int FAILURES_UNTIL_UNREACHABLE = 3;
 
-  private final Map<RunId, Run> runs = new LinkedHashMap<>();
+  private final WorkerRuns runs = new WorkerRuns();
+  private final int idHash;
   private WorkerEntry entry;
+
+  /** Capacity that no run has reserved. */
+  private ResourceAmounts free;
+
   private boolean listed = true;
   private boolean tokenAcknowledged;
   private boolean fullyReported;
@@ -93,19 +99,24 @@
   private long lastOrderAt = NEVER;
   private int holdFailures;
 
-  private ResourceAmounts reserved = ResourceAmounts.NONE;
-  private long fillerCpu;
   private long backoffUntil = Long.MIN_VALUE;
   private final WorkerHealth health = new WorkerHealth();
 
   Worker(WorkerEntry entry) {
     this.entry = entry;
+    this.idHash = Hashing.murmur3_32_fixed().hashString(entry.id(), StandardCharsets.UTF_8).asInt();
+    this.free = entry.capacity();
   }
 
   String id() {
     return entry.id();
   }
 
+  /** Returns a hash of its identifier, which is the same at all entry instances. */
+  int idHash() {
+    return idHash;
+  }
+
   WorkerEntry entry() {
     return entry;
   }
@@ -118,6 +129,7 @@
   void update(WorkerEntry newer) {
     entry = newer;
     listed = true;
+    updateFree();
   }
 
   /** Sets the time at which its boot started. */
@@ -516,52 +528,65 @@
   }
 
   Collection<Run> runs() {
-    return runs.values();
+    return runs.all();
   }
 
   Optional<Run> run(RunId name) {
-    return Optional.ofNullable(runs.get(name));
+    return runs.find(name);
   }
 
   void add(Run run) {
-    runs.put(run.id(), run);
-    reserved = reserved.plus(run.step().reserved());
-    fillerCpu += run.step().filler() ? run.step().demand().cpuMillis() : 0;
+    runs.add(run);
+    updateFree();
   }
 
   void remove(Run run) {
-    if (runs.remove(run.id()) == null) {
+    if (!runs.remove(run)) {
       return;
     }
     if (runs.isEmpty()) {
       extendedAt = NEVER;
     }
-    reserved = reserved.minus(run.step().reserved());
-    fillerCpu -= run.step().filler() ? run.step().demand().cpuMillis() : 0;
+    updateFree();
+  }
+
+  private void updateFree() {
+    free = entry.capacity().minus(runs.reserved());
+  }
+
+  /** Records that a run was reported. */
+  void onReported(Run run) {
+    runs.onReported(run);
   }
 
   /** Returns the capacity that no run has reserved. */
   ResourceAmounts free() {
-    return entry.capacity().minus(reserved);
+    return free;
   }
 
   /** Returns the CPU that is neither reserved nor demanded by fillers, in millicores. */
   long freeCpu() {
-    return entry.capacity().cpuMillis() - reserved.cpuMillis() - fillerCpu;
+    return free.cpuMillis() - runs.fillerCpu();
   }
 
   /** Returns the CPU demand of its fillers, in millicores. */
   long fillerCpu() {
-    return fillerCpu;
+    return runs.fillerCpu();
   }
 
   /** Returns the CPU reserved by its serving tasks, in millicores. */
   long servingCpu() {
-    long sum = 0;
-    for (Run run : runs.values()) {
-      sum += run.step().isServing() ? run.step().demand().cpuMillis() : 0;
-    }
-    return sum;
+    return runs.servingCpu();
+  }
+
+  /** Returns the images of its serving tasks. */
+  Set<String> servingImages() {
+    return runs.servingImages();
+  }
+
+  /** Returns its serving task with the highest tail latency; null if it has none. */
+  @Nullable Run worstServingRun() {
+    return runs.worstServing();
   }
 
   /** Rejects new tasks until a time on the monotonic clock. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
@@ -196,7 +196,6 @@
             || worker.isUnresponsive()
             || worker.isStoredAsUnreachable()
             || worker.recordedCompletion() < worker.lastCompletion()
-            || worker.isAcknowledgementDue()
             || worker.hasUnknownRuns()
             || hasUnprovenStop(worker);
     if (answersAtOnce) {
