--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LeaseExtensionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LeaseExtensionTest.java
@@ -24,6 +24,7 @@
   private static final long MAX_RESTART_DELAY_MILLIS = 1_500;
 
   private static final long MAX_WAIT_MILLIS = 20_000;
+  private static final int SERIAL_JOBS = 40;
 
   /**
    * Longer than a lease, and shorter than the time for which a holder continues without the store.
@@ -53,6 +54,31 @@
     assertEquals(List.of(), world.workers.violations);
   }
 
+  /**
+   * Guards against a call for each acknowledgement besides the one that brings the completion: a
+   * holder of hundreds of workers spends most of its processor time on calls.
+   */
+  @Test
+  void aCompletionCostsOneCall() {
+    CellWorld world = new CellWorld(20261204, 1, 1);
+    world.workers.runMillis = 300;
+    world.workers.runMillisByJob.put("l", 600_000L);
+    world.time.runFor(SETTLE_MILLIS);
+    world.submit(0, "l", longRunningOnePerWorker(1));
+    world.time.runFor(2_000);
+    int before = world.workers.get("w0").holdCalls;
+    for (int i = 0; i < SERIAL_JOBS; i++) {
+      world.submit(0, "j" + i, CellWorld.step(1));
+      world.time.runFor(500);
+    }
+    int calls = world.workers.get("w0").holdCalls - before;
+    assertEquals(1 + SERIAL_JOBS, world.workers.starts.size());
+    // A few more, as one ends without a completion after a second.
+    assertTrue(calls <= SERIAL_JOBS * 5 / 4, () -> calls + " calls");
+    world.time.runFor(2_000);
+    assertEquals(0, world.workers.get("w0").unacknowledgedCompletions());
+  }
+
   private static CellWorld takeoverBySmallMachine(
       int workers, long connectMicros, long replyMicros) {
     CellWorld world = new CellWorld(20261204, 2, workers);
