End the process when its loop ends on an error

An Error in one action ended the loop's thread, and the process lived on: it answered no call that it had accepted, callers waited until their deadline, and no new process took its place.

Tests: CellLoopTest#aFailedActionDoesNotEndTheLoop, #anErrorThatEndsTheLoopIsReported (neither could pass before).

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellLoop.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 
@@ -28,6 +29,7 @@
 
   private final BlockingQueue<Runnable> actions = new LinkedBlockingQueue<>();
   private final Runnable tick;
+  private final Consumer<Error> onFatal;
   private final Thread thread;
   private volatile boolean closed;
   private volatile long lastTickNanos = System.nanoTime();
@@ -37,9 +39,12 @@
    *
    * @param name name of the thread
    * @param tick runs after each batch of actions
+   * @param onFatal receives the error that ended the loop: nothing is answered any more, so the
+   *     process should end
    */
-  public CellLoop(String name, Runnable tick) {
+  public CellLoop(String name, Runnable tick, Consumer<Error> onFatal) {
     this.tick = tick;
+    this.onFatal = onFatal;
     this.thread = new Thread(this::run, "loop-" + name);
   }
 
@@ -67,6 +72,15 @@
   }
 
   private void run() {
+    try {
+      runUntilClosed();
+    } catch (Error e) {
+      log.error(Messages.LOOP_FAILED, e);
+      onFatal.accept(e);
+    }
+  }
+
+  private void runUntilClosed() {
     boolean hasActed = false;
     while (!closed) {
       hasActed |= runActions(nanosUntilTick(hasActed));
@@ -97,11 +111,14 @@
     return true;
   }
 
-  /** Logs the failure of an action, which must not stop the scheduling of all others. */
+  /**
+   * Logs the failure of an action, which must not stop the scheduling of all others. A message that
+   * is nested too deeply may overflow the stack.
+   */
   private static void runSafely(Runnable action) {
     try {
       action.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
       log.error(Messages.ACTION_FAILED, e);
     }
   }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -48,6 +48,7 @@
   static final String FIELD_MISSING = "is missing";
   static final String FIELD_UNKNOWN = "is unknown";
   static final String ACTION_FAILED = "an action of the loop failed";
+  static final String LOOP_FAILED = "the loop ends on an error";
   static final String TICK_FAILED = "the loop stops: a tick failed on inputs {0}";
   static final String OUTPUT_FAILED = "an output of kind {0} could not be performed";
 
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellLoopTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellLoopTest.java
@@ -1,7 +1,10 @@
 package org.hemlockpick.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -15,12 +18,13 @@
   private static final long PAUSE_NANOS = 100_000;
 
   private final AtomicInteger ticks = new AtomicInteger();
+  private final CompletableFuture<Error> fatal = new CompletableFuture<>();
 
   /** Guards against a tick for each of thousands of replies a second. */
   @Test
   void aStreamOfActionsCausesNoTickForEach() throws Exception {
     CountDownLatch done = new CountDownLatch(ACTIONS);
-    try (CellLoop loop = new CellLoop("test", ticks::incrementAndGet)) {
+    try (CellLoop loop = new CellLoop("test", ticks::incrementAndGet, fatal::complete)) {
       long startedAt = System.nanoTime();
       loop.start();
       for (int i = 0; i < ACTIONS; i++) {
@@ -41,7 +45,7 @@
     AtomicInteger acted = new AtomicInteger();
     AtomicInteger mostBetweenTicks = new AtomicInteger();
     Runnable tick = () -> mostBetweenTicks.accumulateAndGet(acted.getAndSet(0), Math::max);
-    try (CellLoop loop = new CellLoop("test", tick)) {
+    try (CellLoop loop = new CellLoop("test", tick, fatal::complete)) {
       loop.start();
       for (int i = 0; i < ACTIONS; i++) {
         loop.execute(
@@ -59,9 +63,44 @@
   @Test
   void anIdleLoopTicks() throws Exception {
     CountDownLatch ticked = new CountDownLatch(5);
-    try (CellLoop loop = new CellLoop("test", ticked::countDown)) {
+    try (CellLoop loop = new CellLoop("test", ticked::countDown, fatal::complete)) {
       loop.start();
       assertTrue(ticked.await(20, TimeUnit.SECONDS));
     }
   }
+
+  /** One bad message must not end the process. */
+  @Test
+  void aFailedActionDoesNotEndTheLoop() throws Exception {
+    CountDownLatch done = new CountDownLatch(1);
+    try (CellLoop loop = new CellLoop("test", () -> {}, fatal::complete)) {
+      loop.start();
+      loop.execute(
+          () -> {
+            throw new IllegalStateException("bad message");
+          });
+      loop.execute(
+          () -> {
+            throw new StackOverflowError("nested too deeply");
+          });
+      loop.execute(done::countDown);
+      assertTrue(done.await(20, TimeUnit.SECONDS));
+      assertTrue(loop.isResponsive());
+    }
+    assertFalse(fatal.isDone());
+  }
+
+  /** Guards against a process that lives on without its loop and answers nobody. */
+  @Test
+  void anErrorThatEndsTheLoopIsReported() throws Exception {
+    OutOfMemoryError error = new OutOfMemoryError("test");
+    try (CellLoop loop = new CellLoop("test", () -> {}, fatal::complete)) {
+      loop.start();
+      loop.execute(
+          () -> {
+            throw error;
+          });
+      assertSame(error, fatal.get(20, TimeUnit.SECONDS));
+    }
+  }
 }
