--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFuzzTest.java
@@ -14,10 +14,21 @@
   private static final int STEPS = 25;
   private static final long MAX_PAUSE_MILLIS = 2_500;
   private static final long RECOVERY_MILLIS = 45_000;
+  private static final long LONG_LEASE_MILLIS = 10_000;
 
   @Property(tries = 60, seed = "20261204")
   void noTaskRunsTwiceAndEveryJobEnds(@ForAll long seed) {
-    CellWorld world = new CellWorld(seed, NODES, WORKERS);
+    play(seed, CellWorld.LEASE_MILLIS);
+  }
+
+  /** The same where a lease outlasts the time for which a holder continues without the store. */
+  @Property(tries = 60, seed = "20261205")
+  void longLeasesHoldThroughFaults(@ForAll long seed) {
+    play(seed, LONG_LEASE_MILLIS);
+  }
+
+  private static void play(long seed, long leaseMillis) {
+    CellWorld world = new CellWorld(seed, NODES, WORKERS, leaseMillis);
     SplittableRandom random = new SplittableRandom(seed);
     world.workers.failureProbability = 0.05;
     world.workers.runMillis = 200L + random.nextInt(4_000);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFuzzTest.java
@@ -17,17 +17,28 @@
   private static final long MAX_PAUSE_MILLIS = 2_000;
   private static final long MAX_FAULT_MILLIS = 9_000;
   private static final long RECOVERY_MILLIS = 40_000;
+  private static final long LONG_LEASE_MILLIS = 10_000;
 
   /** Time after which the clocks of the workers are beyond the length of a lease. */
   private static final long SETTLE_MILLIS = 6_000;
 
   @Property(tries = 60, seed = "20261204")
   void noTaskRunsTwiceAndEveryJobEndsThroughProcessFaults(@ForAll long seed) {
-    CellWorld world = new CellWorld(seed, NODES, WORKERS);
+    play(seed, CellWorld.LEASE_MILLIS, SETTLE_MILLIS);
+  }
+
+  /** The same where a lease outlasts the time for which a holder continues without the store. */
+  @Property(tries = 60, seed = "20261205")
+  void longLeasesHoldThroughProcessFaults(@ForAll long seed) {
+    play(seed, LONG_LEASE_MILLIS, LONG_LEASE_MILLIS + SETTLE_MILLIS);
+  }
+
+  private static void play(long seed, long leaseMillis, long settleMillis) {
+    CellWorld world = new CellWorld(seed, NODES, WORKERS, leaseMillis);
     SplittableRandom random = new SplittableRandom(seed);
     world.workers.failureProbability = 0.02;
     world.workers.runMillis = 100L + random.nextInt(6_000);
-    world.time.runFor(SETTLE_MILLIS);
+    world.time.runFor(settleMillis);
     for (int i = 0; i < STEPS; i++) {
       world.submit(random.nextInt(NODES), "j" + i, steps(random));
       world.time.runFor(random.nextLong(30));
