Let planning passes take a quarter of the holder's time at most

Under a backlog a pass tries every shape of waiting task on every worker.

PlanningSchedule spaces the passes by four times the duration of the last one, between 10 and 100 ms. Ruled out: fewer tasks tried in a pass, as small tasks behind wide ones would starve.

Test: PlanningScheduleTest#longPassesTakeAQuarterOfTheTime.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -17,15 +17,6 @@
  * {@link TakeoverTracker}.
  */
 final class CellHolder {
-  /** Maximum interval between planning passes, in milliseconds. */
-  private static final long PLAN_INTERVAL_MILLIS = 100;
-
-  /**
-   * Minimum interval between planning passes, in milliseconds: each looks at all open jobs, so that
-   * one pass for each report would take all of the processor's time.
-   */
-  private static final long MIN_PLAN_INTERVAL_MILLIS = 10;
-
   private static final long LOAD_REPORT_INTERVAL_MILLIS = 2_000;
 
   /** Number of attempt numbers per task that each generation of the holder may use. */
@@ -54,6 +45,7 @@
   private final TaskRunner runner;
   private final WorkerPoller workerPoller;
   private final Planner planner;
+  private final PlanningSchedule planningSchedule = new PlanningSchedule();
   private final PaceController paceController;
   private final StallDetector stallDetector;
   private final DrainController drainController;
@@ -61,7 +53,6 @@
 
   private boolean ended;
   private boolean releasing;
-  private long lastPlanAt = Long.MIN_VALUE / 2;
   private long nextLoadReportAt;
   private boolean changedSincePlan = true;
 
@@ -246,10 +237,11 @@
       return;
     }
     runner.run(workers.all());
-    if (!releasing && journal.mayGrantLeases(now) && isPlanDue(now)) {
+    boolean mayStart = !releasing && journal.mayGrantLeases(now);
+    if (mayStart && planningSchedule.isDue(now, changedSincePlan)) {
       changedSincePlan = false;
-      lastPlanAt = now;
       planner.run();
+      planningSchedule.onPass(now, clock.monotonicMillis());
     }
     if (now >= nextLoadReportAt) {
       nextLoadReportAt = now + LOAD_REPORT_INTERVAL_MILLIS;
@@ -259,11 +251,6 @@
     learnedState.run(now);
   }
 
-  private boolean isPlanDue(long now) {
-    long interval = changedSincePlan ? MIN_PLAN_INTERVAL_MILLIS : PLAN_INTERVAL_MILLIS;
-    return now - lastPlanAt >= interval;
-  }
-
   private void onPlacementsStored() {
     takeoverTracker.setPlacementsStored();
     workerList.requestRosterWrite();
