Take reconciling reports out of TaskRunner, and completions out of Worker

TaskRunner (609 lines) sends orders and follows their answers; RunReconciler handles what workers report: completions, runs to take over, runs that are gone. WorkerCompletions tracks which completions of a boot are processed, recorded and acknowledged.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
@@ -413,44 +413,53 @@
     Task first = task(step(3));
     List<Task> tasks = first.step().tasks();
     Worker worker = RunFactory.worker("w0");
-    TaskRunner runner = runnerThatFailsOnce(first.job());
+    JobTable jobs = new JobTable();
+    jobs.add(first.job());
+    JobLifecycle lifecycle = lifecycle();
+    TaskRunner runner = runner(lifecycle);
+    RunReconciler reconciler = reconcilerThatFailsOnce(runner, jobs, lifecycle);
     tasks.forEach(task -> runner.start(task, worker));
     ImmutableList<CompletionReport> completions =
         ImmutableList.of(
             completion(1, tasks.get(0)), completion(2, tasks.get(1)), completion(3, tasks.get(2)));
     HoldReply reply =
         new HoldReply(OrderOutcome.ACCEPTED, 1, 1, ImmutableList.of(), completions, true);
-    runner.onReport(worker, reply, world.time.millis(), 0);
+    reconciler.onReport(worker, reply, world.time.millis(), 0);
     assertTrue(tasks.get(0).isDone());
     assertFalse(tasks.get(1).isDone());
     assertTrue(tasks.get(1).run() != null);
     assertTrue(tasks.get(2).isDone());
-    assertEquals(1, worker.lastCompletion());
-    runner.onReport(worker, reply, world.time.millis(), 0);
+    assertEquals(1, worker.completions().last());
+    reconciler.onReport(worker, reply, world.time.millis(), 0);
     assertTrue(tasks.get(1).isDone());
-    assertEquals(3, worker.lastCompletion());
+    assertEquals(3, worker.completions().last());
   }
 
   private static CompletionReport completion(long number, Task task) {
     return new CompletionReport(number, new RunId(task.id(), 1), CompletionKind.DONE, "");
   }
 
-  /** Creates a runner that fails with the second completion that it handles. */
-  private TaskRunner runnerThatFailsOnce(Job job) {
-    JobTable jobs = new JobTable();
-    jobs.add(job);
-    TaskRunner.Context context =
-        new TaskRunner.Context() {
-          private int asked;
-
-          @Override
-          public int maxAttempts(Job any) {
-            if (++asked == 2) {
-              throw new IllegalStateException("once");
-            }
-            return MAX_ATTEMPTS;
+  /** Creates a reconciler that fails with the second completion that it handles. */
+  private RunReconciler reconcilerThatFailsOnce(
+      TaskRunner runner, JobTable jobs, JobLifecycle lifecycle) {
+    int[] asked = new int[1];
+    return new RunReconciler(
+        runner,
+        jobs,
+        lifecycle,
+        world.nodes.get(0),
+        (kind, subject, outcome, reason) -> {},
+        job -> {
+          if (++asked[0] == 2) {
+            throw new IllegalStateException("once");
           }
+          return MAX_ATTEMPTS;
+        });
+  }
 
+  private TaskRunner runner(JobLifecycle lifecycle) {
+    TaskRunner.Context context =
+        new TaskRunner.Context() {
           @Override
           public void onFenced(Worker worker) {}
 
@@ -462,8 +471,7 @@
         1,
         1,
         world.workers.view(),
-        jobs,
-        lifecycle(),
+        lifecycle,
         journal(new SizeLimitedStore()),
         world.nodes.get(0),
         (kind, subject, outcome, reason) -> {},
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -43,6 +43,7 @@
   private final TakeoverTracker takeoverTracker;
   private final WorkerList workerList;
   private final TaskRunner runner;
+  private final RunReconciler reconciler;
   private final WorkerPoller workerPoller;
   private final Planner planner;
   private final PlanningSchedule planningSchedule = new PlanningSchedule();
@@ -123,14 +124,15 @@
             token,
             firstAttempt,
             port,
-            jobs,
             lifecycle,
             journal,
             clock,
             log,
             new RunnerContext());
+    this.reconciler = new RunReconciler(runner, jobs, lifecycle, clock, log, this::maxAttempts);
     this.workerPoller =
-        new WorkerPoller(settings, token, port, runner, journal, clock, log, new PollerListener());
+        new WorkerPoller(
+            settings, token, port, reconciler, journal, clock, log, new PollerListener());
     ReservationTable reservations = new ReservationTable();
     Candidates candidates = new Candidates(workers, reservations);
     ReadyQueue ready =
@@ -274,6 +276,11 @@
     return inForce == null ? null : inForce.queue(job.submission().queue()).orElse(null);
   }
 
+  private int maxAttempts(Job job) {
+    Queue queue = queue(job);
+    return queue == null ? Integer.MAX_VALUE : queue.maxAttempts();
+  }
+
   /**
    * Handles the restart of a worker. Its runs are kept until its next report shows which are left.
    * It has forgotten the fencing token: a previous holder may use it until it has answered and is
@@ -294,7 +301,7 @@
     log.decided("worker", worker.id(), "replaced", "another worker at " + runs);
     takeoverTracker.markAccounted(worker.id(), "another worker has its address");
     for (Run run : new ArrayList<>(worker.runs())) {
-      runner.onRunGone(run, "another worker has its address");
+      reconciler.onRunGone(run, "another worker has its address");
     }
     workerList.onEnded(worker);
   }
@@ -310,7 +317,7 @@
       boolean unreachable = worker.isUnresponsive() || !worker.isListed();
       if (unreachable && worker.areLeasesExpired(exclusiveUntil)) {
         for (Run run : new ArrayList<>(worker.runs())) {
-          runner.onRunGone(run, "the lease of its worker has expired");
+          reconciler.onRunGone(run, "the lease of its worker has expired");
         }
       }
       if (isRemovable(worker)) {
@@ -373,12 +380,6 @@
   }
 
   private final class RunnerContext implements TaskRunner.Context {
-    @Override
-    public int maxAttempts(Job job) {
-      Queue queue = queue(job);
-      return queue == null ? Integer.MAX_VALUE : queue.maxAttempts();
-    }
-
     @Override
     public void onFenced(Worker worker) {
       end(worker.id() + " has seen a higher fencing token");
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -2,23 +2,17 @@
 
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
-import org.hemlockpick.cell.WorkerPort.CompletionKind;
-import org.hemlockpick.cell.WorkerPort.CompletionReport;
-import org.hemlockpick.cell.WorkerPort.HoldReply;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 import org.hemlockpick.cell.WorkerPort.OrderReply;
 import org.hemlockpick.cell.WorkerPort.RunId;
-import org.hemlockpick.cell.WorkerPort.RunReport;
 import org.hemlockpick.cell.WorkerPort.StartOrder;
-import org.jspecify.annotations.Nullable;
 
 /**
- * Sends orders to workers and tracks the outcome of each run. A run whose order was not answered
- * keeps its reserved capacity, and its task is not started again, until a later report of the
- * worker, another boot or the expiry of the worker's lease proves that the run is gone.
+ * Sends orders to workers and tracks the outcome of each order. A run whose order was not answered
+ * keeps its reserved capacity, and its task is not started again, until {@link RunReconciler} has
+ * proof that the run is gone: a later report of the worker, another boot or the expiry of the
+ * worker's lease.
  */
 final class TaskRunner {
   /**
@@ -46,7 +40,6 @@
   private final long token;
   private final int firstAttempt;
   private final WorkerPort port;
-  private final JobTable jobs;
   private final JobLifecycle lifecycle;
   private final CellJournal journal;
   private final LoopClock clock;
@@ -58,9 +51,6 @@
 
   /** Provides what the runner needs from the holder. */
   interface Context {
-    /** Returns the maximum number of failed runs of a task of a job. */
-    int maxAttempts(Job job);
-
     /** Called when a worker has seen a higher fencing token. */
     void onFenced(Worker worker);
 
@@ -73,7 +63,6 @@
       long token,
       int firstAttempt,
       WorkerPort port,
-      JobTable jobs,
       JobLifecycle lifecycle,
       CellJournal journal,
       LoopClock clock,
@@ -83,7 +72,6 @@
     this.token = token;
     this.firstAttempt = firstAttempt;
     this.port = port;
-    this.jobs = jobs;
     this.lifecycle = lifecycle;
     this.journal = journal;
     this.clock = clock;
@@ -121,7 +109,8 @@
     }
   }
 
-  private void setPlacement(Task task, String placement) {
+  /** Sets the worker where a long-running task may run, to be stored with its job. */
+  void setPlacement(Task task, String placement) {
     if (!task.placement().equals(placement)) {
       task.setPlacement(placement);
       journal.markDirty(task.job());
@@ -376,208 +365,13 @@
     return run.task().job().state().isFinal() || run.task().isDone();
   }
 
-  /**
-   * Handles the report of a worker.
-   *
-   * @param sentAt time on the monotonic clock at which the report was requested
-   * @param callToken fencing token of the request
-   */
-  void onReport(Worker worker, HoldReply reply, long sentAt, long callToken) {
-    long now = clock.monotonicMillis();
-    Set<RunId> reported = new HashSet<>(processCompletions(worker, reply));
-    boolean isUnknown = false;
-    for (RunReport report : reply.running()) {
-      reported.add(report.run());
-      isUnknown |= !onRunning(worker, report, now);
-    }
-    worker.setUnknownRuns(isUnknown);
-    if (!reply.isComplete()) {
-      // The completion of a run that is not named may be reported later.
-      return;
-    }
-    for (Run run : new ArrayList<>(worker.runs())) {
-      if (!reported.contains(run.id()) && run.isProvenGone(sentAt, callToken)) {
-        onRunGone(run, "the worker does not report it");
-      }
-    }
-  }
-
-  /**
-   * Processes the completions of a report. A failure to handle one does not affect those behind it;
-   * the failed one is not acknowledged, so that the next report contains it again.
-   *
-   * @return the runs whose completions could not be handled
-   */
-  private Set<RunId> processCompletions(Worker worker, HoldReply reply) {
-    Set<RunId> failed = new HashSet<>();
-    for (CompletionReport completion : reply.completions()) {
-      if (worker.hasProcessed(completion.number())) {
-        if (worker.run(completion.run()).isPresent()) {
-          String known = ", all processed up to " + worker.lastCompletion();
-          log.decided(
-              "end",
-              completion.run().task().toString(),
-              "passed over",
-              at(worker, completion) + known);
-        }
-      } else if (!tryProcess(worker, completion)) {
-        failed.add(completion.run());
-        continue;
-      }
-      worker.setProcessed(completion.number(), failed.isEmpty());
-    }
-    worker.setFailedCompletions(!failed.isEmpty());
-    return failed;
-  }
-
-  /** Processes a completion; returns false if its handling failed. */
-  private boolean tryProcess(Worker worker, CompletionReport completion) {
-    try {
-      onCompletion(worker, completion);
-      return true;
-    } catch (RuntimeException e) {
-      log.failed(
-          "end",
-          completion.run().task().toString(),
-          completion.kind() + ", " + at(worker, completion),
-          e);
-      return false;
-    }
-  }
-
-  private void onCompletion(Worker worker, CompletionReport completion) {
-    Run run = worker.run(completion.run()).orElse(null);
-    Task task = run != null ? run.task() : jobs.task(completion.run().task()).orElse(null);
-    if (task == null) {
-      String kind = completion.kind() + ", ";
-      log.decided(
-          "end", completion.run().task().toString(), "unknown task", kind + at(worker, completion));
-      return;
-    }
-    worker.addUnrecorded(completion.number(), task.job());
-    String known = describeKnown(task, completion.run().attempt(), run);
-    String subject = completion.run().task().toString();
-    log.decided("end", subject, completion.kind().name(), at(worker, completion) + known);
-    lifecycle.onCompletion(
-        task,
-        completion.run().attempt(),
-        worker,
-        completion.kind(),
-        completion.checkpoint(),
-        // The duration of an orphaned run is not known.
-        task.run() == run ? run : null,
-        context.maxAttempts(task.job()));
-    if (run != null) {
-      recordLastRan(run, clock.monotonicMillis());
-      remove(run);
-    }
-  }
-
-  private static String at(Worker worker, CompletionReport completion) {
-    String attempt = "attempt " + completion.run().attempt() + " at " + worker.id();
-    return attempt
-        + ", number "
-        + completion.number()
-        + ", born "
-        + worker.entry().bootTimeMillis();
-  }
-
-  /** Returns, for the log, what was already known of a completed attempt. */
-  private static String describeKnown(Task task, int attempt, @Nullable Run run) {
-    if (task.isDone() || task.job().state().isFinal()) {
-      return ", task had completed before";
-    }
-    if (task.failedAttempts().contains(attempt)) {
-      return ", its failure was counted before";
-    }
-    return run == null ? ", unknown run" : ", new";
-  }
-
-  /** Records a run reported by a worker; returns false if its task is unknown. */
-  private boolean onRunning(Worker worker, RunReport report, long now) {
-    Run run = worker.run(report.run()).orElse(null);
-    if (run == null) {
-      run = takeOverRun(worker, report.run());
-    }
-    if (run == null) {
-      stopUnknownRun(worker, report.run(), now);
-      return false;
-    }
-    run.update(report, now);
-    if (run.state() == Run.State.STARTING) {
-      run.setState(Run.State.RUNNING);
-      // Calls overlap: one sent later may have been carried out before the start.
-      run.setReportableSince(now);
-      lifecycle.onStarted(run.task().job());
-    }
-    return true;
-  }
-
-  private void stopUnknownRun(Worker worker, RunId id, long now) {
-    if (journal.allowsOrders(now)) {
+  /** Orders a worker to stop a run of an unknown task. */
+  void stopUnknown(Worker worker, RunId id) {
+    if (journal.allowsOrders(clock.monotonicMillis())) {
       port.stop(worker.target(), id, worker.token(token), reply -> {});
     }
   }
 
-  /**
-   * Takes over a run that another holder started. A run that must not continue is stopped, and
-   * keeps its capacity until it is proven to be gone.
-   *
-   * @return the run; null if its task is unknown
-   */
-  private @Nullable Run takeOverRun(Worker worker, RunId id) {
-    Task task = jobs.task(id.task()).orElse(null);
-    if (task == null) {
-      log.decided("run", id.task().toString(), "not adopted", worker.id() + ", unknown task");
-      return null;
-    }
-    boolean isOver = task.isDone() || task.job().state().isFinal();
-    return isOver || task.run() != null ? stopOrphan(task, worker, id) : adopt(task, worker, id);
-  }
-
-  private Run stopOrphan(Task task, Worker worker, RunId id) {
-    log.decided("run", id.task().toString(), "not adopted", worker.id());
-    Run run = new Run(task, id.attempt(), worker, Run.State.RUNNING, clock.monotonicMillis());
-    task.addOrphan(run);
-    worker.add(run);
-    stop(run, "it was not adopted");
-    return run;
-  }
-
-  private Run adopt(Task task, Worker worker, RunId id) {
-    Run run = new Run(task, id.attempt(), worker, Run.State.RUNNING, clock.monotonicMillis());
-    run.setReportableSince(clock.monotonicMillis());
-    task.setRun(run);
-    task.setLocated();
-    worker.add(run);
-    if (run.step().longRunning()) {
-      setPlacement(task, worker.id());
-    }
-    log.decided("run", id.task().toString(), "adopted", worker.id());
-    return run;
-  }
-
-  /** Handles a run that is proven to have ended though its completion was not reported. */
-  void onRunGone(Run run, String reason) {
-    log.decided("end", run.id().task().toString(), "gone", run.worker().id() + ", " + reason);
-    lifecycle.onCompletion(
-        run.task(),
-        run.attempt(),
-        run.worker(),
-        CompletionKind.LAPSED,
-        "",
-        run,
-        context.maxAttempts(run.task().job()));
-    recordLastRan(run, run.worker().lastAnswerSentAt());
-    remove(run);
-  }
-
-  private static void recordLastRan(Run run, long millis) {
-    if (run.wasObservedRunning()) {
-      run.task().setLastRanAt(millis);
-    }
-  }
-
   private void drop(Run run) {
     if (run.step().gang()) {
       // The other members would wait in vain.
@@ -591,7 +385,8 @@
     remove(run);
   }
 
-  private void remove(Run run) {
+  /** Removes a run that is gone, with its placement if it was the last one of its task. */
+  void remove(Run run) {
     run.worker().remove(run);
     run.task().removeOrphan(run);
     if (run.task().run() == run) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -3,13 +3,8 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.HashSet;
-import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.function.Predicate;
 import org.hemlockpick.cell.WorkerPort.RunId;
 import org.hemlockpick.cell.WorkerPort.Target;
 import org.jspecify.annotations.Nullable;
@@ -70,23 +65,7 @@
    */
   private long leasesExpiredAt = Long.MIN_VALUE;
 
-  /** Number up to which all completions have been processed. */
-  private long lastCompletion;
-
-  /**
-   * Numbers of completions above that one that have also been processed; the handling of an earlier
-   * completion failed.
-   */
-  private final Set<Long> processedAbove = new HashSet<>();
-
-  private boolean failedCompletions;
-  private long recordedCompletion;
-
-  /** Jobs of the completions above {@code recordedCompletion}, by number. */
-  private final NavigableMap<Long, Job> unrecordedJobs = new TreeMap<>();
-
-  /** Number up to which completions have been acknowledged to this boot. */
-  private long acknowledgedCompletion;
+  private final WorkerCompletions completions = new WorkerCompletions();
 
   /** Fencing token that has replaced the holder's at this worker; 0 if none has. */
   private long raisedToken;
@@ -162,12 +141,7 @@
     clockReadAt = nowMillis;
     extendedAt = NEVER;
     recordLease(nowMillis, leaseMillis);
-    lastCompletion = 0;
-    processedAbove.clear();
-    failedCompletions = false;
-    recordedCompletion = 0;
-    unrecordedJobs.clear();
-    acknowledgedCompletion = 0;
+    completions.clear();
   }
 
   /**
@@ -397,41 +371,9 @@
     return areLeasesExpired(nowMillis) ? 0 : leasesExpiredAt - nowMillis;
   }
 
-  long lastCompletion() {
-    return lastCompletion;
-  }
-
-  /** Returns whether a completion has been processed. */
-  boolean hasProcessed(long number) {
-    return number <= lastCompletion || processedAbove.contains(number);
-  }
-
-  /**
-   * Records that a completion has been processed.
-   *
-   * @param isInOrder whether all earlier ones have been processed
-   */
-  void setProcessed(long number, boolean isInOrder) {
-    if (isInOrder) {
-      lastCompletion = Math.max(lastCompletion, number);
-      processedAbove.remove(number);
-    } else {
-      processedAbove.add(number);
-    }
-  }
-
-  /** Returns whether its last report contained completions whose handling failed. */
-  boolean hasFailedCompletions() {
-    return failedCompletions;
-  }
-
-  void setFailedCompletions(boolean failed) {
-    failedCompletions = failed;
-  }
-
-  /** Returns the number up to which its completions are recorded in the table service. */
-  long recordedCompletion() {
-    return recordedCompletion;
+  /** Returns what is known of the completions of its boot. */
+  WorkerCompletions completions() {
+    return completions;
   }
 
   /**
@@ -441,42 +383,7 @@
    */
   long completionToAcknowledge(long nowMillis) {
     boolean sameBoot = holdFailures == 0 && nowMillis - lastAnswerSentAt < MIN_RESTART_MILLIS;
-    return sameBoot ? recordedCompletion : 0;
-  }
-
-  /** Records that a call that acknowledged completions up to the given number was answered. */
-  void onAcknowledged(long number) {
-    acknowledgedCompletion = Math.max(acknowledgedCompletion, number);
-  }
-
-  /** Returns whether completions are recorded that have not been acknowledged to the worker. */
-  boolean isAcknowledgementDue() {
-    return recordedCompletion > acknowledgedCompletion;
-  }
-
-  void setRecordedCompletion(long number) {
-    recordedCompletion = Math.max(recordedCompletion, number);
-    unrecordedJobs.headMap(recordedCompletion, true).clear();
-  }
-
-  /** Adds the job of a completion that is not recorded yet. */
-  void addUnrecorded(long number, Job job) {
-    unrecordedJobs.put(number, job);
-  }
-
-  /**
-   * Returns the number up to which completions belong to jobs whose progress is stored.
-   *
-   * @param number highest number to return
-   * @param isProgressUnstored returns whether the newest progress of a job is not stored
-   */
-  long lastStoredCompletion(long number, Predicate<Job> isProgressUnstored) {
-    for (Map.Entry<Long, Job> completion : unrecordedJobs.headMap(number, true).entrySet()) {
-      if (isProgressUnstored.test(completion.getValue())) {
-        return completion.getKey() - 1;
-      }
-    }
-    return number;
+    return sameBoot ? completions.recorded() : 0;
   }
 
   boolean isHoldInFlight() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
@@ -76,7 +76,7 @@
   private final CellSettings settings;
   private final long token;
   private final WorkerPort port;
-  private final TaskRunner runner;
+  private final RunReconciler reconciler;
   private final CellJournal journal;
   private final LoopClock clock;
   private final DecisionLog log;
@@ -118,7 +118,7 @@
       CellSettings settings,
       long token,
       WorkerPort port,
-      TaskRunner runner,
+      RunReconciler reconciler,
       CellJournal journal,
       LoopClock clock,
       DecisionLog log,
@@ -126,7 +126,7 @@
     this.settings = settings;
     this.token = token;
     this.port = port;
-    this.runner = runner;
+    this.reconciler = reconciler;
     this.journal = journal;
     this.clock = clock;
     this.log = log;
@@ -161,7 +161,7 @@
     @Nullable Long until = isExtended ? (Long) worker.extendLease(now, lease) : null;
     long wait = holdWait(worker, journal.grantMillisLeft(now));
     long acknowledged = worker.completionToAcknowledge(now);
-    if (acknowledged > 0 && worker.isAcknowledgementDue()) {
+    if (acknowledged > 0 && worker.completions().isAcknowledgementDue()) {
       String boot = "to the boot born " + worker.entry().bootTimeMillis();
       log.decided("worker", worker.id(), "ends confirmed", "up to " + acknowledged + " " + boot);
     }
@@ -195,7 +195,7 @@
             || !worker.hasAcknowledgedToken()
             || worker.isUnresponsive()
             || worker.isStoredAsUnreachable()
-            || worker.recordedCompletion() < worker.lastCompletion()
+            || worker.completions().hasUnrecorded()
             || worker.hasUnknownRuns()
             || hasUnprovenStop(worker);
     if (answersAtOnce) {
@@ -321,7 +321,7 @@
       worker.setExtended(sentAt);
     }
     if (reply.bootTimeMillis() == bootTime) {
-      worker.onAcknowledged(call.acknowledgedUpTo());
+      worker.completions().onAcknowledged(call.acknowledgedUpTo());
     }
     if (wasUnreachable) {
       listener.onReachabilityChanged(worker);
@@ -330,8 +330,8 @@
       log.decided("worker", worker.id(), "first answer", firstAnswer(reply, now - sentAt));
     }
     worker.observeClock(reply.clockMillis(), now);
-    long before = worker.lastCompletion();
-    runner.onReport(worker, reply, sentAt, call.token());
+    long before = worker.completions().last();
+    reconciler.onReport(worker, reply, sentAt, call.token());
     if (!worker.hasAcknowledgedToken()) {
       worker.setTokenAcknowledged(now, settings.workerLeaseMillis());
     }
@@ -341,7 +341,7 @@
     }
     listener.onReport(worker);
     worker.setNextHoldAt(now + nextInterval(worker, reply));
-    if (worker.lastCompletion() > before || worker.recordedCompletion() < worker.lastCompletion()) {
+    if (worker.completions().last() > before || worker.completions().hasUnrecorded()) {
       acknowledgeWhenStored(worker);
     }
   }
@@ -362,10 +362,10 @@
     if (worker.isFirstExtensionDue()) {
       return 0;
     }
-    if (worker.recordedCompletion() < worker.lastCompletion() || worker.hasFailedCompletions()) {
+    if (worker.completions().hasUnrecorded() || worker.completions().hasFailed()) {
       return UNSTORED_INTERVAL_MILLIS;
     }
-    if (worker.isAcknowledgementDue()) {
+    if (worker.completions().isAcknowledgementDue()) {
       return 0;
     }
     if (!reply.isComplete() || hasUnprovenStop(worker)) {
@@ -382,15 +382,16 @@
   }
 
   private void acknowledgeWhenStored(Worker worker) {
-    long completion = worker.lastCompletion();
+    long completion = worker.completions().last();
     long bootTime = worker.entry().bootTimeMillis();
     journal.whenStored(
         () -> {
-          long stored = worker.lastStoredCompletion(completion, journal::isRefused);
+          long stored = worker.completions().lastStored(completion, journal::isRefused);
           boolean sameBoot =
-              worker.entry().bootTimeMillis() == bootTime && worker.lastCompletion() >= completion;
-          if (sameBoot && stored > worker.recordedCompletion()) {
-            worker.setRecordedCompletion(stored);
+              worker.entry().bootTimeMillis() == bootTime
+                  && worker.completions().last() >= completion;
+          if (sameBoot && stored > worker.completions().recorded()) {
+            worker.completions().setRecorded(stored);
             worker.setNextHoldAt(Math.min(worker.nextHoldAt(), clock.monotonicMillis()));
           }
         });
