Take the leases and the clock of a worker out of Worker

WorkerLeases estimates a worker's clock and knows by when every lease there has expired. No change of behaviour; the tests of the cell pass as before.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
@@ -111,7 +111,7 @@
 
   private static boolean isAlmostLost(Worker worker, long now) {
     boolean isLost = worker.isUnresponsive() || !worker.isListed();
-    return isLost && worker.remainingLeaseMillis(now) <= RESERVE_BEFORE_EXPIRY_MILLIS;
+    return isLost && worker.leases().remainingMillis(now) <= RESERVE_BEFORE_EXPIRY_MILLIS;
   }
 
   private void reserveForLostWorkers(long now) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -315,7 +315,7 @@
     long exclusiveUntil = journal.exclusiveUntil(now);
     for (Worker worker : new ArrayList<>(workers.all())) {
       boolean unreachable = worker.isUnresponsive() || !worker.isListed();
-      if (unreachable && worker.areLeasesExpired(exclusiveUntil)) {
+      if (unreachable && worker.leases().areExpired(exclusiveUntil)) {
         for (Run run : new ArrayList<>(worker.runs())) {
           reconciler.onRunGone(run, "the lease of its worker has expired");
         }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
@@ -141,7 +141,7 @@
         run.state(),
         worker.id(),
         reason == null ? "open" : reason.text(),
-        worker.remainingLeaseMillis(now),
+        worker.leases().remainingMillis(now),
         now - journal.exclusiveUntil(now));
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -143,7 +143,7 @@
       onNotSent(run);
       return;
     }
-    long until = worker.grantLease(now, settings.workerLeaseMillis());
+    long until = worker.leases().grant(now, settings.workerLeaseMillis());
     long orderToken = worker.token(token);
     run.countStartOrder(orderToken);
     String order = "attempt " + run.attempt() + ", order " + run.startOrdersSent();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -11,9 +11,6 @@
 
 /** Holds what the cell knows of a worker: its leases, runs, completions and reachability. */
 final class Worker {
-  /** Minimum rate of a worker's clock, relative to the local monotonic clock. */
-  private static final double MIN_CLOCK_RATE = 0.98;
-
   /**
    * Share of the lease duration after which the lease of an unresponsive worker is extended, and by
    * which it is extended.
@@ -53,18 +50,7 @@
   /** Number of the first roster since which it has not been written as unreachable. */
   private long reachableSinceRoster = Long.MAX_VALUE;
 
-  /**
-   * Lower bound of the worker's clock at {@code clockReadAt}, a time on the local monotonic clock.
-   */
-  private long clockMillis;
-
-  private long clockReadAt = Long.MIN_VALUE;
-
-  /**
-   * Time on the local monotonic clock by which every lease has expired, even on the slowest clock.
-   */
-  private long leasesExpiredAt = Long.MIN_VALUE;
-
+  private final WorkerLeases leases = new WorkerLeases();
   private final WorkerCompletions completions = new WorkerCompletions();
 
   /** Fencing token that has replaced the holder's at this worker; 0 if none has. */
@@ -137,10 +123,9 @@
     fullyReported = false;
     unknownRuns = false;
     takeOffRoster();
-    clockMillis = 0;
-    clockReadAt = nowMillis;
+    leases.onRestarted(nowMillis);
     extendedAt = NEVER;
-    recordLease(nowMillis, leaseMillis);
+    leases.record(nowMillis, leaseMillis);
     completions.clear();
   }
 
@@ -159,7 +144,7 @@
    */
   void setTokenAcknowledged(long nowMillis, long leaseMillis) {
     tokenAcknowledged = true;
-    recordLease(nowMillis, leaseMillis);
+    leases.record(nowMillis, leaseMillis);
   }
 
   /**
@@ -249,7 +234,7 @@
     boolean isGone = isUnresponsive() && !listed;
     boolean isRetry = holdFailures == 1 && isExpiryNear(nowMillis, leaseMillis);
     boolean isDue = !isUnresponsive() || isRenewalLate || isRetry;
-    return !runs.isEmpty() && hasClock() && !storedAsUnreachable && !isGone && isDue;
+    return !runs.isEmpty() && leases.hasClock() && !storedAsUnreachable && !isGone && isDue;
   }
 
   private boolean isExpiryNear(long nowMillis, long leaseMillis) {
@@ -258,7 +243,7 @@
 
   /** Returns the expiry, on the worker's clock, of the lease to name in a hold call. */
   long extendLease(long nowMillis, long leaseMillis) {
-    return grantLease(
+    return leases.grant(
         nowMillis,
         isUnresponsive() ? (long) (leaseMillis * UNRESPONSIVE_LEASE_SHARE) : leaseMillis);
   }
@@ -271,14 +256,14 @@
    */
   void onExtensionLost(long nowMillis, long leaseMillis) {
     if (lastOrderAt >= lastAnswerSentAt) {
-      recordLease(nowMillis, leaseMillis);
+      leases.record(nowMillis, leaseMillis);
     }
   }
 
   /** Records that an order to start a run was answered or timed out, and may be carried out. */
   void onStartOrdered(long nowMillis, long leaseMillis) {
     lastOrderAt = nowMillis;
-    recordLease(nowMillis, leaseMillis);
+    leases.record(nowMillis, leaseMillis);
   }
 
   /**
@@ -292,7 +277,7 @@
 
   /** Returns whether an extension would be the first that this holder has confirmed. */
   boolean isFirstExtensionDue() {
-    return !runs.isEmpty() && hasClock() && !storedAsUnreachable && extendedAt == NEVER;
+    return !runs.isEmpty() && leases.hasClock() && !storedAsUnreachable && extendedAt == NEVER;
   }
 
   /**
@@ -323,52 +308,9 @@
     return entry.draining() && tokenAcknowledged && runs.isEmpty();
   }
 
-  /**
-   * Updates the estimate of the worker's clock from an answer of the known boot. The answer may be
-   * read long after it was given, so the clock now shows at least this value.
-   */
-  void observeClock(long workerMillis, long nowMillis) {
-    if (workerMillis <= 0) {
-      return;
-    }
-    clockMillis = hasClock() ? Math.max(workerMillis, minClock(nowMillis)) : workerMillis;
-    clockReadAt = nowMillis;
-  }
-
-  /** Returns the minimum that the worker's clock can show now. */
-  private long minClock(long nowMillis) {
-    return clockMillis + (long) ((nowMillis - clockReadAt) * MIN_CLOCK_RATE);
-  }
-
-  boolean hasClock() {
-    return clockReadAt != Long.MIN_VALUE;
-  }
-
-  /**
-   * Returns the expiry of a lease on the worker's clock, and records that the lease may be in
-   * force.
-   */
-  long grantLease(long nowMillis, long leaseMillis) {
-    recordLease(nowMillis, leaseMillis);
-    return minClock(nowMillis) + leaseMillis;
-  }
-
-  /**
-   * Records that a lease may begin as late as now. A lease named on the clock of an earlier boot
-   * counts, on a new boot, from when the order is carried out.
-   */
-  void recordLease(long nowMillis, long leaseMillis) {
-    leasesExpiredAt = Math.max(leasesExpiredAt, nowMillis + CellTiming.maxLeaseMillis(leaseMillis));
-  }
-
-  /** Returns whether every lease that was ever granted to it has expired for certain. */
-  boolean areLeasesExpired(long nowMillis) {
-    return nowMillis >= leasesExpiredAt;
-  }
-
-  /** Returns how long a lease may still be in force, in milliseconds. */
-  long remainingLeaseMillis(long nowMillis) {
-    return areLeasesExpired(nowMillis) ? 0 : leasesExpiredAt - nowMillis;
+  /** Returns the leases that may be in force on it. */
+  WorkerLeases leases() {
+    return leases;
   }
 
   /** Returns what is known of the completions of its boot. */
@@ -529,7 +471,7 @@
     if (nowMillis < backoffUntil) {
       return IneligibleReason.BACKING_OFF;
     }
-    return hasClock() ? null : IneligibleReason.NO_CLOCK;
+    return leases.hasClock() ? null : IneligibleReason.NO_CLOCK;
   }
 
   WorkerHealth health() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
@@ -329,7 +329,7 @@
     if (!worker.hasAcknowledgedToken()) {
       log.decided("worker", worker.id(), "first answer", firstAnswer(reply, now - sentAt));
     }
-    worker.observeClock(reply.clockMillis(), now);
+    worker.leases().observeClock(reply.clockMillis(), now);
     long before = worker.completions().last();
     reconciler.onReport(worker, reply, sentAt, call.token());
     if (!worker.hasAcknowledgedToken()) {
