--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -117,7 +117,7 @@
   }
 
   /** Returns whether a report that is requested now with a fencing token can prove it gone. */
-  boolean isProvableGone(long token) {
+  boolean canBeProvenGone(long token) {
     return reportableSince != Long.MAX_VALUE || (orderToken > 0 && token > orderToken);
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
@@ -211,7 +211,7 @@
   /** Returns whether a run was stopped and only a report can show whether it exists at all. */
   private boolean hasUnprovenStop(Worker worker) {
     for (Run run : worker.runs()) {
-      if (run.state() == Run.State.STOPPING && run.isProvableGone(worker.token(token))) {
+      if (run.state() == Run.State.STOPPING && run.canBeProvenGone(worker.token(token))) {
         return true;
       }
     }
