--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -21,6 +21,10 @@
   static final String QUEUE = "topup";
   static final String SERVICE = "litepay";
   private static final long TICK_MILLIS = 10;
+
+  /** Interval at which a worker writes its entry of the platform's list. */
+  private static final long HEARTBEAT_MILLIS = 500;
+
   private static final long START_MILLIS = 1_000_000;
   static final long LEASE_MILLIS = 5_000;
   private static final int MAX_ATTEMPTS = 50;
@@ -66,10 +70,12 @@
     store.put("workers", worker, ByteString.copyFromUtf8(bootTime));
   }
 
-  /** Lists a worker as draining; it leaves after a time in milliseconds. */
+  /**
+   * Lists a worker as draining, with the remaining time in each heartbeat; it leaves after a time
+   * in milliseconds.
+   */
   void drainWorker(String worker, long remainingMillis) {
-    String entry = workers.get(worker).bootTimeMillis() + " " + remainingMillis;
-    store.put("workers", worker, ByteString.copyFromUtf8(entry));
+    listAsDraining(worker, time.millis() + remainingMillis);
     time.after(
         remainingMillis,
         () -> {
@@ -79,6 +85,15 @@
         });
   }
 
+  private void listAsDraining(String worker, long leavesAt) {
+    long remainingMillis = leavesAt - time.millis();
+    if (remainingMillis > 0) {
+      String entry = workers.get(worker).bootTimeMillis() + " " + remainingMillis;
+      store.put("workers", worker, ByteString.copyFromUtf8(entry));
+      time.after(HEARTBEAT_MILLIS, () -> listAsDraining(worker, leavesAt));
+    }
+  }
+
   static Step step(int count, Integer... dependsOn) {
     return step(count, false, null, 0, false, List.of(dependsOn));
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -228,6 +228,9 @@
     /** Whether no call arrives or is answered; its runs continue. */
     boolean disconnected;
 
+    /** Whether calls arrive and are not answered. */
+    boolean answersLost;
+
     /** Whether it is gone, and another worker answers at its address. */
     boolean replaced;
 
@@ -577,7 +580,7 @@
             LATENCY_MILLIS,
             () -> {
               OrderReply reply = action.apply(model);
-              if (model.replyMillis > ORDER_TIMEOUT_MILLIS) {
+              if (model.answersLost || model.replyMillis > ORDER_TIMEOUT_MILLIS) {
                 loseOrder(handler);
                 return;
               }
@@ -688,7 +691,7 @@
         loseHoldReply(Math.max(0, until - time.millis()) + HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
-      if (model.replyMillis > HOLD_TIMEOUT_MILLIS) {
+      if (model.answersLost || model.replyMillis > HOLD_TIMEOUT_MILLIS) {
         loseHoldReply(HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
