Reserve for all tasks of lost workers that fit somewhere

A task that lasts and fits on no other worker (a maximum per worker, a label, a large demand) kept all tasks of its worker and of the workers listed after it from the reservations that are made 1 s before the lease of a lost worker ends: reserveForLostWorkers returned at the first failure. These tasks were reserved for only once their leases had ended. Now a failure speaks for tasks of the same shape only, as in a planning pass.

Ruled out as a cause beside it: Planner.placeRestarts, whose shapes tell service, size, label, step with a maximum per worker, failures and gangs apart.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongRunningLossTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongRunningLossTest.java
@@ -90,6 +90,30 @@
     world.time.runFor(SETTLE_MILLIS);
   }
 
+  /**
+   * Guards against a task that fits on no other worker taking the early reservations from all tasks
+   * of lost workers.
+   */
+  @Test
+  void taskThatFitsNowhereDoesNotDelayTheReservationsOfOthers() {
+    world.workers.runMillis = LONG_RUN_MILLIS;
+    world.submit(0, "x", step(WORKERS, 0, true, 1));
+    world.time.runFor(1_000);
+    fill();
+    int before = world.log.size();
+    List<String> lost = workersOf("l").subList(0, 3);
+    lost.forEach(this::lose);
+    run(2 * MAX_RESTART_MILLIS);
+    List<String> log = world.log.subList(before, world.log.size());
+    for (String worker : lost) {
+      TaskId task = taskAt("l", worker);
+      int reserved = indexOf(log, " reserve " + task + " ");
+      int gone = indexOf(log, " end " + task + " gone ");
+      assertTrue(reserved < gone, () -> text(log, task));
+    }
+    assertAllRestarted(MAX_RESTART_MILLIS);
+  }
+
   /** Guards against a bound on reserved workers that is too low if half of the workers are lost. */
   @ParameterizedTest
   @ValueSource(longs = {1_000, LONG_RUN_MILLIS})
@@ -334,6 +358,19 @@
         .task();
   }
 
+  private List<String> lines(String text) {
+    return world.log.stream().filter(line -> line.contains(text)).toList();
+  }
+
+  private static int indexOf(List<String> log, String text) {
+    for (int i = 0; i < log.size(); i++) {
+      if (log.get(i).contains(text)) {
+        return i;
+      }
+    }
+    return Integer.MAX_VALUE;
+  }
+
   private static String text(List<String> log, TaskId task) {
     return String.join("\n", log.stream().filter(line -> line.contains(task.toString())).toList());
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import org.hemlockpick.cell.ReadyTasks.Shape;
 import org.hemlockpick.cell.ReservationTable.Reservation;
 import org.jspecify.annotations.Nullable;
 
@@ -115,27 +116,32 @@
   }
 
   private void reserveForLostWorkers(long now) {
+    Set<Shape> denied = new HashSet<>();
     for (Worker worker : workers.all()) {
-      if (isAlmostLost(worker, now) && !reserveForRuns(worker.runs(), now)) {
-        return;
+      if (isAlmostLost(worker, now)) {
+        reserveForRuns(worker.runs(), denied, now);
       }
     }
   }
 
   /**
-   * Reserves capacity for the tasks of some runs; returns false if there is none for one of them.
+   * Reserves capacity for the tasks of some runs.
+   *
+   * @param denied shapes of tasks for which none can be reserved; new ones are added
    */
-  private boolean reserveForRuns(Collection<Run> runs, long now) {
+  private void reserveForRuns(Collection<Run> runs, Set<Shape> denied, long now) {
     for (Run run : runs) {
       Task task = run.task();
       Queue queue = queues.apply(task.job());
       boolean isOwn = task.run() == run && isReservable(run.step());
-      boolean isWanted = isOwn && reservations.of(task) == null && needsCapacity(task, now);
-      if (isWanted && queue != null && !reserve(task, queue, now)) {
-        return false;
+      if (!isOwn || queue == null || reservations.of(task) != null || !needsCapacity(task, now)) {
+        continue;
+      }
+      Shape shape = Shape.of(task, queue);
+      if (!denied.contains(shape) && !reserve(task, queue, now)) {
+        denied.add(shape);
       }
     }
-    return true;
   }
 
   /** Returns whether capacity can be reserved for the tasks of a step one by one. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyTasks.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyTasks.java
@@ -44,6 +44,24 @@
       @Nullable StepRun spreadStep,
       int gangSize) {
 
+    /** Returns the shape of a task of a step. */
+    static Shape of(Task task, Queue queue) {
+      return of(task.step(), Kind.of(task), queue);
+    }
+
+    private static Shape of(StepRun step, Kind kind, Queue queue) {
+      Step plan = step.step();
+      return new Shape(
+          queue.service(),
+          kind,
+          plan.demand(),
+          plan.longRunning(),
+          plan.filler() ? plan.image() : null,
+          plan.requiredLabel(),
+          plan.maxPerWorker() > 0 ? step : null,
+          plan.gang() ? step.tasks().size() : 1);
+    }
+
     /** Returns the shape of a single task. */
     Shape single() {
       return new Shape(service, kind, demand, longRunning, image, label, spreadStep, 1);
@@ -51,16 +69,7 @@
   }
 
   Shape shape() {
-    Step plan = step.step();
-    return new Shape(
-        queue.service(),
-        kind,
-        plan.demand(),
-        plan.longRunning(),
-        plan.filler() ? plan.image() : null,
-        plan.requiredLabel(),
-        plan.maxPerWorker() > 0 ? step : null,
-        isGang() ? tasks.size() : 1);
+    return Shape.of(step, kind, queue);
   }
 
   boolean isGang() {
