Keep a task of a leaving worker running until it fits elsewhere

Callers saw a task that lasts not run for 5 s and more after each planned replacement of its worker in a full service: DrainController stopped it at the first report of the leaving worker, whether there was a place for it or not, and only then did it begin to wait, 5 s of it before runs were preempted for it.

Now a worker is reserved for the task while it runs, as soon as its step's budget allows a stop; the run is stopped once it fits there, and in any case when there is just enough time left for the stop. Preemption begins 1.5 s before that. These tasks use half of the bound on reserved workers until then, so that tasks without a run find the rest. The look is taken every 50 ms, not only at reports: with slow calls these are 1.7 s apart. Where the reserved worker has the capacity at once, the placement policy chooses it, as it did before.

taskOfALeavingWorkerRunsUntilItFitsElsewhere failed before: stop at 1009074, reserved at 1009210, runs preempted at 1014210, start at 1014325. With the change its task is away for 20 ms.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongRunningLossTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongRunningLossTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.hemlockpick.cell.FakeWorkers.Start;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,6 +29,9 @@
   /** Lease of a run, as deployments set it. */
   private static final long LEASE_MILLIS = 6_000;
 
+  /** Time within which a task must run again if there is free capacity for it. */
+  private static final long MAX_HANDOVER_MILLIS = 3_000;
+
   private static final int WORKERS = 24;
 
   /** Mean run time of short tasks of which hardly any ends in time. */
@@ -44,11 +48,19 @@
   private static final long SHORT_CPU = 2_000;
   private static final int WIDE_TASKS = 12;
 
+  /** More tasks than workers. */
+  private static final int NARROW_TASKS = 2 * WORKERS;
+
   private static final long SUBMIT_INTERVAL_MILLIS = 100;
 
   /** Time that is left when a worker says that it leaves. */
   private static final long DRAIN_MILLIS = 5_500;
 
+  private static final long LONG_DRAIN_MILLIS = 8_000;
+
+  /** Time before a draining worker leaves by which its tasks are stopped in any case. */
+  private static final long FORCED_MILLIS = 2_500;
+
   /** Time in which all runs at one worker are ordered to stop. */
   private static final long ORDERS_MILLIS = 200;
 
@@ -63,6 +75,15 @@
   private int newWorkers;
 
   private static Step step(int count, long cpuMillis, boolean longRunning, int maxPerWorker) {
+    return step(count, cpuMillis, longRunning, maxPerWorker, null);
+  }
+
+  private static Step step(
+      int count,
+      long cpuMillis,
+      boolean longRunning,
+      int maxPerWorker,
+      @Nullable Integer maxUnavailable) {
     return new Step(
         count,
         new ResourceAmounts(cpuMillis, 100, 0),
@@ -79,7 +100,7 @@
         "image",
         0,
         false,
-        null);
+        maxUnavailable);
   }
 
   @BeforeEach
@@ -149,6 +170,39 @@
     assertAllRestarted(MAX_RESTART_MILLIS);
   }
 
+  /** Guards against a stop that is ordered long before the task fits on another worker. */
+  @Test
+  void taskOfALeavingWorkerRunsUntilItFitsElsewhere() {
+    world.workers.runMillis = LONG_RUN_MILLIS;
+    fill();
+    String leaving = workersOf("l").get(0);
+    TaskId task = taskAt("l", leaving);
+    world.drainWorker(leaving, DRAIN_MILLIS);
+    run(2 * MAX_RESTART_MILLIS);
+    int preempted = indexOf(world.log, "frees capacity for " + task);
+    int stopped = indexOf(world.log, " stop " + task + " " + leaving + " (its worker leaves)");
+    assertTrue(preempted < stopped, () -> text(world.log, task));
+    assertAllRestarted(MAX_HANDOVER_MILLIS);
+  }
+
+  /** Guards against moving all tasks of a step at once when they all have their places. */
+  @Test
+  void tasksOfALeavingWorkerMoveWithinTheBudgetInAFullService() {
+    world.workers.runMillis = LONG_RUN_MILLIS;
+    fill(step(NARROW_TASKS, SHORT_CPU, true, 0, 1));
+    String leaving = "w0";
+    world.drainWorker(leaving, LONG_DRAIN_MILLIS);
+    int mostAway = 0;
+    for (long left = LONG_DRAIN_MILLIS; left > FORCED_MILLIS; left -= STEP_MILLIS) {
+      world.time.runFor(STEP_MILLIS);
+      mostAway = Math.max(mostAway, NARROW_TASKS - countAtWork());
+    }
+    assertEquals(1, mostAway, () -> String.join("\n", lines(" l.0.0.")));
+    world.time.runFor(MAX_RESTART_MILLIS);
+    assertEquals(NARROW_TASKS, countAtWork(), () -> String.join("\n", lines(" l.0.0.")));
+    assertEquals(List.of(), world.workers.violations);
+  }
+
   /** Guards against a wait that leaves no time for a second place if the first one is lost. */
   @ParameterizedTest
   @ValueSource(longs = {2, SLOW_CALL_MILLIS})
@@ -338,6 +392,15 @@
     }
   }
 
+  /** Returns how many of the narrow tasks are at work. */
+  private int countAtWork() {
+    int count = 0;
+    for (int i = 0; i < NARROW_TASKS; i++) {
+      count += world.workers.isAtWork(new TaskId("l", 0, 0, i)) ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Returns the workers at which tasks of a job were started. */
   private List<String> workersOf(String job) {
     List<String> found = new ArrayList<>();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
@@ -1,19 +1,21 @@
 package org.hemlockpick.cell;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.hemlockpick.cell.ReadyTasks.Shape;
 import org.hemlockpick.cell.ReservationTable.Reservation;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Reserves capacity for long-running tasks that have lost their run and fit on no worker: nothing
- * else is started on the worker that will have enough free capacity first. Short tasks that stay
- * there for too long are stopped.
+ * Reserves capacity for long-running tasks that have lost their run and fit on no worker, or that
+ * will lose it, as their worker leaves or does not answer: nothing else is started on the worker
+ * that will have enough free capacity first. Short tasks that stay there for too long are stopped.
  */
 final class CapacityReserver {
   /**
@@ -22,6 +24,9 @@
    */
   private static final int MAX_RESERVED_PERCENT = 20;
 
+  /** The same for tasks that still run, so that those that have lost their run find the rest. */
+  private static final int MAX_RESERVED_FOR_RUNNING_PERCENT = 10;
+
   /**
    * Time without a run after which other runs are stopped, in milliseconds; a task must run again
    * within 9 s.
@@ -44,6 +49,8 @@
   private final Candidates candidates;
   private final ReservationTable reservations;
   private final CapacityForecast forecast;
+  private final PlacementPolicy placement;
+  private final DrainDeadline drainDeadline;
 
   /** Stops a run for a given reason. */
   private final BiConsumer<Run, String> stop;
@@ -62,6 +69,8 @@
       Candidates candidates,
       ReservationTable reservations,
       CapacityForecast forecast,
+      PlacementPolicy placement,
+      DrainDeadline drainDeadline,
       BiConsumer<Run, String> stop,
       Function<Job, @Nullable Queue> queues,
       DecisionLog log) {
@@ -69,6 +78,8 @@
     this.candidates = candidates;
     this.reservations = reservations;
     this.forecast = forecast;
+    this.placement = placement;
+    this.drainDeadline = drainDeadline;
     this.stop = stop;
     this.queues = queues;
     this.log = log;
@@ -86,7 +97,7 @@
         preemptRuns(reservation, now);
       }
     }
-    reserveForLostWorkers(now);
+    reserveAhead(now);
   }
 
   private boolean isNeeded(Reservation reservation, long now) {
@@ -101,13 +112,30 @@
             .fitsInto(CapacityForecast.capacityWithoutShortTasks(worker));
   }
 
-  /** Returns whether a task waits for capacity, or will once its run is considered lost. */
-  private static boolean needsCapacity(Task task, long now) {
+  /** Returns whether a task waits for capacity, or will once its run is lost or stopped. */
+  private boolean needsCapacity(Task task, long now) {
     if (task.job().state().isFinal()) {
       return false;
     }
     Run run = task.run();
-    return run == null ? task.isReady(now) : isAlmostLost(run.worker(), now);
+    if (run == null) {
+      return task.isReady(now);
+    }
+    return isAlmostLost(run.worker(), now) || isToBeMoved(run);
+  }
+
+  /**
+   * Returns whether a run is stopped, or may be by now, because its worker leaves. When that is
+   * gone, its lease counts.
+   */
+  private boolean isToBeMoved(Run run) {
+    Worker worker = run.worker();
+    if (!worker.entry().draining() || worker.isUnreachable() || !worker.isListed()) {
+      return false;
+    }
+    return run.state() == Run.State.STOPPING
+        || DisruptionBudget.allowsStop(run)
+        || drainDeadline.isNear(worker);
   }
 
   private static boolean isAlmostLost(Worker worker, long now) {
@@ -115,10 +143,21 @@
     return isLost && worker.leases().remainingMillis(now) <= RESERVE_BEFORE_EXPIRY_MILLIS;
   }
 
-  private void reserveForLostWorkers(long now) {
+  /**
+   * Reserves capacity for tasks whose runs are about to be lost or stopped with their worker, the
+   * most urgent ones first.
+   */
+  private void reserveAhead(long now) {
+    Predicate<Worker> isUrgent =
+        worker -> isAlmostLost(worker, now) || drainDeadline.isNear(worker);
+    reserveForRunsAt(isUrgent, now);
+    reserveForRunsAt(isUrgent.negate().and(worker -> worker.entry().draining()), now);
+  }
+
+  private void reserveForRunsAt(Predicate<Worker> condition, long now) {
     Set<Shape> denied = new HashSet<>();
     for (Worker worker : workers.all()) {
-      if (isAlmostLost(worker, now)) {
+      if (condition.test(worker)) {
         reserveForRuns(worker.runs(), denied, now);
       }
     }
@@ -150,10 +189,15 @@
   }
 
   private boolean isOverdue(Reservation reservation, long now) {
+    if (now < reservation.sinceMillis() + MIN_WAIT_MILLIS) {
+      return false;
+    }
+    Run run = reservation.task().run();
+    if (run != null) {
+      return drainDeadline.isNear(run.worker());
+    }
     long lastRanAt = Math.max(firstReviewAt, reservation.task().lastRanAt());
-    return reservation.task().run() == null
-        && now >= reservation.sinceMillis() + MIN_WAIT_MILLIS
-        && now >= lastRanAt + PREEMPT_AFTER_MILLIS;
+    return now >= lastRanAt + PREEMPT_AFTER_MILLIS;
   }
 
   private void preemptRuns(Reservation reservation, long now) {
@@ -179,8 +223,9 @@
   }
 
   private @Nullable Worker earliestAvailable(Task task, Queue queue, long now) {
-    boolean mayReserveMore = mayReserveMoreWorkers(queue.service(), now);
+    boolean mayReserveMore = mayReserveMoreWorkers(queue.service(), maxPercent(task), now);
     ResourceAmounts wanted = task.step().step().reserved();
+    List<Worker> available = new ArrayList<>();
     Worker best = null;
     long bestWait = Long.MAX_VALUE;
     for (Worker worker : mayReserveMore ? workers.all() : List.copyOf(reservations.workers())) {
@@ -190,15 +235,30 @@
         continue;
       }
       long wait = forecast.millisUntilFree(worker, all, now);
+      if (wait == 0) {
+        available.add(worker);
+      }
       if (wait < bestWait) {
         best = worker;
         bestWait = wait;
       }
     }
-    return best;
+    Worker preferred = placement.choose(task, available);
+    return preferred != null ? preferred : best;
+  }
+
+  /** Returns the maximum share of workers that may be reserved if one is added for a task. */
+  private int maxPercent(Task task) {
+    Run run = task.run();
+    boolean mayWait =
+        run != null
+            && run.state() == Run.State.RUNNING
+            && run.worker().entry().draining()
+            && !drainDeadline.isNear(run.worker());
+    return mayWait ? MAX_RESERVED_FOR_RUNNING_PERCENT : MAX_RESERVED_PERCENT;
   }
 
-  private boolean mayReserveMoreWorkers(String service, long now) {
+  private boolean mayReserveMoreWorkers(String service, int maxPercent, long now) {
     int schedulable = 0;
     int reserved = 0;
     for (Worker worker : workers.all()) {
@@ -207,6 +267,6 @@
         reserved += reservations.workers().contains(worker) ? 1 : 0;
       }
     }
-    return reserved < Math.max(1, schedulable * MAX_RESERVED_PERCENT / 100);
+    return reserved < Math.max(1, schedulable * maxPercent / 100);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -139,20 +139,31 @@
         new ReadyQueue(
             jobs, lifecycle, new SlackPriority(estimator), clock, this::queue, this::isStartable);
     CapacityForecast forecast = new CapacityForecast(estimator);
+    PlacementPolicy placement = new InterferenceAwarePlacement(interference);
+    DrainDeadline drainDeadline = new DrainDeadline(settings);
     this.planner =
         new Planner(
             ready,
             runner,
             candidates,
             new CapacityReserver(
-                workers, candidates, reservations, forecast, runner::tryStop, this::queue, log),
+                workers,
+                candidates,
+                reservations,
+                forecast,
+                placement,
+                drainDeadline,
+                runner::tryStop,
+                this::queue,
+                log),
             reservations,
-            new InterferenceAwarePlacement(interference),
+            placement,
             clock,
             this::queue);
     this.paceController = new PaceController(token, port, runner::tryStop, interference, log);
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
-    this.drainController = new DrainController(settings, runner, estimator, clock);
+    this.drainController =
+        new DrainController(drainDeadline, runner, estimator, clock, planner::hasReservedCapacity);
     this.pendingTaskReporter =
         new PendingTaskReporter(
             settings.cell(),
@@ -245,6 +256,7 @@
       planner.run();
       planningSchedule.onPass(now, clock.monotonicMillis());
     }
+    drainController.run(now, workers.all());
     if (now >= nextLoadReportAt) {
       nextLoadReportAt = now + LOAD_REPORT_INTERVAL_MILLIS;
       log.decided("load", settings.cell(), LoadReport.of(workers.all(), now), describeBacklog());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -64,6 +64,22 @@
     return placement.choose(task, eligible) != null;
   }
 
+  /** Returns whether the worker that is reserved for a task has enough free capacity by now. */
+  boolean hasReservedCapacity(Task task) {
+    Queue queue = queues.apply(task.job());
+    return queue != null && reservedWorker(task, queue, clock.monotonicMillis()) != null;
+  }
+
+  /** Returns the worker that is reserved for a task if it has enough free capacity by now. */
+  private @Nullable Worker reservedWorker(Task task, Queue queue, long now) {
+    Reservation reservation = reservations.of(task);
+    if (reservation == null) {
+      return null;
+    }
+    Worker worker = reservation.worker();
+    return candidates.ineligibleReason(task, queue, worker, now, false) == null ? worker : null;
+  }
+
   /** One pass over all ready tasks. */
   private final class Pass {
     private final long now;
@@ -132,7 +148,7 @@
     private void placeRestarts(ReadyTasks tasks) {
       Shape shape = tasks.shape();
       for (Task task : tasks.tasks()) {
-        Worker worker = reservedWorker(task, tasks.queue());
+        Worker worker = reservedWorker(task, tasks.queue(), now);
         if (worker == null && !shapesWithoutCapacity.contains(shape)) {
           worker = choose(task, tasks.queue());
         }
@@ -145,16 +161,6 @@
       }
     }
 
-    /** Returns the worker that is reserved for a task if it has enough free capacity by now. */
-    private @Nullable Worker reservedWorker(Task task, Queue queue) {
-      Reservation reservation = reservations.of(task);
-      if (reservation == null) {
-        return null;
-      }
-      Worker worker = reservation.worker();
-      return candidates.ineligibleReason(task, queue, worker, now, false) == null ? worker : null;
-    }
-
     private void reserve(Task task, Queue queue, Shape shape) {
       boolean isExempt =
           reservations.of(task) != null || !CapacityReserver.isReservable(task.step().step());
