Rely on no old capacity of a worker that does not guard it

A worker's capacity may shrink while it runs tasks, and its entry shows it. Where workers do not refuse what exceeds it (enforce_capacity false), a start that relied on a list read long ago brought them over their capacity. The list could be unreadable for any time while the lease of the cell was renewed; nothing bounded the age of a reading. The service's word on guarding was parsed and used nowhere.

WorkerList now records for each worker when its reading was asked for, and whether its service guards capacity. Where it does not, nothing is started on the strength of a reading older than 3 s: what has shrunk counts 4 s and a heartbeat later, the entry may be a heartbeat old, and an order may take 1 s. A suspension of unknown length voids the reading. Guarded services go on, as nothing can go wrong there. Runs are neither stopped nor left to lapse. A change of capacity is logged.

Ruled out: that a whole outage of the table service is the case, as nothing is started then after 2 to 3 s for the lease of the cell.

The fakes learn capacities that change, guarded and unguarded.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -32,6 +32,7 @@
   final List<Node> nodes = new ArrayList<>();
   final List<String> log = new ArrayList<>();
   private final Map<String, Submission> accepted = new LinkedHashMap<>();
+  private final List<String> workerIds = new ArrayList<>();
   private final SplittableRandom random;
   private final long leaseMillis;
   private int incarnationCount;
@@ -53,6 +54,7 @@
     store.put("operator", "configuration", ByteString.copyFromUtf8("1"));
     for (int i = 0; i < workerCount; i++) {
       workers.add("w" + i);
+      workerIds.add("w" + i);
       registerWorker("w" + i);
     }
     for (int i = 0; i < nodeCount; i++) {
@@ -60,10 +62,34 @@
     }
   }
 
-  /** Adds a worker to the platform's list. */
+  /** Adds a worker to the platform's list, or replaces its entry. */
   void registerWorker(String worker) {
-    String bootTime = Long.toString(workers.get(worker).bootTimeMillis());
-    store.put("workers", worker, ByteString.copyFromUtf8(bootTime));
+    FakeWorkers.Model model = workers.get(worker);
+    ResourceAmounts capacity = model.capacity();
+    String entry =
+        String.join(
+            " ",
+            Long.toString(model.bootTimeMillis()),
+            "ready",
+            Long.toString(capacity.cpuMillis()),
+            Long.toString(capacity.memoryMb()),
+            Long.toString(capacity.gpus()));
+    store.put("workers", worker, ByteString.copyFromUtf8(entry));
+  }
+
+  /** Changes the capacity of a worker, which writes its entry after a time in milliseconds. */
+  void resizeWorker(String worker, ResourceAmounts capacity, long writtenAfterMillis) {
+    workers.get(worker).setCapacity(capacity);
+    time.after(writtenAfterMillis, () -> registerWorker(worker));
+  }
+
+  /** Has the workers refuse what exceeds their capacity, or not, as the configuration says. */
+  void setGuardsCapacity(boolean guards) {
+    String version = (guards ? "2" : "3 unguarded");
+    store.put("operator", "configuration", ByteString.copyFromUtf8(version));
+    for (String worker : workerIds) {
+      workers.get(worker).guardsCapacity = guards;
+    }
   }
 
   /** Lists a worker as draining; it leaves after a time in milliseconds. */
@@ -432,8 +458,9 @@
   }
 
   /**
-   * Parses the rows of the fakes: a configuration's version, and the boot time of a worker,
-   * followed by its remaining time if it is draining.
+   * Parses the rows of the fakes: a configuration's version, followed by a word if the workers do
+   * not guard their capacity; and the boot time of a worker, followed by its remaining time if it
+   * is draining, or by a word and its capacity.
    */
   private static final class Source implements ConfigurationSource {
     @Override
@@ -449,11 +476,12 @@
     @Override
     public Optional<Configuration> configuration(ByteString value) {
       Queue queue = new Queue(QUEUE, "host", "/topup/", SERVICE, 0, MAX_ATTEMPTS, 2, 1_000, false);
+      String[] fields = value.toStringUtf8().strip().split(" ", -1);
       return Optional.of(
           new Configuration(
-              Long.parseLong(value.toStringUtf8().strip()),
+              Long.parseLong(fields[0]),
               List.of(queue),
-              ImmutableMap.of(SERVICE, new ServiceEntry(SERVICE, true, false)),
+              ImmutableMap.of(SERVICE, new ServiceEntry(SERVICE, fields.length == 1, false)),
               100_000));
     }
 
@@ -465,7 +493,7 @@
     @Override
     public Optional<WorkerEntry> worker(String key, ByteString value) {
       String[] fields = value.toStringUtf8().split(" ", -1);
-      boolean draining = fields.length > 1;
+      boolean draining = fields.length == 2;
       return Optional.of(
           new WorkerEntry(
               key,
@@ -475,8 +503,13 @@
               "zone-a",
               draining,
               draining ? Long.parseLong(fields[1]) : 0,
-              WORKER_CAPACITY,
+              fields.length > 2 ? capacity(fields) : WORKER_CAPACITY,
               ImmutableSet.of("a", "r1")));
     }
+
+    private static ResourceAmounts capacity(String[] fields) {
+      return new ResourceAmounts(
+          Long.parseLong(fields[2]), Long.parseLong(fields[3]), Long.parseLong(fields[4]));
+    }
   }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -183,6 +183,9 @@
     /** Whether transactions of this process are applied and not answered. */
     boolean repliesLost;
 
+    /** Table that this process cannot read; empty for none. */
+    String unreadableTable = "";
+
     /** The link that carries replies to reads and watches; null for unlimited bandwidth. */
     @Nullable SharedLink link;
 
@@ -265,7 +268,7 @@
 
     private void sendRead(
         Range range, long timeoutMillis, boolean isLarge, Consumer<ReadResult> handler) {
-      if (isUnreachable()) {
+      if (isUnreachable() || range.table().equals(unreadableTable)) {
         ReadResult none = new ReadResult(false, ImmutableList.of(), false, 0);
         inbox.timeout(timeoutMillis, () -> handler.accept(none));
         return;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -40,6 +40,12 @@
   /** Maximum number of completions in one reply. */
   private static final int MAX_COMPLETIONS = 500;
 
+  /**
+   * Time after a worker's capacity has shrunk from which a start must not rely on the former one,
+   * in milliseconds: 4 s of contact and one heartbeat.
+   */
+  private static final long SHRINK_GRACE_MILLIS = 5_100;
+
   private final VirtualTime time;
   private final SplittableRandom random;
   private final long leaseMillis;
@@ -187,16 +193,13 @@
     if (step == null) {
       return;
     }
-    long cpu = step.reserved().cpuMillis();
     int same = 1;
     for (RunId other : model.runs.keySet()) {
-      Step otherStep = step(other.task());
-      cpu += otherStep == null ? 0 : otherStep.reserved().cpuMillis();
       same += isSameStep(other.task(), run.task()) ? 1 : 0;
     }
-    if (cpu > CellWorld.WORKER_CAPACITY.cpuMillis()) {
-      violations.add(
-          run + " raises " + model.id + " to " + cpu + " reserved mcpu at " + time.millis());
+    ResourceAmounts reserved = model.reserved().plus(step.reserved());
+    if (!model.hadCapacityFor(reserved)) {
+      violations.add(run + " raises " + model.id + " to " + reserved + " at " + time.millis());
     }
     if (step.maxPerWorker() > 0 && same > step.maxPerWorker()) {
       violations.add(run + " is one of " + same + " at " + model.id + " at " + time.millis());
@@ -220,6 +223,11 @@
     private final Map<RunId, Long> runs = new LinkedHashMap<>();
     private final Map<TaskId, Integer> stopped = new HashMap<>();
     private final List<CompletionReport> completions = new ArrayList<>();
+    private ResourceAmounts capacity = CellWorld.WORKER_CAPACITY;
+
+    /** Former capacities with the times until which a start may rely on them. */
+    private final Map<ResourceAmounts, Long> formerCapacities = new HashMap<>();
+
     private long fence;
     private long leaseUntil;
     private long bootTimeMillis = time.millis();
@@ -240,6 +248,12 @@
     /** Number of hold calls that arrived at its address. */
     int holdCalls;
 
+    /** Whether it refuses starts that exceed its capacity. */
+    boolean guardsCapacity;
+
+    /** Times at which it refused a start that exceeds its capacity. */
+    final List<Long> capacityRefusals = new ArrayList<>();
+
     Model(String id) {
       this.id = id;
     }
@@ -248,6 +262,49 @@
       return bootTimeMillis;
     }
 
+    ResourceAmounts capacity() {
+      return capacity;
+    }
+
+    /** Changes the capacity; runs that exceed it go on. */
+    void setCapacity(ResourceAmounts newCapacity) {
+      formerCapacities.put(capacity, time.millis() + SHRINK_GRACE_MILLIS);
+      capacity = newCapacity;
+    }
+
+    /** Restarts with another capacity, on which every start must rely. */
+    void restart(long millis, ResourceAmounts newCapacity) {
+      restart(millis);
+      capacity = newCapacity;
+      formerCapacities.clear();
+    }
+
+    private ResourceAmounts reserved() {
+      ResourceAmounts sum = ResourceAmounts.NONE;
+      for (RunId run : runs.keySet()) {
+        Step step = step(run.task());
+        sum = step == null ? sum : sum.plus(step.reserved());
+      }
+      return sum;
+    }
+
+    /** Returns whether an amount fits into the capacity or into one that a start may rely on. */
+    private boolean hadCapacityFor(ResourceAmounts amounts) {
+      formerCapacities.values().removeIf(until -> time.millis() > until);
+      return amounts.fitsInto(capacity)
+          || formerCapacities.keySet().stream().anyMatch(amounts::fitsInto);
+    }
+
+    private boolean refusesForCapacity(RunId run) {
+      Step step = step(run.task());
+      boolean refuses =
+          guardsCapacity && step != null && !reserved().plus(step.reserved()).fitsInto(capacity);
+      if (refuses) {
+        capacityRefusals.add(time.millis());
+      }
+      return refuses;
+    }
+
     /** Ends all runs and forgets everything; the new boot answers a while later. */
     void restart() {
       restart(RESTART_MILLIS);
@@ -292,6 +349,9 @@
       if (order.leaseUntilMillis() <= clock()) {
         return reply(OrderOutcome.LATE);
       }
+      if (refusesForCapacity(run)) {
+        return reply(OrderOutcome.NO_ROOM);
+      }
       begin(run);
       return reply(OrderOutcome.ACCEPTED);
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -117,6 +117,7 @@
             lease.generation(),
             journal,
             log,
+            configuration,
             new ListListener());
     this.runner =
         new TaskRunner(
@@ -177,6 +178,7 @@
   /** Requires a renewal of the lease before any further order. */
   void requireRenewal() {
     journal.requireRenewal();
+    workerList.requireRead();
   }
 
   /** Returns the time since the last successful renewal was sent, in milliseconds. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellTiming.java
@@ -41,6 +41,13 @@
   /** Margin added to the duration of a lease before it counts as expired. */
   private static final long EXPIRY_MARGIN_MILLIS = 150;
 
+  /**
+   * Maximum age of the reading of a capacity on which a start relies at a worker that does not
+   * guard it. A capacity that has shrunk counts 4 s and a heartbeat later; its worker may write it
+   * with its next heartbeat only, and an order may take as long as its timeout.
+   */
+  static final long MAX_CAPACITY_AGE_MILLIS = 4_000 - WorkerPort.ORDER_TIMEOUT_MILLIS;
+
   /** Timeout of a call to the table service. */
   static final long STORE_TIMEOUT_MILLIS = 1_000;
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
@@ -25,6 +25,9 @@
   /** Its clock is not known, so that no lease can be granted. */
   NO_CLOCK("clock not known"),
 
+  /** It does not guard its capacity, which may have shrunk since it was read. */
+  OLD_CAPACITY("room read too long ago"),
+
   OTHER_SERVICE("other service"),
 
   OTHER_LABEL("other label"),
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -66,6 +66,7 @@
 
   private long backoffUntil = Long.MIN_VALUE;
   private final WorkerHealth health = new WorkerHealth();
+  private final ListedCapacity listedCapacity = new ListedCapacity();
 
   Worker(WorkerEntry entry) {
     this.entry = entry;
@@ -413,6 +414,11 @@
     return free;
   }
 
+  /** Returns what its runs have reserved. */
+  ResourceAmounts reserved() {
+    return runs.reserved();
+  }
+
   /** Returns the CPU that is neither reserved nor demanded by fillers, in millicores. */
   long freeCpu() {
     return free.cpuMillis() - runs.fillerCpu();
@@ -443,6 +449,10 @@
     backoffUntil = Math.max(backoffUntil, untilMillis);
   }
 
+  boolean isBackingOff(long nowMillis) {
+    return nowMillis < backoffUntil;
+  }
+
   /** Returns whether it may be assigned tasks. */
   boolean isSchedulable(long nowMillis) {
     return ineligibleReason(nowMillis) == null;
@@ -450,31 +460,15 @@
 
   /** Returns why it may not be assigned any task; null if it may. */
   @Nullable IneligibleReason ineligibleReason(long nowMillis) {
-    if (!listed) {
-      return IneligibleReason.UNLISTED;
-    }
-    if (holdFailures > 0) {
-      return IneligibleReason.UNRESPONSIVE;
-    }
-    if (!tokenAcknowledged) {
-      return IneligibleReason.TOKEN_NOT_ACKNOWLEDGED;
-    }
-    if (!onRoster) {
-      return IneligibleReason.NOT_ON_ROSTER;
-    }
-    if (unknownRuns) {
-      return IneligibleReason.UNKNOWN_RUNS;
-    }
-    if (entry.draining()) {
-      return IneligibleReason.DRAINING;
-    }
-    if (nowMillis < backoffUntil) {
-      return IneligibleReason.BACKING_OFF;
-    }
-    return leases.hasClock() ? null : IneligibleReason.NO_CLOCK;
+    return WorkerEligibility.reason(this, nowMillis);
   }
 
   WorkerHealth health() {
     return health;
   }
+
+  /** Returns how far the capacity of its entry may be relied on. */
+  ListedCapacity listedCapacity() {
+    return listedCapacity;
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.hemlockpick.cell.TableService.Range;
 import org.hemlockpick.proto.RosterEntry;
 import org.hemlockpick.proto.RosterRecord;
@@ -20,6 +21,9 @@
 final class WorkerList {
   private static final long READ_INTERVAL_MILLIS = 450;
 
+  /** Precedes every other time; the time elapsed since then does not overflow. */
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   /** Delay before writing again a roster that the table service refused, in milliseconds. */
   private static final long REFUSED_RETRY_MILLIS = 10_000;
 
@@ -30,13 +34,21 @@
   private final int generation;
   private final CellJournal journal;
   private final DecisionLog log;
+  private final Supplier<@Nullable Configuration> configuration;
   private final Listener listener;
 
   /** Boot times of workers that have ended, by identifier; the list may still contain them. */
   private final Map<String, Long> endedBootTimes = new HashMap<>();
 
+  /** Version of the configuration by which it is set whether the workers guard their capacity. */
+  private long appliedVersion;
+
   private boolean read;
   private boolean reading;
+
+  /** Number of times at which a new reading was required. */
+  private int requirements;
+
   private long nextReadAt;
   private boolean rosterChanged;
   private long nextRefusedAt;
@@ -66,6 +78,7 @@
       int generation,
       CellJournal journal,
       DecisionLog log,
+      Supplier<@Nullable Configuration> configuration,
       Listener listener) {
     this.store = store;
     this.source = source;
@@ -74,6 +87,7 @@
     this.generation = generation;
     this.journal = journal;
     this.log = log;
+    this.configuration = configuration;
     this.listener = listener;
   }
 
@@ -87,6 +101,16 @@
     nextReadAt = 0;
   }
 
+  /**
+   * Requires a new reading before a capacity is relied on that is not guarded: the process may have
+   * been suspended, so that the age of the last one is not known.
+   */
+  void requireRead() {
+    requirements++;
+    requestRead();
+    workers.all().forEach(worker -> worker.listedCapacity().requireRead());
+  }
+
   /** Records that a worker has ended, though the list may contain it for a while. */
   void onEnded(Worker worker) {
     worker.setUnlisted();
@@ -102,7 +126,16 @@
     if (!reading && now >= nextReadAt) {
       reading = true;
       nextReadAt = now + READ_INTERVAL_MILLIS;
-      PagedRead.start(store, new Range(source.workerTable(), "", "", ""), this::onRows);
+      int required = requirements;
+      PagedRead.start(
+          store,
+          new Range(source.workerTable(), "", "", ""),
+          rows -> onRows(rows, required == requirements ? now : NEVER));
+    }
+    Configuration inForce = configuration.get();
+    if (inForce != null && inForce.version() != appliedVersion) {
+      appliedVersion = inForce.version();
+      workers.all().forEach(this::setGuarded);
     }
     if (journal.isRosterRefused() && now >= nextRefusedAt) {
       nextRefusedAt = now + REFUSED_RETRY_MILLIS;
@@ -114,7 +147,20 @@
     }
   }
 
-  private void onRows(PagedRead.@Nullable Rows rows) {
+  /** Sets for a worker whether it guards its capacity, as the configuration in force says. */
+  private void setGuarded(Worker worker) {
+    Configuration inForce = configuration.get();
+    ServiceEntry service =
+        inForce == null ? null : inForce.services().get(worker.entry().service());
+    worker.listedCapacity().setGuarded(service != null && service.enforcesCapacity());
+  }
+
+  /**
+   * Applies a reading.
+   *
+   * @param requestedAt time at which it was requested; {@link #NEVER} if a newer one is required
+   */
+  private void onRows(PagedRead.@Nullable Rows rows, long requestedAt) {
     reading = false;
     if (rows == null) {
       return;
@@ -127,7 +173,7 @@
           .ifPresent(
               entry -> {
                 listed.add(entry.id());
-                updateUnlessEnded(entry);
+                updateUnlessEnded(entry, requestedAt);
               });
     }
     for (Worker worker : workers.all()) {
@@ -140,22 +186,27 @@
     listener.onRead();
   }
 
-  private void updateUnlessEnded(WorkerEntry entry) {
+  private void updateUnlessEnded(WorkerEntry entry, long requestedAt) {
     Long bornMillis = endedBootTimes.get(entry.id());
     if (bornMillis != null && entry.bootTimeMillis() <= bornMillis) {
       return;
     }
     endedBootTimes.remove(entry.id());
-    update(entry);
-  }
-
-  private void update(WorkerEntry entry) {
     Worker worker = workers.get(entry.id());
     if (worker == null) {
-      workers.add(new Worker(entry));
+      worker = new Worker(entry);
+      workers.add(worker);
       rosterChanged = true;
-      return;
+    } else {
+      update(worker, entry);
     }
+    if (worker.entry().equals(entry)) {
+      worker.listedCapacity().onRead(requestedAt);
+    }
+    setGuarded(worker);
+  }
+
+  private void update(Worker worker, WorkerEntry entry) {
     if (entry.bootTimeMillis() < worker.entry().bootTimeMillis()) {
       // Written by an earlier boot.
       return;
@@ -167,6 +218,10 @@
       log.decided("worker", entry.id(), "draining", entry.remainingMillis() + " ms left");
       worker.setNextHoldAt(0);
     }
+    if (!otherBoot && !entry.capacity().equals(worker.entry().capacity())) {
+      String change = "from " + worker.entry().capacity() + " to " + entry.capacity();
+      log.decided("worker", entry.id(), "resized", change + ", reserved " + worker.reserved());
+    }
     if (otherBoot) {
       listener.onRestarted(worker, "born " + entry.bootTimeMillis() + " in the list");
     }
