Look at the capacity again before an order

The order to start a long-running task follows its plan once its placement is stored, which may take a second or two. Only whether its worker may be given tasks was looked at then, not its capacity: a worker that shrank between the two was ordered to start what it had no room for. An order without an answer was repeated in the same way.

The order is sent only if all that is counted at the worker still fits; a run that is dropped gives its room to the next one. An order is repeated unless its worker is known not to have the capacity and does not guard it; a guarded worker answers such an order truly, so that no run is stopped in vain.

Failed before: placementThatIsStoredLateIsNotOrderedWhereTheCapacityIsGone (two starts at w0, none allowed) and orderWithoutAnswerIsNotRepeatedWhereTheCapacityIsGone (one start at w0 of 4000 mcpu where 3000 were left).

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
@@ -99,6 +99,42 @@
     assertNoViolations();
   }
 
+  /** Guards against an order that follows a plan by seconds, when the capacity is gone. */
+  @Test
+  void placementThatIsStoredLateIsNotOrderedWhereTheCapacityIsGone() {
+    createWorld(2, false);
+    FakeStore.View store = world.holder().storeView;
+    store.repliesLost = true;
+    world.submit(0, "l", step(4, 4_000, true));
+    world.time.runFor(300);
+    assertEquals(List.of(), world.workers.startLog);
+    world.resizeWorker("w0", SMALL, 0);
+    // Shorter than it takes another process to take the cell.
+    world.time.runFor(READ_MILLIS);
+    store.repliesLost = false;
+    world.time.runFor(SETTLE_MILLIS);
+    assertEquals(List.of(), startsAt("w0", 0));
+    assertEquals(2, startsAt("w1", 0).size());
+    assertNoViolations();
+  }
+
+  /** Guards against a second order that starts a run where the capacity has gone meanwhile. */
+  @Test
+  void orderWithoutAnswerIsNotRepeatedWhereTheCapacityIsGone() {
+    createWorld(1, false);
+    FakeWorkers.View workers = world.holder().workerView;
+    workers.startsLost = true;
+    world.submit(0, "s", step(1, 4_000, false));
+    world.time.runFor(300);
+    assertEquals(1, lines(" start s").size());
+    world.resizeWorker("w0", SMALL, 0);
+    world.time.runFor(600);
+    workers.startsLost = false;
+    world.time.runFor(LONG_MILLIS);
+    assertEquals(List.of(), startsAt("w0", 0));
+    assertNoViolations();
+  }
+
   /** Guards against starts in place of runs that are being stopped and take up capacity yet. */
   @Test
   void runsThatAreBeingStoppedCountUntilTheirEnd() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ListedCapacity.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ListedCapacity.java
@@ -35,4 +35,12 @@
   boolean isReliable(long nowMillis) {
     return guarded || nowMillis - requestedAt <= CellTiming.MAX_CAPACITY_AGE_MILLIS;
   }
+
+  /**
+   * Returns whether an order that had no answer may be repeated at its worker: where capacity is
+   * not guarded, it must not start a run that no longer fits.
+   */
+  boolean allowsRepeatedOrder(Worker worker, long nowMillis) {
+    return guarded || (isReliable(nowMillis) && !worker.isOverCapacity());
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -127,7 +127,7 @@
     }
     long now = clock.monotonicMillis();
     boolean isStored = !journal.isRefused(run.task().job());
-    if (isStored && run.worker().isSchedulable(now)) {
+    if (isStored && run.worker().isSchedulable(now) && !run.worker().isOverCapacity()) {
       sendStart(run, checkpoint);
       return;
     }
@@ -140,7 +140,10 @@
     Worker worker = run.worker();
     long now = clock.monotonicMillis();
     if (!journal.mayGrantLeases(now)) {
-      onNotSent(run);
+      // The cell's lease became uncertain while the order was prepared.
+      if (run.startOrdersSent() == 0) {
+        drop(run);
+      }
       return;
     }
     long until = worker.leases().grant(now, settings.workerLeaseMillis());
@@ -155,16 +158,6 @@
     port.start(worker.target(), call, reply -> onStartReply(run, call, reply, now));
   }
 
-  /**
-   * Drops a run that was never ordered: the cell's lease became uncertain while the order was
-   * prepared.
-   */
-  private void onNotSent(Run run) {
-    if (run.startOrdersSent() == 0) {
-      drop(run);
-    }
-  }
-
   private void onStartReply(Run run, StartOrder order, OrderReply reply, long sentAt) {
     Worker worker = run.worker();
     long now = clock.monotonicMillis();
@@ -259,6 +252,7 @@
             && run.startOrdersSent() < MAX_START_ORDERS
             && !run.worker().isUnresponsive()
             && run.worker().isOnRoster()
+            && run.worker().listedCapacity().allowsRepeatedOrder(run.worker(), now)
             && journal.mayGrantLeases(now);
     if (isRetried) {
       sendStart(run, checkpoint);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -419,6 +419,11 @@
     return runs.reserved();
   }
 
+  /** Returns whether the runs have reserved more than its capacity, which may have shrunk. */
+  boolean isOverCapacity() {
+    return !ResourceAmounts.NONE.fitsInto(free);
+  }
+
   /** Returns the CPU that is neither reserved nor demanded by fillers, in millicores. */
   long freeCpu() {
     return free.cpuMillis() - runs.fillerCpu();
