Do not take the capacity of an earlier boot for that of a later one

When a worker's answer showed a later boot, its entry kept the capacity and the labels of the earlier boot until the list showed the new one. A later boot may be of another kind, so that it was brought over its capacity, and could be given tasks that need another label.

If no boot was known before, the entry is that of the boot which answers, and stays.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
@@ -150,6 +150,25 @@
     assertNoViolations();
   }
 
+  /** Guards against starts that rely on the capacity of an earlier boot. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void laterBootIsGivenWhatItsOwnEntryAllows(boolean hasRuns) {
+    createWorld(2, false);
+    if (hasRuns) {
+      world.submit(0, "l", step(4, CPU, true));
+      world.time.runFor(1_000);
+    }
+    submitShort(4);
+    world.time.runFor(1_000);
+    world.workers.get("w0").restart(800, SMALL);
+    world.time.after(SETTLE_MILLIS, () -> world.registerWorker("w0"));
+    world.time.runFor(SETTLE_MILLIS + LONG_MILLIS);
+    long bootTime = world.workers.get("w0").bootTimeMillis();
+    assertFalse(startsAt("w0", bootTime).isEmpty());
+    assertNoViolations();
+  }
+
   /** Guards against starts that rely on a capacity that was read too long ago. */
   @Test
   void unguardedCapacityThatWasReadLongAgoIsNotReliedOn() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -101,6 +101,7 @@
   /** Sets the time at which its boot started. */
   void setBootTime(long bootTimeMillis) {
     entry = entry.withBootTime(bootTimeMillis);
+    updateFree();
   }
 
   boolean isListed() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerEntry.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerEntry.java
@@ -26,9 +26,22 @@
     ResourceAmounts capacity,
     ImmutableSet<String> labels) {
 
-  /** Returns the entry of a later boot under the same identifier. */
-  WorkerEntry withBootTime(long bootTimeMillis) {
+  /**
+   * Returns what is known of a later boot under the same identifier until its entry is read: it may
+   * be of another kind, so that neither capacity nor labels can be relied on. They stay if no boot
+   * was known before.
+   */
+  WorkerEntry withBootTime(long newBootTimeMillis) {
+    boolean isKnown = bootTimeMillis == 0;
     return new WorkerEntry(
-        id, bootTimeMillis, service, address, zone, draining, remainingMillis, capacity, labels);
+        id,
+        newBootTimeMillis,
+        service,
+        address,
+        zone,
+        draining,
+        remainingMillis,
+        isKnown ? capacity : ResourceAmounts.NONE,
+        isKnown ? labels : ImmutableSet.of());
   }
 }
