Space the orders to a worker that refuses them for lack of capacity

A guarded worker that has less capacity than its entry says refused, each 250 ms, as many orders as its entry had room for.

What needs at least as much in all as was refused is now tried there again after 250 ms, then after pauses that double up to 2 s, one order at a time. What needs less is started meanwhile, as before; an entry with another capacity, or an accepted start of that size, ends it. The task counts no failure, before as after.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
@@ -135,6 +135,39 @@
     assertNoViolations();
   }
 
+  /** Guards against orders in a loop, and against failures, where a worker refuses for capacity. */
+  @Test
+  void workerThatRefusesForCapacityGetsFewOrdersAndTasksDoNotFail() {
+    createWorld(1, true);
+    // Its entry says for good that it has its full capacity.
+    world.workers.get("w0").setCapacity(SMALL);
+    world.submit(0, "w", step(8, 4_000, false));
+    world.time.runFor(HEARTBEAT_MILLIS + READ_MILLIS);
+    List<Long> refusals = world.workers.get("w0").capacityRefusals;
+    int first = refusals.size();
+    world.time.runFor(10_000);
+    int later = refusals.size() - first;
+    assertTrue(later <= 10, () -> first + " orders refused at first, then " + later + " in 10 s");
+    assertEquals(0, world.failures("w"));
+    world.workers.get("w0").setCapacity(CellWorld.WORKER_CAPACITY);
+    world.time.runFor(LONG_MILLIS);
+    assertTrue(world.workers.starts.size() >= 4, world.workers.starts::toString);
+    assertNoViolations();
+  }
+
+  /** Guards against a worker that refuses a large task and so gets no small one. */
+  @Test
+  void workerThatRefusesALargeTaskRunsSmallOnes() {
+    createWorld(1, true);
+    world.workers.get("w0").setCapacity(SMALL);
+    world.submit(0, "w", step(1, 4_000, false));
+    world.time.runFor(200);
+    world.submit(0, "s", step(3, CPU, false));
+    world.time.runFor(2 * LONG_MILLIS);
+    assertEquals(3, startsAt("w0", 0).size());
+    assertNoViolations();
+  }
+
   /** Guards against starts in place of runs that are being stopped and take up capacity yet. */
   @Test
   void runsThatAreBeingStoppedCountUntilTheirEnd() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -71,9 +71,13 @@
   /** Returns why what runs or ran on a suitable worker rules it out; null if it does not. */
   private @Nullable IneligibleReason loadReason(
       Task task, Worker worker, long now, boolean mayBePaused) {
-    if (!task.step().step().reserved().fitsInto(worker.free())) {
+    ResourceAmounts wanted = task.step().step().reserved();
+    if (!wanted.fitsInto(worker.free())) {
       return IneligibleReason.NO_CAPACITY;
     }
+    if (worker.capacityRefusals().rulesOut(worker, wanted, now)) {
+      return IneligibleReason.BACKING_OFF;
+    }
     if (isAtPerWorkerLimit(task.step(), worker)) {
       return IneligibleReason.PER_WORKER_LIMIT;
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -178,11 +178,12 @@
     switch (reply.outcome()) {
       case ACCEPTED -> {
         worker.setExtended(sentAt);
+        worker.capacityRefusals().onAccepted(worker.reserved());
         onAccepted(run, now);
       }
       case FENCED -> onStartFenced(run, order.token());
       case NO_ROOM -> {
-        worker.backOffUntil(now + NO_CAPACITY_BACKOFF_MILLIS);
+        worker.capacityRefusals().onRefused(worker.reserved(), sentAt, now);
         dropUnlessRetried(run, reply.outcome());
       }
       case UNHEALTHY -> {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -67,6 +67,7 @@
   private long backoffUntil = Long.MIN_VALUE;
   private final WorkerHealth health = new WorkerHealth();
   private final ListedCapacity listedCapacity = new ListedCapacity();
+  private final CapacityRefusals capacityRefusals = new CapacityRefusals();
 
   Worker(WorkerEntry entry) {
     this.entry = entry;
@@ -93,6 +94,9 @@
 
   /** Replaces the entry with a newer one of the platform's list. */
   void update(WorkerEntry newer) {
+    if (!newer.capacity().equals(entry.capacity())) {
+      capacityRefusals.clear();
+    }
     entry = newer;
     listed = true;
     updateFree();
@@ -473,6 +477,11 @@
     return health;
   }
 
+  /** Returns the starts that it refused for lack of capacity. */
+  CapacityRefusals capacityRefusals() {
+    return capacityRefusals;
+  }
+
   /** Returns how far the capacity of its entry may be relied on. */
   ListedCapacity listedCapacity() {
     return listedCapacity;
