Count no missing capacity against what other workers have free

A worker that has shrunk below what it runs has negative free capacity. ShortTaskPool summed it with that of the others, so that a service with a worker all free looked full, and a long-running task waited beside it.

Failed before: longRunningTaskFindsTheFreeWorkerBesideShrunkOnes (7 starts, 8 expected).

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
@@ -254,6 +254,23 @@
     assertEquals(0, world.workers.startLog.stream().filter(s -> s.atMillis() > changedAt).count());
   }
 
+  /** Guards against shrunk workers that hide the capacity which others have free. */
+  @Test
+  void longRunningTaskFindsTheFreeWorkerBesideShrunkOnes() {
+    createWorld(8, false);
+    world.submit(0, "l", step(7, 6_000, true));
+    world.time.runFor(2_000);
+    for (Start start : List.copyOf(world.workers.startLog)) {
+      world.resizeWorker(start.worker(), new ResourceAmounts(1_000, 32_000, 0), 0);
+    }
+    world.time.runFor(READ_MILLIS);
+    world.workers.runMillisByJob.put("m", 600_000L);
+    world.submit(0, "m", step(1, CPU, true));
+    world.time.runFor(SETTLE_MILLIS);
+    assertEquals(8, world.workers.startLog.size(), () -> lines(" wait ").toString());
+    assertNoViolations();
+  }
+
   private void readNoWorkers(boolean unreadable) {
     world.nodes.forEach(node -> node.storeView.unreadableTable = unreadable ? "workers" : "");
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ShortTaskPool.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ShortTaskPool.java
@@ -73,7 +73,8 @@
     long free = 0;
     for (Worker worker : schedulable.of(service)) {
       capacity += worker.entry().capacity().cpuMillis();
-      free += worker.free().cpuMillis();
+      // A worker that has shrunk below what it runs takes nothing from what others have free.
+      free += Math.max(0, worker.free().cpuMillis());
     }
     return 2 * free > capacity;
   }
