Free capacity for a task before the lease of its lost worker has ended

A worker is reserved 1 s before the lease of a lost worker ends, but runs there were stopped only after the end was known, and from 300 ms after it. Now the 5 s before preemption count from the last answer of the worker, so that runs are preempted from 700 ms before the lease has certainly ended, after a silence of more than 5 s. Stopped in vain are the runs whose preemption is followed by an answer of the lost worker in its last second.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongRunningLossTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongRunningLossTest.java
@@ -233,6 +233,35 @@
     assertAllRestarted(MAX_RESTART_MILLIS);
   }
 
+  /**
+   * Guards against waiting until a lease has ended before runs are preempted: two leases in a row,
+   * as the new worker falls silent when the task is ordered there, take nearly all of the time.
+   */
+  @Test
+  void taskOfALostWorkerRestartsThoughTheOrderToStartItIsLost() {
+    world.workers.runMillis = LONG_RUN_MILLIS;
+    fill();
+    String lost = workersOf("l").get(0);
+    TaskId task = taskAt("l", lost);
+    lose(lost);
+    loseWorkerWhereOrdered(task, "frees capacity for " + task);
+    run(4 * MAX_RESTART_MILLIS);
+    assertAllRestarted(MAX_RESTART_MILLIS);
+  }
+
+  /** The same for a task whose worker leaves. */
+  @Test
+  void taskOfALeavingWorkerRestartsThoughTheOrderToStartItIsLost() {
+    world.workers.runMillis = LONG_RUN_MILLIS;
+    fill();
+    String leaving = workersOf("l").get(0);
+    TaskId task = taskAt("l", leaving);
+    world.drainWorker(leaving, DRAIN_MILLIS);
+    loseWorkerWhereOrdered(task, " stop " + task + " ");
+    run(4 * MAX_RESTART_MILLIS);
+    assertAllRestarted(MAX_RESTART_MILLIS);
+  }
+
   /** Guards against counting a stopped run until its lease ends, as its end was not reported. */
   @ParameterizedTest
   @CsvSource({"1000, 2", "1000, 650", "60000, 2", "60000, 650"})
@@ -352,6 +381,22 @@
         });
   }
 
+  /**
+   * Disconnects the worker that is reserved for a task right before the task is ordered there.
+   *
+   * @param text text of a log line after which the task is the next one to be ordered
+   */
+  private void loseWorkerWhereOrdered(TaskId task, String text) {
+    whenLogged(
+        text,
+        world.log.size(),
+        line ->
+            world
+                .holder()
+                .workerView
+                .beforeNextStart(() -> lose(workerIn(lines(" start " + task + " ").get(1)))));
+  }
+
   /** Runs an action once when the first line that contains a text is logged. */
   private void whenLogged(String text, int from, Consumer<String> action) {
     for (String line : List.copyOf(world.log.subList(from, world.log.size()))) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
@@ -192,12 +192,15 @@
     if (now < reservation.sinceMillis() + MIN_WAIT_MILLIS) {
       return false;
     }
-    Run run = reservation.task().run();
-    if (run != null) {
+    Task task = reservation.task();
+    Run run = task.run();
+    if (run != null && !isAlmostLost(run.worker(), now)) {
       return drainDeadline.isNear(run.worker());
     }
-    long lastRanAt = Math.max(firstReviewAt, reservation.task().lastRanAt());
-    return now >= lastRanAt + PREEMPT_AFTER_MILLIS;
+    // What is almost lost has not been seen to run since the last answer of its worker.
+    boolean hasRun = run != null && run.wasObservedRunning();
+    long lastRanAt = hasRun ? run.worker().lastAnswerSentAt() : task.lastRanAt();
+    return now >= Math.max(firstReviewAt, lastRanAt) + PREEMPT_AFTER_MILLIS;
   }
 
   private void preemptRuns(Reservation reservation, long now) {
