End a process on a platform only when no request can be read any more

A caller whose request was sent 3.1 s after SIGTERM got no answer: its connection was closed 3.42 s after the signal. The process ended once it had found no call in flight and none for 0.4 s; it then wrote its last line, waited 100 ms and halted, while it went on to accept connections and to read from those that were open. A call counted from when its whole body was there.

CallerDrain now makes the next request impossible instead of looking for a quiet moment: answers announce that their connection closes, and it closes after them; after 3 s the listening socket of the callers is closed, and each connection of which no byte has been read since its last answer; the others close after their answers. The readiness is served until the end.

Ruled out as sufficient: a longer quiet time (callers ask at any pace), and counting calls earlier while the listener stays open.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CallerDrain.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CallerDrain.java
@@ -1,42 +1,94 @@
 package org.hemlockpick.daemon;
 
-import java.util.concurrent.atomic.AtomicInteger;
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntPredicate;
 
 /**
- * Tracks the calls of callers from their arrival to their answers, and decides when a process that
- * stops may end: callers with open connections go on sending calls until they learn of the stop.
- * May be used on any thread. Times are on the monotonic clock, in milliseconds.
+ * Ends the service of callers such that each request of which a byte has been read is answered.
+ *
+ * <p>First, answers announce that their connection closes, and it closes after them; new
+ * connections are still accepted, as callers are still routed here. Then the listeners are closed,
+ * and so are the connections without a request; the others are closed after their answers. A
+ * request that a caller sends into a closing connection is not read, so that it may be repeated.
+ *
+ * <p>May be used on any thread.
  */
 public final class CallerDrain {
-  /** Time since the stop signal during which callers may still be routed here. */
-  private static final long MIN_DRAIN_MILLIS = 3_000;
+  private final IntPredicate callerPorts;
+  private final Set<Channel> listeners = ConcurrentHashMap.newKeySet();
+  private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+  private volatile Phase phase = Phase.SERVING;
 
-  /** Time without a call after which no further one is expected. */
-  private static final long QUIET_MILLIS = 400;
+  /**
+   * Creates a drain.
+   *
+   * @param callerPorts selects the ports at which callers connect; others are served until the end
+   */
+  public CallerDrain(IntPredicate callerPorts) {
+    this.callerPorts = callerPorts;
+  }
 
-  private final AtomicInteger inFlight = new AtomicInteger();
-  private volatile long lastCallAt = Long.MIN_VALUE / 2;
+  /** Closes each connection after its next answer from now on. */
+  public void begin() {
+    phase = Phase.ANNOUNCING;
+  }
+
+  /** Accepts no more connections and closes those without a request. */
+  public void stopAccepting() {
+    phase = Phase.CLOSING;
+    listeners.removeIf(listener -> !isForCallers(listener));
+    for (Channel listener : listeners) {
+      var unused = listener.close();
+    }
+    connections.forEach(CallerConnection::closeOnceIdle);
+  }
+
+  /** Returns whether all connections are closed; one that is accepted later is never read. */
+  public boolean isDone() {
+    return isClosing() && connections.isEmpty();
+  }
 
-  /** Records that a call has arrived. */
-  public void onArrived(long nowMillis) {
-    inFlight.incrementAndGet();
-    lastCallAt = nowMillis;
+  /** Returns the number of open connections of callers. */
+  public int openConnections() {
+    return connections.size();
   }
 
-  /** Records that a call has got its answer. */
-  public void onAnswered(long nowMillis) {
-    lastCallAt = nowMillis;
-    inFlight.decrementAndGet();
+  void addListener(Channel listener) {
+    listeners.add(listener);
+    var unused = listener.closeFuture().addListener(closed -> listeners.remove(listener));
   }
 
   /**
-   * Returns whether the callers are drained.
-   *
-   * @param stoppedAtMillis time of the stop signal
+   * Adds a connection before any byte is read from it. One that was accepted while the listeners
+   * were being closed closes at once.
    */
-  public boolean isDrained(long nowMillis, long stoppedAtMillis) {
-    return inFlight.get() == 0
-        && nowMillis - stoppedAtMillis >= MIN_DRAIN_MILLIS
-        && nowMillis - lastCallAt >= QUIET_MILLIS;
+  void add(CallerConnection connection, Channel channel) {
+    connections.add(connection);
+    var unused = channel.closeFuture().addListener(closed -> connections.remove(connection));
+    if (isClosing()) {
+      connection.closeOnceIdle();
+    }
+  }
+
+  boolean isForCallers(Channel channel) {
+    return channel.localAddress() instanceof InetSocketAddress address
+        && callerPorts.test(address.getPort());
+  }
+
+  boolean isAnnouncing() {
+    return phase != Phase.SERVING;
+  }
+
+  boolean isClosing() {
+    return phase == Phase.CLOSING;
+  }
+
+  private enum Phase {
+    SERVING,
+    ANNOUNCING,
+    CLOSING
   }
 }
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessStopTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessStopTest.java
@@ -1,6 +1,7 @@
 package org.hemlockpick.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,6 +12,11 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.hemlockpick.transport.Eventually;
 import org.hemlockpick.transport.RawConnection;
 import org.junit.jupiter.api.AfterEach;
@@ -18,11 +24,18 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Tests how a process of an entry instance on a platform ends. It has no store: it answers each
- * request that it does not serve.
+ * Tests that a process of an entry instance on a platform, told to stop, answers every request of
+ * which it has read a byte. It has no store: it answers each request that it does not serve.
  */
 class CellProcessStopTest {
+  private static final int CALLERS = 48;
+  private static final int STATUS_AT = "http/1.1 ".length();
+
+  /** Longer than {@link ChildProcess#waitFor} waits. */
+  private static final int ENDLESS_GRACE_SECONDS = 300;
+
   private static final int GRACE_SECONDS = 20;
+  private static final int SHORT_GRACE_SECONDS = 5;
 
   @TempDir private Path folder = Path.of("");
   private final InetSocketAddress callers = freeAddress();
@@ -49,6 +62,89 @@
     assertEquals(0, process.waitFor());
   }
 
+  /**
+   * Guards against a request that arrives when the process has found that none is in flight: it was
+   * read and cut off, on connections that stayed open and on new ones.
+   */
+  @Test
+  void requestsThatArriveUntilTheEndAreAnsweredOrNotRead() throws Exception {
+    start(GRACE_SECONDS);
+    List<StopCaller> asking = new ArrayList<>();
+    List<Future<?>> ends = new ArrayList<>();
+    ExecutorService threads = Executors.newCachedThreadPool();
+    for (int i = 0; i < CALLERS; i++) {
+      asking.add(new StopCaller(callers, i));
+      ends.add(threads.submit(asking.get(i)));
+    }
+    awaitAnswer();
+    process.terminate();
+    for (Future<?> end : ends) {
+      end.get();
+    }
+    threads.shutdown();
+    assertEquals(0, process.waitFor());
+    assertTrue(asking.stream().mapToInt(StopCaller::answered).sum() > 0);
+    assertEquals(0, asking.stream().mapToInt(StopCaller::cutOff).sum(), "read and cut off");
+  }
+
+  /**
+   * Guards against a request that counts only once its body is there: the process ended after it
+   * had read the head. The readiness is served until the end.
+   */
+  @Test
+  void requestWhoseBodyComesLateIsAnswered() throws Exception {
+    start(GRACE_SECONDS);
+    try (RawConnection slow = new RawConnection(callers)) {
+      slow.sendHeadAndAwaitItsReading();
+      process.terminate();
+      Eventually.holds(() -> isRefused(callers), () -> "new connections are refused");
+      assertReadinessIs(503);
+      slow.sendBody();
+      String head = slow.readAnswer();
+      assertTrue(head.contains("connection: close"), head);
+      assertTrue(slow.isClosed());
+    }
+    assertEquals(0, process.waitFor());
+  }
+
+  /** Guards against a connection that stays open after an answer that announces its end. */
+  @Test
+  void connectionIsClosedAfterItsNextAnswer() throws Exception {
+    start(GRACE_SECONDS);
+    try (RawConnection open = new RawConnection(callers)) {
+      ask(open);
+      process.terminate();
+      Eventually.holds(() -> readinessStatus() == 503, () -> "the process is not ready");
+      String head = ask(open);
+      assertTrue(head.contains("connection: close"), head);
+      assertTrue(open.isClosed());
+      assertFalse(isRefused(callers));
+    }
+    assertEquals(0, process.waitFor());
+  }
+
+  @Test
+  void idleConnectionDoesNotHoldTheProcessUp() throws Exception {
+    start(ENDLESS_GRACE_SECONDS);
+    try (RawConnection used = new RawConnection(callers);
+        RawConnection unused = new RawConnection(callers)) {
+      ask(used);
+      process.terminate();
+      assertEquals(0, process.waitFor());
+      assertTrue(unused.isClosed());
+    }
+  }
+
+  @Test
+  void requestThatIsNeverWholeDoesNotHoldTheProcessUpBeyondItsGraceTime() throws Exception {
+    start(SHORT_GRACE_SECONDS);
+    try (RawConnection slow = new RawConnection(callers)) {
+      slow.sendHead();
+      process.terminate();
+      assertEquals(0, process.waitFor());
+    }
+  }
+
   /** Guards against a failed start that ends like a planned stop. */
   @Test
   void processThatCannotListenFails() throws Exception {
@@ -82,6 +178,32 @@
     Eventually.holds(() -> !isRefused(callers), () -> "the process listens");
   }
 
+  private void awaitAnswer() throws IOException {
+    try (RawConnection connection = new RawConnection(callers)) {
+      ask(connection);
+    }
+  }
+
+  private static String ask(RawConnection connection) throws IOException {
+    connection.sendHead();
+    connection.sendBody();
+    return connection.readAnswer();
+  }
+
+  private void assertReadinessIs(int status) {
+    assertEquals(status, readinessStatus());
+  }
+
+  private int readinessStatus() {
+    try (RawConnection connection = new RawConnection(readiness)) {
+      connection.get("/v1/readyz");
+      String head = connection.readAnswer();
+      return Integer.parseInt(head.substring(STATUS_AT, STATUS_AT + 3));
+    } catch (IOException e) {
+      throw new AssertionError("the readiness is not served", e);
+    }
+  }
+
   private String settings() {
     return folder.resolve("settings.toml").toString();
   }
