Serve the metrics of a cell's entry instance as text

What users saw: nothing in the record of an incident tells why a long-running task waits. Of the holder's log only the last second is left, and the metrics address of the settings answered 404.

Entry instances of a cell now count and measure into CellMetrics, which is passed in as the log is. The process keeps it with Dropwizard Metrics: counters, gauges that the loop publishes once a second, and histograms whose reservoir is an array of buckets, so that an update is one atomic addition and the window keeps no values (a sliding window of values would hold every call of a minute, and sort them at each read). It is served at /metrics of the metrics listener only: a caller's queue may have the same path.

Calls are counted by decorators around the two ports. PendingTaskReporter classifies all waiting tasks, not only the ten that it logs; the workers are still looked through for ten at most.

CellMetricsTextTest fails before: the address answers 404 ("never happened", after 30 s). CellMetricsTest needs the new interface, and does not compile before.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellLoop.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellLoop.java
@@ -58,6 +58,11 @@
     return thread.isAlive() && System.nanoTime() - lastTickNanos < MAX_TICK_AGE_NANOS;
   }
 
+  /** Returns the number of actions that wait. */
+  public int queueLength() {
+    return actions.size();
+  }
+
   /** Queues an action; may be called on any thread. */
   @Override
   public void execute(Runnable action) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DaemonMetrics.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DaemonMetrics.java
@@ -6,13 +6,9 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import com.codahale.metrics.Snapshot;
-import com.google.common.base.Splitter;
 import jakarta.json.Json;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonObjectBuilder;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.hemlockpick.errors.ResultCode;
@@ -20,9 +16,6 @@
 /** Metrics of one process. Times are in microseconds. */
 final class DaemonMetrics {
   private static final long WINDOW_SECONDS = 60;
-  private static final long BYTES_PER_PAGE = 4_096;
-  private static final Splitter FIELDS = Splitter.on(' ');
-  private static final Path MEMORY_FILE = Path.of("/proc/self/statm");
 
   private final MetricRegistry registry = new MetricRegistry();
   private final Histogram requestLatency = histogram("request.latency.micros");
@@ -32,8 +25,8 @@
   private final Counter workerCalls = registry.counter("worker.calls");
 
   DaemonMetrics() {
-    addGauge("memory.heap.bytes", DaemonMetrics::heapBytes);
-    addGauge("memory.resident.bytes", DaemonMetrics::residentBytes);
+    addGauge("memory.heap.bytes", ProcessMemory::heapBytes);
+    addGauge("memory.resident.bytes", ProcessMemory::residentBytes);
   }
 
   /** Records a request and its latency. */
@@ -89,19 +82,4 @@
         .add("p999", window.get999thPercentile())
         .add("max", window.getMax());
   }
-
-  private static long heapBytes() {
-    Runtime runtime = Runtime.getRuntime();
-    return runtime.totalMemory() - runtime.freeMemory();
-  }
-
-  /** Returns the resident size of the process, or -1 if the system does not report it. */
-  private static long residentBytes() {
-    try {
-      return Long.parseLong(FIELDS.splitToList(Files.readString(MEMORY_FILE)).get(1))
-          * BYTES_PER_PAGE;
-    } catch (IOException | NumberFormatException e) {
-      return -1;
-    }
-  }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellJournalTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellJournalTest.java
@@ -28,6 +28,7 @@
           now,
           CellRecord::getDefaultInstance,
           (kind, subject, outcome, reason) -> {},
+          new RecordedMetrics(),
           new IgnoringListener());
 
   /** The machine was suspended, and its monotonic clock does not show for how long. */
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -226,6 +226,11 @@
       process = incarnation.cell;
     }
 
+    /** Returns what the newest process has counted. */
+    RecordedMetrics metrics() {
+      return incarnation.metrics;
+    }
+
     /** Starts a process at the address of the previous one, which has ended. */
     void start() {
       use(newIncarnation(incarnation.address));
@@ -362,6 +367,7 @@
     final Inbox inbox = new Inbox(time);
     final FakeStore.View storeView = store.view(inbox);
     final FakeWorkers.View workerView = workers.view(inbox);
+    final RecordedMetrics metrics = new RecordedMetrics();
     final CellMember cell;
     private final String address;
     private boolean ended;
@@ -377,6 +383,7 @@
               new Source(),
               node,
               new IncarnationLog(node.name + "/" + incarnation, 0),
+              metrics,
               new SplittableRandom(random.nextLong()));
     }
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
@@ -449,6 +449,7 @@
         lifecycle,
         world.nodes.get(0),
         (kind, subject, outcome, reason) -> {},
+        new RecordedMetrics(),
         job -> {
           if (++asked[0] == 2) {
             throw new IllegalStateException("once");
@@ -710,6 +711,7 @@
         world.time.millis(),
         CellRecord::getDefaultInstance,
         (kind, subject, outcome, reason) -> {},
+        new RecordedMetrics(),
         new CellJournal.Listener() {
           @Override
           public void onDeposed(String reason) {}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
@@ -51,11 +51,28 @@
   private final Function<Job, @Nullable Queue> queues;
 
   private final DecisionLog log;
+  private final CellMetrics metrics;
   private int newReservationsLeft;
 
   /** Time of the first review; when a task last ran is unknown for any time before it. */
   private long firstReviewAt = Long.MAX_VALUE;
 
+  /** Reason why a reservation is dropped. */
+  private enum DropReason {
+    NO_QUEUE,
+
+    /** Its task has a run, at the reserved worker or elsewhere. */
+    RUNS,
+
+    /** Its task has ended or may not start yet. */
+    NOT_WANTED,
+
+    WORKER_UNSUITABLE,
+
+    /** The long-running tasks of the worker leave too little capacity. */
+    TOO_LITTLE_CAPACITY
+  }
+
   CapacityReserver(
       WorkerTable workers,
       Candidates candidates,
@@ -63,7 +80,8 @@
       CapacityForecast forecast,
       BiConsumer<Run, String> stop,
       Function<Job, @Nullable Queue> queues,
-      DecisionLog log) {
+      DecisionLog log,
+      CellMetrics metrics) {
     this.workers = workers;
     this.candidates = candidates;
     this.reservations = reservations;
@@ -71,6 +89,7 @@
     this.stop = stop;
     this.queues = queues;
     this.log = log;
+    this.metrics = metrics;
   }
 
   /** Removes reservations that are no longer needed, and stops short tasks for overdue ones. */
@@ -79,7 +98,9 @@
     firstReviewAt = Math.min(firstReviewAt, now);
     Set<Worker> seen = new HashSet<>();
     for (Reservation reservation : reservations.all()) {
-      if (!isNeeded(reservation, now)) {
+      DropReason reason = dropReason(reservation, now);
+      if (reason != null) {
+        metrics.count("reservations.dropped", reason);
         reservations.remove(reservation);
       } else if (isOverdue(reservation, now) && seen.add(reservation.worker())) {
         preemptRuns(reservation, now);
@@ -88,16 +109,25 @@
     reserveForLostWorkers(now);
   }
 
-  private boolean isNeeded(Reservation reservation, long now) {
+  /** Returns why a reservation is dropped; null if it is kept. */
+  private @Nullable DropReason dropReason(Reservation reservation, long now) {
     Task task = reservation.task();
     Worker worker = reservation.worker();
     Queue queue = queues.apply(task.job());
-    return queue != null
-        && needsCapacity(task, now)
-        && candidates.isSuitable(task, queue, worker, now)
-        && reservations
+    if (queue == null) {
+      return DropReason.NO_QUEUE;
+    }
+    if (!needsCapacity(task, now)) {
+      return task.run() == null ? DropReason.NOT_WANTED : DropReason.RUNS;
+    }
+    if (!candidates.isSuitable(task, queue, worker, now)) {
+      return DropReason.WORKER_UNSUITABLE;
+    }
+    boolean fits =
+        reservations
             .reservedAt(worker)
             .fitsInto(CapacityForecast.capacityWithoutShortTasks(worker));
+    return fits ? null : DropReason.TOO_LITTLE_CAPACITY;
   }
 
   /** Returns whether a task waits for capacity, or will once its run is considered lost. */
@@ -161,10 +191,12 @@
   boolean reserve(Task task, Queue queue, long now) {
     Worker worker = newReservationsLeft > 0 ? earliestAvailable(task, queue, now) : null;
     if (worker == null) {
+      metrics.count("reservations.denied");
       return false;
     }
     newReservationsLeft--;
     reservations.add(new Reservation(task, worker, now));
+    metrics.count("reservations.added");
     ResourceAmounts wanted = reservations.reservedAt(worker);
     String wait =
         forecast.millisUntilFree(worker, wanted, now) + " ms until it has enough capacity";
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -29,6 +29,7 @@
   private final Supplier<@Nullable Configuration> configuration;
   private final LoopClock clock;
   private final DecisionLog log;
+  private final CellMetrics metrics;
   private final Listener listener;
 
   private final JobTable jobs = new JobTable();
@@ -51,6 +52,7 @@
   private final StallDetector stallDetector;
   private final DrainController drainController;
   private final PendingTaskReporter pendingTaskReporter;
+  private final HolderGauges gauges;
 
   private boolean ended;
   private boolean releasing;
@@ -75,12 +77,14 @@
       Supplier<@Nullable Configuration> configuration,
       LoopClock clock,
       DecisionLog log,
+      CellMetrics metrics,
       Listener listener) {
     this.settings = settings;
     this.lease = lease;
     this.configuration = configuration;
     this.clock = clock;
     this.log = log;
+    this.metrics = metrics;
     this.listener = listener;
     long token = lease.version();
     int firstAttempt = (lease.generation() % MAX_GENERATION) * ATTEMPTS_PER_GENERATION + 1;
@@ -93,6 +97,7 @@
             lease.requestedAt(),
             this::leaseRecord,
             log,
+            metrics,
             new JournalListener());
     this.lifecycle = new JobLifecycle(jobs, journal, clock, log, estimator);
     this.jobWatcher =
@@ -129,7 +134,8 @@
             clock,
             log,
             new RunnerContext());
-    this.reconciler = new RunReconciler(runner, jobs, lifecycle, clock, log, this::maxAttempts);
+    this.reconciler =
+        new RunReconciler(runner, jobs, lifecycle, clock, log, metrics, this::maxAttempts);
     this.workerPoller =
         new WorkerPoller(
             settings, token, port, reconciler, journal, clock, log, new PollerListener());
@@ -145,7 +151,14 @@
             runner,
             candidates,
             new CapacityReserver(
-                workers, candidates, reservations, forecast, runner::tryStop, this::queue, log),
+                workers,
+                candidates,
+                reservations,
+                forecast,
+                runner::tryStop,
+                this::queue,
+                log,
+                metrics),
             reservations,
             new InterferenceAwarePlacement(interference),
             clock,
@@ -153,6 +166,7 @@
     this.paceController = new PaceController(token, port, runner::tryStop, interference, log);
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController = new DrainController(settings, runner, estimator, clock);
+    WaitingTasks waitingTasks = new WaitingTasks();
     this.pendingTaskReporter =
         new PendingTaskReporter(
             settings.cell(),
@@ -163,7 +177,10 @@
             takeoverTracker,
             journal,
             this::queue,
-            log);
+            log,
+            waitingTasks);
+    this.gauges =
+        new HolderGauges(jobs, workers, reservations, takeoverTracker, journal, waitingTasks);
   }
 
   /**
@@ -184,6 +201,10 @@
     return journal.millisSinceRenewal();
   }
 
+  void addGauges(Map<String, Long> values, long now) {
+    gauges.addTo(values, now);
+  }
+
   /** Returns the log whose lines carry the token of this holder. */
   DecisionLog log() {
     return log;
@@ -243,11 +264,17 @@
     if (mayStart && planningSchedule.isDue(now, changedSincePlan)) {
       changedSincePlan = false;
       planner.run();
-      planningSchedule.onPass(now, clock.monotonicMillis());
+      long endedAt = clock.monotonicMillis();
+      planningSchedule.onPass(now, endedAt);
+      metrics.record("plan.millis", endedAt - now);
     }
     if (now >= nextLoadReportAt) {
       nextLoadReportAt = now + LOAD_REPORT_INTERVAL_MILLIS;
-      log.decided("load", settings.cell(), LoadReport.of(workers.all(), now), describeBacklog());
+      log.decided(
+          "load",
+          settings.cell(),
+          LoadReport.of(workers.all(), now),
+          LoadReport.backlog(jobs, now));
     }
     sweeper.run(now);
     learnedState.run(now);
@@ -258,19 +285,6 @@
     workerList.requestRosterWrite();
   }
 
-  private String describeBacklog() {
-    long now = clock.monotonicMillis();
-    long waiting = 0;
-    for (Job job : jobs.open()) {
-      for (StepRun step : job.stepRuns()) {
-        if (!step.isDone() && job.areDependenciesDone(step)) {
-          waiting += step.tasks().stream().filter(task -> task.isReady(now)).count();
-        }
-      }
-    }
-    return jobs.open().size() + " open jobs, " + waiting + " tasks wait for capacity";
-  }
-
   private @Nullable Queue queue(Job job) {
     Configuration inForce = configuration.get();
     return inForce == null ? null : inForce.queue(job.submission().queue()).orElse(null);
@@ -291,6 +305,7 @@
     String before = "born " + worker.entry().bootTimeMillis() + " before, ";
     String runs = ", " + worker.runs().size() + " runs";
     log.decided("worker", worker.id(), "started anew", before + evidence + runs);
+    metrics.count("workers.restarts");
     worker.onRestarted(now, settings.workerLeaseMillis());
     worker.setNextHoldAt(now);
     workerList.requestRosterWrite();
@@ -352,12 +367,13 @@
     return record.build();
   }
 
-  private void end(String reason) {
+  private void end(HolderEnd cause, String reason) {
     if (ended) {
       return;
     }
     ended = true;
     journal.close();
+    metrics.count("cell.lost", cause);
     log.decided("cell", settings.cell(), "not held any more", reason);
     listener.onEnded();
   }
@@ -365,7 +381,7 @@
   private final class JournalListener implements CellJournal.Listener {
     @Override
     public void onDeposed(String reason) {
-      end(reason);
+      end(HolderEnd.DEPOSED, reason);
     }
 
     @Override
@@ -375,14 +391,14 @@
 
     @Override
     public void onReleased() {
-      end("released");
+      end(HolderEnd.RELEASED, "released");
     }
   }
 
   private final class RunnerContext implements TaskRunner.Context {
     @Override
     public void onFenced(Worker worker) {
-      end(worker.id() + " has seen a higher fencing token");
+      end(HolderEnd.FENCED, worker.id() + " has seen a higher fencing token");
     }
 
     @Override
@@ -422,7 +438,7 @@
 
     @Override
     public void onFenced(Worker worker) {
-      end(worker.id() + " has seen a higher fencing token");
+      end(HolderEnd.FENCED, worker.id() + " has seen a higher fencing token");
     }
 
     @Override
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -35,6 +35,7 @@
   private final LoopClock clock;
   private final Supplier<CellRecord> leaseRecord;
   private final DecisionLog log;
+  private final CellMetrics metrics;
   private final Listener listener;
   private final LeaseValidity validity;
 
@@ -83,6 +84,7 @@
       long requestedAt,
       Supplier<CellRecord> leaseRecord,
       DecisionLog log,
+      CellMetrics metrics,
       Listener listener) {
     this.settings = settings;
     this.store = store;
@@ -92,6 +94,7 @@
     this.sentAt = requestedAt;
     this.leaseRecord = leaseRecord;
     this.log = log;
+    this.metrics = metrics;
     this.listener = listener;
   }
 
@@ -324,6 +327,8 @@
       TransactionResult result, long startedAt, Transaction transaction, boolean isRelease) {
     inFlight = false;
     long now = clock.monotonicMillis();
+    metrics.count("journal", result.outcome());
+    metrics.record("journal.millis", now - startedAt);
     if (isRelease || result.outcome() == Outcome.UNKNOWN || result.outcome() == Outcome.CONFLICT) {
       logResult(result, transaction, now - startedAt, isRelease);
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellMember.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellMember.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.cell;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -15,12 +17,15 @@
   /** Time without an answer of the table service after which this instance is not ready. */
   private static final long STORE_UNRESPONSIVE_MILLIS = 1_200;
 
+  private static final long PUBLISH_INTERVAL_MILLIS = 1_000;
+
   private final CellSettings settings;
   private final MonitoredTableService store;
   private final WorkerPort workers;
   private final ConfigurationSource source;
   private final LoopClock clock;
   private final DecisionLog log;
+  private final CellMetrics metrics;
   private final ConfigurationWatcher configuration;
   private final CellLease lease;
   private final JobCallHandler callHandler;
@@ -30,6 +35,7 @@
   private long lastWallMillis;
   private long lastMonotonicMillis;
   private boolean ticked;
+  private long nextPublishAt;
 
   /**
    * Creates an entry instance that does nothing until its first tick.
@@ -40,6 +46,7 @@
    * @param source parses the platform's rows
    * @param clock clocks of the loop
    * @param log log of the decisions
+   * @param metrics receives counts and measurements
    * @param random source of randomness
    */
   public CellMember(
@@ -49,13 +56,15 @@
       ConfigurationSource source,
       LoopClock clock,
       DecisionLog log,
+      CellMetrics metrics,
       RandomGenerator random) {
     this.settings = settings;
-    this.store = new MonitoredTableService(store, clock);
-    this.workers = workers;
+    this.store = new MonitoredTableService(store, clock, metrics);
+    this.workers = new MonitoredWorkerPort(workers, clock, metrics);
     this.source = source;
     this.clock = clock;
     this.log = log;
+    this.metrics = metrics;
     this.configuration = new ConfigurationWatcher(this.store, source, clock, this::decided, random);
     this.lease = new CellLease(settings, this.store, clock, random, log, this::onAcquired);
     this.callHandler = new JobCallHandler(settings, this.store, clock, this::decided);
@@ -73,6 +82,23 @@
       current.run();
     }
     callHandler.run();
+    publishGauges();
+  }
+
+  private void publishGauges() {
+    long now = clock.monotonicMillis();
+    if (now < nextPublishAt) {
+      return;
+    }
+    nextPublishAt = now + PUBLISH_INTERVAL_MILLIS;
+    Map<String, Long> gauges = new LinkedHashMap<>();
+    CellHolder current = holder;
+    gauges.put("cell.holder", current == null ? 0L : 1L);
+    gauges.put("store.unanswered.millis", store.unresponsiveMillis());
+    if (current != null) {
+      current.addGauges(gauges, now);
+    }
+    metrics.publish(gauges);
   }
 
   /** Returns whether callers should be sent to this instance. */
@@ -163,6 +189,7 @@
     long gap = monotonic - lastMonotonicMillis;
     long divergence = (wall - lastWallMillis) - gap;
     if (ticked && gap > CellTiming.SUSPENSION_MILLIS) {
+      metrics.count("clock.gaps");
       decided(
           "clock",
           settings.instance(),
@@ -197,6 +224,7 @@
   }
 
   private void onAcquired(CellLease.Acquired acquired) {
+    metrics.count("cell.takeovers");
     DecisionLog holderLog = log.withToken(acquired.version());
     holderLog.decided(
         "cell",
@@ -213,6 +241,7 @@
             configuration::current,
             clock,
             holderLog,
+            metrics,
             new HolderListener());
   }
 
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HolderGauges.java
@@ -0,0 +1,61 @@
+package org.hemlockpick.cell;
+
+import java.util.Map;
+
+/** Gauges of the holder of a cell. */
+final class HolderGauges {
+  private final JobTable jobs;
+  private final WorkerTable workers;
+  private final ReservationTable reservations;
+  private final TakeoverTracker takeover;
+  private final CellJournal journal;
+  private final WaitingTasks waiting;
+
+  HolderGauges(
+      JobTable jobs,
+      WorkerTable workers,
+      ReservationTable reservations,
+      TakeoverTracker takeover,
+      CellJournal journal,
+      WaitingTasks waiting) {
+    this.jobs = jobs;
+    this.workers = workers;
+    this.reservations = reservations;
+    this.takeover = takeover;
+    this.journal = journal;
+    this.waiting = waiting;
+  }
+
+  void addTo(Map<String, Long> gauges, long now) {
+    gauges.put("cell.renewal.age.millis", journal.millisSinceRenewal());
+    gauges.put("jobs.open", (long) jobs.open().size());
+    gauges.put("reservations.held", (long) reservations.all().size());
+    gauges.put("reservations.workers", (long) reservations.workers().size());
+    gauges.put("workers.unaccounted", (long) takeover.unaccounted().size());
+    addWorkers(gauges, now);
+    waiting.addGauges(gauges);
+  }
+
+  private void addWorkers(Map<String, Long> gauges, long now) {
+    long known = 0;
+    long schedulable = 0;
+    long unresponsive = 0;
+    long unreachable = 0;
+    long draining = 0;
+    long runs = 0;
+    for (Worker worker : workers.all()) {
+      known++;
+      schedulable += worker.isSchedulable(now) ? 1 : 0;
+      unresponsive += worker.isUnresponsive() ? 1 : 0;
+      unreachable += worker.isUnreachable() ? 1 : 0;
+      draining += worker.entry().draining() ? 1 : 0;
+      runs += worker.runs().size();
+    }
+    gauges.put("workers.known", known);
+    gauges.put("workers.schedulable", schedulable);
+    gauges.put("workers.unresponsive", unresponsive);
+    gauges.put("workers.unreachable", unreachable);
+    gauges.put("workers.draining", draining);
+    gauges.put("runs", runs);
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LoadReport.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LoadReport.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 
-/** Summarizes the load of the workers in one line. */
+/** Summarizes the load of the workers and the backlog in one line each. */
 final class LoadReport {
   private LoadReport() {}
 
@@ -42,6 +42,19 @@
         slowed);
   }
 
+  /** Returns how many jobs are open and how many tasks wait, as text. */
+  static String backlog(JobTable jobs, long nowMillis) {
+    long waiting = 0;
+    for (Job job : jobs.open()) {
+      for (StepRun step : job.stepRuns()) {
+        if (!step.isDone() && job.areDependenciesDone(step)) {
+          waiting += step.tasks().stream().filter(task -> task.isReady(nowMillis)).count();
+        }
+      }
+    }
+    return jobs.open().size() + " open jobs, " + waiting + " tasks wait for capacity";
+  }
+
   private static long cores(long millicores) {
     return millicores / 1_000;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/MonitoredTableService.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/MonitoredTableService.java
@@ -2,12 +2,16 @@
 
 import java.util.function.Consumer;
 
-/** Forwards calls to the table service and measures for how long it has not answered. */
+/**
+ * Forwards calls to the table service, counts them, and measures their latency and for how long the
+ * service has not answered.
+ */
 final class MonitoredTableService implements TableService {
   private static final long NONE = Long.MIN_VALUE;
 
   private final TableService service;
   private final LoopClock clock;
+  private final CellMetrics metrics;
 
   /**
    * Time at which the first call after the last answer was sent, or of that answer if calls were in
@@ -17,9 +21,10 @@
 
   private int inFlight;
 
-  MonitoredTableService(TableService service, LoopClock clock) {
+  MonitoredTableService(TableService service, LoopClock clock, CellMetrics metrics) {
     this.service = service;
     this.clock = clock;
+    this.metrics = metrics;
   }
 
   /**
@@ -33,7 +38,7 @@
   @Override
   public void transact(
       Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
-    onSent();
+    long sentAt = onSent();
     service.transact(
         transaction,
         timeoutMillis,
@@ -43,19 +48,19 @@
                 case COMMITTED, CONFLICT, REFUSED -> true;
                 case NOT_DONE, UNKNOWN -> false;
               };
-          onCompleted(answered);
+          onCompleted(answered, sentAt);
           handler.accept(result);
         });
   }
 
   @Override
   public void read(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
-    onSent();
+    long sentAt = onSent();
     service.read(
         range,
         timeoutMillis,
         result -> {
-          onCompleted(result.isComplete());
+          onCompleted(result.isComplete(), sentAt);
           handler.accept(result);
         });
   }
@@ -65,13 +70,12 @@
    */
   @Override
   public void readLarge(Range range, long idleTimeoutMillis, Consumer<ReadResult> handler) {
+    metrics.count("store.calls");
     service.readLarge(
         range,
         idleTimeoutMillis,
         result -> {
-          if (result.isComplete()) {
-            onAnswer();
-          }
+          onLargeResult(result.isComplete());
           handler.accept(result);
         });
   }
@@ -84,30 +88,44 @@
       long waitMillis,
       long idleTimeoutMillis,
       Consumer<WatchResult> handler) {
+    metrics.count("store.calls");
     service.watch(
         table,
         afterVersion,
         waitMillis,
         idleTimeoutMillis,
         result -> {
-          if (result.outcome() != WatchOutcome.FAILED) {
-            onAnswer();
-          }
+          onLargeResult(result.outcome() != WatchOutcome.FAILED);
           handler.accept(result);
         });
   }
 
-  private void onSent() {
+  /** Returns the time at which the call was sent. */
+  private long onSent() {
+    metrics.count("store.calls");
     inFlight++;
+    long now = clock.monotonicMillis();
     if (unansweredSince == NONE) {
-      unansweredSince = clock.monotonicMillis();
+      unansweredSince = now;
     }
+    return now;
   }
 
-  private void onCompleted(boolean answered) {
+  private void onCompleted(boolean answered, long sentAt) {
     inFlight--;
     if (answered) {
+      metrics.record("store.latency.millis", clock.monotonicMillis() - sentAt);
       onAnswer();
+    } else {
+      metrics.count("store.unanswered");
+    }
+  }
+
+  private void onLargeResult(boolean answered) {
+    if (answered) {
+      onAnswer();
+    } else {
+      metrics.count("store.unanswered");
     }
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
@@ -29,11 +29,13 @@
   private final CellJournal journal;
   private final Function<Job, @Nullable Queue> queues;
   private final DecisionLog log;
+  private final WaitingTasks waiting;
 
   /** Tasks that were waiting at the last check, and when each was first seen waiting. */
   private Map<Task, Long> waitingSince = new HashMap<>();
 
   private long nextReportAt;
+  private int linesLeft;
 
   PendingTaskReporter(
       String cell,
@@ -44,7 +46,8 @@
       TakeoverTracker takeover,
       CellJournal journal,
       Function<Job, @Nullable Queue> queues,
-      DecisionLog log) {
+      DecisionLog log,
+      WaitingTasks waiting) {
     this.cell = cell;
     this.jobs = jobs;
     this.workers = workers;
@@ -54,6 +57,7 @@
     this.journal = journal;
     this.queues = queues;
     this.log = log;
+    this.waiting = waiting;
   }
 
   /** Reports the waiting tasks if a second has passed since the last report. */
@@ -62,22 +66,22 @@
       return;
     }
     nextReportAt = now + INTERVAL_MILLIS;
-    Map<Task, Long> waiting = new HashMap<>();
+    Map<Task, Long> found = new HashMap<>();
     for (Job job : jobs.open()) {
       for (StepRun step : job.stepRuns()) {
         if (step.step().longRunning() && job.areDependenciesDone(step)) {
-          addWaiting(step, now, waiting);
+          addWaiting(step, now, found);
         }
       }
     }
-    waitingSince = waiting;
+    waitingSince = found;
     report(now);
   }
 
-  private void addWaiting(StepRun step, long now, Map<Task, Long> waiting) {
+  private void addWaiting(StepRun step, long now, Map<Task, Long> found) {
     for (Task task : step.tasks()) {
       if (!isRunning(task)) {
-        waiting.put(task, waitingSince.getOrDefault(task, now));
+        found.put(task, waitingSince.getOrDefault(task, now));
       }
     }
   }
@@ -96,7 +100,9 @@
     }
     overdue.sort(Map.Entry.comparingByValue(Comparator.naturalOrder()));
     ShortTaskPool shortTaskPool = new ShortTaskPool(candidates.schedulable(now));
-    for (Map.Entry<Task, Long> entry : overdue.subList(0, Math.min(MAX_LINES, overdue.size()))) {
+    waiting.clear();
+    linesLeft = MAX_LINES;
+    for (Map.Entry<Task, Long> entry : overdue) {
       report(entry.getKey(), now - entry.getValue(), shortTaskPool, now);
     }
     if (overdue.size() > MAX_LINES) {
@@ -109,18 +115,21 @@
     Queue queue = queues.apply(task.job());
     Run run = task.run();
     if (run != null || task.orphan() != null) {
-      log(task, waitedMillis, "last run may go on", describeLastRun(task, now));
+      log(task, waitedMillis, WaitReason.LAST_RUN, describeLastRun(task, now));
     } else if (queue == null) {
-      log(task, waitedMillis, "queue not in the configuration", task.job().submission().queue());
+      log(task, waitedMillis, WaitReason.NO_QUEUE, task.job().submission().queue());
     } else if (!journal.allowsOrders(now)) {
       String age = journal.millisSinceRenewal() + " ms since the last renewal";
-      log(task, waitedMillis, "no orders allowed", age);
+      log(task, waitedMillis, WaitReason.NO_ORDERS, age);
     } else if (takeover.blocksStart(task)) {
-      log(task, waitedMillis, "blocked by the take-over", takeover.describeUnaccounted());
+      log(task, waitedMillis, WaitReason.TAKEOVER, takeover.describeUnaccounted());
     } else if (!journal.isVisibleToSuccessor(task.job().rowVersion())) {
-      log(task, waitedMillis, "lease not renewed since its job", "row " + task.job().rowVersion());
+      log(task, waitedMillis, WaitReason.LEASE_NOT_RENEWED, "row " + task.job().rowVersion());
     } else if (!task.isReady(now)) {
-      log(task, waitedMillis, "pause after a failure", (task.notBefore() - now) + " ms left");
+      log(task, waitedMillis, WaitReason.PAUSE, (task.notBefore() - now) + " ms left");
+    } else if (linesLeft == 0) {
+      // Looking through the workers takes long.
+      waiting.add(WaitReason.NOT_EXAMINED, waitedMillis);
     } else {
       reportWorkers(task, queue, waitedMillis, shortTaskPool, now);
     }
@@ -172,6 +181,7 @@
         mostFree = worker;
       }
     }
+    waiting.setWorkers(counts);
     StringJoiner text = new StringJoiner(", ");
     text.add(eligible + " workers open to it");
     counts.forEach((reason, count) -> text.add(count + " " + reason.text()));
@@ -187,7 +197,8 @@
               + " ms");
     }
     text.add("wants " + amounts(task.step().step().reserved()));
-    log(task, waitedMillis, eligible > 0 ? "not placed" : "no worker", text.toString());
+    WaitReason reason = eligible > 0 ? WaitReason.NOT_PLACED : WaitReason.NO_WORKER;
+    log(task, waitedMillis, reason, text.toString());
   }
 
   private static boolean hasMoreFreeCpu(Worker one, Worker other) {
@@ -199,8 +210,13 @@
     return amounts.cpuMillis() + " mcpu " + amounts.memoryMb() + " MB" + gpus;
   }
 
-  private void log(Task task, long waitedMillis, String outcome, String reason) {
+  private void log(Task task, long waitedMillis, WaitReason reason, String details) {
+    waiting.add(reason, waitedMillis);
+    if (linesLeft == 0) {
+      return;
+    }
+    linesLeft--;
     String age = "waits for " + waitedMillis + " ms or more, ";
-    log.decided("wait", task.id().toString(), outcome, age + reason);
+    log.decided("wait", task.id().toString(), reason.text(), age + details);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
@@ -21,6 +21,7 @@
   private final JobLifecycle lifecycle;
   private final LoopClock clock;
   private final DecisionLog log;
+  private final CellMetrics metrics;
 
   /** Returns the maximum number of failed runs of a task of a job. */
   private final ToIntFunction<Job> maxAttempts;
@@ -31,12 +32,14 @@
       JobLifecycle lifecycle,
       LoopClock clock,
       DecisionLog log,
+      CellMetrics metrics,
       ToIntFunction<Job> maxAttempts) {
     this.runner = runner;
     this.jobs = jobs;
     this.lifecycle = lifecycle;
     this.clock = clock;
     this.log = log;
+    this.metrics = metrics;
     this.maxAttempts = maxAttempts;
   }
 
@@ -122,6 +125,7 @@
     String known = describeKnown(task, completion.run().attempt(), run);
     String subject = completion.run().task().toString();
     log.decided("end", subject, completion.kind().name(), at(worker, completion) + known);
+    metrics.count("ends", completion.kind());
     lifecycle.onCompletion(
         task,
         completion.run().attempt(),
@@ -218,6 +222,7 @@
   /** Handles a run that is proven to have ended though its completion was not reported. */
   void onRunGone(Run run, String reason) {
     log.decided("end", run.id().task().toString(), "gone", run.worker().id() + ", " + reason);
+    metrics.count("ends.GONE");
     lifecycle.onCompletion(
         run.task(),
         run.attempt(),
