Count the crashes of workers under a task, and give it up

CrashTracker now tells a crash (another worker at the address, or a later boot that reports without the runs, and no drain) from silence and expired leases, also if the worker is back only after its lease. TaskCrashes counts it for the runs that can have caused it, once for an attempt, stored with the task and apart from failures. WorkerLifecycle takes what CellHolder did for workers that restart or end, unchanged but for the three calls of the tracker.

Ruled out: three crashes in any case.

FakeWorkers gets tasks that crash their worker, and workers that return. CompletionTest only follows the constructor of RunReconciler.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -50,6 +50,7 @@
     random = new SplittableRandom(seed);
     store = new FakeStore(time, random.nextLong());
     workers = new FakeWorkers(time, random.nextLong(), leaseMillis);
+    workers.onReturned = this::onWorkerReturned;
     store.put("operator", "configuration", ByteString.copyFromUtf8("1"));
     for (int i = 0; i < workerCount; i++) {
       workers.add("w" + i);
@@ -66,6 +67,12 @@
     store.put("workers", worker, ByteString.copyFromUtf8(bootTime));
   }
 
+  /** Lists a worker that is back after a crash, and no more under the identifier that it had. */
+  private void onWorkerReturned(String returned, String previous) {
+    store.remove("workers", previous);
+    registerWorker(returned);
+  }
+
   /** Lists a worker as draining; it leaves after a time in milliseconds. */
   void drainWorker(String worker, long remainingMillis) {
     String entry = workers.get(worker).bootTimeMillis() + " " + remainingMillis;
@@ -471,7 +478,9 @@
               key,
               Long.parseLong(fields[0]),
               SERVICE,
-              key + ":1",
+              // The identifiers of workers that follow each other at an address differ behind the
+              // tilde.
+              key.split("~", -1)[0] + ":1",
               "zone-a",
               draining,
               draining ? Long.parseLong(fields[1]) : 0,
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
@@ -443,12 +443,15 @@
   private RunReconciler reconcilerThatFailsOnce(
       TaskRunner runner, JobTable jobs, JobLifecycle lifecycle) {
     int[] asked = new int[1];
+    LoopClock clock = world.nodes.get(0);
+    DecisionLog log = (kind, subject, outcome, reason) -> {};
     return new RunReconciler(
         runner,
         jobs,
         lifecycle,
-        world.nodes.get(0),
-        (kind, subject, outcome, reason) -> {},
+        new CrashTracker(new WorkerTable(), lifecycle, clock, log),
+        clock,
+        log,
         job -> {
           if (++asked[0] == 2) {
             throw new IllegalStateException("once");
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.hemlockpick.cell.WorkerPort.CompletionKind;
@@ -48,6 +49,9 @@
   private final Set<TaskId> done = new HashSet<>();
   private final Map<String, List<Step>> steps = new HashMap<>();
 
+  /** Number of identifiers given to workers that are back after a crash. */
+  private int lives;
+
   /**
    * Mean run times of the tasks of single jobs in milliseconds; other jobs use {@link #runMillis}.
    */
@@ -68,6 +72,9 @@
   /** A start that was carried out. */
   record Start(RunId run, String worker, long atMillis) {}
 
+  /** What a call that waits at a worker ends with: its boot, or the connection in a crash. */
+  private record Life(long bootTimeMillis, int crashes) {}
+
   /** Replies to orders whose sender no longer waits for them. */
   final List<OrderReply> lateReplies = new ArrayList<>();
 
@@ -80,6 +87,24 @@
   /** Run time of a task in milliseconds. */
   long runMillis = 500;
 
+  /** Tasks that crash their worker a time after each start, in milliseconds. */
+  final Map<TaskId, Long> crashAfterMillis = new HashMap<>();
+
+  /** Crashes of workers, in the order of time. */
+  final List<Crash> crashLog = new ArrayList<>();
+
+  /** Time after which a crashed worker is back, in milliseconds. */
+  long crashReturnMillis = 3_300;
+
+  /** Whether a crashed worker is back under another identifier at its address. */
+  boolean returnsUnderOtherIdentifier = true;
+
+  /** Is told which worker is back after a crash, and the identifier that it had. */
+  BiConsumer<String, String> onReturned = (returned, previous) -> {};
+
+  /** A crash of a worker with the runs that were lost. */
+  record Crash(String worker, long atMillis, List<RunId> lost) {}
+
   /**
    * Creates the simulation without workers.
    *
@@ -234,6 +259,9 @@
     /** Whether it is gone, and its machine refuses connections at once. */
     boolean refusesConnections;
 
+    /** Number of its crashes: calls that are open in one break at once. */
+    private int crashes;
+
     /** Time for which its replies are in flight, in milliseconds. */
     long replyMillis = LATENCY_MILLIS;
 
@@ -264,6 +292,44 @@
       bootTimeMillis = time.millis() + millis;
     }
 
+    /**
+     * Crashes: open calls break, new ones are refused until it is back, under another identifier at
+     * its address or with a later boot.
+     */
+    void crash() {
+      crashLog.add(new Crash(id, time.millis(), List.copyOf(runs.keySet())));
+      crashes++;
+      List<RunId> lost = List.copyOf(runs.keySet());
+      runs.clear();
+      lost.forEach(run -> endGang(run, CompletionKind.LAPSED));
+      refusesConnections = true;
+      if (returnsUnderOtherIdentifier) {
+        disconnected = true;
+        time.after(crashReturnMillis, this::returnUnderOtherIdentifier);
+      } else {
+        restart(crashReturnMillis);
+        time.after(
+            crashReturnMillis,
+            () -> {
+              refusesConnections = false;
+              onReturned.accept(id, id);
+            });
+      }
+    }
+
+    private void returnUnderOtherIdentifier() {
+      refusesConnections = false;
+      disconnected = false;
+      replaced = true;
+      String next = address() + "~" + ++lives;
+      add(next);
+      onReturned.accept(next, id);
+    }
+
+    private String address() {
+      return id.split("~", -1)[0];
+    }
+
     private boolean isDown() {
       return disconnected || time.millis() < bootTimeMillis;
     }
@@ -311,6 +377,16 @@
       checkDependencies(task);
       long bootTime = this.bootTimeMillis;
       runs.put(run, time.millis());
+      Long crashAfter = crashAfterMillis.get(task);
+      if (crashAfter != null) {
+        time.after(
+            crashAfter,
+            () -> {
+              if (bootTime == this.bootTimeMillis && runs.containsKey(run)) {
+                crash();
+              }
+            });
+      }
       CompletionKind kind =
           random.nextDouble() < failureProbability ? CompletionKind.FAILED : CompletionKind.DONE;
       long mean = runMillisByJob.getOrDefault(task.job(), runMillis);
@@ -558,6 +634,9 @@
         Model model, Function<Model, OrderReply> action, Consumer<OrderReply> handler) {
       if (isDisconnectedFrom(model)) {
         loseOrder(handler);
+      } else if (model.replaced) {
+        inbox.answer(
+            2 * LATENCY_MILLIS, () -> handler.accept(model.reply(OrderOutcome.OTHER_BOOT)));
       } else if (repliesLost) {
         time.after(LATENCY_MILLIS, () -> lateReplies.add(action.apply(model)));
         loseOrder(handler);
@@ -659,22 +738,28 @@
         inbox.answer(2 * LATENCY_MILLIS, () -> handler.accept(other));
         return;
       }
+      int crashes = model.crashes;
       time.after(
           LATENCY_MILLIS,
           () -> {
             model.hold(call);
-            answer(model, call, time.millis() + call.waitMillis(), model.bootTimeMillis, handler);
+            Life life = new Life(model.bootTimeMillis, crashes);
+            answer(model, call, time.millis() + call.waitMillis(), life, handler);
           });
     }
 
     private void answer(
-        Model model, HoldCall call, long until, long bootTime, Consumer<HoldReply> handler) {
-      if (model.bootTimeMillis != bootTime) {
+        Model model, HoldCall call, long until, Life life, Consumer<HoldReply> handler) {
+      if (model.crashes != life.crashes()) {
+        inbox.answer(1, () -> handler.accept(HoldReply.without(OrderOutcome.LOST)));
+        return;
+      }
+      if (model.bootTimeMillis != life.bootTimeMillis()) {
         loseHoldReply(HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
       if (model.completions.isEmpty() && time.millis() < until) {
-        time.after(LATENCY_MILLIS, () -> answer(model, call, until, bootTime, handler));
+        time.after(LATENCY_MILLIS, () -> answer(model, call, until, life, handler));
         return;
       }
       if (isDisconnectedFrom(model)) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -1,7 +1,6 @@
 package org.hemlockpick.cell;
 
 import com.google.common.collect.ImmutableMap;
-import java.util.ArrayList;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Supplier;
@@ -43,7 +42,8 @@
   private final TakeoverTracker takeoverTracker;
   private final WorkerList workerList;
   private final TaskRunner runner;
-  private final RunReconciler reconciler;
+  private final CrashTracker crashes;
+  private final WorkerLifecycle workerLifecycle;
   private final WorkerPoller workerPoller;
   private final Planner planner;
   private final PlanningSchedule planningSchedule = new PlanningSchedule();
@@ -129,10 +129,15 @@
             clock,
             log,
             new RunnerContext());
-    this.reconciler = new RunReconciler(runner, jobs, lifecycle, clock, log, this::maxAttempts);
+    this.crashes = new CrashTracker(workers, lifecycle, clock, log);
+    RunReconciler reconciler =
+        new RunReconciler(runner, jobs, lifecycle, crashes, clock, log, this::maxAttempts);
+    this.workerLifecycle =
+        new WorkerLifecycle(
+            settings, workers, workerList, takeoverTracker, reconciler, crashes, clock, log);
     this.workerPoller =
         new WorkerPoller(
-            settings, token, port, reconciler, journal, clock, log, new PollerListener());
+            settings, token, port, reconciler, crashes, journal, clock, log, new PollerListener());
     ReservationTable reservations = new ReservationTable();
     Candidates candidates = new Candidates(workers, reservations);
     ReadyQueue ready =
@@ -223,7 +228,7 @@
   }
 
   private void schedule(long now) {
-    dropExpiredRuns(now);
+    workerLifecycle.dropExpiredRuns(journal.exclusiveUntil(now));
     workerList.addUnlisted();
     if (takeoverTracker.run(now, journal.exclusiveUntil(now))) {
       workerList.requestRosterWrite();
@@ -281,58 +286,6 @@
     return queue == null ? Integer.MAX_VALUE : queue.maxAttempts();
   }
 
-  /**
-   * Handles the restart of a worker. Its runs are kept until its next report shows which are left.
-   * It has forgotten the fencing token: a previous holder may use it until it has answered and is
-   * written to the roster again.
-   */
-  private void onRestarted(Worker worker, String evidence) {
-    long now = clock.monotonicMillis();
-    String before = "born " + worker.entry().bootTimeMillis() + " before, ";
-    String runs = ", " + worker.runs().size() + " runs";
-    log.decided("worker", worker.id(), "started anew", before + evidence + runs);
-    worker.onRestarted(now, settings.workerLeaseMillis());
-    worker.setNextHoldAt(now);
-    workerList.requestRosterWrite();
-  }
-
-  private void onReplaced(Worker worker) {
-    String runs = worker.entry().address() + ", " + worker.runs().size() + " runs";
-    log.decided("worker", worker.id(), "replaced", "another worker at " + runs);
-    takeoverTracker.markAccounted(worker.id(), "another worker has its address");
-    for (Run run : new ArrayList<>(worker.runs())) {
-      reconciler.onRunGone(run, "another worker has its address");
-    }
-    workerList.onEnded(worker);
-  }
-
-  /**
-   * Drops the runs of unreachable workers once their leases have expired even on the slowest clock.
-   * They must have expired while this holder held the cell exclusively, as a successor may have
-   * extended a lease that expires later.
-   */
-  private void dropExpiredRuns(long now) {
-    long exclusiveUntil = journal.exclusiveUntil(now);
-    for (Worker worker : new ArrayList<>(workers.all())) {
-      boolean unreachable = worker.isUnresponsive() || !worker.isListed();
-      if (unreachable && worker.leases().areExpired(exclusiveUntil)) {
-        for (Run run : new ArrayList<>(worker.runs())) {
-          reconciler.onRunGone(run, "the lease of its worker has expired");
-        }
-      }
-      if (isRemovable(worker)) {
-        workerList.remove(worker);
-      } else if (worker.isDrained() && worker.isOnRoster()) {
-        workerList.requestRosterWrite();
-      }
-    }
-  }
-
-  private boolean isRemovable(Worker worker) {
-    boolean gone = !worker.isListed() && !worker.isHoldInFlight();
-    return gone && worker.runs().isEmpty() && !takeoverTracker.isUnaccounted(worker.id());
-  }
-
   private boolean isStartable(Task task) {
     return !takeoverTracker.blocksStart(task)
         && journal.isVisibleToSuccessor(task.job().rowVersion());
@@ -394,12 +347,13 @@
   private final class ListListener implements WorkerList.Listener {
     @Override
     public void onRead() {
+      crashes.onListRead();
       changedSincePlan = true;
     }
 
     @Override
     public void onRestarted(Worker worker, String evidence) {
-      CellHolder.this.onRestarted(worker, evidence);
+      workerLifecycle.onRestarted(worker, evidence);
     }
 
     @Override
@@ -427,13 +381,13 @@
 
     @Override
     public void onRestarted(Worker worker, String evidence) {
-      CellHolder.this.onRestarted(worker, evidence);
+      workerLifecycle.onRestarted(worker, evidence);
       workerList.requestRead();
     }
 
     @Override
     public void onReplaced(Worker worker) {
-      CellHolder.this.onReplaced(worker);
+      workerLifecycle.onReplaced(worker);
       workerList.requestRead();
     }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
@@ -1,6 +1,8 @@
 package org.hemlockpick.cell;
 
 import java.util.List;
+import java.util.stream.Collectors;
+import org.hemlockpick.cell.TaskCrashes.Crash;
 import org.hemlockpick.cell.WorkerPort.CompletionKind;
 import org.jspecify.annotations.Nullable;
 
@@ -66,6 +68,40 @@
     }
   }
 
+  /**
+   * Counts a crash of a worker that a run of a task may have caused, and fails the job if the task
+   * is to be given up.
+   *
+   * @param isAlone whether no other run can have caused it
+   */
+  void onWorkerCrashed(Task task, Crash crash, boolean isAlone) {
+    Job job = task.job();
+    if (task.isDone() || job.state().isFinal() || !task.crashes().add(crash)) {
+      return;
+    }
+    task.avoid(crash.worker());
+    journal.markDirty(job);
+    TaskCrashes crashes = task.crashes();
+    String attempt = "attempt " + crash.attempt() + " at " + crash.worker();
+    String age = ", " + crash.ageMillis() + " ms after its start" + (isAlone ? ", alone" : "");
+    log.decided(
+        "task",
+        task.id().toString(),
+        crashes.isSuspect() ? "suspect" : "blamed",
+        attempt + age + ", crash " + crashes.all().size());
+    if (crashes.areDecisive(isAlone)) {
+      String workers = crashes.all().stream().map(Crash::worker).collect(Collectors.joining(", "));
+      end(job, JobState.FAILED, task.id() + " given up, workers crashed under it: " + workers);
+    }
+  }
+
+  /** Clears a task of the crashes that it may have caused. */
+  void onFoundSound(Task task, String reason) {
+    log.decided("task", task.id().toString(), "cleared", reason);
+    task.crashes().clear();
+    journal.markDirty(task.job());
+  }
+
   /** Cancels a job; {@link TaskRunner} stops its runs. */
   void cancel(Job job) {
     if (job.isCanceled()) {
@@ -86,6 +122,9 @@
     if (step.step().longRunning()) {
       return;
     }
+    if (!task.crashes().isEmpty()) {
+      onFoundSound(task, "done at " + worker.id());
+    }
     if (step.step().gang()) {
       step.completeAll();
     } else {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -129,6 +129,7 @@
   static Optional<ProgressRecord> progress(ByteString value) {
     try {
       ProgressRecord record = ProgressRecord.parseFrom(value);
+      CrashFields.check(record);
       return record.getFormat() == FORMAT ? Optional.of(record) : Optional.empty();
     } catch (InvalidProtocolBufferException e) {
       return Optional.empty();
@@ -184,7 +185,8 @@
                 .addAllOlderFailedAttempts(task.failedAttempts().olderDistances())
                 .setCheckpoint(task.checkpoint())
                 .setCheckpointAttempt(task.checkpointAttempt())
-                .setPlace(task.placement()));
+                .setPlace(task.placement())
+                .setUnknownFields(CrashFields.encode(task.crashes())));
       }
     }
     return progress.setDone(ByteString.copyFrom(done.toByteArray())).build();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -23,6 +23,7 @@
   private State state;
   private boolean observedRunning;
   private long reportableSince = Long.MAX_VALUE;
+  private long runningSince = Long.MAX_VALUE;
   private long stopSentAt = Long.MIN_VALUE / 2;
   private int startOrdersSent;
 
@@ -102,9 +103,17 @@
   }
 
   void setReportableSince(long nowMillis) {
+    if (observedRunning) {
+      runningSince = Math.min(runningSince, nowMillis);
+    }
     reportableSince = nowMillis;
   }
 
+  /** Returns the time at which it was first known to run; the maximum value if it never was. */
+  long runningSince() {
+    return runningSince;
+  }
+
   /**
    * Returns whether a report that does not name it proves that it is gone and cannot begin later.
    *
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
@@ -19,6 +19,7 @@
   private final TaskRunner runner;
   private final JobTable jobs;
   private final JobLifecycle lifecycle;
+  private final CrashTracker crashes;
   private final LoopClock clock;
   private final DecisionLog log;
 
@@ -29,12 +30,14 @@
       TaskRunner runner,
       JobTable jobs,
       JobLifecycle lifecycle,
+      CrashTracker crashes,
       LoopClock clock,
       DecisionLog log,
       ToIntFunction<Job> maxAttempts) {
     this.runner = runner;
     this.jobs = jobs;
     this.lifecycle = lifecycle;
+    this.crashes = crashes;
     this.clock = clock;
     this.log = log;
     this.maxAttempts = maxAttempts;
@@ -53,12 +56,14 @@
     for (RunReport report : reply.running()) {
       reported.add(report.run());
       isUnknown |= !onRunning(worker, report, now);
+      worker.run(report.run()).ifPresent(run -> clearIfSound(run, sentAt));
     }
     worker.setUnknownRuns(isUnknown);
     if (!reply.isComplete()) {
       // The completion of a run that is not named may be reported later.
       return;
     }
+    crashes.onReport(worker, reported);
     for (Run run : new ArrayList<>(worker.runs())) {
       if (!reported.contains(run.id()) && run.isProvenGone(sentAt, callToken)) {
         onRunGone(run, "the worker does not report it");
@@ -177,6 +182,14 @@
     return true;
   }
 
+  /** Clears a task of the crashes that it may have caused once its run has outlived them. */
+  private void clearIfSound(Run run, long aliveAt) {
+    TaskCrashes blame = run.task().crashes();
+    if (!blame.isEmpty() && aliveAt - run.runningSince() > blame.soundAfterMillis()) {
+      lifecycle.onFoundSound(run.task(), "its run goes on at " + run.worker().id());
+    }
+  }
+
   /**
    * Takes over a run that another holder started. A run that must not continue is stopped, and
    * keeps its capacity until it is proven to be gone.
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -10,6 +10,7 @@
   private final int index;
   private boolean done;
   private final FailedAttempts failedAttempts;
+  private final TaskCrashes crashes = new TaskCrashes();
   private int lastAttempt;
   private String checkpoint = "";
   private int checkpointAttempt;
@@ -60,6 +61,7 @@
   void setDone() {
     done = true;
     checkpoint = "";
+    crashes.clear();
   }
 
   int failures() {
@@ -71,6 +73,11 @@
     return failedAttempts;
   }
 
+  /** Returns the crashes of workers that it may have caused. */
+  TaskCrashes crashes() {
+    return crashes;
+  }
+
   /** Counts a failed attempt, which must not be counted yet; a later one may already be. */
   void addFailure(String worker, int attempt) {
     failedAttempts.add(attempt);
@@ -203,6 +210,7 @@
 
   /** Returns whether more must be stored than whether it is done. */
   boolean needsStoring() {
-    return !done && (failures() > 0 || !checkpoint.isEmpty() || !placement.isEmpty());
+    boolean hasNote = failures() > 0 || !checkpoint.isEmpty() || !placement.isEmpty();
+    return !done && (hasNote || !crashes.isEmpty());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
@@ -77,6 +77,7 @@
   private final long token;
   private final WorkerPort port;
   private final RunReconciler reconciler;
+  private final CrashTracker crashes;
   private final CellJournal journal;
   private final LoopClock clock;
   private final DecisionLog log;
@@ -119,6 +120,7 @@
       long token,
       WorkerPort port,
       RunReconciler reconciler,
+      CrashTracker crashes,
       CellJournal journal,
       LoopClock clock,
       DecisionLog log,
@@ -127,6 +129,7 @@
     this.token = token;
     this.port = port;
     this.reconciler = reconciler;
+    this.crashes = crashes;
     this.journal = journal;
     this.clock = clock;
     this.log = log;
@@ -180,6 +183,7 @@
         inFlight.remove(hold);
         window.end(hold.windowCall, false, now);
         hold.worker.setHoldInFlight(false);
+        crashes.onCallFailed(hold.worker, false);
         onFailure(hold.worker, hold.call, OrderOutcome.LOST, now);
       }
     }
@@ -237,7 +241,10 @@
         worker.setNextHoldAt(now + RETRY_MILLIS);
         listener.onReplaced(worker);
       }
-      default -> onFailure(worker, hold.call, reply.outcome(), now);
+      default -> {
+        crashes.onCallFailed(worker, reply.outcome() == OrderOutcome.LOST);
+        onFailure(worker, hold.call, reply.outcome(), now);
+      }
     }
   }
 
