Keep tasks apart that may crash their workers

Cause: placement knows nothing of a crash. Suspects are a kind of ready tasks of their own, so that one that finds no worker holds up no other task. Suspects of a worker are kept with its runs, so that a pass does not look through all of them.

Ruled out: suspects after the loss of several workers at once; they would be hundreds, and the first crash of one of many makes none.

tasksLostWithAWorkerAreKeptApart failed before ("Crash[worker=w7, atMillis=1007422, lost=[RunId[task=g.0.0.0, attempt=2], RunId[task=g.0.0.12, attempt=2]]]"), and noTaskIsStartedBesideAYoungSuspect ("4 starts" where 3 are allowed).

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CrashingTaskTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CrashingTaskTest.java
@@ -5,8 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import org.hemlockpick.cell.FakeWorkers.Crash;
 import org.hemlockpick.cell.FakeWorkers.Start;
+import org.hemlockpick.cell.WorkerPort.RunId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -245,4 +249,76 @@
     world.time.runFor(20_000);
     assertFalse(isLogged(" paused "), () -> String.join("\n", world.log));
   }
+
+  /**
+   * Guards against placing the tasks that were lost with a worker side by side again, which tells
+   * nothing about them and loses them once more.
+   */
+  @Test
+  void tasksLostWithAWorkerAreKeptApart() {
+    world.workers.runMillis = 1_500;
+    world.workers.runMillisByJob.put("n", LONG_MILLIS);
+    world.submit(0, "n", step(8, 8_000, true));
+    world.time.runFor(1_000);
+    world.workers.crashAfterMillis.put(task("g", 0), CRASH_MILLIS);
+    world.submit(0, "g", step(24, 500, false));
+    world.time.runFor(20_000);
+    assertKeptApart();
+    assertGivenUp(task("g", 0));
+    assertEquals(JobState.RUNNING, world.state("n"));
+  }
+
+  /** Guards against new tasks joining a suspect before it has run for a while. */
+  @Test
+  void noTaskIsStartedBesideAYoungSuspect() {
+    world.workers.runMillis = 700;
+    world.workers.crashAfterMillis.put(task("g", 0), 900L);
+    world.workers.runMillisByJob.put("g", 40_000L);
+    world.submit(0, "g", step(4, 500, false));
+    for (int i = 0; i < 200; i++) {
+      world.submit(0, "s" + i, step(6, 1_000, false));
+      world.time.runFor(100);
+    }
+    world.time.runFor(10_000);
+    assertGivenUp(task("g", 0));
+    List<Crash> crashes = world.workers.crashLog;
+    for (Crash crash : crashes.subList(1, crashes.size())) {
+      List<Start> joined =
+          world.workers.startLog.stream()
+              .filter(start -> start.worker().equals(crash.worker()))
+              .filter(start -> start.atMillis() > crash.atMillis() - 800)
+              .toList();
+      assertEquals(List.of(), joined, () -> crash + "\n" + String.join("\n", world.log));
+    }
+  }
+
+  private static Step step(int count, long cpuMillis, boolean longRunning) {
+    return new Step(
+        count,
+        new ResourceAmounts(cpuMillis, 1_000, 0),
+        500,
+        List.of(),
+        false,
+        false,
+        false,
+        null,
+        null,
+        0,
+        false,
+        longRunning,
+        "image",
+        0,
+        false,
+        null);
+  }
+
+  /** Checks that no crash lost two tasks that a worker had been lost with before. */
+  private void assertKeptApart() {
+    Set<TaskId> lost = new HashSet<>();
+    for (Crash crash : world.workers.crashLog) {
+      List<TaskId> again = crash.lost().stream().map(RunId::task).filter(lost::contains).toList();
+      assertTrue(again.size() <= 1, () -> crash + "\n" + String.join("\n", world.log));
+      crash.lost().forEach(run -> lost.add(run.task()));
+    }
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -80,6 +80,9 @@
     if (reservations.isReservedForOthers(worker, task)) {
       return IneligibleReason.RESERVED;
     }
+    if (SuspectPlacement.isKeptApart(task, worker, now)) {
+      return IneligibleReason.KEPT_APART;
+    }
     return healthReason(worker, now, mayBePaused);
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
@@ -40,6 +40,9 @@
   /** Runs failed there, and it is being tested with another run. */
   SUSPECT("suspect"),
 
+  /** A task that is suspect of crashing workers is or would be beside others there. */
+  KEPT_APART("kept apart from a suspect task"),
+
   /** It is reserved for long-running tasks that have lost their runs. */
   RESERVED("reserved for others"),
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -122,6 +122,16 @@
       if (task.step().step().longRunning() && !task.mayHaveStarted()) {
         eligible = shortTaskPool.exclude(eligible, queue.service());
       }
+      return chooseAmong(task, eligible);
+    }
+
+    private @Nullable Worker chooseAmong(Task task, List<Worker> eligible) {
+      if (task.crashes().isSuspect()) {
+        Worker worker = placement.choose(task, SuspectPlacement.leastAtRisk(eligible));
+        if (worker != null) {
+          return worker;
+        }
+      }
       return placement.choose(task, eligible);
     }
 
@@ -180,7 +190,7 @@
       List<Worker> chosen = new ArrayList<>();
       List<Run> trials = new ArrayList<>();
       for (Task task : gang.tasks()) {
-        Worker worker = placement.choose(task, candidates.of(task, gang.queue(), schedulable));
+        Worker worker = chooseAmong(task, candidates.of(task, gang.queue(), schedulable));
         if (worker == null) {
           break;
         }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
@@ -75,7 +75,7 @@
   private void add(StepRun step, Queue queue, long now, long wall, List<ReadyTasks> ready) {
     if (step.step().gang()) {
       if (step.tasks().stream().allMatch(task -> isReady(task, now))) {
-        Kind kind = Kind.of(step.tasks().get(0));
+        Kind kind = Kind.ofGang(step.tasks());
         PriorityPolicy.Rank rank = priority.rank(step, kind.isRestart(), queue, wall);
         ready.add(new ReadyTasks(step, kind, step.tasks(), queue, rank));
       }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyTasks.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyTasks.java
@@ -14,9 +14,16 @@
     StepRun step, Kind kind, List<Task> tasks, Queue queue, PriorityPolicy.Rank rank) {
 
   /** Distinguishes tasks of one step by where they may run. */
-  record Kind(boolean isRestart, boolean hasFailed) {
+  record Kind(boolean isRestart, boolean hasFailed, boolean isSuspect) {
     static Kind of(Task task) {
-      return new Kind(isRestart(task), task.failures() > 0);
+      return new Kind(isRestart(task), task.failures() > 0, task.crashes().isSuspect());
+    }
+
+    /** Returns the kind of a gang, which is a suspect with any of its members. */
+    static Kind ofGang(List<Task> members) {
+      Kind first = of(members.get(0));
+      boolean isSuspect = members.stream().anyMatch(task -> task.crashes().isSuspect());
+      return new Kind(first.isRestart(), first.hasFailed(), isSuspect);
     }
 
     /** Returns whether a task is long-running and has lost its run. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -380,6 +380,11 @@
     return runs.all();
   }
 
+  /** Returns the runs of tasks that were suspect of crashing workers when they came. */
+  Set<Run> suspects() {
+    return runs.suspects();
+  }
+
   Optional<Run> run(RunId name) {
     return runs.find(name);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerRuns.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerRuns.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -18,6 +19,9 @@
   /** Numbers of serving tasks by image. */
   private final Map<String, Integer> servingImages = new LinkedHashMap<>();
 
+  /** Runs of tasks that were suspect of crashing workers when they came. */
+  private final Set<Run> suspects = new LinkedHashSet<>();
+
   private ResourceAmounts reserved = ResourceAmounts.NONE;
   private long fillerCpu;
   private long servingCpu;
@@ -42,6 +46,9 @@
   void add(Run run) {
     runs.put(run.id(), run);
     reserved = reserved.plus(run.step().reserved());
+    if (run.task().crashes().isSuspect()) {
+      suspects.add(run);
+    }
     count(run, 1);
   }
 
@@ -50,6 +57,7 @@
     if (runs.remove(run.id()) == null) {
       return false;
     }
+    suspects.remove(run);
     reserved = reserved.minus(run.step().reserved());
     count(run, -1);
     return true;
@@ -72,6 +80,11 @@
     return sum == 0 ? null : (Integer) sum;
   }
 
+  /** Returns the runs of tasks that were suspect of crashing workers when they came. */
+  Set<Run> suspects() {
+    return suspects;
+  }
+
   /** Records that a run was reported, so that its tail latency may have changed. */
   void onReported(Run run) {
     if (run.step().isServing()) {
