--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -55,6 +55,7 @@
     random = new SplittableRandom(seed);
     store = new FakeStore(time, random.nextLong());
     workers = new FakeWorkers(time, random.nextLong(), leaseMillis);
+    workers.onReturned = this::onWorkerReturned;
     store.put("operator", "configuration", ByteString.copyFromUtf8("1"));
     for (int i = 0; i < workerCount; i++) {
       workers.add("w" + i);
@@ -96,6 +97,12 @@
     }
   }
 
+  /** Lists a worker that is back after a crash, and no more under the identifier that it had. */
+  private void onWorkerReturned(String returned, String previous) {
+    store.remove("workers", previous);
+    registerWorker(returned);
+  }
+
   /**
    * Lists a worker as draining, with the remaining time in each heartbeat; it leaves after a time
    * in milliseconds.
@@ -521,7 +528,9 @@
               key,
               Long.parseLong(fields[0]),
               SERVICE,
-              key + ":1",
+              // The identifiers of workers that follow each other at an address differ behind the
+              // tilde.
+              key.split("~", -1)[0] + ":1",
               "zone-a",
               draining,
               draining ? Long.parseLong(fields[1]) : 0,
