Show in the log why no worker is reserved for a waiting task

The line `wait` of a task that has lost its run told why each worker did not take it, but not why no worker is reserved for it: whether the bound on reserved workers is used up by others, or none could hold it even without its short tasks. Both are counted now.

taskForWhichNoWorkerIsReservedIsReported failed before; the line ended with "3 at the most per worker, wants 2000 mcpu 4000 MB".

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/PendingTaskReporterTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/PendingTaskReporterTest.java
@@ -71,6 +71,22 @@
             .isEmpty());
   }
 
+  /** Guards against a log that does not show whether workers are reserved for other tasks. */
+  @Test
+  void taskForWhichNoWorkerIsReservedIsReported() {
+    world.submit(0, "l", longRunning(WORKERS, null, 1));
+    world.time.runFor(1_000);
+    world.workers.get("w2").disconnected = true;
+    world.store.remove("workers", "w2");
+    world.time.runFor(9_000);
+    assertFalse(
+        lines(
+                " wait l\\.0\\.0\\.\\d no worker .*3 at the most per worker,"
+                    + " none reserved for it, 0 for others, 0 could hold it, wants")
+            .isEmpty(),
+        () -> String.join("\n", lines(" wait l")));
+  }
+
   /** A successor starts no task that may still run at a worker which does not answer it. */
   @Test
   void taskBlockedByATakeoverIsReported() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
@@ -225,6 +225,27 @@
     return true;
   }
 
+  /** Returns, for the log, why no worker is reserved for a task that has lost its run. */
+  String describeDenial(Task task, Queue queue, long now) {
+    if (!isReservable(task.step().step())) {
+      return "none is reserved for gangs and fillers";
+    }
+    int suitable = 0;
+    int reserved = 0;
+    for (Worker worker : workers.all()) {
+      suitable += canHold(task, queue, worker, now) ? 1 : 0;
+      reserved += reservations.workers().contains(worker) ? 1 : 0;
+    }
+    return "none reserved for it, " + reserved + " for others, " + suitable + " could hold it";
+  }
+
+  /** Returns whether a worker has enough capacity for a task without its short tasks. */
+  private boolean canHold(Task task, Queue queue, Worker worker, long now) {
+    ResourceAmounts all = reservations.reservedAt(worker).plus(task.step().step().reserved());
+    return candidates.isSuitable(task, queue, worker, now)
+        && all.fitsInto(CapacityForecast.capacityWithoutShortTasks(worker));
+  }
+
   private @Nullable Worker earliestAvailable(Task task, Queue queue, long now) {
     boolean mayReserveMore = mayReserveMoreWorkers(queue.service(), maxPercent(task), now);
     ResourceAmounts wanted = task.step().step().reserved();
@@ -232,11 +253,10 @@
     Worker best = null;
     long bestWait = Long.MAX_VALUE;
     for (Worker worker : mayReserveMore ? workers.all() : List.copyOf(reservations.workers())) {
-      ResourceAmounts all = reservations.reservedAt(worker).plus(wanted);
-      if (!candidates.isSuitable(task, queue, worker, now)
-          || !all.fitsInto(CapacityForecast.capacityWithoutShortTasks(worker))) {
+      if (!canHold(task, queue, worker, now)) {
         continue;
       }
+      ResourceAmounts all = reservations.reservedAt(worker).plus(wanted);
       long wait = forecast.millisUntilFree(worker, all, now);
       if (wait == 0) {
         available.add(worker);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -141,25 +141,20 @@
     CapacityForecast forecast = new CapacityForecast(estimator);
     PlacementPolicy placement = new InterferenceAwarePlacement(interference);
     DrainDeadline drainDeadline = new DrainDeadline(settings);
-    this.planner =
-        new Planner(
-            ready,
-            runner,
+    CapacityReserver reserver =
+        new CapacityReserver(
+            workers,
             candidates,
-            new CapacityReserver(
-                workers,
-                candidates,
-                reservations,
-                forecast,
-                placement,
-                drainDeadline,
-                runner::tryStop,
-                this::queue,
-                log),
             reservations,
+            forecast,
             placement,
-            clock,
-            this::queue);
+            drainDeadline,
+            runner::tryStop,
+            this::queue,
+            log);
+    this.planner =
+        new Planner(
+            ready, runner, candidates, reserver, reservations, placement, clock, this::queue);
     this.paceController = new PaceController(token, port, runner::tryStop, interference, log);
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController =
@@ -171,6 +166,7 @@
             workers,
             candidates,
             reservations,
+            reserver,
             takeoverTracker,
             journal,
             this::queue,
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
@@ -25,6 +25,7 @@
   private final WorkerTable workers;
   private final Candidates candidates;
   private final ReservationTable reservations;
+  private final CapacityReserver reserver;
   private final TakeoverTracker takeover;
   private final CellJournal journal;
   private final Function<Job, @Nullable Queue> queues;
@@ -41,6 +42,7 @@
       WorkerTable workers,
       Candidates candidates,
       ReservationTable reservations,
+      CapacityReserver reserver,
       TakeoverTracker takeover,
       CellJournal journal,
       Function<Job, @Nullable Queue> queues,
@@ -50,6 +52,7 @@
     this.workers = workers;
     this.candidates = candidates;
     this.reservations = reservations;
+    this.reserver = reserver;
     this.takeover = takeover;
     this.journal = journal;
     this.queues = queues;
@@ -185,6 +188,8 @@
               + " reserved for it for "
               + (now - reservation.sinceMillis())
               + " ms");
+    } else if (task.mayHaveStarted()) {
+      text.add(reserver.describeDenial(task, queue, now));
     }
     text.add("wants " + amounts(task.step().step().reserved()));
     log(task, waitedMillis, eligible > 0 ? "not placed" : "no worker", text.toString());
