--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
@@ -198,8 +198,10 @@
       return drainDeadline.isNear(run.worker());
     }
     // What is almost lost has not been seen to run since the last answer of its worker.
-    boolean hasRun = run != null && run.wasObservedRunning();
-    long lastRanAt = hasRun ? run.worker().lastAnswerSentAt() : task.lastRanAt();
+    long lastRanAt =
+        run != null && run.wasObservedRunning()
+            ? run.worker().lastAnswerSentAt()
+            : task.lastRanAt();
     return now >= Math.max(firstReviewAt, lastRanAt) + PREEMPT_AFTER_MILLIS;
   }
 
