--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PendingTaskReporter.java
@@ -25,6 +25,7 @@
   private final WorkerTable workers;
   private final Candidates candidates;
   private final ReservationTable reservations;
+  private final CapacityReserver reserver;
   private final TakeoverTracker takeover;
   private final CellJournal journal;
   private final Function<Job, @Nullable Queue> queues;
@@ -43,6 +44,7 @@
       WorkerTable workers,
       Candidates candidates,
       ReservationTable reservations,
+      CapacityReserver reserver,
       TakeoverTracker takeover,
       CellJournal journal,
       Function<Job, @Nullable Queue> queues,
@@ -53,6 +55,7 @@
     this.workers = workers;
     this.candidates = candidates;
     this.reservations = reservations;
+    this.reserver = reserver;
     this.takeover = takeover;
     this.journal = journal;
     this.queues = queues;
@@ -195,6 +198,8 @@
               + " reserved for it for "
               + (now - reservation.sinceMillis())
               + " ms");
+    } else if (task.mayHaveStarted()) {
+      text.add(reserver.describeDenial(task, queue, now));
     }
     text.add("wants " + amounts(task.step().step().reserved()));
     WaitReason reason = eligible > 0 ? WaitReason.NOT_PLACED : WaitReason.NO_WORKER;
