Bound how many workers one request may take down to two

An idempotent request under which the connection to its worker broke was sent again, four times at each entry instance that it reached, and each peer counted anew: in the new test one request broke 16 connections to five workers. Where an instance had one worker, the request went back to the worker that it had just broken.

The request now ends at once as OUTCOME_UNKNOWN when two connections broke under it. The entry instance that the caller reached counts for all, without a change of the messages between peers: the receiver of a forward answers OUTCOME_UNKNOWN after the first break, and that counts as one, as does a peer that is lost. After the first break the request goes to a worker not tried yet, here or at a peer; to one that was tried only after 100 ms. Refusals, and answers that a worker has given and that are late or missing, don't count.

Ruled out: the retry budget as a bound, as 20 tokens of each entry instance allow all of it.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/World.java
@@ -56,6 +56,16 @@
   final Map<String, EntryNode> entries = new LinkedHashMap<>();
   final Map<String, WorkerNode> workers = new LinkedHashMap<>();
   final TableModel table = new TableModel();
+
+  /** Body of requests that break the connection on which they arrive; empty for none. */
+  ByteString breakingBody = ByteString.EMPTY;
+
+  /** Number of connections that such requests break yet. */
+  int breaksLeft = Integer.MAX_VALUE;
+
+  /** Workers whose connection was broken, in the order of time. */
+  final List<String> brokenWorkers = new ArrayList<>();
+
   private final Map<String, ByteString> objects = new HashMap<>();
   private final Deque<Event> events = new ArrayDeque<>();
   private final List<CallerAnswer> otherAnswers = new ArrayList<>();
@@ -219,6 +229,10 @@
       deliver(node, start, 1, Input.newBuilder().setWorkerReply(refused));
       return;
     }
+    if (call.hasRequest() && call.getRequest().getBody().equals(breakingBody) && breaksLeft > 0) {
+      breakConnection(node, worker, call);
+      return;
+    }
     boolean silent = worker.silentFor.contains(node.name);
     if (silent || conditions.losesWorkerMessage()) {
       return;
@@ -231,6 +245,18 @@
     }
   }
 
+  private void breakConnection(EntryNode node, WorkerNode worker, WorkerCall call) {
+    breaksLeft--;
+    brokenWorkers.add(worker.name);
+    WorkerReply lost =
+        WorkerReply.newBuilder()
+            .setCallId(call.getCallId())
+            .setWorker(worker.name)
+            .setFate(CallFate.LOST)
+            .build();
+    deliver(node, node.starts(), conditions.workerDelay(), Input.newBuilder().setWorkerReply(lost));
+  }
+
   private void answer(EntryNode node, int start, WorkerNode worker, WorkerReply reply) {
     if (worker.silentFor.contains(node.name) || conditions.losesWorkerMessage()) {
       return;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/DispatchSystem.java
@@ -176,7 +176,8 @@
       return;
     }
     if (request.idempotent) {
-      retryOrGiveUp(request, worker);
+      detachFromWorker(request, worker);
+      enqueuer.retryAfterBreak(request);
     } else if (worker.isHeld(outbox.now())) {
       request.state = RequestState.FENCING;
     } else {
@@ -203,7 +204,8 @@
     worker.settle(request.sequence);
     resetConnections(worker);
     if (request.idempotent) {
-      retryOrGiveUp(request, worker);
+      detachFromWorker(request, worker);
+      enqueuer.retryOrGiveUp(request);
     } else {
       finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
     }
@@ -215,11 +217,6 @@
     }
   }
 
-  private void retryOrGiveUp(Request request, Worker worker) {
-    detachFromWorker(request, worker);
-    enqueuer.retryOrGiveUp(request);
-  }
-
   private void requeueElsewhere(Request request, Worker worker) {
     detachFromWorker(request, worker);
     enqueuer.requeue(request);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/ForwardSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/ForwardSystem.java
@@ -145,7 +145,7 @@
     if (request.peer != null) {
       request.excludedPeers.add(request.peer);
     }
-    enqueuer.retryOrGiveUp(request);
+    enqueuer.retryAfterBreak(request);
   }
 
   private void send(Request request, long now) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Request.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/Request.java
@@ -25,6 +25,9 @@
   /** Whether an earlier attempt may have run. */
   boolean mayHaveRun;
 
+  /** Number of attempts that ended with the loss of the connection to a worker or a peer. */
+  int brokenConnections;
+
   boolean countsAgainstLimit;
   boolean callerGone;
   int sendCount;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RequestEnqueuer.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RequestEnqueuer.java
@@ -10,6 +10,9 @@
   /** Maximum number of times a request is sent, including the first. */
   private static final int MAX_SEND_COUNT = 4;
 
+  /** Number of workers that one request may take down. */
+  private static final int MAX_BROKEN_CONNECTIONS = 2;
+
   private final Outbox outbox;
   private final RequestTable requests;
   private final ContractTable contracts;
@@ -37,6 +40,21 @@
     requests.waiting().add(request, contract == null ? 1 : contract.weight());
   }
 
+  /**
+   * Retries an idempotent request under which a connection broke, unless it may be the cause. The
+   * entry instance that a caller reached counts for all: a peer reports the first break to it.
+   */
+  void retryAfterBreak(Request request) {
+    request.brokenConnections++;
+    if (request.isForwarded() || request.brokenConnections >= MAX_BROKEN_CONNECTIONS) {
+      String broken = request.brokenConnections + " connections broke";
+      outbox.event("request-given-up", request.label(), broken);
+      finisher.finish(request, ResultCode.OUTCOME_UNKNOWN);
+      return;
+    }
+    retryOrGiveUp(request);
+  }
+
   /**
    * Retries an idempotent request whose newest attempt may have run, if the retry budget allows it.
    */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RoutingSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RoutingSystem.java
@@ -27,6 +27,12 @@
   /** Wait before a request may be forwarded to another availability zone, in milliseconds. */
   private static final long REMOTE_AFTER_MILLIS = 50;
 
+  /**
+   * Wait before a request under which a connection broke may go to the same worker, in
+   * milliseconds; longer than that for a peer of another availability zone.
+   */
+  private static final long TRIED_AGAIN_AFTER_MILLIS = 2 * REMOTE_AFTER_MILLIS;
+
   /** Number of requests without an eligible peer after which a tick stops looking for peers. */
   private static final int MAX_UNPLACEABLE_PER_TICK = 4;
 
@@ -74,19 +80,33 @@
   }
 
   private void placeAtWorkers(long now) {
-    Request request = requests.waiting().peek(any -> true);
-    while (request != null) {
-      List<Worker> free =
-          workers.all().stream().filter(worker -> worker.freeSlots(now) > 0).toList();
-      if (free.isEmpty()) {
+    List<Worker> free = freeWorkers(now);
+    while (!free.isEmpty()) {
+      List<Worker> current = free;
+      Request request = requests.waiting().peek(each -> mayTakeOneOf(current, each, now));
+      if (request == null) {
         return;
       }
       requests.waiting().serve(request);
       dispatch.send(request, policy.choose(preferUntried(free, request), now), now);
-      request = requests.waiting().peek(any -> true);
+      free = freeWorkers(now);
     }
   }
 
+  private List<Worker> freeWorkers(long now) {
+    return workers.all().stream().filter(worker -> worker.freeSlots(now) > 0).toList();
+  }
+
+  /**
+   * Returns whether a request may go to one of the free workers here. One under which a connection
+   * broke first waits for a worker of a peer, if all of these were tried.
+   */
+  private static boolean mayTakeOneOf(List<Worker> free, Request request, long now) {
+    return request.brokenConnections == 0
+        || now - request.waitingSince >= TRIED_AGAIN_AFTER_MILLIS
+        || free.stream().anyMatch(worker -> !request.excludedWorkers.contains(worker.name()));
+  }
+
   /**
    * Forwards callers' requests; requests forwarded by peers keep waiting here, since a forward goes
    * one hop.
