Answer what a stopping entry instance has begun to read

A caller of the product's own daemon that had sent the first part of a request when the planned stop came to its end got no answer: its connection was closed. After 0.3 s of refusals the daemon closed the HTTP server, whose graceful shutdown takes a connection for idle until the head of a request is complete, and gives the others one second.

The daemon now drains its callers with the same CallerDrain as the process on a platform: 0.3 s of refusals whose connections close, then no new connections, then the end as soon as no connection is left, 3 s after the stop at the latest. A body that came within the second of the server's shutdown was answered before too.

EntryDaemonStopTest#requestWhoseHeadComesLateIsAnswered failed before: "EOFException: the connection ended before the answer"; it passes. The other two tests of the class passed before, and so did CallerApiTest.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
@@ -19,8 +19,13 @@
   /** Longest time that a planned stop may take, in milliseconds. */
   public static final long MAX_STOP_MILLIS = 30_000;
 
-  /** Time after the stop in which calls on open connections are still answered, in milliseconds. */
-  private static final long CALLER_DRAIN_MILLIS = 300;
+  /** Time after the stop in which new connections are still accepted, in milliseconds. */
+  private static final long CALLERS_ROUTED_MILLIS = 300;
+
+  /**
+   * Longest time after the stop in which requests that were begun are answered, in milliseconds.
+   */
+  private static final long DRAIN_LIMIT_MILLIS = 3_000;
 
   private static final Logger log = Logger.getLogger(EntryDaemon.class);
 
@@ -29,6 +34,8 @@
   private final PendingExchanges exchanges = new PendingExchanges(queue);
   private final DaemonMetrics metrics = new DaemonMetrics();
   private final CompletableFuture<Void> ended = new CompletableFuture<>();
+  private final CallerDrain drain = new CallerDrain(port -> true);
+  private final InstantSource time = new MonotonicClock();
   private final OutputRouter router;
   private final Effects effects;
   private final LoopThread loop;
@@ -40,7 +47,6 @@
       Settings settings, LoopFactory loopFactory, EffectsFactory effectsFactory, EventSink events)
       throws IOException {
     this.settings = settings;
-    InstantSource time = new MonotonicClock();
     long startedAt = time.millis();
     long seed = System.nanoTime() ^ startedAt;
     TickClock clock = new TickClock(startedAt);
@@ -156,15 +162,12 @@
   }
 
   /**
-   * Refuses new calls for a while before the connections close: a caller may already have sent its
-   * next request on an open connection, which closing would cut off.
+   * Refuses new calls and closes the connections of callers: one may already have sent its next
+   * request, which closing at once would cut off.
    */
   private void drainCallers() {
-    try {
-      Thread.sleep(CALLER_DRAIN_MILLIS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    PlannedEnd.begin(drain, time.millis(), CALLERS_ROUTED_MILLIS, DRAIN_LIMIT_MILLIS)
+        .await(time::millis, () -> true);
   }
 
   /** Closes everything at once; calls in flight are answered with an unknown outcome. */
@@ -194,6 +197,7 @@
           queue,
           loop,
           metrics,
+          drain,
           new CallDispatcher(exchanges),
           new ApiKeys(settings.operatorKeyDigests()));
     } catch (IOException | RuntimeException e) {
