Take the ports of CellProcessStopTest from below those of outgoing connections

Not shown, suspected: an outgoing connection of another process had taken the port of one listener, so that the start failed after the first listener had accepted. The ports now come from where the system puts no outgoing connections, as in ZoneProcessTest, and what the process wrote is printed.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessStopTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessStopTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -17,6 +18,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.ThreadLocalRandom;
 import org.hemlockpick.transport.Eventually;
 import org.hemlockpick.transport.RawConnection;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +31,8 @@
  */
 class CellProcessStopTest {
   private static final int CALLERS = 48;
+  private static final int MIN_PORT = 15_000;
+  private static final int MAX_PORT = 32_000;
   private static final int STATUS_AT = "http/1.1 ".length();
 
   /** Longer than {@link ChildProcess#waitFor} waits. */
@@ -44,9 +48,11 @@
   @SuppressWarnings("NullAway.Init")
   private ChildProcess process;
 
+  /** Ends the process and prints what it wrote, which is gone with the folder. */
   @AfterEach
-  void kill() {
+  void kill() throws IOException {
     process.kill();
+    System.out.println(process.out() + Files.readString(process.log()));
   }
 
   /** Guards against a process that listens before it can handle the signal, and ends at once. */
@@ -219,11 +225,20 @@
     }
   }
 
+  /**
+   * Returns a free address below the ports that the system uses for outgoing connections: another
+   * process, or the test's own wait for the process, may take one of those.
+   */
   private static InetSocketAddress freeAddress() {
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
-    } catch (IOException e) {
-      throw new AssertionError(e);
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+      try (ServerSocket free = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
+      } catch (BindException e) {
+        // The port is in use: try another one.
+      } catch (IOException e) {
+        throw new AssertionError(e);
+      }
     }
   }
 
