--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
@@ -35,6 +35,7 @@
     checkpoint_ = "";
     olderFailedAttempts_ = emptyIntList();
     place_ = "";
+    crashes_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -235,6 +236,67 @@
     }
   }
 
+  public static final int CRASHES_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.hemlockpick.proto.CrashNote> crashes_;
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.hemlockpick.proto.CrashNote> getCrashesList() {
+    return crashes_;
+  }
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.hemlockpick.proto.CrashNoteOrBuilder> 
+      getCrashesOrBuilderList() {
+    return crashes_;
+  }
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  @java.lang.Override
+  public int getCrashesCount() {
+    return crashes_.size();
+  }
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.CrashNote getCrashes(int index) {
+    return crashes_.get(index);
+  }
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.CrashNoteOrBuilder getCrashesOrBuilder(
+      int index) {
+    return crashes_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -275,6 +337,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(place_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 7, place_);
     }
+    for (int i = 0; i < crashes_.size(); i++) {
+      output.writeMessage(8, crashes_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -320,6 +385,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(place_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(7, place_);
     }
+    for (int i = 0; i < crashes_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, crashes_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -349,6 +418,8 @@
         != other.getCheckpointAttempt()) return false;
     if (!getPlace()
         .equals(other.getPlace())) return false;
+    if (!getCrashesList()
+        .equals(other.getCrashesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -376,6 +447,10 @@
     hash = (53 * hash) + getCheckpointAttempt();
     hash = (37 * hash) + PLACE_FIELD_NUMBER;
     hash = (53 * hash) + getPlace().hashCode();
+    if (getCrashesCount() > 0) {
+      hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+      hash = (53 * hash) + getCrashesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -518,6 +593,13 @@
       olderFailedAttempts_ = emptyIntList();
       checkpointAttempt_ = 0;
       place_ = "";
+      if (crashesBuilder_ == null) {
+        crashes_ = java.util.Collections.emptyList();
+      } else {
+        crashes_ = null;
+        crashesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
       return this;
     }
 
@@ -544,11 +626,24 @@
     @java.lang.Override
     public org.hemlockpick.proto.TaskNote buildPartial() {
       org.hemlockpick.proto.TaskNote result = new org.hemlockpick.proto.TaskNote(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.hemlockpick.proto.TaskNote result) {
+      if (crashesBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          crashes_ = java.util.Collections.unmodifiableList(crashes_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.crashes_ = crashes_;
+      } else {
+        result.crashes_ = crashesBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.hemlockpick.proto.TaskNote result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -620,6 +715,32 @@
         bitField0_ |= 0x00000040;
         onChanged();
       }
+      if (crashesBuilder_ == null) {
+        if (!other.crashes_.isEmpty()) {
+          if (crashes_.isEmpty()) {
+            crashes_ = other.crashes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureCrashesIsMutable();
+            crashes_.addAll(other.crashes_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.crashes_.isEmpty()) {
+          if (crashesBuilder_.isEmpty()) {
+            crashesBuilder_.dispose();
+            crashesBuilder_ = null;
+            crashes_ = other.crashes_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            crashesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetCrashesFieldBuilder() : null;
+          } else {
+            crashesBuilder_.addAllMessages(other.crashes_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -692,6 +813,19 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 66: {
+              org.hemlockpick.proto.CrashNote m =
+                  input.readMessage(
+                      org.hemlockpick.proto.CrashNote.parser(),
+                      extensionRegistry);
+              if (crashesBuilder_ == null) {
+                ensureCrashesIsMutable();
+                crashes_.add(m);
+              } else {
+                crashesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1149,6 +1283,318 @@
       return this;
     }
 
+    private java.util.List<org.hemlockpick.proto.CrashNote> crashes_ =
+      java.util.Collections.emptyList();
+    private void ensureCrashesIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        crashes_ = new java.util.ArrayList<org.hemlockpick.proto.CrashNote>(crashes_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hemlockpick.proto.CrashNote, org.hemlockpick.proto.CrashNote.Builder, org.hemlockpick.proto.CrashNoteOrBuilder> crashesBuilder_;
+
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public java.util.List<org.hemlockpick.proto.CrashNote> getCrashesList() {
+      if (crashesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(crashes_);
+      } else {
+        return crashesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public int getCrashesCount() {
+      if (crashesBuilder_ == null) {
+        return crashes_.size();
+      } else {
+        return crashesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public org.hemlockpick.proto.CrashNote getCrashes(int index) {
+      if (crashesBuilder_ == null) {
+        return crashes_.get(index);
+      } else {
+        return crashesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder setCrashes(
+        int index, org.hemlockpick.proto.CrashNote value) {
+      if (crashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCrashesIsMutable();
+        crashes_.set(index, value);
+        onChanged();
+      } else {
+        crashesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder setCrashes(
+        int index, org.hemlockpick.proto.CrashNote.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder addCrashes(org.hemlockpick.proto.CrashNote value) {
+      if (crashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCrashesIsMutable();
+        crashes_.add(value);
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder addCrashes(
+        int index, org.hemlockpick.proto.CrashNote value) {
+      if (crashesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureCrashesIsMutable();
+        crashes_.add(index, value);
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder addCrashes(
+        org.hemlockpick.proto.CrashNote.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.add(builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder addCrashes(
+        int index, org.hemlockpick.proto.CrashNote.Builder builderForValue) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        crashesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder addAllCrashes(
+        java.lang.Iterable<? extends org.hemlockpick.proto.CrashNote> values) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, crashes_);
+        onChanged();
+      } else {
+        crashesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder clearCrashes() {
+      if (crashesBuilder_ == null) {
+        crashes_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        crashesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public Builder removeCrashes(int index) {
+      if (crashesBuilder_ == null) {
+        ensureCrashesIsMutable();
+        crashes_.remove(index);
+        onChanged();
+      } else {
+        crashesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public org.hemlockpick.proto.CrashNote.Builder getCrashesBuilder(
+        int index) {
+      return internalGetCrashesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public org.hemlockpick.proto.CrashNoteOrBuilder getCrashesOrBuilder(
+        int index) {
+      if (crashesBuilder_ == null) {
+        return crashes_.get(index);  } else {
+        return crashesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public java.util.List<? extends org.hemlockpick.proto.CrashNoteOrBuilder> 
+         getCrashesOrBuilderList() {
+      if (crashesBuilder_ != null) {
+        return crashesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(crashes_);
+      }
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public org.hemlockpick.proto.CrashNote.Builder addCrashesBuilder() {
+      return internalGetCrashesFieldBuilder().addBuilder(
+          org.hemlockpick.proto.CrashNote.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public org.hemlockpick.proto.CrashNote.Builder addCrashesBuilder(
+        int index) {
+      return internalGetCrashesFieldBuilder().addBuilder(
+          index, org.hemlockpick.proto.CrashNote.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The newest crashes that the task may have caused since it was last found to be sound.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+     */
+    public java.util.List<org.hemlockpick.proto.CrashNote.Builder> 
+         getCrashesBuilderList() {
+      return internalGetCrashesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hemlockpick.proto.CrashNote, org.hemlockpick.proto.CrashNote.Builder, org.hemlockpick.proto.CrashNoteOrBuilder> 
+        internalGetCrashesFieldBuilder() {
+      if (crashesBuilder_ == null) {
+        crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.hemlockpick.proto.CrashNote, org.hemlockpick.proto.CrashNote.Builder, org.hemlockpick.proto.CrashNoteOrBuilder>(
+                crashes_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        crashes_ = null;
+      }
+      return crashesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.TaskNote)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
@@ -107,4 +107,48 @@
    */
   com.google.protobuf.ByteString
       getPlaceBytes();
+
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  java.util.List<org.hemlockpick.proto.CrashNote> 
+      getCrashesList();
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  org.hemlockpick.proto.CrashNote getCrashes(int index);
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  int getCrashesCount();
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  java.util.List<? extends org.hemlockpick.proto.CrashNoteOrBuilder> 
+      getCrashesOrBuilderList();
+  /**
+   * <pre>
+   * The newest crashes that the task may have caused since it was last found to be sound.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.CrashNote crashes = 8;</code>
+   */
+  org.hemlockpick.proto.CrashNoteOrBuilder getCrashesOrBuilder(
+      int index);
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -169,7 +169,7 @@
                 note.getFailures(), note.getFailedAttempt(), note.getOlderFailedAttemptsList());
         task.setCheckpoint(note.getCheckpointAttempt(), note.getCheckpoint());
         task.setPlacement(note.getPlace());
-        CrashFields.decode(note).forEach(task.crashes()::add);
+        note.getCrashesList().stream().map(CrashNotes::decode).forEach(task.crashes()::add);
       }
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -129,7 +129,6 @@
   static Optional<ProgressRecord> progress(ByteString value) {
     try {
       ProgressRecord record = ProgressRecord.parseFrom(value);
-      CrashFields.check(record);
       return record.getFormat() == FORMAT ? Optional.of(record) : Optional.empty();
     } catch (InvalidProtocolBufferException e) {
       return Optional.empty();
@@ -186,7 +185,7 @@
                 .setCheckpoint(task.checkpoint())
                 .setCheckpointAttempt(task.checkpointAttempt())
                 .setPlace(task.placement())
-                .setUnknownFields(CrashFields.encode(task.crashes())));
+                .addAllCrashes(task.crashes().all().stream().map(CrashNotes::encode).toList()));
       }
     }
     return progress.setDone(ByteString.copyFrom(done.toByteArray())).build();
