Do not take a worker that is listed again for another one at its address

A worker that was cut off until its lease had expired and its entry was gone, and came back as it was, counted as crashed: the look for another worker at the address found the worker itself. Found by the review, by reading. Now only another identifier replaces a worker; a later boot under the same one is seen in its report.

CrashingTaskTest#workerThatIsListedAgainHasNotCrashed failed before (lines 'crashed ... another worker has its address') and passes.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CrashingTaskTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CrashingTaskTest.java
@@ -225,6 +225,25 @@
     assertFalse(isLogged("crashed"), () -> String.join("\n", world.log));
   }
 
+  /** Guards against taking a worker that is listed again, still up, for another one. */
+  @Test
+  void workerThatIsListedAgainHasNotCrashed() {
+    world.workers.runMillis = 20_000;
+    world.submit(0, "a", CellWorld.step(12));
+    world.time.runFor(1_000);
+    for (String worker : live(3)) {
+      world.workers.get(worker).disconnected = true;
+      world.store.remove("workers", worker);
+    }
+    world.time.runFor(12_000);
+    for (String worker : live(3)) {
+      world.workers.get(worker).disconnected = false;
+      world.registerWorker(worker);
+    }
+    world.time.runFor(10_000);
+    assertFalse(isLogged("crashed"), () -> String.join("\n", world.log));
+  }
+
   /** Guards against missing a crash because the worker is back only after its lease has expired. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
@@ -128,15 +128,17 @@
     silences.values().removeIf(silence -> now - silence.since() > KEPT_MILLIS);
     losses.values().removeIf(loss -> now - loss.silentSince() > KEPT_MILLIS);
     for (Loss loss : List.copyOf(losses.values())) {
-      if (loss.worker().isRemoved() && hasOtherWorker(loss.worker())) {
+      if (loss.worker().isRemoved() && isReplaced(loss)) {
         onReplaced(loss.worker());
       }
     }
   }
 
-  private boolean hasOtherWorker(Worker removed) {
+  /** Returns whether another worker has the address; the same one may be listed again. */
+  private boolean isReplaced(Loss loss) {
     for (Worker worker : workers.all()) {
-      if (worker.entry().address().equals(removed.entry().address())) {
+      boolean isOther = !worker.id().equals(loss.worker().id());
+      if (isOther && worker.entry().address().equals(loss.worker().entry().address())) {
         return true;
       }
     }
