Count down the time that is left at a leaving worker

A task that lasts at a leaving worker was stopped by the time left that the list showed, as it was written. Now a worker keeps the time from which it may have left, counted from before its entry was read, the earliest of all readings of its boot.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -159,7 +159,7 @@
             jobs, lifecycle, new SlackPriority(estimator), clock, this::queue, this::isStartable);
     CapacityForecast forecast = new CapacityForecast(estimator);
     PlacementPolicy placement = new InterferenceAwarePlacement(interference);
-    DrainDeadline drainDeadline = new DrainDeadline(settings);
+    DrainDeadline drainDeadline = new DrainDeadline(settings, clock);
     CapacityReserver reserver =
         new CapacityReserver(
             workers,
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainDeadline.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainDeadline.java
@@ -18,14 +18,17 @@
   private static final long PREEMPT_BEFORE_MILLIS = 1_500;
 
   private final CellSettings settings;
+  private final LoopClock clock;
 
-  DrainDeadline(CellSettings settings) {
+  DrainDeadline(CellSettings settings, LoopClock clock) {
     this.settings = settings;
+    this.clock = clock;
   }
 
   /** Returns the time in which a stop can still be ordered, in milliseconds. */
   long millisForStop(Worker worker) {
-    return worker.entry().remainingMillis() - settings.stopMillis() - STOP_MARGIN_MILLIS;
+    long remaining = worker.remainingMillis(clock.monotonicMillis());
+    return remaining - settings.stopMillis() - STOP_MARGIN_MILLIS;
   }
 
   /** Returns whether the runs of a draining worker must be stopped now. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -65,6 +65,10 @@
   private int holdFailures;
 
   private long backoffUntil = Long.MIN_VALUE;
+
+  /** Time on the monotonic clock from which it may have left; the maximum unless it drains. */
+  private long leavesAt = Long.MAX_VALUE;
+
   private final WorkerHealth health = new WorkerHealth();
   private final ListedCapacity listedCapacity = new ListedCapacity();
   private final CapacityRefusals capacityRefusals = new CapacityRefusals();
@@ -99,6 +103,7 @@
     }
     entry = newer;
     listed = true;
+    leavesAt = newer.draining() ? leavesAt : Long.MAX_VALUE;
     updateFree();
   }
 
@@ -108,6 +113,20 @@
     updateFree();
   }
 
+  /**
+   * Records how long it stays at least while it drains.
+   *
+   * @param readAt time on the monotonic clock before its entry was read
+   */
+  void setRemaining(long readAt) {
+    leavesAt = Math.min(leavesAt, readAt + entry.remainingMillis());
+  }
+
+  /** Returns how long it stays at least, in milliseconds; only when draining. */
+  long remainingMillis(long nowMillis) {
+    return Math.min(entry.remainingMillis(), leavesAt - nowMillis);
+  }
+
   boolean isListed() {
     return listed;
   }
@@ -128,6 +147,7 @@
     tokenAcknowledged = false;
     fullyReported = false;
     unknownRuns = false;
+    leavesAt = Long.MAX_VALUE;
     takeOffRoster();
     leases.onRestarted(nowMillis);
     extendedAt = NEVER;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -130,7 +130,7 @@
       PagedRead.start(
           store,
           new Range(source.workerTable(), "", "", ""),
-          rows -> onRows(rows, required == requirements ? now : NEVER));
+          rows -> onRows(rows, now, required == requirements));
     }
     Configuration inForce = configuration.get();
     if (inForce != null && inForce.version() != appliedVersion) {
@@ -158,9 +158,10 @@
   /**
    * Applies a reading.
    *
-   * @param requestedAt time at which it was requested; {@link #NEVER} if a newer one is required
+   * @param requestedAt time at which it was requested
+   * @param isAgeKnown whether the process was certainly not suspended since
    */
-  private void onRows(PagedRead.@Nullable Rows rows, long requestedAt) {
+  private void onRows(PagedRead.@Nullable Rows rows, long requestedAt, boolean isAgeKnown) {
     reading = false;
     if (rows == null) {
       return;
@@ -173,7 +174,7 @@
           .ifPresent(
               entry -> {
                 listed.add(entry.id());
-                updateUnlessEnded(entry, requestedAt);
+                updateUnlessEnded(entry, requestedAt, isAgeKnown);
               });
     }
     for (Worker worker : workers.all()) {
@@ -186,7 +187,7 @@
     listener.onRead();
   }
 
-  private void updateUnlessEnded(WorkerEntry entry, long requestedAt) {
+  private void updateUnlessEnded(WorkerEntry entry, long requestedAt, boolean isAgeKnown) {
     Long bornMillis = endedBootTimes.get(entry.id());
     if (bornMillis != null && entry.bootTimeMillis() <= bornMillis) {
       return;
@@ -201,7 +202,10 @@
       update(worker, entry);
     }
     if (worker.entry().equals(entry)) {
-      worker.listedCapacity().onRead(requestedAt);
+      worker.listedCapacity().onRead(isAgeKnown ? requestedAt : NEVER);
+    }
+    if (worker.entry().draining()) {
+      worker.setRemaining(requestedAt);
     }
     setGuarded(worker);
   }
