Stop one task only for a place that fits one

Two tasks that last at a leaving worker, both with the same worker reserved, were stopped in the same moment when there was free capacity for one of them; the other was away until runs were preempted for it, 5 s later. The look now asks whether the free capacity fits all tasks that wait for it there.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LeavingWorkerTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LeavingWorkerTest.java
@@ -43,6 +43,17 @@
     assertTrue(isStopped("w0"), () -> String.join("\n", world.log));
   }
 
+  /** Guards against stopping two tasks for capacity that only one of them can have. */
+  @Test
+  void onlyOneOfTwoTasksIsStoppedForOnePlace() {
+    String leaving = fill(0);
+    world.drainWorker(leaving, DRAIN_MILLIS);
+    world.time.runFor(2_000);
+    assertTrue(isRunning("a") && isRunning("b"), () -> String.join("\n", world.log));
+    List<String> now = List.of(workerOf("a"), workerOf("b"));
+    assertEquals(1, now.stream().filter(leaving::equals).count(), now::toString);
+  }
+
   /** Guards against stopping a task while no start may be ordered. */
   @Test
   void taskGoesOnWhileItsHolderCannotRenewItsLease() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -64,10 +64,17 @@
     return placement.choose(task, eligible) != null;
   }
 
-  /** Returns whether the worker that is reserved for a task has enough free capacity by now. */
+  /**
+   * Returns whether the worker that is reserved for a task has enough free capacity by now, also
+   * for the other tasks that wait for it there.
+   */
   boolean hasReservedCapacity(Task task) {
     Queue queue = queues.apply(task.job());
-    return queue != null && reservedWorker(task, queue, clock.monotonicMillis()) != null;
+    if (queue == null) {
+      return false;
+    }
+    Worker worker = reservedWorker(task, queue, clock.monotonicMillis());
+    return worker != null && reservations.awaitedWith(task, worker).fitsInto(worker.free());
   }
 
   /** Returns the worker that is reserved for a task if it has enough free capacity by now. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReservationTable.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReservationTable.java
@@ -39,6 +39,23 @@
     return byWorker.getOrDefault(worker, ResourceAmounts.NONE);
   }
 
+  /** Returns the amounts reserved on a worker for a task and for all others that do not run now. */
+  ResourceAmounts awaitedWith(Task task, Worker worker) {
+    ResourceAmounts awaited = ResourceAmounts.NONE;
+    for (Reservation reservation : byTask.values()) {
+      boolean isAwaited = reservation.task() == task || !isRunning(reservation.task());
+      if (reservation.worker() == worker && isAwaited) {
+        awaited = awaited.plus(amountsOf(reservation));
+      }
+    }
+    return awaited;
+  }
+
+  private static boolean isRunning(Task task) {
+    Run run = task.run();
+    return run != null && run.state() == Run.State.RUNNING;
+  }
+
   /** Returns whether a worker is reserved for other tasks only. */
   boolean isReservedForOthers(Worker worker, Task task) {
     if (!byWorker.containsKey(worker)) {
