--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongRunningLossTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongRunningLossTest.java
@@ -239,6 +239,33 @@
    */
   @Test
   void taskOfALostWorkerRestartsThoughTheOrderToStartItIsLost() {
+    restartAfterAWorkerAndTheNextOrderAreLost();
+  }
+
+  /** The same for a task whose worker leaves. */
+  @Test
+  void taskOfALeavingWorkerRestartsThoughTheOrderToStartItIsLost() {
+    restartAfterAWorkerLeavesAndTheNextOrderIsLost();
+  }
+
+  /**
+   * Guards against the time of slow calls adding to the two leases in a row; each lost call counts
+   * a full lease from when it failed.
+   */
+  @Test
+  void taskOfALostWorkerRestartsInTimeThoughTheOrderIsLostAndCallsAreSlow() {
+    slowDown(SLOW_CALL_MILLIS);
+    restartAfterAWorkerAndTheNextOrderAreLost();
+  }
+
+  /** The same for a task whose worker leaves. */
+  @Test
+  void taskOfALeavingWorkerRestartsInTimeThoughTheOrderIsLostAndCallsAreSlow() {
+    slowDown(SLOW_CALL_MILLIS);
+    restartAfterAWorkerLeavesAndTheNextOrderIsLost();
+  }
+
+  private void restartAfterAWorkerAndTheNextOrderAreLost() {
     world.workers.runMillis = LONG_RUN_MILLIS;
     fill();
     String lost = workersOf("l").get(0);
@@ -249,9 +276,7 @@
     assertAllRestarted(MAX_RESTART_MILLIS);
   }
 
-  /** The same for a task whose worker leaves. */
-  @Test
-  void taskOfALeavingWorkerRestartsThoughTheOrderToStartItIsLost() {
+  private void restartAfterAWorkerLeavesAndTheNextOrderIsLost() {
     world.workers.runMillis = LONG_RUN_MILLIS;
     fill();
     String leaving = workersOf("l").get(0);
