--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/PlannedEnd.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/PlannedEnd.java
@@ -3,7 +3,10 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
-/** Times of a drain of callers. Times are on the monotonic clock, in milliseconds. */
+/**
+ * Carries out a drain of callers, step by step, and decides when the process may end. Times are on
+ * the monotonic clock, in milliseconds.
+ */
 public final class PlannedEnd {
   /** Part of the time limit that is left for the last answers, in milliseconds. */
   private static final long ANSWER_MILLIS = 1_000;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
@@ -57,12 +57,12 @@
   /**
    * A run that was on a worker that may have crashed.
    *
-   * @param leastAgeMillis its age when the worker was last known to be up
-   * @param ageMillis its age when the worker was known not to answer
+   * @param minAgeMillis its age when the worker was last known to be up
+   * @param maxAgeMillis its age when the worker was known not to answer
    */
-  private record LostRun(Run run, long leastAgeMillis, long ageMillis) {
+  private record LostRun(Run run, long minAgeMillis, long maxAgeMillis) {
     boolean isYoung() {
-      return leastAgeMillis <= TaskCrashes.YOUNG_MILLIS;
+      return minAgeMillis <= TaskCrashes.YOUNG_MILLIS;
     }
 
     TaskCrashes crashes() {
@@ -165,7 +165,7 @@
     silences.remove(loss.worker().id());
     List<LostRun> suitable = new ArrayList<>();
     for (LostRun lost : loss.runs()) {
-      if (!reported.contains(lost.run().id()) && lost.leastAgeMillis() <= MAX_BLAMED_AGE_MILLIS) {
+      if (!reported.contains(lost.run().id()) && lost.minAgeMillis() <= MAX_BLAMED_AGE_MILLIS) {
         suitable.add(lost);
       }
     }
@@ -177,7 +177,7 @@
     for (LostRun lost : blamed) {
       Run run = lost.run();
       boolean isTelling = lost.isYoung() && !isOneOfMany;
-      Crash crash = new Crash(run.attempt(), run.worker().id(), lost.ageMillis(), isTelling);
+      Crash crash = new Crash(run.attempt(), run.worker().id(), lost.maxAgeMillis(), isTelling);
       lifecycle.onWorkerCrashed(run.task(), crash, run == only);
     }
   }
@@ -207,7 +207,7 @@
     List<LostRun> suspects =
         suitable.stream()
             .filter(lost -> lost.crashes().isSuspect())
-            .filter(lost -> lost.leastAgeMillis() <= lost.crashes().soundAfterMillis())
+            .filter(lost -> lost.minAgeMillis() <= lost.crashes().soundAfterMillis())
             .toList();
     return suspects.isEmpty() ? suitable : suspects;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerEntry.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerEntry.java
@@ -32,7 +32,7 @@
    * was known before.
    */
   WorkerEntry withBootTime(long newBootTimeMillis) {
-    boolean isKnown = bootTimeMillis == 0;
+    boolean isSameBoot = bootTimeMillis == 0;
     return new WorkerEntry(
         id,
         newBootTimeMillis,
@@ -41,7 +41,7 @@
         zone,
         draining,
         remainingMillis,
-        isKnown ? capacity : ResourceAmounts.NONE,
-        isKnown ? labels : ImmutableSet.of());
+        isSameBoot ? capacity : ResourceAmounts.NONE,
+        isSameBoot ? labels : ImmutableSet.of());
   }
 }
