--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainDeadline.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/DrainDeadline.java
@@ -1,6 +1,6 @@
 package org.hemlockpick.cell;
 
-/** Tells from the time that is left to a draining worker what must be done with its runs by now. */
+/** Decides from the time that is left to a draining worker whether its runs must be stopped now. */
 final class DrainDeadline {
   /** Part of the remaining time that is reserved for the stop itself. */
   private static final long STOP_MARGIN_MILLIS = 300;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ListedCapacity.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ListedCapacity.java
@@ -31,7 +31,7 @@
     requestedAt = NEVER;
   }
 
-  /** Returns whether a task may be started on the strength of it. */
+  /** Returns whether a task may be started that relies on it. */
   boolean isReliable(long nowMillis) {
     return guarded || nowMillis - requestedAt <= CellTiming.MAX_CAPACITY_AGE_MILLIS;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SuspectPlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SuspectPlacement.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * Keeps tasks that are suspect of crashing workers apart from each other, so that the next crash
- * tells which of them is guilty, and where little is lost with them.
+ * Keeps tasks that may crash their workers apart from each other, so that the next crash shows
+ * which of them is the cause, and places them where little is lost with them.
  */
 final class SuspectPlacement {
   private SuspectPlacement() {}
