Name the reason why the placement policy refuses a worker for a filler

What callers saw: fillers that were accepted and never started. What operators saw: nothing, as the policy answered only that there is no worker, which counted as a lack of capacity.

PlacementPolicy.refusal returns the reason for one worker, and choose asks it too, so that the conditions stand once. They are asked in the order in which they stood before: too little unused CPU, tail latency, belief of harm. No decision changes.

Tests: InterferenceAwarePlacementTest (5) and InterferenceModelTest pass.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
@@ -50,7 +50,16 @@
   RESERVED("reserved for others"),
 
   /** It belongs to the pool kept free of long-running tasks that have not run. */
-  SHORT_TASKS_ONLY("kept for short tasks");
+  SHORT_TASKS_ONLY("kept for short tasks"),
+
+  /** It has too little CPU that neither its fillers demand nor its other tasks use. */
+  TOO_LITTLE_UNUSED_CPU("too little unused cpu"),
+
+  /** The tail latency of a serving task there is near or over its target. */
+  HIGH_TAIL_LATENCY("tail latency high"),
+
+  /** The task is believed to harm a serving task there. */
+  HARM_EXPECTED("harm expected");
 
   private final String text;
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceAwarePlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceAwarePlacement.java
@@ -45,7 +45,7 @@
     Worker best = null;
     long bestScore = Long.MIN_VALUE;
     for (Worker worker : candidates) {
-      if (step.filler() && !acceptsFiller(step, worker)) {
+      if (refusal(task, worker) != null) {
         continue;
       }
       long score = score(task, step, worker);
@@ -57,12 +57,20 @@
     return best;
   }
 
-  private boolean acceptsFiller(Step step, Worker worker) {
-    long wanted = step.demand().cpuMillis() * MIN_FILLER_CPU_PERCENT / 100;
-    return unusedCpu(worker) >= wanted
-        && InterferenceModel.worstTailRatio(worker) < MAX_TAIL_RATIO
-        && interference.maxHarmProbability(worker, step.image())
-            < InterferenceModel.HARMFUL_PROBABILITY;
+  @Override
+  public @Nullable IneligibleReason refusal(Task task, Worker worker) {
+    Step step = task.step().step();
+    if (!step.filler()) {
+      return null;
+    }
+    if (unusedCpu(worker) < step.demand().cpuMillis() * MIN_FILLER_CPU_PERCENT / 100) {
+      return IneligibleReason.TOO_LITTLE_UNUSED_CPU;
+    }
+    if (InterferenceModel.worstTailRatio(worker) >= MAX_TAIL_RATIO) {
+      return IneligibleReason.HIGH_TAIL_LATENCY;
+    }
+    double harm = interference.maxHarmProbability(worker, step.image());
+    return harm >= InterferenceModel.HARMFUL_PROBABILITY ? IneligibleReason.HARM_EXPECTED : null;
   }
 
   /** Returns the CPU that one more filler is likely to get, in millicores. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PlacementPolicy.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PlacementPolicy.java
@@ -10,4 +10,7 @@
    * @return the worker; null if the task should wait
    */
   @Nullable Worker choose(Task task, Iterable<Worker> candidates);
+
+  /** Returns why a task is not placed on a worker that is eligible for it; null if it may be. */
+  @Nullable IneligibleReason refusal(Task task, Worker worker);
 }
