Report why fillers and short tasks wait, and cores that they cannot use

What callers saw: fillers that were accepted and never started, with most of the capacity unused. What operators saw: the number of tasks that wait for capacity; only tasks that last were named, and a refusal by the placement policy was not told from a lack of capacity.

Each second the log now names the short task that has waited longest, and the filler of each of at most four images that wait longest, with how many workers are ruled out by which reason, how many cores are unused where the policy refuses, and how far the serving tasks there are below their target; then one line with the number of the others. Workers are looked through for these few tasks only. The gauges tasks.waiting.KIND... give counts and the longest wait by kind and reason, cores.unused... and the load line the unused cores by whether waiting fillers are accepted. The wait begins when the task is ready and ends when it runs; an order that is refused does not end it.

A last attempt that waits for a worker whose newest run has not failed is shown as such (LAST_RUN_FAILED) and not as "not placed".

The lines and gauges of tasks that last stay as they are; what both reports need moved into WaitCauses and WorkerReview. No decision changes.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -163,6 +163,36 @@
         null);
   }
 
+  /** Creates a step of serving tasks with a tail target, of which one may be at a worker. */
+  static Step servingStep(int count, String image, int tailTargetMillis) {
+    return step(count, image, tailTargetMillis, false);
+  }
+
+  /** Creates a step of fillers. */
+  static Step fillerStep(int count, String image) {
+    return step(count, image, 0, true);
+  }
+
+  private static Step step(int count, String image, int tailTargetMillis, boolean filler) {
+    return new Step(
+        count,
+        new ResourceAmounts(2_000, 1_000, 0),
+        500,
+        List.of(),
+        false,
+        false,
+        false,
+        null,
+        null,
+        filler ? 0 : 1,
+        false,
+        !filler,
+        image,
+        tailTargetMillis,
+        filler,
+        null);
+  }
+
   static Submission job(String id, long now, Step... steps) {
     return new Submission(id, QUEUE, "spec", List.of(steps), 0, 0, 0, now);
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -63,6 +63,12 @@
    */
   final Map<String, Long> runMillisByJob = new HashMap<>();
 
+  /**
+   * What the runs of single jobs report besides progress: the tail latency in milliseconds of
+   * serving tasks, the CPU usage in millicores of others; 0 for other jobs.
+   */
+  final Map<String, Long> gaugeByJob = new HashMap<>();
+
   /** Violations, in the order of time. */
   final List<String> violations = new ArrayList<>();
 
@@ -549,13 +555,19 @@
       }
       completions.removeIf(completion -> completion.number() <= call.acknowledgedUpTo());
       ImmutableList.Builder<RunReport> running = ImmutableList.builder();
-      runs.forEach((run, since) -> running.add(new RunReport(run, "", percent(run, since), 0)));
+      runs.forEach(
+          (run, since) ->
+              running.add(new RunReport(run, "", percent(run, since), gauge(run.task().job()))));
       ImmutableList<CompletionReport> listed = reportedCompletions();
       boolean isComplete = listed.size() < MAX_COMPLETIONS;
       return new HoldReply(
           OrderOutcome.ACCEPTED, clock(), bootTimeMillis, running.build(), listed, isComplete);
     }
 
+    private long gauge(String job) {
+      return gaugeByJob.getOrDefault(job, 0L);
+    }
+
     private int percent(RunId run, long since) {
       if (isAtWork(run)) {
         return 100;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -57,6 +57,15 @@
     return task.failures() == 0 && areAllPaused(task, schedulable(now).of(queue.service()), now);
   }
 
+  /**
+   * Returns whether a task is not placed on workers whose newest run has failed, as it has one
+   * attempt left and another worker may do.
+   */
+  boolean waitsForHealthy(Task task, Queue queue, long now) {
+    return isLastAttempt(task, queue)
+        && waitsForHealthy(task, schedulable(now).of(queue.service()), now);
+  }
+
   /**
    * Returns why a worker is not eligible for a task now; null if it is.
    *
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -16,8 +16,6 @@
  * {@link TakeoverTracker}.
  */
 final class CellHolder {
-  private static final long LOAD_REPORT_INTERVAL_MILLIS = 2_000;
-
   /** Number of attempt numbers per task that each generation of the holder may use. */
   private static final int ATTEMPTS_PER_GENERATION = 1_000;
 
@@ -51,12 +49,11 @@
   private final PaceController paceController;
   private final StallDetector stallDetector;
   private final DrainController drainController;
-  private final PendingTaskReporter pendingTaskReporter;
+  private final CellReports reports;
   private final HolderGauges gauges;
 
   private boolean ended;
   private boolean releasing;
-  private long nextLoadReportAt;
   private boolean changedSincePlan = true;
 
   /** Is notified of the end of the holder and of the availability of the table service. */
@@ -179,22 +176,20 @@
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController =
         new DrainController(drainDeadline, runner, estimator, clock, planner::hasReservedCapacity);
-    WaitingTasks waitingTasks = new WaitingTasks();
-    this.pendingTaskReporter =
-        new PendingTaskReporter(
+    this.reports =
+        new CellReports(
             settings.cell(),
             jobs,
             workers,
             candidates,
+            placement,
             reservations,
             reserver,
             takeoverTracker,
             journal,
             this::queue,
-            log,
-            waitingTasks);
-    this.gauges =
-        new HolderGauges(jobs, workers, reservations, takeoverTracker, journal, waitingTasks);
+            log);
+    this.gauges = new HolderGauges(jobs, workers, reservations, takeoverTracker, journal, reports);
   }
 
   /**
@@ -270,7 +265,7 @@
       }
     }
     workerPoller.run(workers.all());
-    pendingTaskReporter.run(now);
+    reports.run(now);
     if (!journal.allowsOrders(now)) {
       return;
     }
@@ -284,14 +279,7 @@
       metrics.record("plan.millis", endedAt - now);
     }
     drainController.run(now, workers.all());
-    if (now >= nextLoadReportAt) {
-      nextLoadReportAt = now + LOAD_REPORT_INTERVAL_MILLIS;
-      log.decided(
-          "load",
-          settings.cell(),
-          LoadReport.of(workers.all(), now),
-          LoadReport.backlog(jobs, now));
-    }
+    reports.runLoad(now);
     sweeper.run(now);
     learnedState.run(now);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HolderGauges.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HolderGauges.java
@@ -9,7 +9,7 @@
   private final ReservationTable reservations;
   private final TakeoverTracker takeover;
   private final CellJournal journal;
-  private final WaitingTasks waiting;
+  private final CellReports reports;
 
   HolderGauges(
       JobTable jobs,
@@ -17,13 +17,13 @@
       ReservationTable reservations,
       TakeoverTracker takeover,
       CellJournal journal,
-      WaitingTasks waiting) {
+      CellReports reports) {
     this.jobs = jobs;
     this.workers = workers;
     this.reservations = reservations;
     this.takeover = takeover;
     this.journal = journal;
-    this.waiting = waiting;
+    this.reports = reports;
   }
 
   void addTo(Map<String, Long> gauges, long now) {
@@ -33,7 +33,7 @@
     gauges.put("reservations.workers", (long) reservations.workers().size());
     gauges.put("workers.unaccounted", (long) takeover.unaccounted().size());
     addWorkers(gauges, now);
-    waiting.addGauges(gauges);
+    reports.addGauges(gauges, now);
   }
 
   private void addWorkers(Map<String, Long> gauges, long now) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
@@ -52,6 +52,9 @@
   /** It belongs to the pool kept free of long-running tasks that have not run. */
   SHORT_TASKS_ONLY("kept for short tasks"),
 
+  /** Its last run failed, and the task has one attempt left. */
+  LAST_RUN_FAILED("last run there failed"),
+
   /** It has too little CPU that neither its fillers demand nor its other tasks use. */
   TOO_LITTLE_UNUSED_CPU("too little unused cpu"),
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WaitReason.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WaitReason.java
@@ -1,6 +1,6 @@
 package org.hemlockpick.cell;
 
-/** Reason why a long-running task does not run though the steps it depends on are done. */
+/** Reason why a task does not run though the steps it depends on are done. */
 enum WaitReason {
   /** It cannot be ruled out that its last run goes on. */
   LAST_RUN("last run may go on"),
@@ -18,7 +18,10 @@
   /** No worker is eligible for it. */
   NO_WORKER("no worker"),
 
-  /** Workers are eligible for it, but it was given none. */
+  /** Workers are eligible for it, and the placement policy refuses all of them. */
+  REFUSED("refused at all workers"),
+
+  /** It may be placed on workers, but it was given none. */
   NOT_PLACED("not placed"),
 
   /** It waits for a worker, and the workers were looked through for other tasks only. */
