Test a suspect worker though long-running tasks are there

Callers saw accepted jobs that were never started, with most of the capacity free: a worker with two failures in a row is given one run as a test, and any run that is there counted as that test. A long-running task never ends, so that the test never came and nothing was started there until the next take-over; with such a task at every worker, nothing was started anywhere. Likewise a gang whose own failures made all workers suspect could place one member at each, and so never all.

Only a run that began after the newest failure and ends by itself is the test now, and the members of one gang are one. Ruled out: the pause of the worker (6 s at most), which the first test waits for.

Failed before: StartWaitTest#workerIsTestedThoughLongRunningTasksAreThere (no start within 20 s at two workers with at most 8 of 16 cores reserved; 3 s are allowed) and #gangStartsAgainThoughItsFailuresMadeAllWorkersSuspect (not completed 10 s after the last failure).

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -476,6 +476,14 @@
       }
     }
 
+    /** Ends the first run of a job. */
+    void endOneRunOf(String job, CompletionKind kind) {
+      runs.keySet().stream()
+          .filter(run -> run.task().job().equals(job))
+          .findFirst()
+          .ifPresent(run -> endRun(run, kind));
+    }
+
     private void endRun(RunId run, CompletionKind kind) {
       if (runs.remove(run) == null) {
         return;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -87,7 +87,7 @@
     if (SuspectPlacement.isKeptApart(task, worker, now)) {
       return IneligibleReason.KEPT_APART;
     }
-    return healthReason(worker, now, mayBePaused);
+    return healthReason(task.step(), worker, now, mayBePaused);
   }
 
   /**
@@ -96,7 +96,7 @@
   boolean isSuitable(Task task, Queue queue, Worker worker, long now) {
     return unsuitableReason(task, queue, worker, now) == null
         && !isAtPerWorkerLimit(task.step(), worker)
-        && healthReason(worker, now, false) == null;
+        && healthReason(task.step(), worker, now, false) == null;
   }
 
   private static boolean isAtPerWorkerLimit(StepRun step, Worker worker) {
@@ -123,15 +123,31 @@
   }
 
   /**
-   * Returns whether the worker's failures rule it out. A suspect worker is given one run as a test.
+   * Returns whether the worker's failures rule it out for a task of a step. A suspect worker is
+   * given one run as a test.
    */
   private static @Nullable IneligibleReason healthReason(
-      Worker worker, long now, boolean mayBePaused) {
+      StepRun step, Worker worker, long now, boolean mayBePaused) {
     WorkerHealth health = worker.health();
     if (health.isPaused(now) && !mayBePaused) {
       return IneligibleReason.PAUSED;
     }
-    return health.isSuspect() && !worker.runs().isEmpty() ? IneligibleReason.SUSPECT : null;
+    return health.isSuspect() && isTested(step, worker) ? IneligibleReason.SUSPECT : null;
+  }
+
+  /**
+   * Returns whether a worker has a run that began after its newest failure and will end by itself.
+   * The members of one gang are one test, as they only run together.
+   */
+  private static boolean isTested(StepRun step, Worker worker) {
+    long failedAt = worker.health().failedAt();
+    for (Run run : worker.runs()) {
+      boolean isSameGang = run.task().step() == step && step.step().gang();
+      if (run.startedAt() >= failedAt && !run.step().longRunning() && !isSameGang) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerHealth.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerHealth.java
@@ -15,6 +15,9 @@
   private long pause = FIRST_PAUSE_MILLIS;
   private long pausedUntil = Long.MIN_VALUE;
 
+  /** Time on the monotonic clock of the newest failure. */
+  private long failedAt = Long.MIN_VALUE / 2;
+
   void onDone() {
     failuresInRow = 0;
     pause = FIRST_PAUSE_MILLIS;
@@ -24,12 +27,14 @@
   /** Counts a failed run; returns whether this pauses the worker. */
   boolean onFailed(long nowMillis) {
     failuresInRow++;
+    failedAt = nowMillis;
     return failuresInRow >= FAILURES_UNTIL_SUSPECT && pause(nowMillis);
   }
 
   /** Counts a stalled run; returns whether this pauses the worker. */
   boolean onStalled(long nowMillis) {
     failuresInRow = Math.max(failuresInRow + 1, FAILURES_UNTIL_SUSPECT);
+    failedAt = nowMillis;
     return pause(nowMillis);
   }
 
@@ -38,6 +43,11 @@
     return failuresInRow >= FAILURES_UNTIL_SUSPECT;
   }
 
+  /** Returns the time on the monotonic clock of the newest failure; long ago if there is none. */
+  long failedAt() {
+    return failedAt;
+  }
+
   /** Returns whether the newest run failed. */
   boolean hasLastRunFailed() {
     return failuresInRow > 0;
