Try another run at a suspect worker whose test goes on

Callers saw tasks wait at workers with room free: a suspect worker takes nothing beside its test, for as long as that runs, which may be minutes.

Now a run is a test while it is young (3 s), or has shown no progress (10 s). So a refusal ends 10 s after the pause at the latest, and a worker that does fail gets one run at a time, with pauses between. The log says when a worker is found sound.

--- /dev/null
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
@@ -0,0 +1,91 @@
+package org.hemlockpick.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.hemlockpick.cell.FakeWorkers.Start;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests that whatever keeps tasks from a worker by a belief ends within a bounded time. */
+class RefusalBoundsTest {
+  private static final long SETTLE_MILLIS = 3_000;
+  private static final long LONG_MILLIS = 600_000;
+
+  /** Longest pause of a worker whose runs fail, and some time to plan. */
+  private static final long MAX_PAUSE_MILLIS = 6_500;
+
+  /** Time after which another run is tried beside a test that goes on. */
+  private static final long TEST_MILLIS = 3_000;
+
+  private final CellWorld world = new CellWorld(20261205, 2, 3);
+
+  @BeforeEach
+  void settle() {
+    world.time.runFor(SETTLE_MILLIS);
+  }
+
+  private static Step lasting(int count) {
+    return CellWorld.step(count, false, null, 0, true, List.of());
+  }
+
+  private List<Start> starts(String job) {
+    return world.workers.startLog.stream()
+        .filter(start -> start.run().task().job().equals(job))
+        .toList();
+  }
+
+  /** Returns the time from one time to the first start of a job after it; the maximum if none. */
+  private long waited(String job, long since) {
+    return starts(job).stream()
+        .mapToLong(Start::atMillis)
+        .filter(at -> at >= since)
+        .map(at -> at - since)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
+  private String log() {
+    return String.join("\n", world.log);
+  }
+
+  /** Has the runs on all workers fail, until each worker is suspect and paused for the longest. */
+  private void makeSuspect() {
+    world.workers.failureProbability = 1;
+    world.submit(0, "f", CellWorld.step(6));
+    world.time.runFor(30_000);
+    world.holder().process().cancel("f", 1_000, reply -> {});
+    world.time.runFor(1_000);
+    world.workers.failureProbability = 0;
+  }
+
+  /** Guards against a suspect worker that is never tested as long as a lasting task runs there. */
+  @Test
+  void suspectWorkerWithALastingTaskIsTested() {
+    world.workers.runMillisByJob.put("l", LONG_MILLIS);
+    world.submit(0, "l", lasting(6));
+    world.time.runFor(1_000);
+    makeSuspect();
+    long since = world.time.millis();
+    world.submit(0, "s", CellWorld.step(1));
+    world.time.runFor(20_000);
+    assertTrue(waited("s", since) <= MAX_PAUSE_MILLIS, () -> waited("s", since) + "\n" + log());
+    assertEquals(JobState.COMPLETED, world.state("s"));
+  }
+
+  /** Guards against a suspect worker that takes nothing else while a long test runs there. */
+  @Test
+  void suspectWorkerIsNotClosedForAsLongAsItsTestRuns() {
+    makeSuspect();
+    world.workers.runMillis = 60_000;
+    world.workers.runMillisByJob.put("s", 500L);
+    world.submit(0, "t", CellWorld.step(3));
+    world.time.runFor(MAX_PAUSE_MILLIS);
+    assertEquals(3, starts("t").size(), this::log);
+    long since = world.time.millis();
+    world.submit(0, "s", CellWorld.step(1));
+    world.time.runFor(20_000);
+    assertTrue(waited("s", since) <= TEST_MILLIS, () -> waited("s", since) + "\n" + log());
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -132,8 +132,8 @@
   }
 
   /**
-   * Returns whether the worker's failures rule it out for a task of a step. A suspect worker is
-   * given one run as a test.
+   * Returns why the worker's failures rule it out for a task of a step; null if they do not. A
+   * suspect worker is given one run at a time as a test.
    */
   private static @Nullable IneligibleReason healthReason(
       StepRun step, Worker worker, long now, boolean mayBePaused) {
@@ -141,18 +141,18 @@
     if (health.isPaused(now) && !mayBePaused) {
       return IneligibleReason.PAUSED;
     }
-    return health.isSuspect() && isTested(step, worker) ? IneligibleReason.SUSPECT : null;
+    return health.isSuspect() && isTested(step, worker, now) ? IneligibleReason.SUSPECT : null;
   }
 
   /**
-   * Returns whether a worker has a run that began after its newest failure and will end by itself.
+   * Returns whether a worker has a run that began after its newest failure and is still a test.
    * The members of one gang are one test, as they only run together.
    */
-  private static boolean isTested(StepRun step, Worker worker) {
+  private static boolean isTested(StepRun step, Worker worker, long now) {
     long failedAt = worker.health().failedAt();
     for (Run run : worker.runs()) {
       boolean isSameGang = run.task().step() == step && step.step().gang();
-      if (run.startedAt() >= failedAt && !run.step().longRunning() && !isSameGang) {
+      if (run.startedAt() >= failedAt && WorkerHealth.isTest(run, now) && !isSameGang) {
         return true;
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
@@ -114,6 +114,9 @@
   }
 
   private void onDone(Task task, Worker worker, @Nullable Run run) {
+    if (worker.health().isSuspect()) {
+      log.decided("worker", worker.id(), "sound", "done: " + task.id());
+    }
     worker.health().onDone();
     StepRun step = task.step();
     if (run != null) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerHealth.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerHealth.java
@@ -2,7 +2,7 @@
 
 /**
  * Assesses a worker by the outcomes of its runs. A worker with consecutive failures is paused for a
- * while, and then given a single run as a test.
+ * while, and then given one run at a time as a test.
  */
 final class WorkerHealth {
   /** Consecutive failures that make a worker suspect. */
@@ -11,6 +11,12 @@
   private static final long FIRST_PAUSE_MILLIS = 1_500;
   private static final long MAX_PAUSE_MILLIS = 6_000;
 
+  /** Age up to which a run is a test of its worker, in milliseconds. */
+  private static final long TEST_MILLIS = 3_000;
+
+  /** The same for a run without progress, which may be stopped for that. */
+  private static final long MAX_TEST_MILLIS = 10_000;
+
   private int failuresInRow;
   private long pause = FIRST_PAUSE_MILLIS;
   private long pausedUntil = Long.MIN_VALUE;
@@ -48,6 +54,16 @@
     return failedAt;
   }
 
+  /**
+   * Returns whether a run may still show whether its worker is sound, so that no other one is tried
+   * beside it. One that lasts does not end by itself and shows nothing.
+   */
+  static boolean isTest(Run run, long nowMillis) {
+    long age = nowMillis - run.startedAt();
+    boolean isOpen = run.progressPercent() == 0 && age < MAX_TEST_MILLIS;
+    return !run.step().longRunning() && (isOpen || age < TEST_MILLIS);
+  }
+
   /** Returns whether the newest run failed. */
   boolean hasLastRunFailed() {
     return failuresInRow > 0;
