Write a worker on the roster that is listed again before it answers

Callers saw tasks that last lose their runs and never start again: "3 not on the roster" in each line, with all workers listed and answering.

Cause: a worker that does not answer a call and leaves the list is written as unreachable after one failed call; listed again it is so only after three. It answers, counts as reachable before and after, and no roster is written: it gets no task, its leases are not extended, its runs lapse, until another worker happens to change the roster. Ruled out: a refused roster (none was).

Failed before: workerThatIsListedAgainBeforeItAnswersIsUsed, no task started within 20 s and the runs there lapsed.

Now each reading of the list (0.45 s) looks for workers that may run tasks and that no roster shows so.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
@@ -88,4 +88,42 @@
     world.time.runFor(20_000);
     assertTrue(waited("s", since) <= TEST_MILLIS, () -> waited("s", since) + "\n" + log());
   }
+
+  /**
+   * Guards against a worker that stays off the roster, and whose leases are not extended, as it was
+   * written as unreachable while it was unlisted and is listed again before it answers.
+   */
+  @Test
+  void workerThatIsListedAgainBeforeItAnswersIsUsed() {
+    world.workers.runMillisByJob.put("l", LONG_MILLIS);
+    world.submit(0, "l", lasting(6));
+    world.time.runFor(4_000);
+    for (String worker : List.of("w0", "w1", "w2")) {
+      world.workers.get(worker).disconnected = true;
+    }
+    runUntilLogged("w2 not reached");
+    List.of("w0", "w1", "w2").forEach(worker -> world.store.remove("workers", worker));
+    runUntilLogged("w2 left the list");
+    world.time.runFor(100);
+    List.of("w0", "w1", "w2").forEach(world::registerWorker);
+    world.time.runFor(460);
+    for (String worker : List.of("w0", "w1", "w2")) {
+      world.workers.get(worker).disconnected = false;
+    }
+    long since = world.time.millis();
+    world.submit(0, "s", CellWorld.step(3));
+    world.time.runFor(20_000);
+    assertTrue(waited("s", since) <= 3_000, () -> waited("s", since) + "\n" + log());
+    assertEquals(List.of(), world.workers.lapsedRuns, this::log);
+  }
+
+  private void runUntilLogged(String text) {
+    for (int i = 0; i < 1_000; i++) {
+      world.time.runFor(10);
+      if (world.log.stream().anyMatch(line -> line.contains(text))) {
+        return;
+      }
+    }
+    throw new AssertionError(text + "\n" + log());
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -216,6 +216,12 @@
     return onRoster;
   }
 
+  /** Returns whether it may run tasks and no roster has been written that shows so. */
+  boolean isMissingOnRoster() {
+    boolean isWritten = reachableSinceRoster != Long.MAX_VALUE;
+    return listed && !isWritten && !isUnreachable() && !isDrained();
+  }
+
   /** Records how it is written in the roster with the given number. */
   void onWrittenToRoster(long number) {
     if (isUnreachable()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -183,6 +183,7 @@
         rosterChanged |= worker.isUnresponsive();
         log.decided("worker", worker.id(), "left the list", worker.runs().size() + " runs");
       }
+      rosterChanged |= worker.isMissingOnRoster() && !takeover.isUnaccounted(worker.id());
     }
     listener.onRead();
   }
