Let all tasks lost with a worker wait for a better place at once

Callers saw tasks wait for tens of seconds after a crash with room free: a suspect waits for 2 s at most for a worker without another one, but counted from when it was first looked at, and a pass ends with the first task of a shape that finds no worker. So each waited for 2 s after the one before.

Failed before: manySuspectsWaitNoLongerThanOne, 20 tasks of a worker that crashed: started again after 0.01 to 19.9 s, one not within 20 s.

Now the wait counts from the crash, at which the task can be placed at the earliest. Crashes that an earlier holder has counted are left: their tasks still wait in turn after a take-over.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.hemlockpick.cell.FakeWorkers.Start;
+import org.hemlockpick.cell.WorkerPort.RunId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -19,6 +22,9 @@
   /** Time after which another run is tried beside a test that goes on. */
   private static final long TEST_MILLIS = 3_000;
 
+  /** Time for which suspects are kept apart, and some to notice a crash and to plan. */
+  private static final long MAX_APART_MILLIS = 2_500;
+
   private final CellWorld world = new CellWorld(20261205, 2, 3);
 
   @BeforeEach
@@ -30,6 +36,26 @@
     return CellWorld.step(count, false, null, 0, true, List.of());
   }
 
+  private static Step step(int count, long cpuMillis, boolean filler) {
+    return new Step(
+        count,
+        new ResourceAmounts(cpuMillis, 500, 0),
+        500,
+        List.of(),
+        false,
+        false,
+        false,
+        null,
+        null,
+        0,
+        false,
+        false,
+        "image",
+        0,
+        filler,
+        null);
+  }
+
   private List<Start> starts(String job) {
     return world.workers.startLog.stream()
         .filter(start -> start.run().task().job().equals(job))
@@ -126,4 +152,31 @@
     }
     throw new AssertionError(text + "\n" + log());
   }
+
+  /** Guards against suspects that wait one after the other, each for as long as one may. */
+  @Test
+  void manySuspectsWaitNoLongerThanOne() {
+    world.workers.runMillis = 60_000;
+    world.submit(0, "g", step(60, 300, false));
+    world.time.runFor(1_000);
+    world.workers.get("w0").crash();
+    runUntilLogged("crashed");
+    long since = world.time.millis() - 10;
+    List<RunId> lost = world.workers.crashLog.get(0).lost();
+    world.time.runFor(20_000);
+    List<Long> waits = new ArrayList<>();
+    for (RunId run : lost) {
+      waits.add(waitedAgain(run.task(), since));
+    }
+    assertEquals(20, waits.size());
+    assertTrue(Collections.max(waits) <= MAX_APART_MILLIS, () -> waits + "\n" + log());
+  }
+
+  private long waitedAgain(TaskId task, long since) {
+    return world.workers.startLog.stream()
+        .filter(start -> start.run().task().equals(task) && start.atMillis() >= since)
+        .mapToLong(start -> start.atMillis() - since)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
@@ -82,6 +82,7 @@
     task.avoid(crash.worker());
     journal.markDirty(job);
     TaskCrashes crashes = task.crashes();
+    crashes.startWaiting(clock.monotonicMillis());
     String attempt = "attempt " + crash.attempt() + " at " + crash.worker();
     String age = ", " + crash.ageMillis() + " ms after its start" + (isAlone ? ", alone" : "");
     log.decided(
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
@@ -30,7 +30,7 @@
 
   private final List<Crash> crashes = new ArrayList<>(0);
 
-  /** Time on the monotonic clock until which it waits, from when it was first to be placed. */
+  /** Time on the monotonic clock until which it waits, from its last crash or first placing. */
   private long waitsUntil = NOT_WAITING;
 
   /**
@@ -69,6 +69,11 @@
     return crashes.add(crash);
   }
 
+  /** Starts the wait for a better worker, which all tasks lost with a worker begin at once. */
+  void startWaiting(long nowMillis) {
+    waitsUntil = nowMillis + MAX_WAIT_MILLIS;
+  }
+
   private boolean contains(int attempt) {
     return crashes.stream().anyMatch(crash -> crash.attempt() == attempt);
   }
@@ -89,7 +94,7 @@
   /** Returns whether a suspect that is to be placed may still wait for a better worker. */
   boolean mayWait(long nowMillis) {
     if (waitsUntil == NOT_WAITING) {
-      waitsUntil = nowMillis + MAX_WAIT_MILLIS;
+      startWaiting(nowMillis);
     }
     return nowMillis < waitsUntil;
   }
