--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -285,6 +285,9 @@
     /** Number of hold calls that arrived at its address. */
     int holdCalls;
 
+    /** Whether its runs make no progress and never end by themselves. */
+    boolean stuck;
+
     /** Whether it refuses starts that exceed its capacity. */
     boolean guardsCapacity;
 
@@ -462,7 +465,7 @@
       time.after(
           mean / 2 + random.nextLong(mean),
           () -> {
-            if (bootTime == this.bootTimeMillis) {
+            if (bootTime == this.bootTimeMillis && !stuck) {
               endRun(run, kind);
             }
           });
@@ -577,6 +580,9 @@
     }
 
     private int percent(RunId run, long since) {
+      if (stuck) {
+        return 0;
+      }
       if (isAtWork(run)) {
         return 100;
       }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
@@ -179,4 +179,13 @@
         .min()
         .orElse(Long.MAX_VALUE);
   }
+
+  /** Guards against a filler that stands still without end at a worker that does no work. */
+  @Test
+  void fillerAtAWorkerThatDoesNoWorkIsStartedElsewhere() {
+    world.workers.get("w1").stuck = true;
+    world.submit(0, "f", step(6, 1_000, true));
+    world.time.runFor(30_000);
+    assertEquals(JobState.COMPLETED, world.state("f"), this::log);
+  }
 }
