Repeat an order to stop that was accepted and not carried out

A run that a worker went on to report after it had accepted the order to stop it was not stopped again: its task could not start, and its capacity stayed reserved, for as long as the worker answered.

Failed before: runWhoseStopWasAcceptedAndNotCarriedOutIsStoppedAgain, runs of a canceled job went on after 10 s.

Now the order, which is idempotent, is repeated 2 s after a stop should have ended, at workers that answer.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -288,6 +288,9 @@
     /** Whether its runs make no progress and never end by themselves. */
     boolean stuck;
 
+    /** Number of the next orders to stop that it accepts and does not carry out. */
+    int stopsToForget;
+
     /** Whether it refuses starts that exceed its capacity. */
     boolean guardsCapacity;
 
@@ -531,6 +534,10 @@
         return reply(OrderOutcome.FENCED);
       }
       fence = token;
+      if (stopsToForget > 0) {
+        stopsToForget--;
+        return reply(OrderOutcome.ACCEPTED);
+      }
       stopped.merge(run.task(), run.attempt(), Math::max);
       time.after(STOP_MILLIS, () -> endRun(run, CompletionKind.STOPPED));
       return reply(OrderOutcome.ACCEPTED);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RefusalBoundsTest.java
@@ -188,4 +188,18 @@
     world.time.runFor(30_000);
     assertEquals(JobState.COMPLETED, world.state("f"), this::log);
   }
+
+  /** Guards against a run that goes on without end as its worker has lost the order to stop it. */
+  @Test
+  void runWhoseStopWasAcceptedAndNotCarriedOutIsStoppedAgain() {
+    world.workers.runMillis = LONG_MILLIS;
+    world.submit(0, "a", CellWorld.step(3));
+    world.time.runFor(500);
+    for (String worker : List.of("w0", "w1", "w2")) {
+      world.workers.get(worker).stopsToForget = 1;
+    }
+    world.holder().process().cancel("a", 1_000, reply -> {});
+    world.time.runFor(10_000);
+    assertEquals(0, world.workers.running(), this::log);
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -23,6 +23,12 @@
 
   private static final long STOP_RETRY_MILLIS = 400;
 
+  /**
+   * Time beyond that of a stop after which an order to stop that was accepted is sent again, in
+   * milliseconds.
+   */
+  private static final long STOP_REPEAT_MILLIS = 2_000;
+
   /** Interval between two looks for runs that have to be stopped, in milliseconds. */
   private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
 
@@ -345,7 +351,7 @@
     List<Run> toStop = new ArrayList<>();
     for (Worker worker : workers) {
       for (Run run : worker.runs()) {
-        if (needsStopOrder(run)) {
+        if (needsStopOrder(run, now)) {
           toStop.add(run);
         }
       }
@@ -353,13 +359,19 @@
     toStop.forEach(run -> stop(run, "its job or task has ended"));
   }
 
-  private static boolean needsStopOrder(Run run) {
+  private boolean needsStopOrder(Run run, long now) {
     if (run.state() == Run.State.STOPPING) {
-      return run.reportableSince() == Long.MAX_VALUE;
+      return run.reportableSince() == Long.MAX_VALUE || isStopOverdue(run, now);
     }
     return run.task().job().state().isFinal() || run.task().isDone();
   }
 
+  /** Returns whether a worker that answers has not carried out a stop that it accepted. */
+  private boolean isStopOverdue(Run run, long now) {
+    long overdueAt = run.stopSentAt() + settings.stopMillis() + STOP_REPEAT_MILLIS;
+    return now >= overdueAt && !run.worker().isUnresponsive();
+  }
+
   /** Orders a worker to stop a run of an unknown task. */
   void stopUnknown(Worker worker, RunId id) {
     if (journal.allowsOrders(clock.monotonicMillis())) {
