Count the starts of tasks like the one that waits longest

A line of a short task or filler that waits now says how many runs of its kind, and of its image if it is a filler, were started in the last second, so that tasks that overtake it show though workers are open to it.

Tests: LongestWaitReporterTest (8, with one of overtaking tasks and one of a take-over), TaskWaitsTest (5: a refused order does not end a wait, a run does), CellMetricsTest (8), PendingTaskReporterTest (6), CellScenarioTest (26), StepConstraintsTest (8), CellFuzzTest (2) pass.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellMetricsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellMetricsTest.java
@@ -47,6 +47,8 @@
     world.time.runFor(2_500);
     assertEquals(2, metrics().gauge("longRunning.waiting"));
     assertEquals(2, waiting("NO_WORKER"));
+    assertEquals(2, metrics().gauge("tasks.waiting.LONG_RUNNING"));
+    assertEquals(1, metrics().gauge("tasks.waiting.LONG_RUNNING.NO_WORKER"));
     assertEquals(0, waiting("NOT_PLACED"));
     assertEquals(WORKERS, waiting("workers.NO_CAPACITY"));
     long longest = waiting("longest.millis");
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongestWaitReporterTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongestWaitReporterTest.java
@@ -70,7 +70,7 @@
             " wait f\\.0\\.0\\.0 refused at all workers \\(waits for (\\d+) ms, filler of image"
                 + " batch, 0 workers open to it, 4 tail latency high, where refused: 24 cores"
                 + " unused, serving tasks at 90% to 90% of their target \\(half of the workers up"
-                + " to 90%\\), wants 2000 mcpu 1000 MB\\)");
+                + " to 90%\\), 0 like it started in the last second, wants 2000 mcpu 1000 MB\\)");
     assertTrue(waits.size() >= 4 && waits.size() <= 5, () -> waits + " in " + lines(" wait "));
     assertTrue(waits.get(waits.size() - 1) >= 4_000, waits::toString);
     assertEquals(
@@ -133,8 +133,8 @@
         3,
         lines(
                 " wait a\\.0\\.0\\.\\d+ no worker \\(waits for \\d+ ms, short task, 0 workers open"
-                    + " to it, 4 no room, largest room without: 0 mcpu 16000 MB at w\\d, wants"
-                    + " 2000 mcpu 4000 MB\\)")
+                    + " to it, 4 no room, largest room without: 0 mcpu 16000 MB at w\\d, 0 like it"
+                    + " started in the last second, wants 2000 mcpu 4000 MB\\)")
             .size(),
         () -> String.join("\n", lines(" wait ")));
     assertEquals(2, gauge("tasks.waiting.SHORT"));
@@ -169,7 +169,7 @@
       world.submit(0, "f" + i, CellWorld.fillerStep(5, "batch" + i));
       world.time.runFor(200);
     }
-    world.time.runFor(1_000);
+    world.time.runFor(2_000);
     world.log.clear();
     world.time.runFor(1_000);
     assertEquals(
@@ -178,5 +178,39 @@
             .map(line -> line.replaceAll(".* wait (f\\d).*", "$1"))
             .toList());
     assertEquals(1, lines(" wait c0 suppressed \\d+ more \\(filler: \\d+\\)").size());
+    assertEquals(5L * images, gauge("tasks.waiting.FILLER"));
+    assertEquals(4, gauge("tasks.waiting.FILLER.REFUSED"));
+    assertEquals(5L * images - 4, gauge("tasks.waiting.FILLER.NOT_EXAMINED"));
+  }
+
+  /** Guards against a log that does not show that tasks overtake the one that waits longest. */
+  @Test
+  void startsOfTasksLikeTheOneThatWaitsAreCounted() {
+    world.workers.runMillis = 6_000;
+    world.submit(0, "a", CellWorld.step(1, false, "none", 0, false, List.of()));
+    world.time.runFor(3_150);
+    world.submit(0, "b", CellWorld.step(5));
+    world.time.runFor(1_500);
+    List<Long> starts =
+        numbers(" wait a\\.0\\.0\\.0 no worker .* (\\d) like it started in the last second");
+    assertEquals(List.of(0L, 0L, 0L, 5L), starts, () -> String.join("\n", lines(" wait ")));
+  }
+
+  /** A successor starts no task that may still run at a worker which does not answer it. */
+  @Test
+  void shortTaskBlockedByATakeoverIsReported() {
+    world.submit(0, "a", CellWorld.step(WORKERS));
+    world.time.runFor(1_000);
+    world.holder().kill();
+    world.workers.get("w2").disconnected = true;
+    world.time.runFor(6_000);
+    assertTrue(
+        lines(
+                    " wait a\\.0\\.0\\.\\d blocked by the take-over \\(waits for \\d+ ms, short task,"
+                        + " 1 workers not accounted for")
+                .size()
+            >= 1,
+        () -> String.join("\n", lines(" wait ")));
+    assertTrue(gauge("tasks.waiting.SHORT.TAKEOVER.longest.millis") >= 1_000);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LongestWaitReporter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LongestWaitReporter.java
@@ -89,7 +89,8 @@
     List<Waiting> waiting = waiting(now);
     List<Waiting> reported = longestOfGroups(waiting);
     ShortTaskPool pool = reviewer.shortTaskPool(now);
-    reported.forEach(each -> report(each, pool, now));
+    RecentStarts starts = reviewer.startsSince(now - INTERVAL_MILLIS);
+    reported.forEach(each -> report(each, pool, starts, now));
     countOthers(waiting, reported);
   }
 
@@ -126,13 +127,15 @@
     return reported;
   }
 
-  private void report(Waiting waiting, ShortTaskPool pool, long now) {
+  private void report(Waiting waiting, ShortTaskPool pool, RecentStarts starts, long now) {
     StringJoiner text = new StringJoiner(", ");
     text.add("waits for " + waiting.millis() + " ms");
     text.add(describe(waiting));
     WaitReason reason = waiting.reason();
     if (reason == null) {
       reason = review(waiting, pool, text, now);
+      text.add(starts.like(waiting.step()) + " like it started in the last second");
+      text.add("wants " + WorkerReview.amounts(waiting.step().demand()));
     } else {
       text.add(causes.describe(waiting.task(), reason, now));
     }
@@ -150,7 +153,6 @@
       unusedCpu.add(review);
     }
     review.describe(text);
-    text.add("wants " + WorkerReview.amounts(waiting.step().demand()));
     return review.reason();
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerReview.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerReview.java
@@ -38,6 +38,11 @@
       return new ShortTaskPool(candidates.schedulable(now));
     }
 
+    /** Returns the runs that were started since a time on the monotonic clock. */
+    RecentStarts startsSince(long sinceMillis) {
+      return new RecentStarts(workers.all(), sinceMillis);
+    }
+
     /** Looks through all workers of a queue's service for a task of it. */
     WorkerReview review(Task task, Queue queue, ShortTaskPool pool, long now) {
       WorkerReview review = new WorkerReview();
