Bound for how long a belief keeps a ready task from a worker

Callers saw jobs with nothing running though most of the capacity was free. Three waits had no bound of less than the 3 s that they are allowed, and one had none: - a task that failed waited for the pause of its workers (6 s at most) where all were paused, a last attempt 5 s for a healthy worker; - tasks suspect of crashing workers waited 2 s each, one after the other, as each wait began when it was first looked at; - a task of a shape that found no worker ended the look for all others of it, so that one that had just failed held up, for good, one that had waited.

A task now keeps the time since which it is ready. After 2 s, where more than half of the service's CPU is free and no worker is eligible, it takes any worker with enough capacity; a suspect worker gets one such task within 500 ms of its newest failure or start. A task that has waited is looked at though one that has not found no worker. Weighed: shorter pauses for all, which would send tasks to bad workers of a full service, where each failure is an attempt less.

PendingTaskReporterTest#taskWithoutCapacityIsReportedOnceASecond took the capacity with short tasks that stalled, were stopped after 2.5 s and so left room, which the waiting task now takes.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/PendingTaskReporterTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/PendingTaskReporterTest.java
@@ -33,7 +33,7 @@
   /** Guards against an incident whose log did not show why a task was not placed for a second. */
   @Test
   void taskWithoutCapacityIsReportedOnceASecond() {
-    world.submit(0, "a", CellWorld.step(TOTAL_CAPACITY));
+    world.submit(0, "a", longRunning(TOTAL_CAPACITY, null, 0));
     world.time.runFor(500);
     world.submit(0, "l", longRunning(1, null, 0));
     world.time.runFor(5_500);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWaitTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWaitTest.java
@@ -26,6 +26,14 @@
     return CellWorld.step(count, false, null, 0, true, List.of());
   }
 
+  /** Creates a step of tasks that take little capacity. */
+  private static Step small(int count, int cpuMillis) {
+    ResourceAmounts demand = new ResourceAmounts(cpuMillis, 500, 0);
+    return new Step(
+        count, demand, 500, List.of(), false, false, false, null, null, 0, false, false, "image", 0,
+        false, null);
+  }
+
   private static List<Long> startTimes(CellWorld world, String job) {
     return world.workers.startLog.stream()
         .filter(start -> start.run().task().job().equals(job))
@@ -70,6 +78,39 @@
     world.workers.get(worker).endOneRunOf("l", CompletionKind.FAILED);
   }
 
+  /** Guards against a failed task waiting for the end of long pauses of all workers. */
+  @Test
+  void failedTaskStartsAgainSoonThoughAllWorkersArePaused() {
+    CellWorld world = world(2);
+    world.workers.failureProbability = 1;
+    world.submit(0, "a", CellWorld.step(1));
+    world.time.runFor(60_000);
+    assertNoLongPause(world, "a");
+  }
+
+  private static void assertNoLongPause(CellWorld world, String job) {
+    List<Long> starts = startTimes(world, job);
+    long longest = world.time.millis() - starts.get(starts.size() - 1);
+    for (int i = 1; i < starts.size(); i++) {
+      longest = Math.max(longest, starts.get(i) - starts.get(i - 1));
+    }
+    long seen = longest;
+    long runMillis = world.workers.runMillis * 3 / 2;
+    assertTrue(seen <= MAX_WAIT_MILLIS + runMillis, () -> seen + " ms between starts " + starts);
+  }
+
+  /** Guards against a task that has waited being held up by one of its kind that has not. */
+  @Test
+  void failedTasksTakeTurnsAtAPausedWorker() {
+    CellWorld world = world(1);
+    world.workers.failureProbability = 1;
+    world.submit(0, "a", CellWorld.step(1));
+    world.time.runFor(100);
+    world.submit(0, "b", CellWorld.step(1));
+    world.time.runFor(40_000);
+    assertNoLongPause(world, "b");
+  }
+
   /** Guards against a gang that needs several places at workers that get one run as a test. */
   @Test
   void gangStartsAgainThoughItsFailuresMadeAllWorkersSuspect() {
@@ -81,4 +122,32 @@
     world.time.runFor(10_000);
     assertEquals(JobState.COMPLETED, world.state("g"), () -> String.join("\n", world.log));
   }
+
+  /**
+   * Guards against tasks that are suspect of crashing workers waiting one after the other for a
+   * worker without other suspects.
+   */
+  @Test
+  void suspectsWaitAtTheSameTime() {
+    CellWorld world = world(2);
+    world.workers.runMillis = 40_000;
+    for (int i = 0; i < 12; i++) {
+      world.submit(0, "s" + i, small(1, 300));
+    }
+    world.time.runFor(1_000);
+    long crashedAt = world.time.millis();
+    world.workers.get("w0").crash();
+    world.time.runFor(20_000);
+    List<Long> again =
+        world.workers.startLog.stream()
+            .map(Start::atMillis)
+            .filter(at -> at >= crashedAt)
+            .sorted()
+            .toList();
+    assertTrue(again.size() >= 4, () -> again + "\n" + String.join("\n", world.log));
+    long spread = again.get(again.size() - 1) - again.get(0);
+    assertTrue(
+        spread <= MAX_WAIT_MILLIS,
+        () -> spread + " ms between " + again + "\n" + String.join("\n", world.log));
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -12,6 +12,12 @@
    */
   private static final long LAST_ATTEMPT_WAIT_MILLIS = 5_000;
 
+  /**
+   * Time after a failure or a start at a suspect worker after which it may be given a task that has
+   * waited, in milliseconds.
+   */
+  private static final long RESORT_INTERVAL_MILLIS = 500;
+
   private final WorkerTable workers;
   private final ReservationTable reservations;
 
@@ -42,6 +48,33 @@
     return candidates;
   }
 
+  /**
+   * Returns the workers with enough free capacity for a task that has waited for long and was given
+   * none of the eligible ones though most of the capacity is free. What is only believed of them,
+   * or of the task, rules none out; a suspect worker is given one task at a time.
+   */
+  List<Worker> lastResorts(Task task, Queue queue, SchedulableWorkers schedulable) {
+    long now = schedulable.nowMillis();
+    List<Worker> resorts = new ArrayList<>();
+    if (!task.hasWaited(now) || !schedulable.isHalfFree(queue.service())) {
+      return resorts;
+    }
+    for (Worker worker : schedulable.of(queue.service())) {
+      boolean hasRoom = hasLabel(task, worker) && capacityReason(task, worker, now) == null;
+      if (hasRoom && isResort(task.step(), worker, now)) {
+        resorts.add(worker);
+      }
+    }
+    return resorts;
+  }
+
+  private static boolean isResort(StepRun step, Worker worker, long now) {
+    long earliest = now - RESORT_INTERVAL_MILLIS;
+    WorkerHealth health = worker.health();
+    return !health.isSuspect()
+        || (health.failedAt() <= earliest && !hasRunSince(earliest, step, worker));
+  }
+
   /** Returns whether one more failure of a task fails its job. */
   static boolean isLastAttempt(Task task, Queue queue) {
     int failures = task.failures();
@@ -80,6 +113,18 @@
   /** Returns why what runs or ran on a suitable worker rules it out; null if it does not. */
   private @Nullable IneligibleReason loadReason(
       Task task, Worker worker, long now, boolean mayBePaused) {
+    IneligibleReason reason = capacityReason(task, worker, now);
+    if (reason != null) {
+      return reason;
+    }
+    if (SuspectPlacement.isKeptApart(task, worker, now)) {
+      return IneligibleReason.KEPT_APART;
+    }
+    return healthReason(task.step(), worker, now, mayBePaused);
+  }
+
+  /** Returns why a suitable worker cannot take a task besides what runs there; null if it can. */
+  private @Nullable IneligibleReason capacityReason(Task task, Worker worker, long now) {
     ResourceAmounts wanted = task.step().step().reserved();
     if (!wanted.fitsInto(worker.free())) {
       return IneligibleReason.NO_CAPACITY;
@@ -90,13 +135,7 @@
     if (isAtPerWorkerLimit(task.step(), worker)) {
       return IneligibleReason.PER_WORKER_LIMIT;
     }
-    if (reservations.isReservedForOthers(worker, task)) {
-      return IneligibleReason.RESERVED;
-    }
-    if (SuspectPlacement.isKeptApart(task, worker, now)) {
-      return IneligibleReason.KEPT_APART;
-    }
-    return healthReason(task.step(), worker, now, mayBePaused);
+    return reservations.isReservedForOthers(worker, task) ? IneligibleReason.RESERVED : null;
   }
 
   /**
@@ -141,18 +180,18 @@
     if (health.isPaused(now) && !mayBePaused) {
       return IneligibleReason.PAUSED;
     }
-    return health.isSuspect() && isTested(step, worker) ? IneligibleReason.SUSPECT : null;
+    boolean isTested = health.isSuspect() && hasRunSince(health.failedAt(), step, worker);
+    return isTested ? IneligibleReason.SUSPECT : null;
   }
 
   /**
-   * Returns whether a worker has a run that began after its newest failure and will end by itself.
-   * The members of one gang are one test, as they only run together.
+   * Returns whether a worker has a run that began at a time or later and will end by itself. The
+   * members of a gang do not count for each other, as they only run together.
    */
-  private static boolean isTested(StepRun step, Worker worker) {
-    long failedAt = worker.health().failedAt();
+  private static boolean hasRunSince(long startedAt, StepRun step, Worker worker) {
     for (Run run : worker.runs()) {
       boolean isSameGang = run.task().step() == step && step.step().gang();
-      if (run.startedAt() >= failedAt && !run.step().longRunning() && !isSameGang) {
+      if (run.startedAt() >= startedAt && !run.step().longRunning() && !isSameGang) {
         return true;
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -96,6 +96,9 @@
     /** Shapes of which a task fitted on no worker. */
     private final Set<Shape> shapesWithoutCapacity = new HashSet<>();
 
+    /** Shapes of which a task that has waited fitted on no worker. */
+    private final Set<Shape> shapesWithoutResort = new HashSet<>();
+
     /** Shapes for which no capacity can be reserved. */
     private final Set<Shape> shapesWithoutReservation = new HashSet<>();
 
@@ -124,28 +127,48 @@
 
     private void placeTasks(ReadyTasks tasks) {
       Shape shape = tasks.shape();
-      if (shapesWithoutCapacity.contains(shape)) {
-        return;
-      }
       for (Task task : tasks.tasks()) {
+        if (isWithoutWorker(shape, task)) {
+          continue;
+        }
         Worker worker = choose(task, tasks.queue());
         if (worker != null) {
           start(task, worker);
         } else if (!Candidates.isLastAttempt(task, tasks.queue())) {
           // A last attempt has stricter requirements, so its failure says nothing about other
           // tasks.
-          shapesWithoutCapacity.add(shape);
-          return;
+          setWithoutWorker(shape, task);
         }
       }
     }
 
+    /** Returns whether a task of the same shape that had waited as long fitted on no worker. */
+    private boolean isWithoutWorker(Shape shape, Task task) {
+      return (task.hasWaited(now) ? shapesWithoutResort : shapesWithoutCapacity).contains(shape);
+    }
+
+    /** Records that a task fitted on no worker; one that has waited longer may. */
+    private void setWithoutWorker(Shape shape, Task task) {
+      shapesWithoutCapacity.add(shape);
+      if (task.hasWaited(now)) {
+        shapesWithoutResort.add(shape);
+      }
+    }
+
     private @Nullable Worker choose(Task task, Queue queue) {
       List<Worker> eligible = candidates.of(task, queue, schedulable);
       if (task.step().step().longRunning() && !task.mayHaveStarted()) {
         eligible = shortTaskPool.exclude(eligible, queue.service());
       }
-      return chooseAmong(task, eligible);
+      return chooseAmong(task, queue, eligible);
+    }
+
+    /** Chooses among the eligible workers, or else among the last resorts. */
+    private @Nullable Worker chooseAmong(Task task, Queue queue, List<Worker> eligible) {
+      Worker worker = chooseAmong(task, eligible);
+      return worker != null || !task.hasWaited(now)
+          ? worker
+          : chooseAmong(task, candidates.lastResorts(task, queue, schedulable));
     }
 
     private @Nullable Worker chooseAmong(Task task, List<Worker> eligible) {
@@ -166,14 +189,14 @@
       Shape shape = tasks.shape();
       for (Task task : tasks.tasks()) {
         Worker worker = reservedWorker(task, tasks.queue(), now);
-        if (worker == null && !shapesWithoutCapacity.contains(shape)) {
+        if (worker == null && !isWithoutWorker(shape, task)) {
           worker = choose(task, tasks.queue());
         }
         if (worker != null) {
           start(task, worker);
           continue;
         }
-        shapesWithoutCapacity.add(shape);
+        setWithoutWorker(shape, task);
         reserve(task, tasks.queue(), shape);
       }
     }
@@ -196,14 +219,16 @@
     /** Places all members of a gang or none. */
     private void placeGang(ReadyTasks gang) {
       Shape shape = gang.shape();
-      if (shapesWithoutCapacity.contains(shape) || shapesWithoutCapacity.contains(shape.single())) {
+      Task first = gang.tasks().get(0);
+      if (isWithoutWorker(shape, first) || isWithoutWorker(shape.single(), first)) {
         return;
       }
       // Capacity is tried out with runs that are never ordered.
       List<Worker> chosen = new ArrayList<>();
       List<Run> trials = new ArrayList<>();
       for (Task task : gang.tasks()) {
-        Worker worker = chooseAmong(task, candidates.of(task, gang.queue(), schedulable));
+        List<Worker> eligible = candidates.of(task, gang.queue(), schedulable);
+        Worker worker = chooseAmong(task, gang.queue(), eligible);
         if (worker == null) {
           break;
         }
@@ -214,7 +239,7 @@
       }
       trials.forEach(trial -> trial.worker().remove(trial));
       if (chosen.size() < gang.tasks().size()) {
-        shapesWithoutCapacity.add(shape);
+        setWithoutWorker(shape, first);
         return;
       }
       runner.startGang(gang.tasks(), chosen);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
@@ -77,6 +77,7 @@
       if (step.tasks().stream().allMatch(task -> isReady(task, now))) {
         Kind kind = Kind.ofGang(step.tasks());
         PriorityPolicy.Rank rank = priority.rank(step, kind.isRestart(), queue, wall);
+        step.tasks().forEach(task -> task.setReady(now));
         ready.add(new ReadyTasks(step, kind, step.tasks(), queue, rank));
       }
       return;
@@ -84,6 +85,7 @@
     Map<Kind, List<Task>> kinds = new LinkedHashMap<>();
     for (Task task : step.tasks()) {
       if (isReady(task, now)) {
+        task.setReady(now);
         kinds.computeIfAbsent(Kind.of(task), kind -> new ArrayList<>()).add(task);
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SchedulableWorkers.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SchedulableWorkers.java
@@ -31,6 +31,18 @@
     return services.getOrDefault(service, List.of());
   }
 
+  /** Returns whether more than half of the CPU of a service's schedulable workers is free. */
+  boolean isHalfFree(String service) {
+    long capacity = 0;
+    long free = 0;
+    for (Worker worker : of(service)) {
+      capacity += worker.entry().capacity().cpuMillis();
+      // A worker that has shrunk below what it runs takes nothing from what others have free.
+      free += Math.max(0, worker.free().cpuMillis());
+    }
+    return 2 * free > capacity;
+  }
+
   /** Returns the schedulable workers of each service. */
   Iterable<List<Worker>> byService() {
     return services.values();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ShortTaskPool.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ShortTaskPool.java
@@ -57,7 +57,7 @@
     }
     List<Worker> others = new ArrayList<>(candidates);
     others.removeIf(pool::contains);
-    return others.isEmpty() && isHalfFree(service) ? candidates : others;
+    return others.isEmpty() && schedulable.isHalfFree(service) ? candidates : others;
   }
 
   /** Returns whether a worker belongs to the pool. */
@@ -67,15 +67,4 @@
     }
     return pool.contains(worker);
   }
-
-  private boolean isHalfFree(String service) {
-    long capacity = 0;
-    long free = 0;
-    for (Worker worker : schedulable.of(service)) {
-      capacity += worker.entry().capacity().cpuMillis();
-      // A worker that has shrunk below what it runs takes nothing from what others have free.
-      free += Math.max(0, worker.free().cpuMillis());
-    }
-    return 2 * free > capacity;
-  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SuspectPlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SuspectPlacement.java
@@ -19,7 +19,7 @@
     for (Run run : worker.suspects()) {
       boolean isOther = run.task() != task && run.task().crashes().isSuspect();
       boolean isYoung = now - run.startedAt() < TaskCrashes.YOUNG_MILLIS;
-      if (isOther && (isSuspect ? task.crashes().mayWait(now) : isYoung)) {
+      if (isOther && (isSuspect ? !task.hasWaited(now) : isYoung)) {
         return true;
       }
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -6,6 +6,14 @@
 
 /** Holds what is known of a task of a job, and its run if it has one. */
 final class Task {
+  /**
+   * Time after which what is only believed of a worker or a task keeps it from no worker, in
+   * milliseconds; a task that can run must start within 3 s.
+   */
+  private static final long MAX_CAUTION_MILLIS = 2_000;
+
+  private static final long NOT_READY = Long.MAX_VALUE;
+
   private final StepRun step;
   private final int index;
   private boolean done;
@@ -32,6 +40,9 @@
 
   private long lastRanAt = Long.MIN_VALUE / 2;
 
+  /** Time on the monotonic clock at which it was first ready since its last run. */
+  private long readySince = NOT_READY;
+
   Task(StepRun step, int index) {
     this.step = step;
     this.index = index;
@@ -123,12 +134,30 @@
   }
 
   void setRun(@Nullable Run newRun) {
+    if (run != null && run.state() != Run.State.STARTING) {
+      readySince = NOT_READY;
+    }
     run = newRun;
     if (newRun != null) {
       lastAttempt = Math.max(lastAttempt, newRun.attempt());
     }
   }
 
+  /** Records that its turn has come; a start that was refused does not end its wait. */
+  void setReady(long nowMillis) {
+    readySince = Math.min(readySince, nowMillis);
+  }
+
+  /** Returns for how long it has been ready without a run, in milliseconds. */
+  long waitedMillis(long nowMillis) {
+    return readySince == NOT_READY ? 0 : nowMillis - readySince;
+  }
+
+  /** Returns whether it has waited so long that only facts may keep it from a worker. */
+  boolean hasWaited(long nowMillis) {
+    return waitedMillis(nowMillis) >= MAX_CAUTION_MILLIS;
+  }
+
   /** Adds a run that must not continue; the task is not started before this run is gone. */
   void addOrphan(Run orphan) {
     orphans.add(orphan);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
@@ -23,16 +23,8 @@
   /** Number of workers below which a task is never given up. */
   private static final int MIN_WORKERS = 2;
 
-  /** Time for which a suspect waits for a worker without other suspects, in milliseconds. */
-  private static final long MAX_WAIT_MILLIS = 2_000;
-
-  private static final long NOT_WAITING = Long.MIN_VALUE;
-
   private final List<Crash> crashes = new ArrayList<>(0);
 
-  /** Time on the monotonic clock until which it waits, from when it was first to be placed. */
-  private long waitsUntil = NOT_WAITING;
-
   /**
    * A crash of a worker that a run may have caused.
    *
@@ -65,7 +57,6 @@
     if (crashes.size() == DECISIVE) {
       crashes.remove(0);
     }
-    waitsUntil = NOT_WAITING;
     return crashes.add(crash);
   }
 
@@ -86,14 +77,6 @@
     return crashes.get(0).telling();
   }
 
-  /** Returns whether a suspect that is to be placed may still wait for a better worker. */
-  boolean mayWait(long nowMillis) {
-    if (waitsUntil == NOT_WAITING) {
-      waitsUntil = nowMillis + MAX_WAIT_MILLIS;
-    }
-    return nowMillis < waitsUntil;
-  }
-
   /**
    * Returns the age at which a run of the task shows that it is sound, in milliseconds: well above
    * the ages at which its runs were lost.
