Look up the named tasks by identity when the others are counted

The report of waits hashed a record of four fields for each task that waits.

Tests: LongestWaitReporterTest (8), TaskWaitsTest (5), CellMetricsTest (8), PendingTaskReporterTest (6) pass.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/LongestWaitReporter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/LongestWaitReporter.java
@@ -4,14 +4,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.EnumMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.StringJoiner;
-import java.util.function.BinaryOperator;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -66,6 +65,11 @@
       return new Group(kind, isByImage ? step().image() : "", reason == null);
     }
 
+    /** Returns the one that has waited longer, of equals this one. */
+    private Waiting longer(Waiting other) {
+      return millis >= other.millis ? this : other;
+    }
+
     private Step step() {
       return task.step().step();
     }
@@ -112,7 +116,7 @@
   private static List<Waiting> longestOfGroups(Collection<Waiting> waiting) {
     Map<Group, Waiting> groups = new LinkedHashMap<>();
     for (Waiting each : waiting) {
-      groups.merge(each.group(), each, BinaryOperator.maxBy(Comparator.comparing(Waiting::millis)));
+      groups.merge(each.group(), each, Waiting::longer);
     }
     List<Waiting> sorted = new ArrayList<>(groups.values());
     sorted.sort(LONGEST_FIRST);
@@ -165,10 +169,10 @@
 
   /** Counts the tasks that are not reported one by one, and logs how many there are. */
   private void countOthers(List<Waiting> waiting, List<Waiting> reported) {
-    Set<Waiting> left = new HashSet<>(reported);
+    Set<Task> named = reported.stream().map(Waiting::task).collect(Collectors.toSet());
     Map<TaskKind, Integer> suppressed = new EnumMap<>(TaskKind.class);
     for (Waiting each : waiting) {
-      if (left.contains(each)) {
+      if (named.contains(each.task())) {
         continue;
       }
       WaitReason reason = each.reason();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskWaits.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskWaits.java
@@ -41,7 +41,7 @@
       return;
     }
     nextScanAt = now + SCAN_INTERVAL_MILLIS;
-    Map<Task, Wait> found = new LinkedHashMap<>();
+    Map<Task, Wait> found = new LinkedHashMap<>(2 * waits.size());
     for (Job job : jobs.open()) {
       for (StepRun step : job.stepRuns()) {
         if (!step.isDone() && job.areDependenciesDone(step)) {
