Simulate interference in tests of the placement of fillers

Callers saw fillers that were accepted a minute before and never ran, with most of the workers unused. Figures lag half a second, orders to pace are carried out.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -114,6 +114,9 @@
   /** Is told which worker is back after a crash, and the identifier that it had. */
   BiConsumer<String, String> onReturned = (returned, previous) -> {};
 
+  /** Simulates fillers beside serving tasks; null for runs that do not affect each other. */
+  private @Nullable SimulatedInterference interference;
+
   /** A crash of a worker with the runs that were lost. */
   record Crash(String worker, long atMillis, List<RunId> lost) {}
 
@@ -145,6 +148,23 @@
     return model;
   }
 
+  /** Simulates from now on how fillers affect serving tasks. */
+  void simulate(SimulatedInterference simulation) {
+    interference = simulation;
+    advance(simulation);
+  }
+
+  private void advance(SimulatedInterference simulation) {
+    List.copyOf(models.values()).forEach(model -> model.advance(simulation));
+    time.after(SimulatedInterference.STEP_MILLIS, () -> advance(simulation));
+  }
+
+  /** Returns whether the progress and the figures of a task are simulated. */
+  private boolean isSimulated(TaskId task) {
+    Step step = step(task);
+    return interference != null && step != null && SimulatedInterference.simulates(step);
+  }
+
   /** Starts a run at a worker as a late order of an earlier holder does. */
   void startLate(String worker, RunId run) {
     Model model = get(worker);
@@ -166,6 +186,11 @@
     return running(task) > 0;
   }
 
+  /** Returns whether a run of a task has ended as done. */
+  boolean isDone(TaskId task) {
+    return done.contains(task);
+  }
+
   /** Returns whether a long-running task is at work at a worker that is up. */
   boolean isAtWork(TaskId task) {
     return models.values().stream()
@@ -452,6 +477,9 @@
       checkDependencies(task);
       long bootTime = this.bootTimeMillis;
       runs.put(run, time.millis());
+      if (isSimulated(task)) {
+        return;
+      }
       Long crashAfter = crashAfterMillis.get(task);
       if (crashAfter != null) {
         time.after(
@@ -474,6 +502,31 @@
           });
     }
 
+    /** Lets its serving tasks and fillers work for one step of a simulation. */
+    private void advance(SimulatedInterference simulation) {
+      Map<RunId, Step> simulated = new LinkedHashMap<>();
+      for (RunId run : runs.keySet()) {
+        Step step = step(run.task());
+        if (step != null && isSimulated(run.task())) {
+          simulated.put(run, step);
+        }
+      }
+      simulation
+          .advance(id, capacity.cpuMillis(), simulated, time.millis())
+          .forEach(run -> endRun(run, CompletionKind.DONE));
+    }
+
+    private OrderReply pace(RunId run, int percent, long token) {
+      if (token < fence) {
+        return reply(OrderOutcome.FENCED);
+      }
+      fence = token;
+      if (interference != null && runs.containsKey(run)) {
+        interference.setPace(run, percent, time.millis());
+      }
+      return reply(OrderOutcome.ACCEPTED);
+    }
+
     /** Ends all runs, as its machine is switched off. */
     void endAllRuns() {
       runs.clear();
@@ -573,9 +626,7 @@
       }
       completions.removeIf(completion -> completion.number() <= call.acknowledgedUpTo());
       ImmutableList.Builder<RunReport> running = ImmutableList.builder();
-      runs.forEach(
-          (run, since) ->
-              running.add(new RunReport(run, "", percent(run, since), gauge(run.task().job()))));
+      runs.forEach((run, since) -> running.add(report(run, since)));
       ImmutableList<CompletionReport> listed = reportedCompletions();
       boolean isComplete = listed.size() < MAX_COMPLETIONS;
       return new HoldReply(
@@ -586,6 +637,20 @@
       return gaugeByJob.getOrDefault(job, 0L);
     }
 
+    private RunReport report(RunId run, long since) {
+      SimulatedInterference simulation = interference;
+      if (simulation == null || !isSimulated(run.task())) {
+        return new RunReport(run, "", percent(run, since), gauge(run.task().job()));
+      }
+      int percent = isLongRunning(run) ? percent(run, since) : simulation.percent(run);
+      return new RunReport(run, "", percent, simulation.gauge(run));
+    }
+
+    private boolean isLongRunning(RunId run) {
+      Step step = step(run.task());
+      return step != null && step.longRunning();
+    }
+
     private int percent(RunId run, long since) {
       if (stuck) {
         return 0;
@@ -713,7 +778,7 @@
     @Override
     public void pace(
         Target target, RunId run, int percent, long token, Consumer<OrderReply> handler) {
-      order(target, model -> model.reply(OrderOutcome.ACCEPTED), handler);
+      order(target, model -> model.pace(run, percent, token), handler);
     }
 
     private void order(
