--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -521,8 +521,9 @@
         return reply(OrderOutcome.FENCED);
       }
       fence = token;
-      if (interference != null && runs.containsKey(run)) {
-        interference.setPace(run, percent, time.millis());
+      Step step = step(run.task());
+      if (interference != null && step != null && runs.containsKey(run)) {
+        interference.setPace(run, step, percent, time.millis());
       }
       return reply(OrderOutcome.ACCEPTED);
     }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FillerPlacementTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FillerPlacementTest.java
@@ -30,8 +30,8 @@
   private static final long PLAY_MILLIS = 60_000;
   private static final long LEARN_MILLIS = 10_000;
   private static final long BURST_INTERVAL_MILLIS = 4_000;
-  private static final double SOME_HARMFUL = 0.55;
-  private static final double LARGE_PRESS = 12;
+  private static final double SOME_HARMFUL = 0.3;
+  private static final double LARGE_PRESS = 2.3;
 
   private FillerWorld fillers = new FillerWorld(SOME_HARMFUL);
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/SimulatedInterference.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/SimulatedInterference.java
@@ -20,24 +20,31 @@
   /** Time from the order until a pace is in force, in milliseconds. */
   private static final long PACING_MILLIS = 100;
 
-  private static final int MEASURED_STEPS = 10;
+  private static final int MEASURED_STEPS = 20;
+
+  /** Standard deviation of the load that one step of a tail latency shows. */
+  private static final double LOAD_SCATTER = 0.1;
+
   private static final int FULL_PERCENT = 100;
 
   /** Share of its reservation that a serving task uses at its mean load. */
   private static final double MEAN_USE = 0.6;
 
-  private static final double MIN_QUIET_RATIO = 0.25;
-  private static final double MAX_QUIET_RATIO = 0.4;
-  private static final double LOAD_SWING = 0.35;
-  private static final double PRESS_SWING = 0.3;
-  private static final double MAX_HARMLESS_PRESS = 0.4;
-  private static final double MIN_HARMFUL_PRESS = 4;
-  private static final double MAX_HARMFUL_PRESS = 14;
+  /** Tail latency without any load, relative to the target. */
+  private static final double BASE_RATIO = 0.2;
+
+  private static final double MAX_LOAD = 0.98;
+  private static final double MEAN_LOAD = 0.45;
+  private static final double LOAD_SWING = 0.5;
+  private static final double PRESS_SWING = 0.15;
+  private static final double MAX_HARMLESS_PRESS = 0.2;
+  private static final double MIN_HARMFUL_PRESS = 1.5;
+  private static final double MAX_HARMFUL_PRESS = 2.9;
 
   private final SplittableRandom random;
   private final double harmfulShare;
 
-  /** Growth of a tail, relative to it, for a whole worker used by a filler, by both images. */
+  /** Load that a filler adds to a serving task when it uses a whole worker, by both images. */
   private final Map<String, Double> press = new HashMap<>();
 
   private final Map<RunId, Figures> figures = new LinkedHashMap<>();
@@ -72,8 +79,7 @@
   /** What is simulated of a run. */
   private final class Figures {
     private final Step step;
-    private final double quietRatio = random.nextDouble(MIN_QUIET_RATIO, MAX_QUIET_RATIO);
-    private final double periodMillis = random.nextDouble(6_000, 15_000);
+    private final double periodMillis = random.nextDouble(14_000, 20_000);
     private final double phase = random.nextDouble(2 * Math.PI);
     private final double workMillis;
     private final List<Double> measured = new ArrayList<>();
@@ -133,13 +139,12 @@
     return step.filler() || step.isServing();
   }
 
-  void setPace(RunId run, int percent, long now) {
-    Figures its = figures.get(run);
-    if (its != null) {
-      its.pace(now);
-      its.nextPace = percent;
-      its.nextPaceAt = now + PACING_MILLIS;
-    }
+  /** Sets the pace of a run after a while. */
+  void setPace(RunId run, Step step, int percent, long now) {
+    Figures its = figures(run, step);
+    its.pace(now);
+    its.nextPace = percent;
+    its.nextPaceAt = now + PACING_MILLIS;
   }
 
   /** Returns the share of a filler's work that is done, in percent. */
@@ -217,15 +222,16 @@
 
   private void serve(
       String worker, Step step, Figures its, Map<String, Double> usedByImage, long now) {
-    double growth = 0;
+    double quiet = MEAN_LOAD * its.wave(now, LOAD_SWING);
+    double load = quiet;
     for (Map.Entry<String, Double> filler : usedByImage.entrySet()) {
-      growth += press(step.image(), filler.getKey()) * filler.getValue();
+      load += press(step.image(), filler.getKey()) * filler.getValue();
     }
-    double quiet = its.quietRatio * its.wave(now, LOAD_SWING);
-    double ratio = quiet * (1 + growth);
-    its.measure(ratio * step.tailTargetMillis());
+    double ratio = ratio(load);
+    double scatter = LOAD_SCATTER * random.nextGaussian();
+    its.measure(ratio(load + scatter) * step.tailTargetMillis());
     servingMillis += STEP_MILLIS;
-    boolean isHarmed = ratio > 1 && quiet <= 1;
+    boolean isHarmed = ratio > 1;
     its.harmedMillis = isHarmed ? its.harmedMillis + STEP_MILLIS : 0;
     longestHarmMillis = Math.max(longestHarmMillis, its.harmedMillis);
     if (isHarmed) {
@@ -233,4 +239,8 @@
       harmed.merge(worker, 1, Integer::sum);
     }
   }
+
+  private static double ratio(double load) {
+    return BASE_RATIO / (1 - Math.min(load, MAX_LOAD));
+  }
 }
