--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RunFactory.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RunFactory.java
@@ -60,6 +60,10 @@
   }
 
   static void report(Run run, long gauge) {
-    run.update(new RunReport(run.id(), "", 50, gauge), 0);
+    report(run, gauge, 0);
+  }
+
+  static void report(Run run, long gauge, long nowMillis) {
+    run.update(new RunReport(run.id(), "", 50, gauge), nowMillis);
   }
 }
