--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceAwarePlacementTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceAwarePlacementTest.java
@@ -11,8 +11,7 @@
   private static final int TARGET = 50;
 
   private final InterferenceModel interference = new InterferenceModel();
-  private final InterferenceAwarePlacement placement =
-      new InterferenceAwarePlacement(interference, new SettableClock());
+  private final InterferenceAwarePlacement placement = new InterferenceAwarePlacement(interference);
   private final RunFactory factory = new RunFactory(TARGET);
   private final Worker worker = RunFactory.worker("w");
   private final Run serving = factory.run(worker, "s", true);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceModelTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/InterferenceModelTest.java
@@ -7,7 +7,7 @@
 import org.hemlockpick.proto.LearnedRecord;
 import org.junit.jupiter.api.Test;
 
-/** Tests how fillers are blamed for tails of serving tasks that grow beside them. */
+/** Tests how fillers are blamed for tails of serving tasks that grow to many times their target. */
 class InterferenceModelTest {
   private static final int TARGET = 50;
 
@@ -22,7 +22,7 @@
     RunFactory.report(serving, 30);
     RunFactory.report(serving, 400);
     interference.learn(worker);
-    assertTrue(interference.pressure("s", "f") >= InterferenceModel.HARMFUL_PRESSURE);
+    assertTrue(interference.harmProbability("s", "f") >= InterferenceModel.HARMFUL_PROBABILITY);
   }
 
   @Test
@@ -37,8 +37,8 @@
     interference.store(record, 10);
     InterferenceModel next = new InterferenceModel();
     next.restore(record.build());
-    assertEquals(interference.pressure("s", "f"), next.pressure("s", "f"));
-    assertEquals(interference.pressure("s", "other"), next.pressure("s", "other"));
+    assertEquals(interference.harmProbability("s", "f"), next.harmProbability("s", "f"));
+    assertEquals(interference.harmProbability("s", "other"), next.harmProbability("s", "other"));
   }
 
   @Test
@@ -50,8 +50,9 @@
     RunFactory.report(serving, 400);
     interference.learn(worker);
     interference.decay(120_000);
-    assertTrue(interference.pressure("s", "f") < InterferenceModel.HARMFUL_PRESSURE);
-    assertEquals(interference.pressure("s", "other"), interference.pressure("s", "f"), 0.05);
+    assertTrue(interference.harmProbability("s", "f") < InterferenceModel.HARMFUL_PROBABILITY);
+    assertEquals(
+        interference.harmProbability("s", "other"), interference.harmProbability("s", "f"), 1e-9);
   }
 
   @Test
@@ -61,9 +62,9 @@
     RunFactory.report(serving, 400);
     RunFactory.report(serving, 200);
     RunFactory.report(factory.run(worker, "f", false), 9_000);
-    double before = interference.pressure("s", "f");
+    double before = interference.harmProbability("s", "f");
     interference.learn(worker);
-    assertEquals(before, interference.pressure("s", "f"));
+    assertEquals(before, interference.harmProbability("s", "f"));
   }
 
   @Test
@@ -80,24 +81,19 @@
     RunFactory.report(serving, 30);
     RunFactory.report(serving, 400);
     interference.learn(worker);
-    assertTrue(interference.pressure("s", "new") < InterferenceModel.HARMFUL_PRESSURE);
+    assertTrue(interference.harmProbability("s", "new") < InterferenceModel.HARMFUL_PROBABILITY);
   }
 
   @Test
-  void tailThatStaysLowClearsAFiller() {
+  void calmReportsClearAFiller() {
     Worker worker = RunFactory.worker("w");
     Run serving = factory.run(worker, "s", true);
-    for (int i = 0; i < 10; i++) {
-      RunFactory.report(serving, 20);
-      interference.learn(worker);
-    }
     RunFactory.report(factory.run(worker, "f", false), 9_000);
-    double before = interference.pressure("s", "f");
     for (int i = 0; i < 40; i++) {
       RunFactory.report(serving, 20);
       interference.learn(worker);
     }
-    assertTrue(interference.pressure("s", "f") < before / 3);
+    assertTrue(interference.harmProbability("s", "f") < 0.05);
   }
 
   @Test
@@ -112,8 +108,7 @@
     Worker empty = RunFactory.worker("w2");
     factory.run(empty, "other", true);
     Worker chosen =
-        new InterferenceAwarePlacement(interference, new SettableClock())
-            .choose(filler.task(), List.of(shared, empty));
+        new InterferenceAwarePlacement(interference).choose(filler.task(), List.of(shared, empty));
     assertEquals(empty, chosen);
   }
 
@@ -126,8 +121,7 @@
     Worker empty = RunFactory.worker("w3");
     Task task = factory.run(RunFactory.worker("w4"), "s", true).task();
     Worker chosen =
-        new InterferenceAwarePlacement(interference, new SettableClock())
-            .choose(task, List.of(empty, other, same));
+        new InterferenceAwarePlacement(interference).choose(task, List.of(empty, other, same));
     assertEquals(same, chosen);
   }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongestWaitReporterTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongestWaitReporterTest.java
@@ -19,8 +19,7 @@
 
   private static final int TARGET_MILLIS = 50;
   private static final long CALM_MILLIS = 10;
-  private static final long OVER_TARGET_MILLIS = 55;
-  private static final long BUSY_MILLIS = 35;
+  private static final long NEAR_TARGET_MILLIS = 45;
   private static final long HARMED_MILLIS = 400;
   private static final long FILLER_USE_MILLICORES = 1_500;
 
@@ -63,15 +62,15 @@
    */
   @Test
   void fillerThatIsRefusedForHighTailsIsReportedOnceASecond() {
-    serve(OVER_TARGET_MILLIS);
+    serve(NEAR_TARGET_MILLIS);
     world.submit(0, "f", CellWorld.fillerStep(3, "batch"));
     world.time.runFor(5_500);
     List<Long> waits =
         numbers(
             " wait f\\.0\\.0\\.0 refused at all workers \\(waits for (\\d+) ms, filler of image"
                 + " batch, 0 workers open to it, 4 tail latency high, where refused: 24 cores"
-                + " unused, serving tasks at 110% to 110% of their target \\(half of the workers up"
-                + " to 110%\\), 0 like it started in the last second, wants 2000 mcpu 1000 MB\\)");
+                + " unused, serving tasks at 90% to 90% of their target \\(half of the workers up"
+                + " to 90%\\), 0 like it started in the last second, wants 2000 mcpu 1000 MB\\)");
     assertTrue(waits.size() >= 4 && waits.size() <= 5, () -> waits + " in " + lines(" wait "));
     assertTrue(waits.get(waits.size() - 1) >= 4_000, waits::toString);
     assertEquals(
@@ -95,22 +94,23 @@
     world.time.runFor(1_500);
     assertEquals(List.of(), lines(" wait f\\."));
     world.workers.gaugeByJob.put("s", HARMED_MILLIS);
-    world.time.runFor(4_000);
+    world.time.runFor(1_000);
     assertEquals(1, lines(" stop f\\.0\\.0\\.0 .*harms serving tasks").size());
-    world.workers.gaugeByJob.put("s", BUSY_MILLIS);
-    world.time.runFor(6_000);
+    world.workers.gaugeByJob.put("s", CALM_MILLIS);
+    world.time.runFor(3_000);
     List<Long> waits =
         numbers(
             " wait f\\.0\\.0\\.0 refused at all workers \\(waits for (\\d+) ms, .* 4 harm expected,"
-                + " .*serving tasks at 70% to 70% of their target");
-    assertTrue(waits.size() >= 1, () -> String.join("\n", lines(" (wait|stop|start|pace) f")));
+                + " .*serving tasks at 20% to 20% of their target");
+    assertTrue(waits.size() >= 2, () -> String.join("\n", lines(" (wait|stop|start) f")));
     assertTrue(waits.get(waits.size() - 1) <= 4_000, waits::toString);
+    assertEquals(WORKERS, gauge("tasks.waiting.FILLER.workers.HARM_EXPECTED"));
   }
 
   /** Guards against a load line that does not show idle cores beside fillers that wait. */
   @Test
   void unusedCoresAreCountedByWhetherWaitingFillersAreAccepted() {
-    serve(OVER_TARGET_MILLIS);
+    serve(NEAR_TARGET_MILLIS);
     assertEquals(0, gauge("cores.unused.fillersRefused"));
     world.submit(0, "f", CellWorld.fillerStep(3, "batch"));
     world.time.runFor(4_500);
@@ -163,7 +163,7 @@
   /** Guards against a log that grows with the number of images that wait. */
   @Test
   void linesAreBoundedByImages() {
-    serve(OVER_TARGET_MILLIS);
+    serve(NEAR_TARGET_MILLIS);
     int images = 7;
     for (int i = 0; i < images; i++) {
       world.submit(0, "f" + i, CellWorld.fillerStep(5, "batch" + i));
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RunFactory.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RunFactory.java
@@ -60,10 +60,6 @@
   }
 
   static void report(Run run, long gauge) {
-    report(run, gauge, 0);
-  }
-
-  static void report(Run run, long gauge, long nowMillis) {
-    run.update(new RunReport(run.id(), "", 50, gauge), nowMillis);
+    run.update(new RunReport(run.id(), "", 50, gauge), 0);
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -155,7 +155,7 @@
         new ReadyQueue(
             jobs, lifecycle, new SlackPriority(estimator), clock, this::queue, this::isStartable);
     CapacityForecast forecast = new CapacityForecast(estimator);
-    PlacementPolicy placement = new InterferenceAwarePlacement(interference, clock);
+    PlacementPolicy placement = new InterferenceAwarePlacement(interference);
     DrainDeadline drainDeadline = new DrainDeadline(settings, clock);
     CapacityReserver reserver =
         new CapacityReserver(
@@ -172,8 +172,7 @@
     this.planner =
         new Planner(
             ready, runner, candidates, reserver, reservations, placement, clock, this::queue);
-    this.paceController =
-        new PaceController(token, port, runner::tryStop, interference, clock, log);
+    this.paceController = new PaceController(token, port, runner::tryStop, interference, log);
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController =
         new DrainController(drainDeadline, runner, estimator, clock, planner::hasReservedCapacity);
@@ -353,11 +352,6 @@
       end(HolderEnd.FENCED, worker.id() + " has seen a higher fencing token");
     }
 
-    @Override
-    public void onStarted(Run run) {
-      paceController.onStarted(run);
-    }
-
     @Override
     public void onChange() {
       changedSincePlan = true;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceModel.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceModel.java
@@ -2,162 +2,110 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.hemlockpick.proto.HarmEntry;
 import org.hemlockpick.proto.LearnedRecord;
 
 /**
- * Learns how much fillers raise the tail latencies of serving tasks, by the images of both.
+ * Learns which fillers harm which serving tasks, by the images of both.
  *
- * <p>A serving task is taken for a queue, whose tail latency is that without load, divided by the
- * share of time in which it is idle. Its load is the sum of its own and of what the fillers on its
- * worker add: for each image, the share of the worker's CPU that they use, times the pressure of
- * that image on the image of the serving task. Own loads and pressures are estimated together. Each
- * report corrects them by the difference from the load that was expected, most of all those that
- * are least certain.
+ * <p>A filler either harms the serving tasks of an image or hardly affects them; harm shows as a
+ * tail latency that grows to several times its target while the load of the serving task is high.
+ * The model keeps the probability of harm for each pair of images. A tail latency that grows past
+ * its target raises it for the fillers on the same worker, more for those already suspected;
+ * reports of a low tail latency lower it.
  */
 final class InterferenceModel {
-  /** Pressure from which a pair of images counts as harmful. */
-  static final double HARMFUL_PRESSURE = 0.5;
+  /** Probability from which a pair counts as harmful. */
+  static final double HARMFUL_PROBABILITY = 0.4;
 
-  /** Tail latency without load, relative to the target. */
-  private static final double IDLE_TAIL_RATIO = 0.2;
+  private static final double PRIOR = 0.15;
+  private static final double MIN_PROBABILITY = 0.01;
+  private static final double MAX_PROBABILITY = 0.99;
 
-  /** Load beyond which a tail latency says little. */
-  private static final double MAX_LOAD = 0.98;
-
-  /** Pressure that is assumed at least of a pair that counts as harmful. */
-  private static final double LEAST_HARM = 2;
-
-  /** Maximum own load of a serving task. */
-  private static final double MAX_OWN_LOAD = 0.75;
+  /**
+   * Probability that the harm of a harmful filler shows in one report, as the load is not always
+   * high.
+   */
+  private static final double DETECTION_PROBABILITY = 0.6;
 
-  private static final double PRIOR_PRESSURE = 0.25;
-  private static final double PRIOR_VARIANCE = 1;
+  /** Probability that a tail latency grows past its target without any harmful filler. */
+  private static final double FALSE_ALARM_PROBABILITY = 0.04;
 
-  /** Variance from which hardly anything is known of a pressure. */
-  private static final double UNKNOWN_VARIANCE = 0.5;
+  /** The same for a tail latency of twice its target. */
+  private static final double LARGE_FALSE_ALARM_PROBABILITY = 0.004;
 
-  private static final double MAX_PRESSURE = 4;
+  private static final double LARGE_TAIL_RATIO = 2;
 
-  /** Growth of the variance of a pressure per second. */
-  private static final double PRESSURE_DRIFT = 0.03;
+  /** Growth since the last report from which a tail latency counts as growing. */
+  private static final double GROWTH_FACTOR = 1.05;
 
-  /** Time in which a pressure that is not measured approaches the prior by half. */
-  private static final long HALF_LIFE_MILLIS = 15_000;
+  /** Tail latency below which a report lowers the probability of harm, relative to the target. */
+  private static final double CALM_TAIL_RATIO = 0.6;
 
-  /** Growth of the variance of a serving task's own load per report. */
-  private static final double LOAD_DRIFT = 0.0008;
+  /** Factor applied to the odds of harm for a report of a low tail latency. */
+  private static final double CALM_ODDS_FACTOR = 0.93;
 
-  /** Fall since the last report from which a tail latency still shows fillers that have gone. */
-  private static final double FALL_FACTOR = 0.85;
+  /** Time in which the odds of harm halve unless new harm shows, in milliseconds. */
+  private static final long HALF_LIFE_MILLIS = 4_000;
 
-  private static final double MEASUREMENT_VARIANCE = 0.0015;
+  /**
+   * Minimum share of a worker's CPU that the fillers of an image use to be considered in a report.
+   */
+  private static final double MIN_VISIBLE_CPU_SHARE = 0.02;
 
   /** Minimum difference from the prior for an entry to be stored. */
   private static final double MIN_STORED_DIFFERENCE = 0.02;
 
-  private final Map<String, Map<String, Estimate>> pressures = new HashMap<>();
-
-  /**
-   * Returns the load that fillers of an image add to a serving task of another, per share of its
-   * worker's CPU that they use.
-   */
-  double pressure(String serving, String filler) {
-    Map<String, Estimate> row = pressures.get(serving);
-    Estimate estimate = row == null ? null : row.get(filler);
-    double mean = estimate == null ? PRIOR_PRESSURE : estimate.mean();
-    return mean < HARMFUL_PRESSURE ? mean : Math.max(LEAST_HARM, mean);
-  }
+  private final Map<String, Map<String, Double>> harmByServingImage = new HashMap<>();
 
-  /** Returns whether hardly anything is known of the pressure on a serving task of a worker. */
-  boolean isUnknown(Worker worker, String filler) {
-    for (String serving : worker.servingImages()) {
-      Map<String, Estimate> row = pressures.get(serving);
-      Estimate estimate = row == null ? null : row.get(filler);
-      if (estimate == null || estimate.variance() >= UNKNOWN_VARIANCE) {
-        return true;
-      }
-    }
-    return false;
+  /** Returns the probability that fillers of an image harm serving tasks of another. */
+  double harmProbability(String serving, String filler) {
+    Map<String, Double> row = harmByServingImage.get(serving);
+    return row == null ? PRIOR : row.getOrDefault(filler, PRIOR);
   }
 
-  /** Returns the highest pressure of a filler on a serving task of a worker. */
-  double maxPressure(Worker worker, String filler) {
+  /** Returns the highest probability that a filler harms a serving task of a worker. */
+  double maxHarmProbability(Worker worker, String filler) {
     double max = 0;
     for (String serving : worker.servingImages()) {
-      max = Math.max(max, pressure(serving, filler));
+      max = Math.max(max, harmProbability(serving, filler));
     }
     return max;
   }
 
-  /** Returns the load at which the tail latency has a ratio to its target. */
-  static double loadAt(double tailRatio) {
-    return Math.max(0, 1 - IDLE_TAIL_RATIO / tailRatio);
-  }
-
-  /** Lets the pressures approach the prior, as they may have changed since they were measured. */
+  /**
+   * Decays the probabilities of harm, so that a pair that was suspected wrongly, or whose harm has
+   * changed, is tried again after some time.
+   */
   void decay(long elapsedMillis) {
-    double share = 1 - Math.pow(0.5, (double) elapsedMillis / HALF_LIFE_MILLIS);
-    for (Map<String, Estimate> row : pressures.values()) {
-      for (Estimate pressure : row.values()) {
-        pressure.drift(PRESSURE_DRIFT * elapsedMillis / 1_000, PRIOR_VARIANCE);
-        if (pressure.mean() > PRIOR_PRESSURE) {
-          pressure.approach(PRIOR_PRESSURE, share);
-        }
-      }
+    double factor = Math.pow(0.5, (double) elapsedMillis / HALF_LIFE_MILLIS);
+    for (Map<String, Double> row : harmByServingImage.values()) {
+      row.replaceAll((filler, value) -> value <= PRIOR ? value : decayed(value, factor));
     }
   }
 
-  /** Updates the estimates from a worker that has just reported. */
-  void learn(Worker worker) {
-    Map<String, Double> shares = usedShares(worker);
-    for (Run run : worker.runs()) {
-      if (run.step().isServing() && run.gauge() > 0) {
-        learn(run, shares);
-      }
-    }
+  private static double decayed(double value, double factor) {
+    double odds = value / (1 - value) * factor;
+    return Math.max(PRIOR, odds / (1 + odds));
   }
 
-  private void learn(Run run, Map<String, Double> shares) {
-    String serving = run.step().image();
-    Estimate own = run.ownLoad();
-    own.drift(LOAD_DRIFT, Run.OWN_LOAD_VARIANCE);
-    double expected = own.mean();
-    double variance = MEASUREMENT_VARIANCE + own.variance();
-    for (Map.Entry<String, Double> filler : shares.entrySet()) {
-      Estimate pressure = estimate(serving, filler.getKey());
-      expected += filler.getValue() * pressure.mean();
-      variance += filler.getValue() * filler.getValue() * pressure.variance();
-    }
-    double load = Math.min(MAX_LOAD, loadAt(tailRatio(run)));
-    double error = load - expected;
-    boolean isFalling = run.gauge() < run.previousGauge() * FALL_FACTOR;
-    if (error < 0 ? load >= MAX_LOAD : isFalling) {
-      // The tail is beyond what can be measured, or still shows fillers that have gone.
+  /** Updates the probabilities from a worker that has just reported. */
+  void learn(Worker worker) {
+    Set<String> fillers = visibleFillers(worker);
+    if (fillers.isEmpty()) {
       return;
     }
-    own.correct(error, 1, variance, MAX_OWN_LOAD);
-    for (Map.Entry<String, Double> filler : shares.entrySet()) {
-      estimate(serving, filler.getKey()).correct(error, filler.getValue(), variance, MAX_PRESSURE);
-    }
-  }
-
-  private Estimate estimate(String serving, String filler) {
-    return pressures
-        .computeIfAbsent(serving, image -> new HashMap<>())
-        .computeIfAbsent(filler, image -> new Estimate(PRIOR_PRESSURE, PRIOR_VARIANCE));
-  }
-
-  /** Returns the shares of a worker's CPU that its fillers used in its last report, by image. */
-  private static Map<String, Double> usedShares(Worker worker) {
-    Map<String, Double> shares = new HashMap<>();
-    double capacity = worker.entry().capacity().cpuMillis();
     for (Run run : worker.runs()) {
-      if (run.step().filler() && run.gauge() > 0) {
-        shares.merge(run.step().image(), run.gauge() / capacity, Double::sum);
+      if (!run.step().isServing() || run.gauge() <= 0) {
+        continue;
+      }
+      if (isTailGrowing(run) && tailRatio(run) >= 1) {
+        raise(run, fillers);
+      } else if (tailRatio(run) < CALM_TAIL_RATIO) {
+        fillers.forEach(filler -> lower(run.step().image(), filler));
       }
     }
-    return shares;
   }
 
   /** Returns the last reported tail latency of a serving task, relative to its target. */
@@ -171,30 +119,84 @@
     return worst == null ? 0 : tailRatio(worst);
   }
 
+  /** Returns whether the tail latency of a serving task has grown since the previous report. */
+  static boolean isTailGrowing(Run run) {
+    return run.gauge() > run.previousGauge() * GROWTH_FACTOR;
+  }
+
+  /**
+   * Updates the probabilities by Bayes' rule, assuming that each filler is harmful independently of
+   * the others.
+   */
+  private void raise(Run run, Set<String> fillers) {
+    String serving = run.step().image();
+    double falseAlarm =
+        tailRatio(run) >= LARGE_TAIL_RATIO
+            ? LARGE_FALSE_ALARM_PROBABILITY
+            : FALSE_ALARM_PROBABILITY;
+    double noGrowth = 1 - falseAlarm;
+    for (String filler : fillers) {
+      noGrowth *= 1 - DETECTION_PROBABILITY * harmProbability(serving, filler);
+    }
+    Map<String, Double> posterior = new HashMap<>();
+    for (String filler : fillers) {
+      double prior = harmProbability(serving, filler);
+      double noGrowthIfHarmful =
+          noGrowth / (1 - DETECTION_PROBABILITY * prior) * (1 - DETECTION_PROBABILITY);
+      posterior.put(filler, prior * (1 - noGrowthIfHarmful) / (1 - noGrowth));
+    }
+    posterior.forEach((filler, value) -> set(serving, filler, value));
+  }
+
+  private void lower(String serving, String filler) {
+    double prior = harmProbability(serving, filler);
+    double odds = prior / (1 - prior) * CALM_ODDS_FACTOR;
+    set(serving, filler, odds / (1 + odds));
+  }
+
+  private void set(String serving, String filler, double value) {
+    harmByServingImage
+        .computeIfAbsent(serving, image -> new HashMap<>())
+        .put(filler, Math.max(MIN_PROBABILITY, Math.min(MAX_PROBABILITY, value)));
+  }
+
   /** Adds the entries that differ from the prior to a record, up to a maximum number. */
   void store(LearnedRecord.Builder record, int maxEntries) {
-    pressures.forEach(
+    harmByServingImage.forEach(
         (serving, row) ->
             row.forEach(
-                (filler, estimate) -> {
-                  if (Math.abs(estimate.mean() - PRIOR_PRESSURE) >= MIN_STORED_DIFFERENCE
+                (filler, value) -> {
+                  if (Math.abs(value - PRIOR) >= MIN_STORED_DIFFERENCE
                       && record.getHarmCount() < maxEntries) {
                     record.addHarm(
                         HarmEntry.newBuilder()
                             .setServingImage(serving)
                             .setFillerImage(filler)
-                            .setHarm(estimate.mean()));
+                            .setHarm(value));
                   }
                 }));
   }
 
-  /** Restores what an earlier holder learned; the first reports may correct it by much. */
+  /** Restores what an earlier holder learned. */
   void restore(LearnedRecord record) {
     for (HarmEntry entry : record.getHarmList()) {
-      double mean = Math.max(0, Math.min(MAX_PRESSURE, entry.getHarm()));
-      pressures
-          .computeIfAbsent(entry.getServingImage(), image -> new HashMap<>())
-          .put(entry.getFillerImage(), new Estimate(mean, PRIOR_VARIANCE));
+      set(entry.getServingImage(), entry.getFillerImage(), entry.getHarm());
+    }
+  }
+
+  /**
+   * Returns the images of the fillers whose last reported CPU usage is high enough to be
+   * considered.
+   */
+  private static Set<String> visibleFillers(Worker worker) {
+    Map<String, Double> cpuShares = new HashMap<>();
+    double capacity = worker.entry().capacity().cpuMillis();
+    for (Run run : worker.runs()) {
+      if (run.step().filler()) {
+        cpuShares.merge(run.step().image(), run.gauge() / capacity, Double::sum);
+      }
     }
+    cpuShares.values().removeIf(share -> share < MIN_VISIBLE_CPU_SHARE);
+    return cpuShares.keySet();
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -14,9 +14,6 @@
   /** Maximum number of start orders sent in one tick; bounds its duration. */
   private static final int MAX_STARTS_PER_PASS = 150;
 
-  /** Time from which a filler is placed by itself, whatever was refused to others before. */
-  private static final long LONG_WAIT_MILLIS = 700;
-
   private final ReadyQueue readyQueue;
   private final TaskRunner runner;
   private final Candidates candidates;
@@ -102,9 +99,6 @@
     /** Shapes of which a task that has waited fitted on no worker. */
     private final Set<Shape> shapesWithoutResort = new HashSet<>();
 
-    /** Shapes of fillers, or steps of those that wait for long, of which a task found no worker. */
-    private final Set<Object> withoutWorker = new HashSet<>();
-
     /** Shapes for which no capacity can be reserved. */
     private final Set<Shape> shapesWithoutReservation = new HashSet<>();
 
@@ -125,31 +119,12 @@
           placeGang(tasks);
         } else if (tasks.kind().isRestart()) {
           placeRestarts(tasks);
-        } else if (tasks.step().step().filler()) {
-          placeFillers(tasks);
         } else {
           placeTasks(tasks);
         }
       }
     }
 
-    /** Places fillers, of which those that have waited for long are placed by other rules. */
-    private void placeFillers(ReadyTasks tasks) {
-      for (Task task : tasks.tasks()) {
-        boolean waitsForLong = task.waitedMillis(now) >= LONG_WAIT_MILLIS;
-        Object alike = waitsForLong ? tasks.step() : tasks.shape();
-        if (withoutWorker.contains(alike)) {
-          continue;
-        }
-        Worker worker = choose(task, tasks.queue());
-        if (worker != null) {
-          start(task, worker);
-        } else if (!Candidates.isLastAttempt(task, tasks.queue())) {
-          withoutWorker.add(alike);
-        }
-      }
-    }
-
     private void placeTasks(ReadyTasks tasks) {
       Shape shape = tasks.shape();
       for (Task task : tasks.tasks()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -16,12 +16,6 @@
     STOPPING
   }
 
-  /** Variance of the own load of a serving task of which nothing is known. */
-  static final double OWN_LOAD_VARIANCE = 0.05;
-
-  private static final double MEAN_OWN_LOAD = 0.45;
-  private static final int FULL_PERCENT = 100;
-
   private final Task task;
   private final RunId id;
   private final Worker worker;
@@ -40,11 +34,7 @@
   private long lastProgressAt;
   private long gauge;
   private long previousGauge;
-  private int pace = FULL_PERCENT;
-  private boolean paceKnown;
-  private long pacedSince;
-  private long overTargetSince = Long.MAX_VALUE;
-  private final Estimate ownLoad = new Estimate(MEAN_OWN_LOAD, OWN_LOAD_VARIANCE);
+  private int pace = 100;
 
   Run(Task task, int attempt, Worker worker, State state, long nowMillis) {
     this.task = task;
@@ -52,7 +42,6 @@
     this.worker = worker;
     this.state = state;
     this.observedRunning = state == State.RUNNING;
-    this.paceKnown = state == State.STARTING;
     this.startedAt = nowMillis;
     this.lastProgressAt = nowMillis;
   }
@@ -157,8 +146,6 @@
     }
     previousGauge = gauge;
     gauge = report.gauge();
-    boolean isOver = step().isServing() && gauge > step().tailTargetMillis();
-    overTargetSince = isOver ? Math.min(overTargetSince, nowMillis) : Long.MAX_VALUE;
     worker.onReported(this);
     if (task.run() == this) {
       task.setCheckpoint(attempt(), report.checkpoint());
@@ -187,44 +174,11 @@
     return previousGauge;
   }
 
-  /** Returns its pace in percent, or full pace if it is not known. */
   int pace() {
-    return paceKnown ? pace : FULL_PERCENT;
-  }
-
-  /**
-   * Returns whether its pace is known: not if another holder started it, nor after an order that
-   * was not answered.
-   */
-  boolean isPaceKnown() {
-    return paceKnown;
+    return pace;
   }
 
-  void setPace(int newPercent, long nowMillis) {
+  void setPace(int newPercent) {
     pace = newPercent;
-    paceKnown = true;
-    pacedSince = nowMillis;
-  }
-
-  void setPaceUnknown() {
-    paceKnown = false;
-  }
-
-  /** Returns the time at which the pace was set. */
-  long pacedSince() {
-    return pacedSince;
-  }
-
-  /**
-   * Returns the time since which the tail latency of a serving task is reported to be over its
-   * target; the maximum value if it is not.
-   */
-  long overTargetSince() {
-    return overTargetSince;
-  }
-
-  /** Returns what is known of the load of a serving task without fillers beside it. */
-  Estimate ownLoad() {
-    return ownLoad;
   }
 }
