Send refused rows again each 10 s, whatever else is refused

A job whose row the table service refused for a passing cause stayed unsaved for as long as rows of other jobs were refused: each refusal moved the next try of all of them by 10 s. Callers read an old state of it, and its completions were not acknowledged.

Failed before: CellJournalTest#refusedJobIsSentAgainThoughAnotherIsRefusedTimeAndAgain, not sent again within 60 s while another job is refused each 5 s.

Now all refused jobs are sent again at a fixed interval of 10 s; the first try may come sooner.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -27,7 +27,9 @@
 
   private static final long RETRY_PAUSE_MILLIS = 100;
 
-  /** Pause before refused jobs are sent again, as something else may have caused the refusal. */
+  /**
+   * Interval at which all refused jobs are sent again, as something else may have caused a refusal.
+   */
   private static final long REFUSED_RETRY_PAUSE_MILLIS = 10_000;
 
   private final CellSettings settings;
@@ -432,7 +434,6 @@
     sentJobs = Set.of();
     rosterRefused |= sentRoster != null;
     sentRoster = null;
-    nextRefusedRetryAt = clock.monotonicMillis() + REFUSED_RETRY_PAUSE_MILLIS;
   }
 
   /** Handles a conflict with another holder, or with an own write whose answer was lost. */
