Tell the peers at once of a worker that was taken over

Callers were refused as not run while a worker changed hands: the entry instance that released it forwards to peers with free slots, and learned of those of the new holder with its next heartbeat, up to 0.5 s later; a request waits for 0.25 s.

FaultFuzzTest was not run.

Now a granted lease makes the next heartbeat due, 50 ms after the last at the earliest, so that many grants at a start cost few of them.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
@@ -58,6 +58,11 @@
     send(key, idempotent, 0);
   }
 
+  /** Sends one idempotent request to an entry instance and returns the exchange. */
+  long sendTo(EntryNode node) {
+    return send(node, "i" + ++lastKey, true);
+  }
+
   /** Sends many requests at once. */
   void sendBurst(int count) {
     for (int i = 0; i < count; i++) {
@@ -130,6 +135,13 @@
       return;
     }
     EntryNode node = ready.get(world.conditions.random.nextInt(ready.size()));
+    long exchange = send(node, key, idempotent);
+    if (!idempotent && retries < MAX_RETRIES) {
+      retryLater(exchange, key, retries);
+    }
+  }
+
+  private long send(EntryNode node, String key, boolean idempotent) {
     long exchange = newExchange();
     String body = idempotent ? key + "#" + exchange : key + "#";
     long deadline = world.time.millis() + TIMEOUT_MILLIS;
@@ -146,9 +158,7 @@
             .setTimeoutMillis(TIMEOUT_MILLIS)
             .setBody(ByteString.copyFromUtf8(body));
     world.input(node, Input.newBuilder().setCallerRequest(request));
-    if (!idempotent && retries < MAX_RETRIES) {
-      retryLater(exchange, key, retries);
-    }
+    return exchange;
   }
 
   /** Retries under the same key unless answered "done", sometimes before the answer arrives. */
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Scenario.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Scenario.java
@@ -25,7 +25,12 @@
   private final List<Long> applies = new ArrayList<>();
 
   Scenario(long seed) {
-    world = new World(seed, ZONES, ENTRIES_PER_ZONE, WORKERS_PER_ZONE);
+    this(seed, ZONES, ENTRIES_PER_ZONE, WORKERS_PER_ZONE);
+  }
+
+  /** Creates a scenario in a world of another size. */
+  Scenario(long seed, int zones, int entriesPerZone, int workersPerZone) {
+    world = new World(seed, zones, entriesPerZone, workersPerZone);
     callers = new Callers(world);
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/membership/MembershipSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/membership/MembershipSystem.java
@@ -11,11 +11,15 @@
   /** Factor by which the heartbeat interval to other availability zones is longer. */
   static final int REMOTE_INTERVAL_FACTOR = 4;
 
+  /** Minimum interval between two heartbeats of which none follows a release, in milliseconds. */
+  private static final long MIN_INTERVAL_MILLIS = 50;
+
   private final InstanceSettings settings;
   private final Outbox outbox;
   private final PeerTable peers;
   private final HeartbeatSource source;
   private long nextHeartbeat = Long.MIN_VALUE;
+  private long lastHeartbeat;
   private int heartbeatRounds;
 
   /** Creates the system; the first heartbeat goes out in the first tick. */
@@ -57,11 +61,17 @@
     if (now < nextHeartbeat) {
       return;
     }
+    lastHeartbeat = now;
     nextHeartbeat = now + settings.timing().heartbeat().toMillis();
     sendHeartbeats(heartbeatRounds % REMOTE_INTERVAL_FACTOR == 0);
     heartbeatRounds++;
   }
 
+  /** Makes the next heartbeat due, so that what has changed in this tick is known soon. */
+  public void sendSoon() {
+    nextHeartbeat = Math.min(nextHeartbeat, lastHeartbeat + MIN_INTERVAL_MILLIS);
+  }
+
   /** Sends a heartbeat to every peer at once, without waiting for the interval. */
   public void sendNow() {
     sendHeartbeats(true);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
@@ -16,6 +16,7 @@
 import org.hemlockpick.internal.membership.MembershipSystem;
 import org.hemlockpick.internal.membership.Peer;
 import org.hemlockpick.internal.membership.PeerTable;
+import org.hemlockpick.internal.ownership.LeaseListener;
 import org.hemlockpick.internal.ownership.OwnershipSystem;
 import org.hemlockpick.internal.ownership.Worker;
 import org.hemlockpick.internal.ownership.WorkerTable;
@@ -94,6 +95,7 @@
     limits = new LimitSystem(settings, outbox, peers, contracts);
     ownership = new OwnershipSystem(settings, outbox, workerCalls, peers, workers);
     ownership.setReleaseNotice(membership::sendNow);
+    ownership.addListener(new GrantNotice());
     requests =
         new RequestModule(
             settings,
@@ -317,4 +319,12 @@
         .setLeaving(worker.isLeaving())
         .build();
   }
+
+  /** Tells the peers of the slots of a worker whose lease was granted. */
+  private final class GrantNotice implements LeaseListener {
+    @Override
+    public void granted(Worker worker) {
+      membership.sendSoon();
+    }
+  }
 }
