Place one task of a job of which nothing runs ahead of others

Callers saw fillers of a job that was too late not start for as long as newer jobs kept coming: SlackPriority ranks what can no longer be in time behind all else of its priority, and priorities before each other, both without a bound. The CPU of fillers is not reserved, so that a service full of fillers counts as empty, and accepted work has to have something running within 3 s there.

One task (or gang) of fillers of a job that has had no run for 2 s goes ahead of all but lost long-running tasks, the longest wait first. Only fillers: other work can be overtaken only where the capacity is reserved. Weighed: ageing by lateness, which would place whole late jobs; only jobs beyond three times their objective, which leaves those in between.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWaitTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWaitTest.java
@@ -26,12 +26,12 @@
     return CellWorld.step(count, false, null, 0, true, List.of());
   }
 
-  /** Creates a step of tasks that take little capacity. */
-  private static Step small(int count, int cpuMillis) {
+  /** Creates a step of tasks that take little capacity, or fillers. */
+  private static Step small(int count, int cpuMillis, boolean filler) {
     ResourceAmounts demand = new ResourceAmounts(cpuMillis, 500, 0);
     return new Step(
         count, demand, 500, List.of(), false, false, false, null, null, 0, false, false, "image", 0,
-        false, null);
+        filler, null);
   }
 
   private static List<Long> startTimes(CellWorld world, String job) {
@@ -132,7 +132,7 @@
     CellWorld world = world(2);
     world.workers.runMillis = 40_000;
     for (int i = 0; i < 12; i++) {
-      world.submit(0, "s" + i, small(1, 300));
+      world.submit(0, "s" + i, small(1, 300, false));
     }
     world.time.runFor(1_000);
     long crashedAt = world.time.millis();
@@ -150,4 +150,37 @@
         spread <= MAX_WAIT_MILLIS,
         () -> spread + " ms between " + again + "\n" + String.join("\n", world.log));
   }
+
+  /**
+   * Guards against a job of fillers that can no longer be in time having nothing running for as
+   * long as others keep coming.
+   */
+  @Test
+  void jobThatIsTooLateKeepsMovingWhileOthersKeepComing() {
+    CellWorld world = world(3);
+    for (int i = 0; i < 20; i++) {
+      submitFillers(world, i);
+    }
+    long since = world.time.millis();
+    Submission old =
+        new Submission(
+            "old",
+            CellWorld.QUEUE,
+            "spec",
+            List.of(small(3, 2_000, true)),
+            0,
+            0,
+            0,
+            since - 120_000);
+    world.submit(0, old);
+    for (int i = 20; i < 120; i++) {
+      submitFillers(world, i);
+      world.time.runFor(250);
+    }
+    assertStartsWithin(world, "old", since, MAX_WAIT_MILLIS);
+  }
+
+  private static void submitFillers(CellWorld world, int number) {
+    world.submit(0, "n" + number, small(12, 2_000, true));
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -10,6 +10,7 @@
 
 /** A job of the cell with its state and progress. */
 final class Job {
+  private long hadRunAt = Long.MIN_VALUE / 2;
   private final Submission submission;
   private final long rowVersion;
   private final boolean inherited;
@@ -181,4 +182,14 @@
     }
     openedOccurrences = occurrence + 1;
   }
+
+  /** Records that a task has a run now. */
+  void setHasRun(long nowMillis) {
+    hadRunAt = nowMillis;
+  }
+
+  /** Returns the newest time on the monotonic clock at which a task was seen to have a run. */
+  long hadRunAt() {
+    return hadRunAt;
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PriorityPolicy.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PriorityPolicy.java
@@ -14,6 +14,13 @@
    */
   Rank rank(StepRun step, boolean isRestart, Queue queue, long wallMillis);
 
+  /**
+   * Returns the rank of one task of a job of which nothing has run for long; lower ranks go first.
+   *
+   * @param sinceMillis time on the monotonic clock since which the task could have run
+   */
+  Rank rankOfStarved(long sinceMillis);
+
   /**
    * A rank.
    *
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
@@ -12,6 +12,11 @@
 
 /** Collects the ready tasks in the order in which they are placed. */
 final class ReadyQueue {
+  /**
+   * Time after which one task of a job of which nothing runs goes ahead of others, in milliseconds.
+   */
+  private static final long MAX_OVERTAKEN_MILLIS = 2_000;
+
   private final JobTable jobs;
   private final JobLifecycle lifecycle;
   private final PriorityPolicy priority;
@@ -49,16 +54,58 @@
         continue;
       }
       job.openDueOccurrences(wall);
+      int before = ready.size();
       for (StepRun step : job.stepRuns()) {
         if (!step.isDone() && hasReady(step, now) && job.areDependenciesDone(step)) {
           add(step, queue, now, wall, ready);
         }
       }
+      if (hasNoRuns(job)) {
+        advanceStarved(ready, before, now);
+      } else {
+        job.setHasRun(now);
+      }
     }
     ready.sort(Comparator.comparing(ReadyTasks::rank));
     return ready;
   }
 
+  private static boolean hasNoRuns(Job job) {
+    return job.stepRuns().stream()
+        .filter(step -> !step.isDone())
+        .allMatch(step -> step.tasks().stream().allMatch(Task::hasNoRuns));
+  }
+
+  /**
+   * Puts one task of a job of which nothing runs ahead of other jobs if it has waited too long.
+   * Only fillers can be overtaken for as long as others keep coming while the workers count as
+   * empty, as their CPU is not reserved.
+   *
+   * @param from index of the first ready tasks of the job
+   */
+  private void advanceStarved(List<ReadyTasks> ready, int from, long now) {
+    for (ReadyTasks tasks : List.copyOf(ready.subList(from, ready.size()))) {
+      Task first = tasks.tasks().get(0);
+      boolean isShortFiller = tasks.step().step().filler() && !tasks.step().step().longRunning();
+      long since = Math.max(now - first.waitedMillis(now), tasks.step().job().hadRunAt());
+      if (isShortFiller && now - since >= MAX_OVERTAKEN_MILLIS) {
+        List<Task> advanced = tasks.isGang() ? tasks.tasks() : List.of(first);
+        PriorityPolicy.Rank rank = priority.rankOfStarved(since);
+        ready.add(new ReadyTasks(tasks.step(), tasks.kind(), advanced, tasks.queue(), rank));
+        ready.remove(tasks);
+        addRest(tasks, advanced.size(), ready);
+        return;
+      }
+    }
+  }
+
+  private static void addRest(ReadyTasks tasks, int from, List<ReadyTasks> ready) {
+    List<Task> rest = tasks.tasks().subList(from, tasks.tasks().size());
+    if (!rest.isEmpty()) {
+      ready.add(new ReadyTasks(tasks.step(), tasks.kind(), rest, tasks.queue(), tasks.rank()));
+    }
+  }
+
   private boolean hasReady(StepRun step, long now) {
     for (Task task : step.tasks()) {
       if (isReady(task, now)) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackPriority.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackPriority.java
@@ -3,16 +3,17 @@
 import java.util.List;
 
 /**
- * Ranks long-running tasks that have lost their run first. Of the rest, urgent queues come first;
- * within a queue priority, steps that can still be on time, by latest start; then long-running
- * steps and those that can still be finished late; then the rest.
+ * Ranks long-running tasks that have lost their run first, then one task of each starved job. Of
+ * the rest, urgent queues come first; within a queue priority, steps that can still be on time, by
+ * latest start; then long-running steps and those that can still be finished late; then the rest.
  */
 final class SlackPriority implements PriorityPolicy {
   /** A finished job has value until it has taken this many times its objective. */
   private static final int LATE_FACTOR = 3;
 
   private static final int GROUPS_PER_PRIORITY = 3;
-  private static final int RESTART_GROUP = -1;
+  private static final int RESTART_GROUP = -2;
+  private static final int STARVED_GROUP = -1;
 
   private final RunTimeEstimator estimator;
 
@@ -44,6 +45,11 @@
     return new Rank(group, latestStart);
   }
 
+  @Override
+  public Rank rankOfStarved(long sinceMillis) {
+    return new Rank(STARVED_GROUP, sinceMillis);
+  }
+
   /** Returns the expected duration of the longest chain of steps that begins at a step or later. */
   private long longestChain(Submission job, Queue queue, int from) {
     List<Step> steps = job.steps();
