Watch in the fuzz tests that what can run is started

StartWatchdog asks the fake workers, the store and the callers only: a job with a task whose turn has come, room for twice that task at usable workers and less than half of the capacity in use must not be without a run for 3 s, a long-running task not for 6 s. It judges from a lease of a worker and one of the cell after the last disturbance, and 4 s more.

Not judged: jobs with a task that crashes workers, occurrences, and tasks whose completion was lost with its worker before anyone read it.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFuzzTest.java
@@ -29,6 +29,7 @@
 
   private static void play(long seed, long leaseMillis) {
     CellWorld world = new CellWorld(seed, NODES, WORKERS, leaseMillis);
+    StartWatchdog watchdog = new StartWatchdog(world, leaseMillis);
     SplittableRandom random = new SplittableRandom(seed);
     world.workers.failureProbability = 0.05;
     world.workers.runMillis = 200L + random.nextInt(4_000);
@@ -41,6 +42,7 @@
     heal(world);
     world.time.runFor(RECOVERY_MILLIS);
     assertEquals(List.of(), world.workers.violations, () -> tail(world));
+    assertEquals(List.of(), watchdog.violations, () -> tail(world));
     assertEquals(List.of(), world.unfinished(), () -> tail(world));
     assertEquals(List.of(), world.workers.violations, () -> tail(world));
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -36,6 +36,10 @@
   final List<Node> nodes = new ArrayList<>();
   final List<String> log = new ArrayList<>();
   private final Map<String, Submission> accepted = new LinkedHashMap<>();
+
+  /** Jobs whose acceptance was confirmed to their caller. */
+  private final Map<String, Submission> acknowledged = new LinkedHashMap<>();
+
   private final List<String> workerIds = new ArrayList<>();
   private final SplittableRandom random;
   private final long leaseMillis;
@@ -222,7 +226,9 @@
         2_000,
         reply -> {
           answered[0] = true;
-          if (reply.code() != ResultCode.DONE) {
+          if (reply.code() == ResultCode.DONE) {
+            acknowledged.putIfAbsent(job.id(), job);
+          } else {
             time.after(200, () -> trySubmit(index + 1, job));
           }
         });
@@ -236,6 +242,17 @@
     }
   }
 
+  /** Returns the jobs whose acceptance was confirmed to their caller. */
+  List<Submission> acceptedJobs() {
+    return List.copyOf(acknowledged.values());
+  }
+
+  /** Returns whether the platform lists a worker as draining. */
+  boolean isDraining(String worker) {
+    String entry = store.platformValue("workers", worker).map(ByteString::toStringUtf8).orElse("");
+    return entry.split(" ", -1).length == 2;
+  }
+
   /** Returns how many failures of the tasks of a job are stored. */
   int failures(String id) {
     return store
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -78,6 +78,11 @@
     write(new Name(table, "", key), value, ++version);
   }
 
+  /** Returns the value of a row of the platform; empty if there is none. */
+  Optional<ByteString> platformValue(String table, String key) {
+    return Optional.ofNullable(rows.get(new Name(table, "", key))).map(Row::value);
+  }
+
   /** Returns the value of a row of the cell; empty if there is none. */
   Optional<ByteString> value(String table, String key) {
     return Optional.ofNullable(rows.get(new Name(table, "c0", key))).map(Row::value);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -41,6 +41,9 @@
   /** Maximum number of completions in one reply. */
   private static final int MAX_COMPLETIONS = 500;
 
+  /** Number of completions in one reply from which it is not complete. */
+  int maxCompletions = MAX_COMPLETIONS;
+
   /**
    * Time after a worker's capacity has shrunk from which a start must not rely on the former one,
    * in milliseconds: 4 s of contact and one heartbeat.
@@ -181,6 +184,11 @@
     return count;
   }
 
+  /** Returns all workers that there ever were. */
+  List<Model> all() {
+    return List.copyOf(models.values());
+  }
+
   /** Returns whether a task runs at a worker that is up. */
   boolean isRunning(TaskId task) {
     return running(task) > 0;
@@ -326,10 +334,29 @@
       this.id = id;
     }
 
+    String id() {
+      return id;
+    }
+
     long bootTimeMillis() {
       return bootTimeMillis;
     }
 
+    /** Returns whether calls to it arrive and are answered in time. */
+    boolean isReachable() {
+      return !isDown() && !refusesConnections && !answersLost && !replaced;
+    }
+
+    /** Returns the capacity that no run has reserved. */
+    ResourceAmounts free() {
+      return capacity.minus(reserved());
+    }
+
+    /** Returns how many tasks of the step of a task run on it. */
+    int countOfStep(TaskId task) {
+      return (int) runs.keySet().stream().filter(run -> isSameStep(run.task(), task)).count();
+    }
+
     ResourceAmounts capacity() {
       return capacity;
     }
@@ -629,7 +656,7 @@
       ImmutableList.Builder<RunReport> running = ImmutableList.builder();
       runs.forEach((run, since) -> running.add(report(run, since)));
       ImmutableList<CompletionReport> listed = reportedCompletions();
-      boolean isComplete = listed.size() < MAX_COMPLETIONS;
+      boolean isComplete = listed.size() < maxCompletions;
       return new HoldReply(
           OrderOutcome.ACCEPTED, clock(), bootTimeMillis, running.build(), listed, isComplete);
     }
@@ -673,7 +700,7 @@
     /** Returns the completions to report; the others follow when these are acknowledged. */
     private ImmutableList<CompletionReport> reportedCompletions() {
       return ImmutableList.copyOf(
-          completions.subList(0, Math.min(MAX_COMPLETIONS, completions.size())));
+          completions.subList(0, Math.min(maxCompletions, completions.size())));
     }
 
     /** Returns how many completions are not acknowledged. */
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFuzzTest.java
@@ -35,6 +35,7 @@
 
   private static void play(long seed, long leaseMillis, long settleMillis) {
     CellWorld world = new CellWorld(seed, NODES, WORKERS, leaseMillis);
+    StartWatchdog watchdog = new StartWatchdog(world, leaseMillis);
     SplittableRandom random = new SplittableRandom(seed);
     world.workers.failureProbability = 0.02;
     world.workers.runMillis = 100L + random.nextInt(6_000);
@@ -51,6 +52,7 @@
     heal(world);
     world.time.runFor(RECOVERY_MILLIS);
     assertEquals(List.of(), world.workers.violations, () -> String.join("\n", world.log));
+    assertEquals(List.of(), watchdog.violations, () -> String.join("\n", world.log));
     assertEquals(List.of(), world.unfinished(), () -> String.join("\n", world.log));
     assertEquals(List.of(), world.workers.violations, () -> String.join("\n", world.log));
   }
