Try fillers that have waited where they are refused by belief

Callers saw accepted fillers stopped twice and then not started for 40 s and more, with most of the capacity free. Nothing tested the belief, and a trial, when it faded, was of all fillers of the image at once.

A filler that has waited for 2 s, where half of the service is not reserved, is tried where it is least expected to harm, one harmful filler a worker, at a slow pace from its start. Near the target harmful fillers share a slow pace instead of standing still. One filler of a job without any run finds a worker even if no CPU is left.

LongestWaitReporterTest: a refusal by belief ends after 2 s now, so that the test looks at its line and gauge before, and asks for the trial after.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
@@ -464,6 +464,9 @@
   private TaskRunner runner(JobLifecycle lifecycle) {
     TaskRunner.Context context =
         new TaskRunner.Context() {
+          @Override
+          public void onStarted(Run run) {}
+
           @Override
           public void onFenced(Worker worker) {}
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongestWaitReporterTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/LongestWaitReporterTest.java
@@ -97,14 +97,18 @@
     world.time.runFor(1_000);
     assertEquals(1, lines(" stop f\\.0\\.0\\.0 .*harms serving tasks").size());
     world.workers.gaugeByJob.put("s", CALM_MILLIS);
-    world.time.runFor(3_000);
+    int before = lines(" start f\\.0\\.0\\.0 ").size();
+    world.time.runFor(1_700);
     List<Long> waits =
         numbers(
             " wait f\\.0\\.0\\.0 refused at all workers \\(waits for (\\d+) ms, .* 4 harm expected,"
                 + " .*serving tasks at 20% to 20% of their target");
-    assertTrue(waits.size() >= 2, () -> String.join("\n", lines(" (wait|stop|start) f")));
-    assertTrue(waits.get(waits.size() - 1) <= 4_000, waits::toString);
+    assertEquals(1, waits.size(), () -> String.join("\n", lines(" (wait|stop|start) f")));
+    assertTrue(waits.get(0) <= 2_000, waits::toString);
     assertEquals(WORKERS, gauge("tasks.waiting.FILLER.workers.HARM_EXPECTED"));
+    // A refusal by belief ends with a trial.
+    world.time.runFor(1_500);
+    assertEquals(before + 1, lines(" start f\\.0\\.0\\.0 ").size());
   }
 
   /** Guards against a load line that does not show idle cores beside fillers that wait. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -352,6 +352,11 @@
       end(HolderEnd.FENCED, worker.id() + " has seen a higher fencing token");
     }
 
+    @Override
+    public void onStarted(Run run) {
+      paceController.onStarted(run);
+    }
+
     @Override
     public void onChange() {
       changedSincePlan = true;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceAwarePlacement.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceAwarePlacement.java
@@ -15,6 +15,9 @@
    */
   private static final double MAX_TAIL_RATIO = 0.8;
 
+  /** The same for a filler that is tried after a long wait. */
+  private static final double MAX_TRIAL_TAIL_RATIO = 0.7;
+
   /** Share of a filler's CPU demand that must be free, in percent. */
   private static final int MIN_FILLER_CPU_PERCENT = 70;
 
@@ -57,20 +60,54 @@
     return best;
   }
 
+  /**
+   * Places a filler where it is least expected to harm. A worker gets one harmful filler at a time,
+   * while its serving tasks are far from their targets. One filler of a job without any run finds a
+   * worker even if no CPU is left, which fillers share.
+   */
+  @Override
+  public @Nullable Worker chooseForTrial(Task task, Iterable<Worker> candidates) {
+    Step step = task.step().step();
+    if (!step.filler()) {
+      return null;
+    }
+    long minUnusedCpu = task.job().hasRuns() ? wantedCpu(step) : Long.MIN_VALUE;
+    Worker best = null;
+    long bestScore = Long.MIN_VALUE;
+    for (Worker worker : candidates) {
+      long score = kindScore(step, worker);
+      if (score > bestScore && unusedCpu(worker) >= minUnusedCpu && mayTry(step, worker)) {
+        best = worker;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  private boolean mayTry(Step step, Worker worker) {
+    boolean isHarmful = interference.isHarmful(worker, step.image());
+    return InterferenceModel.worstTailRatio(worker) < MAX_TRIAL_TAIL_RATIO
+        && !(isHarmful && interference.countHarmful(worker) > 0);
+  }
+
+  /** Returns the unused CPU with which a filler may be placed, in millicores. */
+  private static long wantedCpu(Step step) {
+    return step.demand().cpuMillis() * MIN_FILLER_CPU_PERCENT / 100;
+  }
+
   @Override
   public @Nullable IneligibleReason refusal(Task task, Worker worker) {
     Step step = task.step().step();
     if (!step.filler()) {
       return null;
     }
-    if (unusedCpu(worker) < step.demand().cpuMillis() * MIN_FILLER_CPU_PERCENT / 100) {
+    if (unusedCpu(worker) < wantedCpu(step)) {
       return IneligibleReason.TOO_LITTLE_UNUSED_CPU;
     }
     if (InterferenceModel.worstTailRatio(worker) >= MAX_TAIL_RATIO) {
       return IneligibleReason.HIGH_TAIL_LATENCY;
     }
-    double harm = interference.maxHarmProbability(worker, step.image());
-    return harm >= InterferenceModel.HARMFUL_PROBABILITY ? IneligibleReason.HARM_EXPECTED : null;
+    return interference.isHarmful(worker, step.image()) ? IneligibleReason.HARM_EXPECTED : null;
   }
 
   /** Returns the CPU that one more filler is likely to get, in millicores. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceModel.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/InterferenceModel.java
@@ -74,6 +74,20 @@
     return max;
   }
 
+  /** Returns whether a filler is believed to harm a serving task of a worker. */
+  boolean isHarmful(Worker worker, String filler) {
+    return maxHarmProbability(worker, filler) >= HARMFUL_PROBABILITY;
+  }
+
+  /** Returns how many fillers of a worker are believed to harm a serving task there. */
+  int countHarmful(Worker worker) {
+    int count = 0;
+    for (Run run : worker.runs()) {
+      count += run.step().filler() && isHarmful(worker, run.step().image()) ? 1 : 0;
+    }
+    return count;
+  }
+
   /**
    * Decays the probabilities of harm, so that a pair that was suspected wrongly, or whose harm has
    * changed, is tried again after some time.
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -183,6 +183,11 @@
     openedOccurrences = occurrence + 1;
   }
 
+  /** Returns whether a task has a run. */
+  boolean hasRuns() {
+    return stepRuns.stream().anyMatch(StepRun::hasRuns);
+  }
+
   /** Records that a task has a run now. */
   void setHasRun(long nowMillis) {
     hadRunAt = nowMillis;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceController.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PaceController.java
@@ -14,9 +14,15 @@
   private static final int FULL_PERCENT = 100;
   private static final int HALF_PERCENT = 50;
 
-  /** Tail latency from which fillers of a harmful image are paused, relative to the target. */
+  /** Pace that the harmful fillers of a worker share near the target, in percent. */
+  private static final int SLOW_PERCENT = 25;
+
+  /** Tail latency from which fillers of a harmful image share a pace, relative to the target. */
   private static final double NEAR_TARGET_RATIO = 0.55;
 
+  /** Tail latency from which they are paused, relative to the target. */
+  private static final double MAX_SLOW_TAIL_RATIO = 0.7;
+
   /** Tail latency from which all fillers are throttled if it grows, relative to the target. */
   private static final double HIGH_TAIL_RATIO = 0.9;
 
@@ -54,6 +60,15 @@
     this.log = log;
   }
 
+  /** Slows a filler down that has just started where it is believed to do harm. */
+  void onStarted(Run run) {
+    Worker worker = run.worker();
+    if (run.step().filler() && interference.isHarmful(worker, run.step().image())) {
+      double tailRatio = InterferenceModel.worstTailRatio(worker);
+      setPace(run, harmfulPace(tailRatio, interference.countHarmful(worker)), tailRatio);
+    }
+  }
+
   /**
    * Adjusts the pace of the fillers on a worker that has just reported.
    *
@@ -65,31 +80,17 @@
     double tailRatio = worst == null ? 0 : InterferenceModel.tailRatio(worst);
     boolean isGrowing =
         worst != null && tailRatio >= HIGH_TAIL_RATIO && InterferenceModel.isTailGrowing(worst);
-    boolean isCauseKnown = hasHarmfulFiller(worker);
+    int harmful = interference.countHarmful(worker);
     for (Run run : worker.runs()) {
       if (run.step().filler() && run.state() == Run.State.RUNNING) {
-        decide(run, tailRatio, isGrowing && !isCauseKnown, isPlaceable);
+        decide(run, tailRatio, isGrowing && harmful == 0, harmful, isPlaceable);
       }
     }
   }
 
-  private boolean hasHarmfulFiller(Worker worker) {
-    for (Run run : worker.runs()) {
-      if (run.step().filler() && isHarmful(run)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private boolean isHarmful(Run run) {
-    return interference.maxHarmProbability(run.worker(), run.step().image())
-        >= InterferenceModel.HARMFUL_PROBABILITY;
-  }
-
   private void decide(
-      Run run, double tailRatio, boolean isUnexplained, Predicate<Task> isPlaceable) {
-    if (!isHarmful(run)) {
+      Run run, double tailRatio, boolean isUnexplained, int harmful, Predicate<Task> isPlaceable) {
+    if (!interference.isHarmful(run.worker(), run.step().image())) {
       setPace(
           run,
           isUnexplained ? HALF_PERCENT : tailRatio < CALM_TAIL_RATIO ? FULL_PERCENT : run.pace(),
@@ -103,7 +104,15 @@
     if (isMoved && tryStop.test(run, reason)) {
       return;
     }
-    setPace(run, tailRatio >= NEAR_TARGET_RATIO ? 0 : HALF_PERCENT, tailRatio);
+    setPace(run, harmfulPace(tailRatio, harmful), tailRatio);
+  }
+
+  /** Returns the pace of each of the harmful fillers on a worker, in percent. */
+  private static int harmfulPace(double tailRatio, int harmful) {
+    if (tailRatio < NEAR_TARGET_RATIO) {
+      return HALF_PERCENT;
+    }
+    return tailRatio < MAX_SLOW_TAIL_RATIO ? SLOW_PERCENT / harmful : 0;
   }
 
   private void setPace(Run run, int pace, double tailRatio) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -163,12 +163,15 @@
       return chooseAmong(task, queue, eligible);
     }
 
-    /** Chooses among the eligible workers, or else among the last resorts. */
+    /** Chooses among the eligible workers, or else among the last resorts, if only as a trial. */
     private @Nullable Worker chooseAmong(Task task, Queue queue, List<Worker> eligible) {
       Worker worker = chooseAmong(task, eligible);
-      return worker != null || !task.hasWaited(now)
-          ? worker
-          : chooseAmong(task, candidates.lastResorts(task, queue, schedulable));
+      if (worker != null || !task.hasWaited(now)) {
+        return worker;
+      }
+      List<Worker> resorts = candidates.lastResorts(task, queue, schedulable);
+      worker = chooseAmong(task, resorts);
+      return worker != null ? worker : placement.chooseForTrial(task, resorts);
     }
 
     private @Nullable Worker chooseAmong(Task task, List<Worker> eligible) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
@@ -60,22 +60,16 @@
           add(step, queue, now, wall, ready);
         }
       }
-      if (hasNoRuns(job)) {
-        advanceStarved(ready, before, now);
-      } else {
+      if (job.hasRuns()) {
         job.setHasRun(now);
+      } else {
+        advanceStarved(ready, before, now);
       }
     }
     ready.sort(Comparator.comparing(ReadyTasks::rank));
     return ready;
   }
 
-  private static boolean hasNoRuns(Job job) {
-    return job.stepRuns().stream()
-        .filter(step -> !step.isDone())
-        .allMatch(step -> step.tasks().stream().allMatch(Task::hasNoRuns));
-  }
-
   /**
    * Puts one task of a job of which nothing runs ahead of other jobs if it has waited too long.
    * Only fillers can be overtaken for as long as others keep coming while the workers count as
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/StepRun.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/StepRun.java
@@ -62,6 +62,11 @@
     tasks.forEach(this::complete);
   }
 
+  /** Returns whether a task has a run. */
+  boolean hasRuns() {
+    return !isDone() && tasks.stream().anyMatch(task -> !task.hasNoRuns());
+  }
+
   boolean hasProgress() {
     return doneCount > 0 || tasks.stream().anyMatch(Task::needsStoring);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -60,6 +60,9 @@
     /** Called when a worker has seen a higher fencing token. */
     void onFenced(Worker worker);
 
+    /** Called when a worker has accepted the order to start a run. */
+    void onStarted(Run run);
+
     /** Called when capacity or tasks have changed, so that tasks may be placed. */
     void onChange();
   }
@@ -234,6 +237,7 @@
       run.setReportableSince(now);
       run.worker().setNextHoldAt(Math.min(run.worker().nextHoldAt(), now));
       lifecycle.onStarted(run.task().job());
+      context.onStarted(run);
     }
   }
 
