--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellSettingsReaderTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellSettingsReaderTest.java
@@ -18,7 +18,7 @@
           Map.entry("{{zone}}", "kgn-a"),
           Map.entry("{{listen.frontend}}", "10.1.0.13:8161"),
           Map.entry("{{listen.readiness}}", "10.1.0.13:8167"),
-          Map.entry("{{ip}}:{{port_range.0}}", "10.1.0.13:7720"),
+          Map.entry("{{ip}}", "10.1.0.13"),
           Map.entry("{{platform.address}}", "10.200.1.7:8169"),
           Map.entry("{{bounds.hold_max_ms}}", "10000"),
           Map.entry("{{bounds.stop_ms}}", "900"),
