--- /dev/null
+++ b/review/standin/Deployment.java
@@ -0,0 +1,75 @@
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+/** A small deployment: a store, workers of one service, one queue, and entry instances. */
+final class Deployment {
+  static final String PREFIX = "/jobs/";
+  static final long MAX_LEASE_MILLIS = 6_000;
+
+  final World world;
+  final Store store;
+  final List<Worker> workers = new ArrayList<>();
+  final List<Store.Port> ports = new ArrayList<>();
+  final List<Entry> entries = new ArrayList<>();
+
+  Deployment(World world, int workerCount, int entryCount, int maxAttempts) throws IOException {
+    this.world = world;
+    this.store = new Store(world);
+    Path folder = Files.createTempDirectory("review");
+    store.put("op", "config", manifest(maxAttempts));
+    for (int i = 0; i < workerCount; i++) {
+      workers.add(new Worker(world, store, i, 8_000, MAX_LEASE_MILLIS));
+    }
+    for (int i = 1; i <= entryCount; i++) {
+      Store.Port port = store.new Port();
+      ports.add(port);
+      entries.add(new Entry(world, folder, i, port.address(), MAX_LEASE_MILLIS));
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(this::end));
+    for (Entry entry : entries) {
+      entry.start();
+    }
+    if (!await(30_000, () -> entries.stream().allMatch(Entry::isReady))) {
+      throw new IOException("the entry instances are not ready after 30 s");
+    }
+    world.log("all entry instances are ready");
+  }
+
+  private static ObjectNode manifest(int maxAttempts) {
+    ObjectNode manifest = StubServer.object().put("version", 1);
+    ObjectNode route = manifest.putArray("routes").addObject();
+    route.put("name", "q1").put("host", "127.0.0.1").put("path_prefix", PREFIX);
+    route.put("service", "svc").put("max_attempts", maxAttempts).put("priority", 1);
+    route.put("slack_factor", 1.5).put("target_latency_ms", 1_000);
+    ObjectNode service = manifest.putArray("services").addObject();
+    service.put("name", "svc").put("enforce_capacity", true);
+    manifest.putObject("limits").put("max_body_bytes", 262_144);
+    return manifest;
+  }
+
+  /** Returns the worker where a task whose name begins so runs; null if there is none. */
+  Worker workerOf(String prefix) {
+    return workers.stream().filter(worker -> worker.runs(prefix)).findFirst().orElse(null);
+  }
+
+  /** Waits for a condition; returns whether it came true in time. */
+  boolean await(long millis, BooleanSupplier condition) {
+    long end = world.now() + millis;
+    while (!condition.getAsBoolean()) {
+      if (world.now() >= end) {
+        return false;
+      }
+      World.sleep(20);
+    }
+    return true;
+  }
+
+  void end() {
+    entries.forEach(Entry::end);
+  }
+}
