--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -1,3 +1,4 @@
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -16,12 +17,14 @@
   final List<Worker> workers = new ArrayList<>();
   final List<Store.Port> ports = new ArrayList<>();
   final List<Entry> entries = new ArrayList<>();
+  private final int maxAttempts;
 
   Deployment(World world, int workerCount, int entryCount, int maxAttempts) throws IOException {
     this.world = world;
     this.store = new Store(world);
     Path folder = Files.createTempDirectory("review");
-    store.put("op", "config", manifest(maxAttempts));
+    this.maxAttempts = maxAttempts;
+    putManifest(1, "jobs", "other");
     for (int i = 0; i < workerCount; i++) {
       workers.add(new Worker(world, store, i, 8_000, MAX_LEASE_MILLIS));
     }
@@ -40,16 +43,22 @@
     world.log("all entry instances are ready");
   }
 
-  private static ObjectNode manifest(int maxAttempts) {
-    ObjectNode manifest = StubServer.object().put("version", 1);
-    ObjectNode route = manifest.putArray("routes").addObject();
-    route.put("name", "q1").put("host", "127.0.0.1").put("path_prefix", PREFIX);
-    route.put("service", "svc").put("max_attempts", maxAttempts).put("priority", 1);
-    route.put("slack_factor", 1.5).put("target_latency_ms", 1_000);
+  /** Writes a manifest, as the operator does, with a route for each of some prefixes. */
+  void putManifest(int version, String... prefixes) {
+    ObjectNode manifest = StubServer.object().put("version", version);
+    ArrayNode routes = manifest.putArray("routes");
+    for (String prefix : prefixes) {
+      ObjectNode route = routes.addObject();
+      route.put("name", "r-" + prefix).put("host", "127.0.0.1");
+      route.put("path_prefix", "/" + prefix + "/").put("kind", "non_idempotent");
+      route.put("timeout_ms", 3_000).put("service", "svc").put("max_attempts", maxAttempts);
+      route.put("priority", 1).put("slack_factor", 1.5).put("target_latency_ms", 1_000);
+    }
     ObjectNode service = manifest.putArray("services").addObject();
     service.put("name", "svc").put("enforce_capacity", true);
     manifest.putObject("limits").put("max_body_bytes", 262_144);
-    return manifest;
+    store.put("op", "config", manifest);
+    world.log("the store confirms manifest %d with routes %s", version, List.of(prefixes));
   }
 
   /** Returns the worker where a task whose name begins so runs; null if there is none. */
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -14,6 +14,7 @@
     try {
       switch (number) {
         case "1" -> Case1.run(world, isTroubled);
+        case "2" -> Case2.run(world, isTroubled);
         default -> throw new IllegalArgumentException("no case " + number);
       }
       status = world.violations().isEmpty() ? 0 : 1;
