--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -15,6 +15,7 @@
       switch (number) {
         case "1" -> Case1.run(world, isTroubled);
         case "2" -> Case2.run(world, isTroubled);
+        case "3" -> Case3.run(world, isTroubled);
         default -> throw new IllegalArgumentException("no case " + number);
       }
       status = world.violations().isEmpty() ? 0 : 1;
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -40,6 +40,9 @@
   private long lastEnd;
   private long seq;
 
+  /** How far its machine's time of day is ahead, in milliseconds; its steady clock is not. */
+  private volatile long timeOfDayAhead;
+
   /** A run of a task. */
   private record Run(String task, int attempt, int cpu, long startedAt, long endsAt) {}
 
@@ -85,6 +88,12 @@
     return up;
   }
 
+  /** Lets the time of day of its machine jump. */
+  void setTimeOfDayAhead(long millis) {
+    timeOfDayAhead = millis;
+    world.log("the time of day at %s is %d ms ahead", label(), millis);
+  }
+
   /** Crashes: all connections end, and with them everything that runs here. */
   void crash(long downMillis) {
     synchronized (this) {
@@ -111,13 +120,13 @@
     boots++;
     up = true;
     bootAt = world.now();
-    born = System.currentTimeMillis();
+    born = System.currentTimeMillis() + timeOfDayAhead;
     highestToken = 0;
     leaseUntil = 0;
     lastEnd = 0;
     seq = 0;
     highestAttempts.clear();
-    world.log("worker %s is up at %s", label(), server.address());
+    world.log("worker %s is up at %s, born %d", label(), server.address(), born);
     report();
   }
 
