Stop a run whose order cannot be repeated any more

A task whose order is lost keeps its run in STARTING for as long as the holder lasts, so that its job never ends.

TaskRunner decides on a repetition with one reading of the clock and sends the order with another. If the time for leases ends between the two, or the process stands still there, the order was not sent, and the run was neither stopped nor ordered again: no report names it, and only a stop, or a token higher than its order's, proves that it is gone.

The other early returns of TaskRunner were read for the same shape. A start that is not stored is dropped or sent with the transaction. A FENCED reply to an order with a replaced token asks for a report with the higher token, which proves the run gone or shows it. A FENCED reply to a stop, and a stop that is not sent as orders are not allowed, leave a STOPPING run whose stop is sent again. A run of an unknown task is named by the next report.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -152,6 +152,8 @@
       // The cell's lease became uncertain while the order was prepared.
       if (run.startOrdersSent() == 0) {
         drop(run);
+      } else {
+        stop(run, "the order cannot be repeated without a renewal");
       }
       return;
     }
