Use no worker whose address is none

An entry of the list of workers may come from another writer.

PlatformRowParser names a worker only where the address is an IP address with a port of 1 to 65535, as the platform has no names (no name lookups are available there); the other entries hold.

HttpEndpoint created the request of a call after it had counted the call as in flight: a malformed address threw and used up one of the calls of its endpoint for good. Now such a call is answered as not sent, and logged with the failed calls. A host name is looked up by the transport with the blocking resolver of the platform's Java, on the one thread of all calls (not the loop's): a slow lookup delays all calls and their timeouts. Its Javadoc says so.

Fail on the code before: 14 addresses in PlatformRowParserTest, and two in PlatformCallsTest (`host 17` and one with a line break, over the real transport; 100 calls each). The other two there are kept as they were answered before.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformCallsTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformCallsTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.Collections.nCopies;
+import static java.util.concurrent.TimeUnit.MILLISECONDS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,6 +13,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.hemlockpick.cell.TableService.Outcome;
@@ -37,10 +39,16 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the calls to the platform over real connections, against a server with set replies. */
 class PlatformCallsTest {
   private static final long TIMEOUT = 2_000;
+
+  /** Time in which every call has its answer, though the machine is busy. */
+  private static final long TIMEOUT_MILLIS = 20_000;
+
   private static final RowName ROW = new RowName("jobs", "a/s");
   private static final Transaction INSERT =
       new Transaction(
@@ -265,4 +273,23 @@
     workers().hold(new Target("i-1", address()), new HoldCall(7, 57, null, 0), reply::complete);
     return reply.join();
   }
+
+  /** Guards against calls that throw, or that use up their endpoint, as their address is none. */
+  @ParameterizedTest
+  @ValueSource(strings = {"host 17", "a\nb:1", "127.0.0.1:70000", "127.0.0.1:0"})
+  void callToAnAddressThatIsNoneIsAnswered(String none) {
+    PlatformWorkerClient workers = workers();
+    Target target = new Target("i-7f3a91c2", none);
+    HoldCall call = new HoldCall(1, 0, null, 0);
+    List<CompletableFuture<HoldReply>> replies = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      CompletableFuture<HoldReply> reply = new CompletableFuture<>();
+      workers.hold(target, call, reply::complete);
+      replies.add(reply);
+    }
+    for (CompletableFuture<HoldReply> reply : replies) {
+      OrderOutcome outcome = reply.orTimeout(TIMEOUT_MILLIS, MILLISECONDS).join().outcome();
+      assertTrue(outcome == OrderOutcome.NOT_SENT || outcome == OrderOutcome.LOST, "" + outcome);
+    }
+  }
 }
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformRowParserTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformRowParserTest.java
@@ -9,6 +9,8 @@
 import org.hemlockpick.cell.ResourceAmounts;
 import org.hemlockpick.cell.WorkerEntry;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PlatformRowParserTest {
   private final PlatformRowParser rows = new PlatformRowParser();
@@ -46,6 +48,41 @@
             .isEmpty());
   }
 
+  private Optional<WorkerEntry> workerAt(String address) {
+    return worker(
+        "{\"service\":\"s\",\"address\":\"" + address + "\",\"state\":\"ready\",\"capacity\":{}}");
+  }
+
+  /** Guards against calls to another writer's entries whose address is none. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "host 17",
+        "10.128.0.9",
+        "10.128.0.9:",
+        "10.128.0.9:0",
+        "10.128.0.9:-1",
+        "10.128.0.9:70000",
+        "10.128.0.9:80/x",
+        "10.128.0.9:80 ",
+        "10.128.0:80",
+        "10.128.0.256:80",
+        "host.example:8080",
+        ":8080",
+        "::1"
+      })
+  void skipsEntriesWhoseAddressIsNone(String address) {
+    assertTrue(workerAt(address).isEmpty());
+  }
+
+  @Test
+  void readsNumericAddresses() {
+    assertEquals("10.128.0.9:1", workerAt("10.128.0.9:1").orElseThrow().address());
+    assertEquals("10.128.0.9:65535", workerAt("10.128.0.9:65535").orElseThrow().address());
+    assertEquals("[::1]:80", workerAt("[::1]:80").orElseThrow().address());
+  }
+
   @Test
   void readsAConfigurationAndItsRoutes() {
     Configuration configuration =
--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/http/HttpEndpoint.java
@@ -39,7 +39,8 @@
    * Creates an endpoint without connections.
    *
    * @param transport transport that all endpoints share
-   * @param address host and port
+   * @param address IP address and port; a host name is looked up on the transport's thread, where a
+   *     slow lookup delays all calls
    * @param maxInFlight limit on the calls in flight and so on the open connections
    */
   public HttpEndpoint(HttpTransport transport, String address, int maxInFlight) {
@@ -70,13 +71,23 @@
 
   /** Sends a call; the handler is called once, on any thread. */
   public void send(HttpCall call, Consumer<HttpResult> handler) {
+    MutableHttpRequest<byte[]> request;
+    try {
+      request = request(call);
+    } catch (IllegalArgumentException e) {
+      reject(call, "no request: " + e.getMessage(), handler);
+      return;
+    }
     ConnectionPool usedPool = acquirePool();
     if (usedPool == null) {
-      String reason = maxInFlight + " calls are in flight";
-      transport.failures().onFailed(address, call, CallFate.NOT_SENT, reason);
-      handler.accept(HttpResult.notSent());
+      reject(call, maxInFlight + " calls are in flight", handler);
       return;
     }
+    new InFlightCall(usedPool, call, handler).start(request);
+  }
+
+  /** Creates the request of a call; throws if its address or a header is malformed. */
+  private MutableHttpRequest<byte[]> request(HttpCall call) {
     URI uri = URI.create("http://" + address + call.path());
     MutableHttpRequest<byte[]> request =
         HttpRequest.create(HttpMethod.valueOf(call.method().name()), uri.toString());
@@ -85,7 +96,12 @@
     }
     request.accept(MediaType.APPLICATION_JSON_TYPE);
     call.headers().forEach(request::header);
-    new InFlightCall(usedPool, call, handler).start(request);
+    return request;
+  }
+
+  private void reject(HttpCall call, String reason, Consumer<HttpResult> handler) {
+    transport.failures().onFailed(address, call, CallFate.NOT_SENT, reason);
+    handler.accept(HttpResult.notSent());
   }
 
   private synchronized @Nullable ConnectionPool acquirePool() {
