--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -88,7 +88,7 @@
   record Start(RunId run, String worker, long atMillis) {}
 
   /** What a call that waits at a worker ends with: its boot, or the connection in a crash. */
-  private record Life(long bootTimeMillis, int crashes) {}
+  private record Life(long upAt, int crashes) {}
 
   /** Replies to orders whose sender no longer waits for them. */
   final List<OrderReply> lateReplies = new ArrayList<>();
@@ -108,6 +108,15 @@
   /** Crashes of workers, in the order of time. */
   final List<Crash> crashLog = new ArrayList<>();
 
+  /**
+   * How far the time of day of a worker's machine may be ahead or back when it restarts, in
+   * milliseconds.
+   */
+  long maxWallJumpMillis = 4_000;
+
+  /** Draws the times of day; another generator, so that it changes no other draw of a seed. */
+  private final SplittableRandom wallClocks;
+
   /** Time after which a crashed worker is back, in milliseconds. */
   long crashReturnMillis = 3_300;
 
@@ -131,6 +140,7 @@
   FakeWorkers(VirtualTime time, long seed, long leaseMillis) {
     this.time = time;
     this.random = new SplittableRandom(seed);
+    this.wallClocks = new SplittableRandom(~seed);
     this.leaseMillis = leaseMillis;
   }
 
@@ -294,7 +304,12 @@
 
     private long fence;
     private long leaseUntil;
-    private long bootTimeMillis = time.millis();
+
+    /** Time at which its boot is up; the clock that it measures leases by starts then. */
+    private long upAt = time.millis();
+
+    private long bootTimeMillis = upAt;
+    private final Set<Long> bootTimes = new HashSet<>(Set.of(bootTimeMillis));
     private long lastCompletion;
 
     /** Whether no call arrives or is answered; its runs continue. */
@@ -338,10 +353,24 @@
       return id;
     }
 
+    /** Returns when its boot started, by the time of day of its machine. */
     long bootTimeMillis() {
       return bootTimeMillis;
     }
 
+    /** Sets when its boot started, by the time of day of its machine; no two boots are the same. */
+    void setBootTime(long millis) {
+      bootTimeMillis = millis;
+      while (!bootTimes.add(bootTimeMillis)) {
+        bootTimeMillis++;
+      }
+    }
+
+    /** Returns the time at which its boot is up. */
+    long upAt() {
+      return upAt;
+    }
+
     /** Returns whether calls to it arrive and are answered in time. */
     boolean isReachable() {
       return !isDown() && !refusesConnections && !answersLost && !replaced;
@@ -413,7 +442,8 @@
       fence = 0;
       leaseUntil = 0;
       lastCompletion = 0;
-      bootTimeMillis = time.millis() + millis;
+      upAt = time.millis() + millis;
+      setBootTime(upAt + wallClocks.nextLong(-maxWallJumpMillis, maxWallJumpMillis + 1));
     }
 
     /**
@@ -455,11 +485,11 @@
     }
 
     private boolean isDown() {
-      return disconnected || time.millis() < bootTimeMillis;
+      return disconnected || time.millis() < upAt;
     }
 
     private long clock() {
-      return time.millis() - bootTimeMillis + 1;
+      return time.millis() - upAt + 1;
     }
 
     private OrderReply reply(OrderOutcome outcome) {
@@ -502,7 +532,7 @@
             run + " was started after its completion was acknowledged, at " + time.millis());
       }
       checkDependencies(task);
-      long bootTime = this.bootTimeMillis;
+      long upAt = this.upAt;
       runs.put(run, time.millis());
       if (isSimulated(task)) {
         return;
@@ -512,7 +542,7 @@
         time.after(
             crashAfter,
             () -> {
-              if (bootTime == this.bootTimeMillis && runs.containsKey(run)) {
+              if (upAt == this.upAt && runs.containsKey(run)) {
                 crash();
               }
             });
@@ -523,7 +553,7 @@
       time.after(
           mean / 2 + random.nextLong(mean),
           () -> {
-            if (bootTime == this.bootTimeMillis && !stuck) {
+            if (upAt == this.upAt && !stuck) {
               endRun(run, kind);
             }
           });
@@ -831,11 +861,11 @@
         loseOrder(handler);
       } else if (random.nextDouble() < lateOrderProbability) {
         // The order waits at the worker, so that it ends with this boot.
-        long bootTime = model.bootTimeMillis;
+        long upAt = model.upAt;
         time.after(
             random.nextLong(10_000),
             () -> {
-              if (bootTime == model.bootTimeMillis) {
+              if (upAt == model.upAt) {
                 lateReplies.add(action.apply(model));
               }
             });
@@ -932,7 +962,7 @@
           LATENCY_MILLIS,
           () -> {
             model.hold(call);
-            Life life = new Life(model.bootTimeMillis, crashes);
+            Life life = new Life(model.upAt, crashes);
             answer(model, call, time.millis() + call.waitMillis(), life, handler);
           });
     }
@@ -943,7 +973,7 @@
         inbox.answer(1, () -> handler.accept(HoldReply.without(OrderOutcome.LOST)));
         return;
       }
-      if (model.bootTimeMillis != life.bootTimeMillis()) {
+      if (model.upAt != life.upAt()) {
         loseHoldReply(HOLD_TIMEOUT_MILLIS, handler);
         return;
       }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ShrinkingCapacityTest.java
@@ -197,8 +197,8 @@
     world.workers.get("w0").restart(800, SMALL);
     world.time.after(SETTLE_MILLIS, () -> world.registerWorker("w0"));
     world.time.runFor(SETTLE_MILLIS + LONG_MILLIS);
-    long bootTime = world.workers.get("w0").bootTimeMillis();
-    assertFalse(startsAt("w0", bootTime).isEmpty());
+    long upAt = world.workers.get("w0").upAt();
+    assertFalse(startsAt("w0", upAt).isEmpty());
     assertNoViolations();
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -118,6 +118,7 @@
             takeoverTracker,
             lease.generation(),
             journal,
+            clock,
             log,
             configuration,
             new ListListener());
@@ -401,7 +402,6 @@
     @Override
     public void onRestarted(Worker worker, String evidence) {
       workerLifecycle.onRestarted(worker, evidence);
-      workerList.requestRead();
     }
 
     @Override
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
@@ -115,7 +115,7 @@
   void onReport(Worker worker, Set<RunId> reported) {
     Loss loss = losses.remove(worker.id());
     long bootTime = worker.entry().bootTimeMillis();
-    if (loss != null && bootTime > loss.bootTimeMillis()) {
+    if (loss != null && bootTime != 0 && bootTime != loss.bootTimeMillis()) {
       assess(loss, reported, "a later boot, born " + bootTime);
     }
     silences.remove(worker.id());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -20,9 +20,6 @@
   /** Precedes every other time; the time elapsed since then does not overflow. */
   private static final long NEVER = Long.MIN_VALUE / 2;
 
-  /** Minimum time in which a worker can stop and restart, in milliseconds. */
-  private static final long MIN_RESTART_MILLIS = 700;
-
   /**
    * Consecutive unanswered calls after which a worker that had answered is declared unreachable.
    */
@@ -52,6 +49,7 @@
 
   private final WorkerLeases leases = new WorkerLeases();
   private final WorkerCompletions completions = new WorkerCompletions();
+  private final BootEvidence boots = new BootEvidence();
 
   /** Fencing token that has replaced the holder's at this worker; 0 if none has. */
   private long raisedToken;
@@ -96,7 +94,7 @@
     return new Target(entry.id(), entry.address());
   }
 
-  /** Replaces the entry with a newer one of the platform's list. */
+  /** Replaces the entry with one of the platform's list. */
   void update(WorkerEntry newer) {
     if (!newer.capacity().equals(entry.capacity())) {
       capacityRefusals.clear();
@@ -350,14 +348,9 @@
     return completions;
   }
 
-  /**
-   * Returns the number up to which the worker may forget its completions; 0 after a failed call, or
-   * if the last answer is so old that the worker may have restarted since and numbers its
-   * completions from 1 again.
-   */
-  long completionToAcknowledge(long nowMillis) {
-    boolean sameBoot = holdFailures == 0 && nowMillis - lastAnswerSentAt < MIN_RESTART_MILLIS;
-    return sameBoot ? completions.recorded() : 0;
+  /** Returns what tells its boots apart. */
+  BootEvidence boots() {
+    return boots;
   }
 
   boolean isHoldInFlight() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerLifecycle.java
@@ -50,6 +50,7 @@
     worker.onRestarted(now, settings.workerLeaseMillis());
     worker.setNextHoldAt(now);
     workerList.requestRosterWrite();
+    workerList.requestRead();
   }
 
   /** Handles a worker whose address another one has: none of its runs is left. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -33,11 +33,12 @@
   private final TakeoverTracker takeover;
   private final int generation;
   private final CellJournal journal;
+  private final LoopClock clock;
   private final DecisionLog log;
   private final Supplier<@Nullable Configuration> configuration;
   private final Listener listener;
 
-  /** Boot times of workers that have ended, by identifier; the list may still contain them. */
+  /** Boots of listed workers that have ended, by identifier; the list may still contain them. */
   private final Map<String, Long> endedBootTimes = new HashMap<>();
 
   /** Version of the configuration by which it is set whether the workers guard their capacity. */
@@ -77,6 +78,7 @@
       TakeoverTracker takeover,
       int generation,
       CellJournal journal,
+      LoopClock clock,
       DecisionLog log,
       Supplier<@Nullable Configuration> configuration,
       Listener listener) {
@@ -86,6 +88,7 @@
     this.takeover = takeover;
     this.generation = generation;
     this.journal = journal;
+    this.clock = clock;
     this.log = log;
     this.configuration = configuration;
     this.listener = listener;
@@ -177,6 +180,7 @@
                 updateUnlessEnded(entry, requestedAt, isAgeKnown);
               });
     }
+    endedBootTimes.keySet().retainAll(listed);
     for (Worker worker : workers.all()) {
       if (worker.isListed() && !listed.contains(worker.id())) {
         worker.setUnlisted();
@@ -189,17 +193,18 @@
   }
 
   private void updateUnlessEnded(WorkerEntry entry, long requestedAt, boolean isAgeKnown) {
-    Long bornMillis = endedBootTimes.get(entry.id());
-    if (bornMillis != null && entry.bootTimeMillis() <= bornMillis) {
+    Long ended = endedBootTimes.get(entry.id());
+    if (ended != null && entry.bootTimeMillis() == ended) {
       return;
     }
     endedBootTimes.remove(entry.id());
     Worker worker = workers.get(entry.id());
     if (worker == null) {
       worker = new Worker(entry);
+      worker.boots().setKnown(clock.monotonicMillis());
       workers.add(worker);
       rosterChanged = true;
-    } else {
+    } else if (ended != null || isCredible(worker, entry)) {
       update(worker, entry);
     }
     if (worker.entry().equals(entry)) {
@@ -211,14 +216,34 @@
     setGuarded(worker);
   }
 
-  private void update(Worker worker, WorkerEntry entry) {
-    if (entry.bootTimeMillis() < worker.entry().bootTimeMillis()) {
-      // Written by an earlier boot.
-      return;
+  /**
+   * Returns whether an entry is applied. One of another boot than that of a worker that answers is
+   * not: the worker is asked at once, and its answer tells which boot is up.
+   */
+  private boolean isCredible(Worker worker, WorkerEntry entry) {
+    long known = worker.entry().bootTimeMillis();
+    long boot = entry.bootTimeMillis();
+    if (known == 0 || boot == known) {
+      return true;
+    }
+    if (boot == 0 || worker.boots().hasEnded(boot)) {
+      return false;
+    }
+    if (!worker.hasAcknowledgedToken() || worker.isUnresponsive()) {
+      return true;
     }
-    boolean otherBoot =
-        worker.entry().bootTimeMillis() != 0
-            && entry.bootTimeMillis() > worker.entry().bootTimeMillis();
+    long now = clock.monotonicMillis();
+    if (worker.boots().doubt(boot, now)) {
+      log.decided("worker", worker.id(), "doubted", "born " + boot + " in the list, not " + known);
+    }
+    worker.listedCapacity().requireRead();
+    worker.setNextHoldAt(now);
+    return false;
+  }
+
+  private void update(Worker worker, WorkerEntry entry) {
+    long known = worker.entry().bootTimeMillis();
+    boolean otherBoot = known != 0 && entry.bootTimeMillis() != known;
     if (entry.draining() && !worker.entry().draining()) {
       log.decided("worker", entry.id(), "draining", entry.remainingMillis() + " ms left");
       worker.setNextHoldAt(0);
@@ -230,6 +255,9 @@
     if (otherBoot) {
       listener.onRestarted(worker, "born " + entry.bootTimeMillis() + " in the list");
     }
+    if (entry.bootTimeMillis() != known) {
+      worker.boots().setKnown(clock.monotonicMillis());
+    }
     rosterChanged |= otherBoot || entry.draining() != worker.entry().draining();
     worker.update(entry);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
@@ -163,7 +163,7 @@
         worker.mayBeExtended(now, lease, journal.isRenewalLate(now)) && journal.mayGrantLeases(now);
     @Nullable Long until = isExtended ? (Long) worker.extendLease(now, lease) : null;
     long wait = holdWait(worker, journal.grantMillisLeft(now));
-    long acknowledged = worker.completionToAcknowledge(now);
+    long acknowledged = worker.boots().completionToAcknowledge(worker, now);
     if (acknowledged > 0 && worker.completions().isAcknowledgementDue()) {
       String boot = "to the boot born " + worker.entry().bootTimeMillis();
       log.decided("worker", worker.id(), "ends confirmed", "up to " + acknowledged + " " + boot);
@@ -201,6 +201,7 @@
             || worker.isStoredAsUnreachable()
             || worker.completions().hasUnrecorded()
             || worker.hasUnknownRuns()
+            || worker.boots().isInDoubt()
             || hasUnprovenStop(worker);
     if (answersAtOnce) {
       return 0;
@@ -235,7 +236,7 @@
     window.end(hold.windowCall, reply.outcome() != OrderOutcome.LOST, now);
     worker.setHoldInFlight(false);
     switch (reply.outcome()) {
-      case ACCEPTED -> onReport(worker, hold.call, reply, hold.sentAt, now);
+      case ACCEPTED -> onAnswer(hold, reply, now);
       case FENCED -> onFenced(hold, now);
       case OTHER_BOOT -> {
         worker.setNextHoldAt(now + RETRY_MILLIS);
@@ -269,8 +270,8 @@
       onFenced(hold, now);
     } else if (reply.outcome() == OrderOutcome.ACCEPTED
         && !worker.isRemoved()
-        && hold.sentAt > worker.lastAnswerSentAt()) {
-      onReport(worker, hold.call, reply, hold.sentAt, now);
+        && hold.sentAt > worker.lastAnswerSentAt()
+        && onAnswer(hold, reply, now)) {
       dropCallsWithoutLease(worker);
     }
   }
@@ -306,19 +307,54 @@
     worker.setNextHoldAt(now + RETRY_MILLIS);
   }
 
-  private void onReport(Worker worker, HoldCall call, HoldReply reply, long sentAt, long now) {
-    long bootTime = worker.entry().bootTimeMillis();
-    if (reply.bootTimeMillis() != 0 && reply.bootTimeMillis() < bootTime) {
-      // The answer of an earlier boot.
-      worker.setNextHoldAt(now);
-      return;
-    }
-    if (bootTime != 0 && reply.bootTimeMillis() > bootTime) {
-      listener.onRestarted(worker, "born " + reply.bootTimeMillis() + " in its answer");
+  /**
+   * Handles an answer. One of another boot than the known one is of a later boot, or is passed over
+   * if it may be of an earlier one: the worker is asked again at once, which decides.
+   *
+   * @return whether it counts as an answer
+   */
+  private boolean onAnswer(HoldInFlight hold, HoldReply reply, long now) {
+    Worker worker = hold.worker;
+    long known = worker.entry().bootTimeMillis();
+    long boot = reply.bootTimeMillis();
+    boolean isOther = boot != 0 && boot != known;
+    if (isOther && known != 0 && !worker.boots().isConclusive(hold.sentAt)) {
+      passOver(hold, boot, now);
+      return false;
+    }
+    if (isOther) {
+      setBoot(worker, boot, now);
+    } else {
+      worker.boots().onConfirmed(hold.sentAt);
+    }
+    onReport(worker, hold.call, reply, hold.sentAt, now, boot == known);
+    return true;
+  }
+
+  private void passOver(HoldInFlight hold, long boot, long now) {
+    Worker worker = hold.worker;
+    String reason = "born " + boot + ", known is " + worker.entry().bootTimeMillis();
+    log.decided("worker", worker.id(), "answer passed over", reason);
+    if (hold.call.leaseUntilMillis() != null) {
+      // It may have been carried out up to now.
+      worker.onExtensionLost(now, settings.workerLeaseMillis());
     }
-    if (reply.bootTimeMillis() > bootTime) {
-      worker.setBootTime(reply.bootTimeMillis());
+    worker.setNextHoldAt(now);
+  }
+
+  /** Sets the boot of a worker, which has restarted if another one was known. */
+  private void setBoot(Worker worker, long boot, long now) {
+    long known = worker.entry().bootTimeMillis();
+    if (known != 0) {
+      listener.onRestarted(worker, "born " + boot + " in its answer");
+      worker.boots().addEnded(known);
     }
+    worker.boots().setKnown(now);
+    worker.setBootTime(boot);
+  }
+
+  private void onReport(
+      Worker worker, HoldCall call, HoldReply reply, long sentAt, long now, boolean isSameBoot) {
     boolean wasUnreachable = worker.isUnreachable();
     if (worker.isUnresponsive()) {
       log.decided("worker", worker.id(), "reached again", worker.holdFailures() + " failed calls");
@@ -327,7 +363,7 @@
     if (call.leaseUntilMillis() != null) {
       worker.setExtended(sentAt);
     }
-    if (reply.bootTimeMillis() == bootTime) {
+    if (isSameBoot) {
       worker.completions().onAcknowledged(call.acknowledgedUpTo());
     }
     if (wasUnreachable) {
@@ -366,7 +402,7 @@
   }
 
   private long nextInterval(Worker worker, HoldReply reply) {
-    if (worker.isFirstExtensionDue()) {
+    if (worker.isFirstExtensionDue() || worker.boots().isInDoubt()) {
       return 0;
     }
     if (worker.completions().hasUnrecorded() || worker.completions().hasFailed()) {
