Count crashes of workers that fall into a change of holders

Cause: no row says where a short task was, so that a successor takes the new life of the worker for a sound one and counts nothing; each such change gave the task a fresh start. Lasting tasks had a placement, but nothing counted it either.

Mend: a worker of the roster that answers as another boot, is replaced, or whose lease ended, is a loss of the take-over. Inherited tasks that may have been there are in doubt, and the start of a task in doubt, or with a counted crash, is stored before its order with attempt, worker, boot and address. A successor counts a crash for a stored start once another boot or another worker at the address answers without the run. The roster keeps the boot that last reported its runs until the next has.

Ruled out: a row for each start (410 a second at the design size); keeping tasks in doubt apart (a backlog is started one task a worker).

CrashingTaskTest, TaskCrashesTest, TakeoverTest, LongRunningRestartTest, RefusalBoundsTest and CompletionTest pass.

--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecord.java
@@ -145,6 +145,22 @@
     return placesKept_;
   }
 
+  public static final int DOUBTED_FIELD_NUMBER = 20;
+  private boolean doubted_ = false;
+  /**
+   * <pre>
+   * Whether a worker was lost in a change of holders, and tasks that may have run there have not
+   * been started since.
+   * </pre>
+   *
+   * <code>bool doubted = 20;</code>
+   * @return The doubted.
+   */
+  @java.lang.Override
+  public boolean getDoubted() {
+    return doubted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -174,6 +190,9 @@
     if (placesKept_ != false) {
       output.writeBool(5, placesKept_);
     }
+    if (doubted_ != false) {
+      output.writeBool(20, doubted_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -203,6 +222,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, placesKept_);
     }
+    if (doubted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(20, doubted_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -228,6 +251,8 @@
         != other.getGeneration()) return false;
     if (getPlacesKept()
         != other.getPlacesKept()) return false;
+    if (getDoubted()
+        != other.getDoubted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -253,6 +278,9 @@
     hash = (37 * hash) + PLACES_KEPT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getPlacesKept());
+    hash = (37 * hash) + DOUBTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDoubted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -399,6 +427,7 @@
       located_ = false;
       generation_ = 0;
       placesKept_ = false;
+      doubted_ = false;
       return this;
     }
 
@@ -457,6 +486,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.placesKept_ = placesKept_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.doubted_ = doubted_;
+      }
     }
 
     @java.lang.Override
@@ -509,6 +541,9 @@
       if (other.getPlacesKept() != false) {
         setPlacesKept(other.getPlacesKept());
       }
+      if (other.getDoubted() != false) {
+        setDoubted(other.getDoubted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -568,6 +603,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 160: {
+              doubted_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 160
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -989,6 +1029,53 @@
       return this;
     }
 
+    private boolean doubted_ ;
+    /**
+     * <pre>
+     * Whether a worker was lost in a change of holders, and tasks that may have run there have not
+     * been started since.
+     * </pre>
+     *
+     * <code>bool doubted = 20;</code>
+     * @return The doubted.
+     */
+    @java.lang.Override
+    public boolean getDoubted() {
+      return doubted_;
+    }
+    /**
+     * <pre>
+     * Whether a worker was lost in a change of holders, and tasks that may have run there have not
+     * been started since.
+     * </pre>
+     *
+     * <code>bool doubted = 20;</code>
+     * @param value The doubted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDoubted(boolean value) {
+
+      doubted_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether a worker was lost in a change of holders, and tasks that may have run there have not
+     * been started since.
+     * </pre>
+     *
+     * <code>bool doubted = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDoubted() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      doubted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.RosterRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/RosterRecordOrBuilder.java
@@ -69,4 +69,15 @@
    * @return The placesKept.
    */
   boolean getPlacesKept();
+
+  /**
+   * <pre>
+   * Whether a worker was lost in a change of holders, and tasks that may have run there have not
+   * been started since.
+   * </pre>
+   *
+   * <code>bool doubted = 20;</code>
+   * @return The doubted.
+   */
+  boolean getDoubted();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNote.java
@@ -36,6 +36,7 @@
     olderFailedAttempts_ = emptyIntList();
     place_ = "";
     crashes_ = java.util.Collections.emptyList();
+    starts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -297,6 +298,82 @@
     return crashes_.get(index);
   }
 
+  public static final int STARTS_FIELD_NUMBER = 20;
+  @SuppressWarnings("serial")
+  private java.util.List<org.hemlockpick.proto.StartNote> starts_;
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.hemlockpick.proto.StartNote> getStartsList() {
+    return starts_;
+  }
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.hemlockpick.proto.StartNoteOrBuilder> 
+      getStartsOrBuilderList() {
+    return starts_;
+  }
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  @java.lang.Override
+  public int getStartsCount() {
+    return starts_.size();
+  }
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.StartNote getStarts(int index) {
+    return starts_.get(index);
+  }
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.StartNoteOrBuilder getStartsOrBuilder(
+      int index) {
+    return starts_.get(index);
+  }
+
+  public static final int DOUBTED_FIELD_NUMBER = 21;
+  private boolean doubted_ = false;
+  /**
+   * <pre>
+   * Whether a worker was lost in a change of holders that a start of it may have crashed.
+   * </pre>
+   *
+   * <code>bool doubted = 21;</code>
+   * @return The doubted.
+   */
+  @java.lang.Override
+  public boolean getDoubted() {
+    return doubted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -340,6 +417,12 @@
     for (int i = 0; i < crashes_.size(); i++) {
       output.writeMessage(8, crashes_.get(i));
     }
+    for (int i = 0; i < starts_.size(); i++) {
+      output.writeMessage(20, starts_.get(i));
+    }
+    if (doubted_ != false) {
+      output.writeBool(21, doubted_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -389,6 +472,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, crashes_.get(i));
     }
+    for (int i = 0; i < starts_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, starts_.get(i));
+    }
+    if (doubted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(21, doubted_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -420,6 +511,10 @@
         .equals(other.getPlace())) return false;
     if (!getCrashesList()
         .equals(other.getCrashesList())) return false;
+    if (!getStartsList()
+        .equals(other.getStartsList())) return false;
+    if (getDoubted()
+        != other.getDoubted()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -451,6 +546,13 @@
       hash = (37 * hash) + CRASHES_FIELD_NUMBER;
       hash = (53 * hash) + getCrashesList().hashCode();
     }
+    if (getStartsCount() > 0) {
+      hash = (37 * hash) + STARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getStartsList().hashCode();
+    }
+    hash = (37 * hash) + DOUBTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDoubted());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -600,6 +702,14 @@
         crashesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      if (startsBuilder_ == null) {
+        starts_ = java.util.Collections.emptyList();
+      } else {
+        starts_ = null;
+        startsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
+      doubted_ = false;
       return this;
     }
 
@@ -642,6 +752,15 @@
       } else {
         result.crashes_ = crashesBuilder_.build();
       }
+      if (startsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          starts_ = java.util.Collections.unmodifiableList(starts_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.starts_ = starts_;
+      } else {
+        result.starts_ = startsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.hemlockpick.proto.TaskNote result) {
@@ -668,6 +787,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.place_ = place_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.doubted_ = doubted_;
+      }
     }
 
     @java.lang.Override
@@ -741,6 +863,35 @@
           }
         }
       }
+      if (startsBuilder_ == null) {
+        if (!other.starts_.isEmpty()) {
+          if (starts_.isEmpty()) {
+            starts_ = other.starts_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureStartsIsMutable();
+            starts_.addAll(other.starts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.starts_.isEmpty()) {
+          if (startsBuilder_.isEmpty()) {
+            startsBuilder_.dispose();
+            startsBuilder_ = null;
+            starts_ = other.starts_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            startsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStartsFieldBuilder() : null;
+          } else {
+            startsBuilder_.addAllMessages(other.starts_);
+          }
+        }
+      }
+      if (other.getDoubted() != false) {
+        setDoubted(other.getDoubted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -826,6 +977,24 @@
               }
               break;
             } // case 66
+            case 162: {
+              org.hemlockpick.proto.StartNote m =
+                  input.readMessage(
+                      org.hemlockpick.proto.StartNote.parser(),
+                      extensionRegistry);
+              if (startsBuilder_ == null) {
+                ensureStartsIsMutable();
+                starts_.add(m);
+              } else {
+                startsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 162
+            case 168: {
+              doubted_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 168
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1595,6 +1764,362 @@
       return crashesBuilder_;
     }
 
+    private java.util.List<org.hemlockpick.proto.StartNote> starts_ =
+      java.util.Collections.emptyList();
+    private void ensureStartsIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        starts_ = new java.util.ArrayList<org.hemlockpick.proto.StartNote>(starts_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hemlockpick.proto.StartNote, org.hemlockpick.proto.StartNote.Builder, org.hemlockpick.proto.StartNoteOrBuilder> startsBuilder_;
+
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public java.util.List<org.hemlockpick.proto.StartNote> getStartsList() {
+      if (startsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(starts_);
+      } else {
+        return startsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public int getStartsCount() {
+      if (startsBuilder_ == null) {
+        return starts_.size();
+      } else {
+        return startsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public org.hemlockpick.proto.StartNote getStarts(int index) {
+      if (startsBuilder_ == null) {
+        return starts_.get(index);
+      } else {
+        return startsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder setStarts(
+        int index, org.hemlockpick.proto.StartNote value) {
+      if (startsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStartsIsMutable();
+        starts_.set(index, value);
+        onChanged();
+      } else {
+        startsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder setStarts(
+        int index, org.hemlockpick.proto.StartNote.Builder builderForValue) {
+      if (startsBuilder_ == null) {
+        ensureStartsIsMutable();
+        starts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        startsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder addStarts(org.hemlockpick.proto.StartNote value) {
+      if (startsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStartsIsMutable();
+        starts_.add(value);
+        onChanged();
+      } else {
+        startsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder addStarts(
+        int index, org.hemlockpick.proto.StartNote value) {
+      if (startsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStartsIsMutable();
+        starts_.add(index, value);
+        onChanged();
+      } else {
+        startsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder addStarts(
+        org.hemlockpick.proto.StartNote.Builder builderForValue) {
+      if (startsBuilder_ == null) {
+        ensureStartsIsMutable();
+        starts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        startsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder addStarts(
+        int index, org.hemlockpick.proto.StartNote.Builder builderForValue) {
+      if (startsBuilder_ == null) {
+        ensureStartsIsMutable();
+        starts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        startsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder addAllStarts(
+        java.lang.Iterable<? extends org.hemlockpick.proto.StartNote> values) {
+      if (startsBuilder_ == null) {
+        ensureStartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, starts_);
+        onChanged();
+      } else {
+        startsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder clearStarts() {
+      if (startsBuilder_ == null) {
+        starts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        startsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public Builder removeStarts(int index) {
+      if (startsBuilder_ == null) {
+        ensureStartsIsMutable();
+        starts_.remove(index);
+        onChanged();
+      } else {
+        startsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public org.hemlockpick.proto.StartNote.Builder getStartsBuilder(
+        int index) {
+      return internalGetStartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public org.hemlockpick.proto.StartNoteOrBuilder getStartsOrBuilder(
+        int index) {
+      if (startsBuilder_ == null) {
+        return starts_.get(index);  } else {
+        return startsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public java.util.List<? extends org.hemlockpick.proto.StartNoteOrBuilder> 
+         getStartsOrBuilderList() {
+      if (startsBuilder_ != null) {
+        return startsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(starts_);
+      }
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public org.hemlockpick.proto.StartNote.Builder addStartsBuilder() {
+      return internalGetStartsFieldBuilder().addBuilder(
+          org.hemlockpick.proto.StartNote.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public org.hemlockpick.proto.StartNote.Builder addStartsBuilder(
+        int index) {
+      return internalGetStartsFieldBuilder().addBuilder(
+          index, org.hemlockpick.proto.StartNote.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Its starts of which a later holder must find out whether their worker crashed.
+     * </pre>
+     *
+     * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+     */
+    public java.util.List<org.hemlockpick.proto.StartNote.Builder> 
+         getStartsBuilderList() {
+      return internalGetStartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hemlockpick.proto.StartNote, org.hemlockpick.proto.StartNote.Builder, org.hemlockpick.proto.StartNoteOrBuilder> 
+        internalGetStartsFieldBuilder() {
+      if (startsBuilder_ == null) {
+        startsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.hemlockpick.proto.StartNote, org.hemlockpick.proto.StartNote.Builder, org.hemlockpick.proto.StartNoteOrBuilder>(
+                starts_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        starts_ = null;
+      }
+      return startsBuilder_;
+    }
+
+    private boolean doubted_ ;
+    /**
+     * <pre>
+     * Whether a worker was lost in a change of holders that a start of it may have crashed.
+     * </pre>
+     *
+     * <code>bool doubted = 21;</code>
+     * @return The doubted.
+     */
+    @java.lang.Override
+    public boolean getDoubted() {
+      return doubted_;
+    }
+    /**
+     * <pre>
+     * Whether a worker was lost in a change of holders that a start of it may have crashed.
+     * </pre>
+     *
+     * <code>bool doubted = 21;</code>
+     * @param value The doubted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDoubted(boolean value) {
+
+      doubted_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether a worker was lost in a change of holders that a start of it may have crashed.
+     * </pre>
+     *
+     * <code>bool doubted = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDoubted() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      doubted_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.TaskNote)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/TaskNoteOrBuilder.java
@@ -151,4 +151,58 @@
    */
   org.hemlockpick.proto.CrashNoteOrBuilder getCrashesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  java.util.List<org.hemlockpick.proto.StartNote> 
+      getStartsList();
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  org.hemlockpick.proto.StartNote getStarts(int index);
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  int getStartsCount();
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  java.util.List<? extends org.hemlockpick.proto.StartNoteOrBuilder> 
+      getStartsOrBuilderList();
+  /**
+   * <pre>
+   * Its starts of which a later holder must find out whether their worker crashed.
+   * </pre>
+   *
+   * <code>repeated .hemlockpick.StartNote starts = 20;</code>
+   */
+  org.hemlockpick.proto.StartNoteOrBuilder getStartsOrBuilder(
+      int index);
+
+  /**
+   * <pre>
+   * Whether a worker was lost in a change of holders that a start of it may have crashed.
+   * </pre>
+   *
+   * <code>bool doubted = 21;</code>
+   * @return The doubted.
+   */
+  boolean getDoubted();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -42,6 +42,7 @@
   private final WorkerList workerList;
   private final TaskRunner runner;
   private final CrashTracker crashes;
+  private final TakeoverProgress takeoverProgress;
   private final WorkerLifecycle workerLifecycle;
   private final WorkerPoller workerPoller;
   private final Planner planner;
@@ -133,6 +134,8 @@
             log,
             new RunnerContext());
     this.crashes = new CrashTracker(workers, lifecycle, clock, log);
+    CrashDoubts doubts = new CrashDoubts(jobs, takeoverTracker, crashes, clock, log);
+    this.takeoverProgress = new TakeoverProgress(takeoverTracker, doubts, workerList, journal);
     RunReconciler reconciler =
         new RunReconciler(runner, jobs, lifecycle, crashes, clock, log, metrics, this::maxAttempts);
     this.workerLifecycle =
@@ -256,14 +259,7 @@
   private void schedule(long now) {
     workerLifecycle.dropExpiredRuns(journal.exclusiveUntil(now));
     workerList.addUnlisted();
-    if (takeoverTracker.run(now, journal.exclusiveUntil(now))) {
-      workerList.requestRosterWrite();
-      changedSincePlan = true;
-      if (takeoverTracker.isComplete() && !takeoverTracker.arePlacementsStored()) {
-        // The runs that were found are stored with their placement.
-        journal.whenStored(this::onPlacementsStored);
-      }
-    }
+    changedSincePlan |= takeoverProgress.run(now);
     workerPoller.run(workers.all());
     reports.run(now);
     if (!journal.allowsOrders(now)) {
@@ -284,11 +280,6 @@
     learnedState.run(now);
   }
 
-  private void onPlacementsStored() {
-    takeoverTracker.setPlacementsStored();
-    workerList.requestRosterWrite();
-  }
-
   private @Nullable Queue queue(Job job) {
     Configuration inForce = configuration.get();
     return inForce == null ? null : inForce.queue(job.submission().queue()).orElse(null);
@@ -384,7 +375,7 @@
   private final class PollerListener implements WorkerPoller.Listener {
     @Override
     public void onFirstFullReport(Worker worker) {
-      takeoverTracker.markAccounted(worker.id(), "answered");
+      takeoverTracker.onAnswered(worker);
       workerList.requestRosterWrite();
     }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashNotes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashNotes.java
@@ -2,12 +2,30 @@
 
 import org.hemlockpick.cell.TaskCrashes.Crash;
 import org.hemlockpick.proto.CrashNote;
+import org.hemlockpick.proto.StartNote;
+import org.hemlockpick.proto.TaskNote;
 
-/** Converts the crashes of a task to and from their stored form. */
+/** Converts what is known of the crashes of a task to and from its stored form. */
 final class CrashNotes {
   private CrashNotes() {}
 
-  static CrashNote encode(Crash crash) {
+  /** Adds the crashes that a task may have caused, and its watched starts, to what is stored. */
+  static void encode(TaskCrashes crashes, TaskNote.Builder note) {
+    crashes.all().forEach(crash -> note.addCrashes(encode(crash)));
+    crashes.starts().forEach(start -> note.addStarts(encode(start)));
+    note.setDoubted(crashes.isDoubted());
+  }
+
+  /** Restores what an earlier holder has stored. */
+  static void restore(TaskNote note, TaskCrashes crashes) {
+    note.getCrashesList().forEach(crash -> crashes.add(decode(crash)));
+    note.getStartsList().forEach(start -> crashes.watch(decode(start)));
+    if (note.getDoubted()) {
+      crashes.setDoubted();
+    }
+  }
+
+  private static CrashNote encode(Crash crash) {
     return CrashNote.newBuilder()
         .setAttempt(crash.attempt())
         .setWorker(crash.worker())
@@ -16,7 +34,21 @@
         .build();
   }
 
-  static Crash decode(CrashNote note) {
+  private static Crash decode(CrashNote note) {
     return new Crash(note.getAttempt(), note.getWorker(), note.getAgeMillis(), note.getTelling());
   }
+
+  private static StartNote encode(WatchedStart start) {
+    return StartNote.newBuilder()
+        .setAttempt(start.attempt())
+        .setWorker(start.worker())
+        .setBornMillis(start.bootTimeMillis())
+        .setAddress(start.address())
+        .build();
+  }
+
+  private static WatchedStart decode(StartNote note) {
+    return new WatchedStart(
+        note.getAttempt(), note.getWorker(), note.getBornMillis(), note.getAddress());
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
@@ -25,9 +25,6 @@
   /** Number of workers lost at the same time from which the cause is likely to be another. */
   private static final int MANY_WORKERS = 3;
 
-  /** Age from which a run is not blamed for a crash, in milliseconds. */
-  private static final long MAX_BLAMED_AGE_MILLIS = 10_000;
-
   /** Time after which a worker that has not returned is forgotten, in milliseconds. */
   private static final long KEPT_MILLIS = 60_000;
 
@@ -37,6 +34,7 @@
   private final JobLifecycle lifecycle;
   private final LoopClock clock;
   private final DecisionLog log;
+  private final UnresolvedStarts unresolved;
 
   /** Workers that do not answer, by identifier. */
   private final Map<String, Silence> silences = new HashMap<>();
@@ -61,6 +59,10 @@
    * @param maxAgeMillis its age when the worker was known not to answer
    */
   private record LostRun(Run run, long minAgeMillis, long maxAgeMillis) {
+    boolean mayBeBlamed() {
+      return minAgeMillis <= TaskCrashes.UNKNOWN_AGE_MILLIS;
+    }
+
     boolean isYoung() {
       return minAgeMillis <= TaskCrashes.YOUNG_MILLIS;
     }
@@ -71,13 +73,23 @@
   }
 
   /** The runs of a worker that may have crashed. */
-  private record Loss(Worker worker, long bootTimeMillis, long silentSince, List<LostRun> runs) {}
+  private record Loss(Worker worker, long bootTimeMillis, long silentSince, List<LostRun> runs) {
+    WatchedStart start(Run run) {
+      return new WatchedStart(run.attempt(), worker.id(), bootTimeMillis, worker.entry().address());
+    }
+  }
 
   CrashTracker(WorkerTable workers, JobLifecycle lifecycle, LoopClock clock, DecisionLog log) {
     this.workers = workers;
     this.lifecycle = lifecycle;
     this.clock = clock;
     this.log = log;
+    this.unresolved = new UnresolvedStarts(workers, lifecycle, log);
+  }
+
+  /** Adds a start that an earlier holder has stored and of which it is not known how it ended. */
+  void addInherited(Task task, WatchedStart start) {
+    unresolved.add(task, start);
   }
 
   /**
@@ -100,24 +112,47 @@
     }
   }
 
+  /**
+   * Has the starts stored that were given up with the leases of a worker, as it may turn out that
+   * it crashed when another holder has the cell.
+   */
+  void onRunsGivenUp(Worker worker) {
+    Loss loss = losses.get(worker.id());
+    if (loss == null) {
+      return;
+    }
+    for (LostRun lost : loss.runs()) {
+      if (lost.mayBeBlamed() && lifecycle.watch(lost.run().task(), loss.start(lost.run()))) {
+        unresolved.add(lost.run().task(), loss.start(lost.run()));
+      }
+    }
+  }
+
   /** Assesses the crash of a worker whose address another one has; its runs are lost. */
   void onReplaced(Worker worker) {
     Loss kept = losses.remove(worker.id());
-    if (!worker.entry().draining()) {
-      assess(kept != null ? kept : loss(worker), Set.of(), "another worker has its address");
+    if (worker.entry().draining()) {
+      unresolved.onAssessed(worker.id());
+      return;
+    }
+    if (kept == null) {
+      // What is unresolved there was started by earlier holders.
+      unresolved.onReplaced(worker.id());
     }
+    assess(kept != null ? kept : loss(worker), Set.of(), "another worker has its address");
   }
 
   /**
-   * Handles a complete report: of a later boot than that of the runs in doubt, it proves that the
+   * Handles a complete report: of another boot than that of the runs in doubt, it proves that the
    * worker has crashed; of the same boot, that it has not.
    */
   void onReport(Worker worker, Set<RunId> reported) {
     Loss loss = losses.remove(worker.id());
     long bootTime = worker.entry().bootTimeMillis();
-    if (loss != null && bootTime > loss.bootTimeMillis()) {
-      assess(loss, reported, "a later boot, born " + bootTime);
+    if (loss != null && bootTime != loss.bootTimeMillis()) {
+      assess(loss, reported, "another boot, born " + bootTime);
     }
+    unresolved.onReport(worker, reported);
     silences.remove(worker.id());
   }
 
@@ -132,6 +167,7 @@
         onReplaced(loss.worker());
       }
     }
+    unresolved.onListRead();
   }
 
   /** Returns whether another worker has the address; the same one may be listed again. */
@@ -162,10 +198,11 @@
   private void assess(Loss loss, Set<RunId> reported, String evidence) {
     boolean isOneOfMany = countLostWith(loss) >= MANY_WORKERS;
     crashTimes.add(loss.silentSince());
+    unresolved.onAssessed(loss.worker().id());
     silences.remove(loss.worker().id());
     List<LostRun> suitable = new ArrayList<>();
     for (LostRun lost : loss.runs()) {
-      if (!reported.contains(lost.run().id()) && lost.minAgeMillis() <= MAX_BLAMED_AGE_MILLIS) {
+      if (!reported.contains(lost.run().id()) && lost.mayBeBlamed()) {
         suitable.add(lost);
       }
     }
@@ -201,21 +238,22 @@
 
   /**
    * Returns the runs that are blamed: those of suspect tasks that have not outlived the ages at
-   * which their earlier runs were lost, or else all.
+   * which their earlier runs were lost, with those of tasks in doubt; or else all.
    */
   private static List<LostRun> blamed(List<LostRun> suitable) {
     List<LostRun> suspects =
         suitable.stream()
-            .filter(lost -> lost.crashes().isSuspect())
+            .filter(lost -> lost.crashes().isSuspect() || lost.crashes().isDoubted())
             .filter(lost -> lost.minAgeMillis() <= lost.crashes().soundAfterMillis())
             .toList();
-    return suspects.isEmpty() ? suitable : suspects;
+    boolean isAny = suspects.stream().anyMatch(lost -> lost.crashes().isSuspect());
+    return isAny ? suspects : suitable;
   }
 
   /** Returns the run that alone is likely to have caused the crash; null if there are others. */
   private static @Nullable Run onlyLikely(List<LostRun> suitable) {
     List<LostRun> likely =
-        suitable.stream().filter(lost -> lost.isYoung() || !lost.crashes().isEmpty()).toList();
+        suitable.stream().filter(lost -> lost.isYoung() || lost.crashes().isWatched()).toList();
     return likely.size() == 1 ? likely.get(0).run() : null;
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -170,7 +170,7 @@
                 note.getFailures(), note.getFailedAttempt(), note.getOlderFailedAttemptsList());
         task.setCheckpoint(note.getCheckpointAttempt(), note.getCheckpoint());
         task.setPlacement(note.getPlace());
-        note.getCrashesList().stream().map(CrashNotes::decode).forEach(task.crashes()::add);
+        CrashNotes.restore(note, task.crashes());
       }
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.cell;
 
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.List;
 import java.util.stream.Collectors;
 import org.hemlockpick.cell.TaskCrashes.Crash;
@@ -58,6 +59,7 @@
       @Nullable Run run,
       int maxAttempts) {
     task.recordAttempt(attempt);
+    onStartResolved(task, attempt);
     if (task.isDone() || task.job().state().isFinal()) {
       return;
     }
@@ -95,6 +97,24 @@
     }
   }
 
+  /** Has a start of a task watched; returns whether it is, as the task has not ended. */
+  @CanIgnoreReturnValue
+  boolean watch(Task task, WatchedStart start) {
+    if (task.isDone() || task.job().state().isFinal()) {
+      return false;
+    }
+    task.crashes().watch(start);
+    journal.markDirty(task.job());
+    return true;
+  }
+
+  /** Records that it is known how a start ended that may be watched. */
+  void onStartResolved(Task task, int attempt) {
+    if (task.crashes().unwatch(attempt)) {
+      journal.markDirty(task.job());
+    }
+  }
+
   /** Clears a task of the crashes that it may have caused. */
   void onFoundSound(Task task, String reason) {
     log.decided("task", task.id().toString(), "cleared", reason);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -176,7 +176,7 @@
     for (Task task : run.tasks()) {
       done.set(task.index(), task.isDone());
       if (task.needsStoring()) {
-        progress.addNotes(
+        TaskNote.Builder note =
             TaskNote.newBuilder()
                 .setIndex(task.index())
                 .setFailures(task.failures())
@@ -184,8 +184,9 @@
                 .addAllOlderFailedAttempts(task.failedAttempts().olderDistances())
                 .setCheckpoint(task.checkpoint())
                 .setCheckpointAttempt(task.checkpointAttempt())
-                .setPlace(task.placement())
-                .addAllCrashes(task.crashes().all().stream().map(CrashNotes::encode).toList()));
+                .setPlace(task.placement());
+        CrashNotes.encode(task.crashes(), note);
+        progress.addNotes(note);
       }
     }
     return progress.setDone(ByteString.copyFrom(done.toByteArray())).build();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
@@ -189,7 +189,7 @@
   /** Clears a task of the crashes that it may have caused once its run has outlived them. */
   private void clearIfSound(Run run, long aliveAt) {
     TaskCrashes blame = run.task().crashes();
-    if (!blame.isEmpty() && aliveAt - run.runningSince() > blame.soundAfterMillis()) {
+    if (blame.isWatched() && aliveAt - run.runningSince() > blame.soundAfterMillis()) {
       lifecycle.onFoundSound(run.task(), "its run goes on at " + run.worker().id());
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeoverTracker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeoverTracker.java
@@ -42,6 +42,11 @@
    */
   private boolean placementsStored = true;
 
+  private final TakeoverLosses losses = new TakeoverLosses();
+
+  /** Whether tasks that may have run at lost workers have not been started since. */
+  private boolean doubted;
+
   private boolean complete;
   private int reachableCount;
   private long nextLoadAt;
@@ -100,6 +105,10 @@
 
   private void onRoster(RosterRecord roster) {
     placementsStored = roster.getPlacesKept();
+    if (roster.getDoubted()) {
+      doubted = true;
+      losses.addEarlier();
+    }
     onlyPreviousHolderAssigned =
         roster.getLocated() && roster.getGeneration() == lease.generation() - 1;
     for (RosterEntry entry : roster.getWorkersList()) {
@@ -141,16 +150,68 @@
     }
   }
 
+  /** Marks a worker as accounted for that has reported all its runs. */
+  void onAnswered(Worker worker) {
+    RosterEntry entry = unaccounted.get(worker.id());
+    if (entry != null) {
+      long before = entry.getBornMillis();
+      long bootTime = worker.entry().bootTimeMillis();
+      markAccounted(entry, before != 0 && bootTime != before, "answered");
+    }
+  }
+
+  /** Marks a worker as accounted for whose address another one has. */
+  void onReplaced(Worker worker) {
+    RosterEntry entry = unaccounted.get(worker.id());
+    if (entry != null) {
+      markAccounted(entry, true, "another worker has its address");
+    }
+  }
+
+  private void markAccounted(RosterEntry entry, boolean isLost, String cause) {
+    unaccounted.remove(entry.getWorker());
+    if (isLost) {
+      addLoss(entry);
+    }
+    recount();
+    String boot = cause + (isLost ? ", its boot is lost, " : ", ");
+    log.decided("worker", entry.getWorker(), "accounted for", boot + unaccounted.size() + " left");
+  }
+
+  private void addLoss(RosterEntry entry) {
+    doubted = true;
+    losses.add(entry);
+  }
+
+  /** Returns the workers that were lost before this holder heard of them. */
+  TakeoverLosses losses() {
+    return losses;
+  }
+
+  /** Returns whether a later holder has to be told of the losses. */
+  boolean isDoubted() {
+    return doubted;
+  }
+
+  /** Records that no later holder has to be told of the losses; returns whether it had to be. */
+  boolean endDoubts() {
+    boolean was = doubted;
+    doubted = false;
+    return was;
+  }
+
+  /** Returns whether all workers are accounted for that were not silent at the take-over. */
+  boolean areReachableLocated() {
+    return loaded && reachableCount == 0;
+  }
+
   /**
-   * Marks a worker as accounted for: it has no unknown runs.
+   * Returns whether an inherited task that was found nowhere may have run at a lost worker.
    *
-   * @param cause the evidence, for the log
+   * @param isFirst whether short tasks can start from now on, so that every loss concerns them
    */
-  void markAccounted(String worker, String cause) {
-    if (unaccounted.remove(worker) != null) {
-      recount();
-      log.decided("worker", worker, "accounted for", cause + ", " + unaccounted.size() + " left");
-    }
+  boolean isPossiblyLost(Task task, boolean isFirst) {
+    return losses.mayInclude(task, placementsStored, isFirst);
   }
 
   boolean isUnaccounted(String worker) {
@@ -208,6 +269,7 @@
     for (RosterEntry entry : List.copyOf(unaccounted.values())) {
       if (exclusiveUntil >= leaseExpiry(entry)) {
         unaccounted.remove(entry.getWorker());
+        addLoss(entry);
         String reason = "not reached since the take-over, " + unaccounted.size() + " left";
         log.decided("worker", entry.getWorker(), "lease ended", reason);
       }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -240,6 +240,6 @@
   /** Returns whether more must be stored than whether it is done. */
   boolean needsStoring() {
     boolean hasNote = failures() > 0 || !checkpoint.isEmpty() || !placement.isEmpty();
-    return !done && (hasNote || !crashes.isEmpty());
+    return !done && (hasNote || crashes.isWatched());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
@@ -5,12 +5,15 @@
 
 /**
  * The crashes of workers that a task may have caused since it was last found to be sound. Each
- * attempt counts once.
+ * attempt counts once. The starts of a task that may have caused any are watched.
  */
 final class TaskCrashes {
   /** Age up to which a run is young: its start may have caused the crash, in milliseconds. */
   static final long YOUNG_MILLIS = 1_500;
 
+  /** Age from which a run is not blamed for a crash; that of a run of which none is known. */
+  static final long UNKNOWN_AGE_MILLIS = 10_000;
+
   /** Age up to which a run was lost so soon that its start is the likely cause, in milliseconds. */
   private static final long SUDDEN_MILLIS = 250;
 
@@ -23,8 +26,17 @@
   /** Number of workers below which a task is never given up. */
   private static final int MIN_WORKERS = 2;
 
+  /** Number of watched starts that are kept; earlier ones are not. */
+  private static final int MAX_STARTS = 4;
+
   private final List<Crash> crashes = new ArrayList<>(0);
 
+  /** Watched starts of which it is not known how they ended. */
+  private final List<WatchedStart> starts = new ArrayList<>(0);
+
+  /** Whether one more crash, which fell into a change of holders, may be its doing. */
+  private boolean doubted;
+
   /**
    * A crash of a worker that a run may have caused.
    *
@@ -51,6 +63,7 @@
 
   /** Counts a crash, unless its attempt counts already; returns whether it is new. */
   boolean add(Crash crash) {
+    starts.removeIf(start -> start.attempt() == crash.attempt());
     if (contains(crash.attempt())) {
       return false;
     }
@@ -67,6 +80,44 @@
   /** Forgets the crashes, as the task was found to be sound. */
   void clear() {
     crashes.clear();
+    starts.clear();
+    doubted = false;
+  }
+
+  /** Returns whether its starts have to be stored before their orders, until it is cleared. */
+  boolean isWatched() {
+    return doubted || !crashes.isEmpty() || !starts.isEmpty();
+  }
+
+  /** Returns the watched starts of which it is not known how they ended. */
+  List<WatchedStart> starts() {
+    return starts;
+  }
+
+  /** Adds a watched start, unless its attempt counts as a crash already. */
+  void watch(WatchedStart start) {
+    starts.removeIf(other -> other.attempt() == start.attempt());
+    if (contains(start.attempt())) {
+      return;
+    }
+    if (starts.size() == MAX_STARTS) {
+      starts.remove(0);
+    }
+    starts.add(start);
+  }
+
+  /** Forgets a watched start, as it is known how it ended; returns whether there was one. */
+  boolean unwatch(int attempt) {
+    return starts.removeIf(start -> start.attempt() == attempt);
+  }
+
+  /** Returns whether one more crash, which fell into a change of holders, may be its doing. */
+  boolean isDoubted() {
+    return doubted;
+  }
+
+  void setDoubted() {
+    doubted = true;
   }
 
   /** Returns whether the task is likely enough to crash workers to be treated with caution. */
@@ -82,7 +133,7 @@
    * the ages at which its runs were lost.
    */
   long soundAfterMillis() {
-    return 2 * oldest() + YOUNG_MILLIS;
+    return Math.max(2 * oldest(), doubted ? UNKNOWN_AGE_MILLIS : 0) + YOUNG_MILLIS;
   }
 
   /**
@@ -94,12 +145,14 @@
     if (crashes.stream().map(Crash::worker).distinct().count() < MIN_WORKERS) {
       return false;
     }
+    if (crashes.size() + (doubted ? 1 : 0) >= DECISIVE) {
+      return true;
+    }
     boolean areSudden = crashes.stream().allMatch(Crash::isSudden);
-    return switch (crashes.size()) {
-      case DECISIVE -> true;
-      case DECISIVE_BY_AGE -> areSudden || (isAlone && haveSimilarAges());
-      default -> areSudden && isAlone && crashes.stream().allMatch(Crash::telling);
-    };
+    if (crashes.size() == DECISIVE_BY_AGE) {
+      return areSudden || (isAlone && haveSimilarAges());
+    }
+    return areSudden && isAlone && crashes.stream().allMatch(Crash::telling);
   }
 
   private boolean haveSimilarAges() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -110,8 +110,14 @@
     Run run = new Run(task, attempt, worker, Run.State.STARTING, clock.monotonicMillis());
     task.setRun(run);
     worker.add(run);
+    boolean isWatched = task.crashes().isWatched();
+    if (isWatched) {
+      lifecycle.watch(task, WatchedStart.of(run));
+    }
     if (run.step().longRunning()) {
       setPlacement(task, worker.id());
+    }
+    if (isWatched || run.step().longRunning()) {
       journal.whenStored(() -> sendStartIfStored(run, checkpoint));
     } else {
       sendStart(run, checkpoint);
@@ -127,7 +133,7 @@
   }
 
   /**
-   * Sends the order for a run whose placement is stored, unless the situation has changed
+   * Sends the order for a run that is stored with its worker, unless the situation has changed
    * meanwhile.
    */
   private void sendStartIfStored(Run run, String checkpoint) {
@@ -400,6 +406,7 @@
   void remove(Run run) {
     run.worker().remove(run);
     run.task().removeOrphan(run);
+    lifecycle.onStartResolved(run.task(), run.attempt());
     if (run.task().run() == run) {
       run.task().setRun(null);
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerLifecycle.java
@@ -56,7 +56,7 @@
   void onReplaced(Worker worker) {
     String runs = worker.entry().address() + ", " + worker.runs().size() + " runs";
     log.decided("worker", worker.id(), "replaced", "another worker at " + runs);
-    takeoverTracker.markAccounted(worker.id(), "another worker has its address");
+    takeoverTracker.onReplaced(worker);
     crashes.onReplaced(worker);
     for (Run run : new ArrayList<>(worker.runs())) {
       reconciler.onRunGone(run, "another worker has its address");
@@ -79,6 +79,7 @@
         for (Run run : new ArrayList<>(worker.runs())) {
           reconciler.onRunGone(run, "the lease of its worker has expired");
         }
+        crashes.onRunsGivenUp(worker);
       }
       if (isRemovable(worker)) {
         workerList.remove(worker);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -40,6 +40,9 @@
   /** Boot times of workers that have ended, by identifier; the list may still contain them. */
   private final Map<String, Long> endedBootTimes = new HashMap<>();
 
+  /** Boot times of the workers when they last reported all their runs, by identifier. */
+  private final Map<String, Long> reportedBootTimes = new HashMap<>();
+
   /** Version of the configuration by which it is set whether the workers guard their capacity. */
   private long appliedVersion;
 
@@ -264,6 +267,7 @@
   void remove(Worker worker) {
     workers.remove(worker);
     worker.setRemoved();
+    reportedBootTimes.remove(worker.id());
     rosterChanged = true;
   }
 
@@ -275,7 +279,8 @@
             .setFormat(JobRows.FORMAT)
             .setGeneration(generation)
             .setLocated(takeover.isComplete())
-            .setPlacesKept(takeover.arePlacementsStored());
+            .setPlacesKept(takeover.arePlacementsStored())
+            .setDoubted(takeover.isDoubted());
     List<Worker> known = new ArrayList<>(workers.all());
     for (Worker worker : known) {
       if (worker.isDrained()) {
@@ -297,11 +302,16 @@
         });
   }
 
-  private static RosterEntry entry(Worker worker) {
+  private RosterEntry entry(Worker worker) {
+    if (worker.isFullyReported()) {
+      reportedBootTimes.put(worker.id(), worker.entry().bootTimeMillis());
+    }
+    // Until a new boot has reported, a later holder has to find out what was lost with the former.
+    long bootTime = reportedBootTimes.getOrDefault(worker.id(), worker.entry().bootTimeMillis());
     RosterEntry.Builder entry =
         RosterEntry.newBuilder()
             .setWorker(worker.id())
-            .setBornMillis(worker.entry().bootTimeMillis())
+            .setBornMillis(bootTime)
             .setAddress(worker.entry().address())
             .setSilent(worker.isUnreachable());
     if (worker.isUnreachable()) {
