--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/CallerCodecTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/CallerCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hemlockpick.cell.CallerReply;
+import org.hemlockpick.cell.JobAddress;
 import org.hemlockpick.cell.JobState;
 import org.hemlockpick.cell.ResourceAmounts;
 import org.hemlockpick.cell.Step;
@@ -71,6 +72,14 @@
     assertFalse(CallerCodec.isJobId("5c0e7a21d94b36f8/x"));
   }
 
+  @Test
+  void splitsThePathOfAJob() {
+    JobAddress job = CallerCodec.jobAddress("h", "/a/b/5c0e7a21d94b36f8").orElseThrow();
+    assertEquals(new JobAddress("h", "/a/b/", "5c0e7a21d94b36f8"), job);
+    assertTrue(CallerCodec.jobAddress("h", "/a/b/").isEmpty());
+    assertTrue(CallerCodec.jobAddress("h", "/a/5c0e7a21d94b36f8/x").isEmpty());
+  }
+
   @Test
   void encodesJobStatesAndQueueLengths() {
     CallerReply canceled = new CallerReply(ResultCode.DONE, JobState.CANCELED, 0, 0);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -4,12 +4,14 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
 import org.hemlockpick.errors.ResultCode;
 import org.hemlockpick.fakes.VirtualTime;
 import org.hemlockpick.proto.ProgressRecord;
@@ -27,7 +29,11 @@
 
   private static final long START_MILLIS = 1_000_000;
   static final long LEASE_MILLIS = 5_000;
-  private static final int MAX_ATTEMPTS = 50;
+  static final int MAX_ATTEMPTS = 50;
+
+  /** The queue of a configuration that names no queues. */
+  static final Queue DEFAULT_QUEUE = queue(QUEUE, "/topup/", SERVICE, MAX_ATTEMPTS);
+
   static final ResourceAmounts WORKER_CAPACITY = new ResourceAmounts(8_000, 32_000, 0);
 
   final VirtualTime time = new VirtualTime(START_MILLIS);
@@ -40,11 +46,23 @@
   /** Jobs whose acceptance was confirmed to their caller. */
   private final Map<String, Submission> acknowledged = new LinkedHashMap<>();
 
+  /** Whether a job may run at a worker as far as its queue says. */
+  BiPredicate<String, String> mayRun = (job, worker) -> true;
+
   private final List<String> workerIds = new ArrayList<>();
   private final SplittableRandom random;
   private final long leaseMillis;
   private int incarnationCount;
 
+  /** Version of the newest configuration with a list of queues. */
+  private int configurationVersion = 10;
+
+  /** The newest queue of each name that a list of queues has had. */
+  private final Map<String, Queue> queues = new HashMap<>();
+
+  /** Services of the workers that do not belong to {@link #SERVICE}. */
+  private final Map<String, String> otherServices = new HashMap<>();
+
   CellWorld(long seed, int nodeCount, int workerCount) {
     this(seed, nodeCount, workerCount, LEASE_MILLIS);
   }
@@ -83,9 +101,47 @@
             Long.toString(capacity.cpuMillis()),
             Long.toString(capacity.memoryMb()),
             Long.toString(capacity.gpus()));
+    String service = otherServices.get(worker);
+    entry += service == null ? "" : " " + service;
     store.put("workers", worker, ByteString.copyFromUtf8(entry));
   }
 
+  /** Registers a worker for another service. */
+  void moveWorker(String worker, String service) {
+    otherServices.put(worker, service);
+    registerWorker(worker);
+  }
+
+  static Queue queue(String name, String pathPrefix, String service, int maxAttempts) {
+    return new Queue(name, "host", pathPrefix, service, 0, maxAttempts, 2, 1_000, false);
+  }
+
+  /** Puts a new configuration in force that has exactly these queues. */
+  void configure(Queue... newest) {
+    StringBuilder text = new StringBuilder().append(++configurationVersion).append("\nqueues");
+    for (Queue queue : newest) {
+      queues.put(queue.name(), queue);
+      text.append('\n')
+          .append(queue.name())
+          .append(' ')
+          .append(queue.pathPrefix())
+          .append(' ')
+          .append(queue.service())
+          .append(' ')
+          .append(queue.maxAttempts());
+    }
+    store.put("operator", "configuration", ByteString.copyFromUtf8(text.toString()));
+  }
+
+  /** Returns where the caller of a job of the default queue asks for it. */
+  static JobAddress address(String id) {
+    return address(DEFAULT_QUEUE, id);
+  }
+
+  static JobAddress address(Queue queue, String id) {
+    return new JobAddress(queue.host(), queue.pathPrefix(), id);
+  }
+
   /** Changes the capacity of a worker, which writes its entry after a time in milliseconds. */
   void resizeWorker(String worker, ResourceAmounts capacity, long writtenAfterMillis) {
     workers.get(worker).setCapacity(capacity);
@@ -228,6 +284,8 @@
           answered[0] = true;
           if (reply.code() == ResultCode.DONE) {
             acknowledged.putIfAbsent(job.id(), job);
+          } else if (reply.code() == ResultCode.UNKNOWN_SERVICE) {
+            onRefused(job);
           } else {
             time.after(200, () -> trySubmit(index + 1, job));
           }
@@ -235,6 +293,13 @@
     time.after(2_500, () -> retryUnlessAnswered(answered[0], index + 1, job));
   }
 
+  /** Forgets a job whose queue is not in force, unless an earlier call for it was accepted. */
+  private void onRefused(Submission job) {
+    if (!acknowledged.containsKey(job.id())) {
+      accepted.remove(job.id());
+    }
+  }
+
   /** Submits again at another node, as a caller whose connection broke does. */
   private void retryUnlessAnswered(boolean answered, int index, Submission job) {
     if (!answered) {
@@ -269,26 +334,38 @@
         .sum();
   }
 
-  /** Asks a node that is up for the state of a job. */
+  /** Asks a node that is up for the state of a job of the default queue. */
   @Nullable JobState state(String id) {
+    return state(address(id));
+  }
+
+  /** Asks a node that is up for the state of a job. */
+  @Nullable JobState state(JobAddress job) {
+    CallerReply reply = ask(job);
+    return reply == null ? null : reply.state();
+  }
+
+  /** Asks a node that is up for a job; null if there is no reply in time. */
+  @Nullable CallerReply ask(JobAddress job) {
     List<CallerReply> replies = new ArrayList<>();
     Node node =
         nodes.stream().filter(n -> n.process != null && !n.isPaused()).findFirst().orElseThrow();
     CellMember process = node.process;
     if (process != null) {
-      process.state(id, 1_000, replies::add);
+      process.state(job, 1_000, replies::add);
     }
     time.runFor(1_200);
-    return replies.isEmpty() ? null : replies.get(0).state();
+    return replies.isEmpty() ? null : replies.get(0);
   }
 
   /** Returns the accepted jobs whose state is not returned as completed. */
   List<String> unfinished() {
     List<String> unfinished = new ArrayList<>();
-    for (String id : accepted.keySet()) {
-      JobState state = state(id);
+    for (Submission job : accepted.values()) {
+      Queue queue = queues.getOrDefault(job.queue(), DEFAULT_QUEUE);
+      JobState state = state(address(queue, job.id()));
       if (state != JobState.COMPLETED) {
-        unfinished.add(id + " " + state);
+        unfinished.add(job.id() + " " + state);
       }
     }
     return unfinished;
@@ -433,6 +510,9 @@
 
     /** Offset by which the wall clock is ahead, in milliseconds. */
     long wallOffsetMillis;
+
+    /** Whether newer configurations do not reach this machine. */
+    boolean missesConfigurations;
   }
 
   /** Writes time, process, kind, subject, outcome, reason and the token if there is one. */
@@ -475,7 +555,7 @@
                   node.name, address, incarnation, "c0", leaseMillis, 200, 120_000, node.size),
               storeView,
               workerView,
-              new Source(),
+              new Source(node),
               node,
               new IncarnationLog(node.name + "/" + incarnation, 0),
               metrics,
@@ -535,10 +615,17 @@
 
   /**
    * Parses the rows of the fakes: a configuration's version, followed by a word if the workers do
-   * not guard their capacity; and the boot time of a worker, followed by its remaining time if it
-   * is draining, or by a word and its capacity.
+   * not guard their capacity, and by the queues in lines of their own if they are named; and the
+   * boot time of a worker, followed by its remaining time if it is draining, or by a word, its
+   * capacity, and its service if it is not the usual one.
    */
   private static final class Source implements ConfigurationSource {
+    private final Node node;
+
+    Source(Node node) {
+      this.node = node;
+    }
+
     @Override
     public String operatorTable() {
       return "operator";
@@ -551,16 +638,30 @@
 
     @Override
     public Optional<Configuration> configuration(ByteString value) {
-      Queue queue = new Queue(QUEUE, "host", "/topup/", SERVICE, 0, MAX_ATTEMPTS, 2, 1_000, false);
-      String[] fields = value.toStringUtf8().strip().split(" ", -1);
+      if (node.missesConfigurations) {
+        return Optional.empty();
+      }
+      List<String> lines = value.toStringUtf8().lines().toList();
+      String[] fields = lines.get(0).split(" ", -1);
+      List<Queue> queues = new ArrayList<>();
+      lines.stream().skip(2).map(Source::queue).forEach(queues::add);
+      Map<String, ServiceEntry> services = new HashMap<>();
+      services.put(SERVICE, new ServiceEntry(SERVICE, fields.length == 1, false));
+      queues.forEach(
+          queue -> services.put(queue.service(), new ServiceEntry(queue.service(), true, false)));
       return Optional.of(
           new Configuration(
               Long.parseLong(fields[0]),
-              List.of(queue),
-              ImmutableMap.of(SERVICE, new ServiceEntry(SERVICE, fields.length == 1, false)),
+              lines.size() == 1 ? List.of(DEFAULT_QUEUE) : queues,
+              ImmutableMap.copyOf(services),
               100_000));
     }
 
+    private static Queue queue(String line) {
+      String[] fields = line.split(" ", -1);
+      return CellWorld.queue(fields[0], fields[1], fields[2], Integer.parseInt(fields[3]));
+    }
+
     @Override
     public String workerTable() {
       return "workers";
@@ -574,7 +675,7 @@
           new WorkerEntry(
               key,
               Long.parseLong(fields[0]),
-              SERVICE,
+              fields.length > 5 ? fields[5] : SERVICE,
               // The identifiers of workers that follow each other at an address differ behind the
               // tilde.
               key.split("~", -1)[0] + ":1",
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FullLinkTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FullLinkTest.java
@@ -131,7 +131,8 @@
 
   /** Queries a job that does not exist, so that any reply but UNKNOWN_JOB is a refusal. */
   private static void queryState(CellWorld.Node node, List<ResultCode> answers) {
-    node.process().state("none", CALL_TIMEOUT_MILLIS, reply -> answers.add(reply.code()));
+    node.process()
+        .state(CellWorld.address("none"), CALL_TIMEOUT_MILLIS, reply -> answers.add(reply.code()));
   }
 
   /** Guards against discarding pages that take a second or more, which left the jobs unread. */
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
@@ -127,7 +127,7 @@
           if (plan.longRunning()) {
             boolean fits = hasRoomTwice(task, plan);
             note(task.toString(), fits, now, MAX_RESTART_MILLIS);
-          } else if (waiting.isEmpty() && hasRoomTwice(task, plan) && isHalfFree()) {
+          } else if (waiting.isEmpty() && hasRoomTwice(task, plan) && isHalfFree(job.id())) {
             waiting = task.toString();
           }
         }
@@ -164,7 +164,7 @@
     int wanted = 2 * (plan.gang() ? plan.count() : 1);
     int places = 0;
     for (FakeWorkers.Model worker : world.workers.all()) {
-      if (!isUsable(worker)) {
+      if (!isUsable(worker) || !world.mayRun.test(task.job(), worker.id())) {
         continue;
       }
       int limit = plan.maxPerWorker() > 0 ? plan.maxPerWorker() - worker.countOfStep(task) : wanted;
@@ -177,11 +177,11 @@
     return places >= wanted;
   }
 
-  private boolean isHalfFree() {
+  private boolean isHalfFree(String job) {
     long free = 0;
     long capacity = 0;
     for (FakeWorkers.Model worker : world.workers.all()) {
-      if (isUsable(worker)) {
+      if (isUsable(worker) && world.mayRun.test(job, worker.id())) {
         free += worker.free().cpuMillis();
         capacity += worker.capacity().cpuMillis();
       }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hemlockpick_StepRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_TermsRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_TermsRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hemlockpick_SubmissionRecord_descriptor;
   static final 
@@ -110,47 +115,54 @@
       "\022\023\n\013speculative\030\r \001(\010\022\017\n\007lasting\030\016 \001(\010\022\r" +
       "\n\005image\030\017 \001(\t\022\032\n\022tail_target_millis\030\020 \001(" +
       "\r\022\016\n\006filler\030\021 \001(\010\022\027\n\017max_unavailable\030\022 \001" +
-      "(\r\"\321\001\n\020SubmissionRecord\022\016\n\006format\030\001 \001(\r\022" +
-      "\r\n\005queue\030\002 \001(\t\022\014\n\004spec\030\003 \001(\t\022&\n\005steps\030\004 " +
-      "\003(\0132\027.hemlockpick.StepRecord\022\035\n\025first_st" +
-      "art_at_millis\030\005 \001(\004\022\027\n\017interval_millis\030\006" +
-      " \001(\004\022\024\n\014repeat_count\030\007 \001(\r\022\032\n\022accepted_a" +
-      "t_millis\030\010 \001(\004\"Q\n\tCrashNote\022\017\n\007attempt\030\001" +
-      " \001(\r\022\016\n\006worker\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\004" +
-      "\022\017\n\007telling\030\004 \001(\010\"\312\001\n\010TaskNote\022\r\n\005index\030" +
-      "\001 \001(\r\022\020\n\010failures\030\002 \001(\r\022\022\n\ncheckpoint\030\003 " +
-      "\001(\t\022\026\n\016failed_attempt\030\004 \001(\r\022\035\n\025older_fai" +
-      "led_attempts\030\005 \003(\r\022\032\n\022checkpoint_attempt" +
-      "\030\006 \001(\r\022\r\n\005place\030\007 \001(\t\022\'\n\007crashes\030\010 \003(\0132\026" +
-      ".hemlockpick.CrashNote\"d\n\014StepProgress\022\022" +
-      "\n\noccurrence\030\001 \001(\r\022\014\n\004step\030\002 \001(\r\022\014\n\004done" +
-      "\030\003 \001(\014\022$\n\005notes\030\004 \003(\0132\025.hemlockpick.Task" +
-      "Note\"\217\001\n\016ProgressRecord\022\016\n\006format\030\001 \001(\r\022" +
-      "*\n\005state\030\002 \001(\0162\033.hemlockpick.JobStateRec" +
-      "ord\022(\n\005steps\030\003 \003(\0132\031.hemlockpick.StepPro" +
-      "gress\022\027\n\017ended_at_millis\030\004 \001(\004\"-\n\013QueueL" +
-      "ength\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\r\"\227\001" +
-      "\n\nCellRecord\022\016\n\006format\030\001 \001(\r\022\016\n\006holder\030\002" +
-      " \001(\t\022\022\n\ngeneration\030\003 \001(\r\022\020\n\010released\030\004 \001" +
-      "(\010\022)\n\007waiting\030\005 \003(\0132\030.hemlockpick.QueueL" +
-      "ength\022\030\n\020replaced_version\030\006 \001(\004\"\223\001\n\013Rost" +
-      "erEntry\022\016\n\006worker\030\001 \001(\t\022\023\n\013born_millis\030\002" +
-      " \001(\004\022\017\n\007address\030\003 \001(\t\022\016\n\006silent\030\004 \001(\010\022\r\n" +
-      "\005tasks\030\005 \003(\t\022\027\n\017granted_version\030\006 \001(\004\022\026\n" +
-      "\016granting_ended\030\007 \001(\010\"\203\001\n\014RosterRecord\022\016" +
-      "\n\006format\030\001 \001(\r\022)\n\007workers\030\002 \003(\0132\030.hemloc" +
-      "kpick.RosterEntry\022\017\n\007located\030\003 \001(\010\022\022\n\nge" +
-      "neration\030\004 \001(\r\022\023\n\013places_kept\030\005 \001(\010\"F\n\tH" +
-      "armEntry\022\025\n\rserving_image\030\001 \001(\t\022\024\n\014fille" +
-      "r_image\030\002 \001(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMean" +
-      "\022\r\n\005queue\030\001 \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLearn" +
-      "edRecord\022\016\n\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026" +
-      ".hemlockpick.HarmEntry\022%\n\005means\030\003 \003(\0132\026." +
-      "hemlockpick.QueueMean*\201\001\n\016JobStateRecord" +
-      "\022\031\n\025JOB_STATE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUE" +
-      "D\020\001\022\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022" +
-      "\016\n\nJOB_FAILED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025org" +
-      ".hemlockpick.protoP\001b\006proto3"
+      "(\r\"\257\001\n\013TermsRecord\022\014\n\004host\030\001 \001(\t\022\023\n\013path" +
+      "_prefix\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\020\n\010priori" +
+      "ty\030\004 \001(\005\022\024\n\014max_attempts\030\005 \001(\r\022\024\n\014slack_" +
+      "factor\030\006 \001(\001\022\035\n\025latency_target_millis\030\007 " +
+      "\001(\004\022\017\n\007advised\030\010 \001(\010\"\372\001\n\020SubmissionRecor" +
+      "d\022\016\n\006format\030\001 \001(\r\022\r\n\005queue\030\002 \001(\t\022\014\n\004spec" +
+      "\030\003 \001(\t\022&\n\005steps\030\004 \003(\0132\027.hemlockpick.Step" +
+      "Record\022\035\n\025first_start_at_millis\030\005 \001(\004\022\027\n" +
+      "\017interval_millis\030\006 \001(\004\022\024\n\014repeat_count\030\007" +
+      " \001(\r\022\032\n\022accepted_at_millis\030\010 \001(\004\022\'\n\005term" +
+      "s\030\t \001(\0132\030.hemlockpick.TermsRecord\"Q\n\tCra" +
+      "shNote\022\017\n\007attempt\030\001 \001(\r\022\016\n\006worker\030\002 \001(\t\022" +
+      "\022\n\nage_millis\030\003 \001(\004\022\017\n\007telling\030\004 \001(\010\"\312\001\n" +
+      "\010TaskNote\022\r\n\005index\030\001 \001(\r\022\020\n\010failures\030\002 \001" +
+      "(\r\022\022\n\ncheckpoint\030\003 \001(\t\022\026\n\016failed_attempt" +
+      "\030\004 \001(\r\022\035\n\025older_failed_attempts\030\005 \003(\r\022\032\n" +
+      "\022checkpoint_attempt\030\006 \001(\r\022\r\n\005place\030\007 \001(\t" +
+      "\022\'\n\007crashes\030\010 \003(\0132\026.hemlockpick.CrashNot" +
+      "e\"d\n\014StepProgress\022\022\n\noccurrence\030\001 \001(\r\022\014\n" +
+      "\004step\030\002 \001(\r\022\014\n\004done\030\003 \001(\014\022$\n\005notes\030\004 \003(\013" +
+      "2\025.hemlockpick.TaskNote\"\301\001\n\016ProgressReco" +
+      "rd\022\016\n\006format\030\001 \001(\r\022*\n\005state\030\002 \001(\0162\033.heml" +
+      "ockpick.JobStateRecord\022(\n\005steps\030\003 \003(\0132\031." +
+      "hemlockpick.StepProgress\022\027\n\017ended_at_mil" +
+      "lis\030\004 \001(\004\022\r\n\005queue\030\024 \001(\t\022\014\n\004host\030\025 \001(\t\022\023" +
+      "\n\013path_prefix\030\026 \001(\t\"-\n\013QueueLength\022\r\n\005qu" +
+      "eue\030\001 \001(\t\022\017\n\007waiting\030\002 \001(\r\"\227\001\n\nCellRecor" +
+      "d\022\016\n\006format\030\001 \001(\r\022\016\n\006holder\030\002 \001(\t\022\022\n\ngen" +
+      "eration\030\003 \001(\r\022\020\n\010released\030\004 \001(\010\022)\n\007waiti" +
+      "ng\030\005 \003(\0132\030.hemlockpick.QueueLength\022\030\n\020re" +
+      "placed_version\030\006 \001(\004\"\223\001\n\013RosterEntry\022\016\n\006" +
+      "worker\030\001 \001(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007add" +
+      "ress\030\003 \001(\t\022\016\n\006silent\030\004 \001(\010\022\r\n\005tasks\030\005 \003(" +
+      "\t\022\027\n\017granted_version\030\006 \001(\004\022\026\n\016granting_e" +
+      "nded\030\007 \001(\010\"\203\001\n\014RosterRecord\022\016\n\006format\030\001 " +
+      "\001(\r\022)\n\007workers\030\002 \003(\0132\030.hemlockpick.Roste" +
+      "rEntry\022\017\n\007located\030\003 \001(\010\022\022\n\ngeneration\030\004 " +
+      "\001(\r\022\023\n\013places_kept\030\005 \001(\010\"F\n\tHarmEntry\022\025\n" +
+      "\rserving_image\030\001 \001(\t\022\024\n\014filler_image\030\002 \001" +
+      "(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMean\022\r\n\005queue\030\001" +
+      " \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLearnedRecord\022\016\n" +
+      "\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026.hemlockpic" +
+      "k.HarmEntry\022%\n\005means\030\003 \003(\0132\026.hemlockpick" +
+      ".QueueMean*\201\001\n\016JobStateRecord\022\031\n\025JOB_STA" +
+      "TE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_" +
+      "RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAIL" +
+      "ED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025org.hemlockpic" +
+      "k.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -162,74 +174,80 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_StepRecord_descriptor,
         new java.lang.String[] { "Count", "CpuMillis", "MemoryMb", "Gpus", "EstimateMillis", "DependsOn", "Checkpoints", "Gang", "RackLocal", "RequiredLabel", "PreferredRack", "MaxPerWorker", "Speculative", "Lasting", "Image", "TailTargetMillis", "Filler", "MaxUnavailable", });
-    internal_static_hemlockpick_SubmissionRecord_descriptor =
+    internal_static_hemlockpick_TermsRecord_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_hemlockpick_TermsRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_TermsRecord_descriptor,
+        new java.lang.String[] { "Host", "PathPrefix", "Service", "Priority", "MaxAttempts", "SlackFactor", "LatencyTargetMillis", "Advised", });
+    internal_static_hemlockpick_SubmissionRecord_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_hemlockpick_SubmissionRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_SubmissionRecord_descriptor,
-        new java.lang.String[] { "Format", "Queue", "Spec", "Steps", "FirstStartAtMillis", "IntervalMillis", "RepeatCount", "AcceptedAtMillis", });
+        new java.lang.String[] { "Format", "Queue", "Spec", "Steps", "FirstStartAtMillis", "IntervalMillis", "RepeatCount", "AcceptedAtMillis", "Terms", });
     internal_static_hemlockpick_CrashNote_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_hemlockpick_CrashNote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_CrashNote_descriptor,
         new java.lang.String[] { "Attempt", "Worker", "AgeMillis", "Telling", });
     internal_static_hemlockpick_TaskNote_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_hemlockpick_TaskNote_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_TaskNote_descriptor,
         new java.lang.String[] { "Index", "Failures", "Checkpoint", "FailedAttempt", "OlderFailedAttempts", "CheckpointAttempt", "Place", "Crashes", });
     internal_static_hemlockpick_StepProgress_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_hemlockpick_StepProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_StepProgress_descriptor,
         new java.lang.String[] { "Occurrence", "Step", "Done", "Notes", });
     internal_static_hemlockpick_ProgressRecord_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_hemlockpick_ProgressRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_ProgressRecord_descriptor,
-        new java.lang.String[] { "Format", "State", "Steps", "EndedAtMillis", });
+        new java.lang.String[] { "Format", "State", "Steps", "EndedAtMillis", "Queue", "Host", "PathPrefix", });
     internal_static_hemlockpick_QueueLength_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_hemlockpick_QueueLength_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_QueueLength_descriptor,
         new java.lang.String[] { "Queue", "Waiting", });
     internal_static_hemlockpick_CellRecord_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_hemlockpick_CellRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_CellRecord_descriptor,
         new java.lang.String[] { "Format", "Holder", "Generation", "Released", "Waiting", "ReplacedVersion", });
     internal_static_hemlockpick_RosterEntry_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_hemlockpick_RosterEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterEntry_descriptor,
         new java.lang.String[] { "Worker", "BornMillis", "Address", "Silent", "Tasks", "GrantedVersion", "GrantingEnded", });
     internal_static_hemlockpick_RosterRecord_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_hemlockpick_RosterRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterRecord_descriptor,
         new java.lang.String[] { "Format", "Workers", "Located", "Generation", "PlacesKept", });
     internal_static_hemlockpick_HarmEntry_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_hemlockpick_HarmEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_HarmEntry_descriptor,
         new java.lang.String[] { "ServingImage", "FillerImage", "Harm", });
     internal_static_hemlockpick_QueueMean_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_hemlockpick_QueueMean_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_QueueMean_descriptor,
         new java.lang.String[] { "Queue", "Millis", });
     internal_static_hemlockpick_LearnedRecord_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_hemlockpick_LearnedRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_LearnedRecord_descriptor,
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecord.java
@@ -34,6 +34,9 @@
   private ProgressRecord() {
     state_ = 0;
     steps_ = java.util.Collections.emptyList();
+    queue_ = "";
+    host_ = "";
+    pathPrefix_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -130,6 +133,133 @@
     return endedAtMillis_;
   }
 
+  public static final int QUEUE_FIELD_NUMBER = 20;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object queue_ = "";
+  /**
+   * <pre>
+   * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+   * versions.
+   * </pre>
+   *
+   * <code>string queue = 20;</code>
+   * @return The queue.
+   */
+  @java.lang.Override
+  public java.lang.String getQueue() {
+    java.lang.Object ref = queue_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      queue_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+   * versions.
+   * </pre>
+   *
+   * <code>string queue = 20;</code>
+   * @return The bytes for queue.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getQueueBytes() {
+    java.lang.Object ref = queue_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      queue_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int HOST_FIELD_NUMBER = 21;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object host_ = "";
+  /**
+   * <code>string host = 21;</code>
+   * @return The host.
+   */
+  @java.lang.Override
+  public java.lang.String getHost() {
+    java.lang.Object ref = host_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      host_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string host = 21;</code>
+   * @return The bytes for host.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHostBytes() {
+    java.lang.Object ref = host_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      host_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PATH_PREFIX_FIELD_NUMBER = 22;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object pathPrefix_ = "";
+  /**
+   * <code>string path_prefix = 22;</code>
+   * @return The pathPrefix.
+   */
+  @java.lang.Override
+  public java.lang.String getPathPrefix() {
+    java.lang.Object ref = pathPrefix_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      pathPrefix_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string path_prefix = 22;</code>
+   * @return The bytes for pathPrefix.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPathPrefixBytes() {
+    java.lang.Object ref = pathPrefix_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      pathPrefix_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +286,15 @@
     if (endedAtMillis_ != 0L) {
       output.writeUInt64(4, endedAtMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 20, queue_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 21, host_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathPrefix_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 22, pathPrefix_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -181,6 +320,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, endedAtMillis_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(queue_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(20, queue_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(21, host_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathPrefix_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(22, pathPrefix_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -203,6 +351,12 @@
         .equals(other.getStepsList())) return false;
     if (getEndedAtMillis()
         != other.getEndedAtMillis()) return false;
+    if (!getQueue()
+        .equals(other.getQueue())) return false;
+    if (!getHost()
+        .equals(other.getHost())) return false;
+    if (!getPathPrefix()
+        .equals(other.getPathPrefix())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -225,6 +379,12 @@
     hash = (37 * hash) + ENDED_AT_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEndedAtMillis());
+    hash = (37 * hash) + QUEUE_FIELD_NUMBER;
+    hash = (53 * hash) + getQueue().hashCode();
+    hash = (37 * hash) + HOST_FIELD_NUMBER;
+    hash = (53 * hash) + getHost().hashCode();
+    hash = (37 * hash) + PATH_PREFIX_FIELD_NUMBER;
+    hash = (53 * hash) + getPathPrefix().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -370,6 +530,9 @@
       }
       bitField0_ = (bitField0_ & ~0x00000004);
       endedAtMillis_ = 0L;
+      queue_ = "";
+      host_ = "";
+      pathPrefix_ = "";
       return this;
     }
 
@@ -425,6 +588,15 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.endedAtMillis_ = endedAtMillis_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.queue_ = queue_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.host_ = host_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.pathPrefix_ = pathPrefix_;
+      }
     }
 
     @java.lang.Override
@@ -474,6 +646,21 @@
       if (other.getEndedAtMillis() != 0L) {
         setEndedAtMillis(other.getEndedAtMillis());
       }
+      if (!other.getQueue().isEmpty()) {
+        queue_ = other.queue_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (!other.getHost().isEmpty()) {
+        host_ = other.host_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (!other.getPathPrefix().isEmpty()) {
+        pathPrefix_ = other.pathPrefix_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -528,6 +715,21 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 162: {
+              queue_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 162
+            case 170: {
+              host_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 170
+            case 178: {
+              pathPrefix_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 178
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -900,6 +1102,247 @@
       return this;
     }
 
+    private java.lang.Object queue_ = "";
+    /**
+     * <pre>
+     * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+     * versions.
+     * </pre>
+     *
+     * <code>string queue = 20;</code>
+     * @return The queue.
+     */
+    public java.lang.String getQueue() {
+      java.lang.Object ref = queue_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        queue_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+     * versions.
+     * </pre>
+     *
+     * <code>string queue = 20;</code>
+     * @return The bytes for queue.
+     */
+    public com.google.protobuf.ByteString
+        getQueueBytes() {
+      java.lang.Object ref = queue_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        queue_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+     * versions.
+     * </pre>
+     *
+     * <code>string queue = 20;</code>
+     * @param value The queue to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQueue(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      queue_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+     * versions.
+     * </pre>
+     *
+     * <code>string queue = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearQueue() {
+      queue_ = getDefaultInstance().getQueue();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+     * versions.
+     * </pre>
+     *
+     * <code>string queue = 20;</code>
+     * @param value The bytes for queue to set.
+     * @return This builder for chaining.
+     */
+    public Builder setQueueBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      queue_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object host_ = "";
+    /**
+     * <code>string host = 21;</code>
+     * @return The host.
+     */
+    public java.lang.String getHost() {
+      java.lang.Object ref = host_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        host_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string host = 21;</code>
+     * @return The bytes for host.
+     */
+    public com.google.protobuf.ByteString
+        getHostBytes() {
+      java.lang.Object ref = host_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        host_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string host = 21;</code>
+     * @param value The host to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHost(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      host_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string host = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHost() {
+      host_ = getDefaultInstance().getHost();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string host = 21;</code>
+     * @param value The bytes for host to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHostBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      host_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object pathPrefix_ = "";
+    /**
+     * <code>string path_prefix = 22;</code>
+     * @return The pathPrefix.
+     */
+    public java.lang.String getPathPrefix() {
+      java.lang.Object ref = pathPrefix_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        pathPrefix_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string path_prefix = 22;</code>
+     * @return The bytes for pathPrefix.
+     */
+    public com.google.protobuf.ByteString
+        getPathPrefixBytes() {
+      java.lang.Object ref = pathPrefix_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        pathPrefix_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string path_prefix = 22;</code>
+     * @param value The pathPrefix to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPathPrefix(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      pathPrefix_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string path_prefix = 22;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPathPrefix() {
+      pathPrefix_ = getDefaultInstance().getPathPrefix();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string path_prefix = 22;</code>
+     * @param value The bytes for pathPrefix to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPathPrefixBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      pathPrefix_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.ProgressRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecordOrBuilder.java
@@ -56,4 +56,50 @@
    * @return The endedAtMillis.
    */
   long getEndedAtMillis();
+
+  /**
+   * <pre>
+   * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+   * versions.
+   * </pre>
+   *
+   * <code>string queue = 20;</code>
+   * @return The queue.
+   */
+  java.lang.String getQueue();
+  /**
+   * <pre>
+   * Queue of a job that has ended, and where callers ask for it; else empty, as in rows of earlier
+   * versions.
+   * </pre>
+   *
+   * <code>string queue = 20;</code>
+   * @return The bytes for queue.
+   */
+  com.google.protobuf.ByteString
+      getQueueBytes();
+
+  /**
+   * <code>string host = 21;</code>
+   * @return The host.
+   */
+  java.lang.String getHost();
+  /**
+   * <code>string host = 21;</code>
+   * @return The bytes for host.
+   */
+  com.google.protobuf.ByteString
+      getHostBytes();
+
+  /**
+   * <code>string path_prefix = 22;</code>
+   * @return The pathPrefix.
+   */
+  java.lang.String getPathPrefix();
+  /**
+   * <code>string path_prefix = 22;</code>
+   * @return The bytes for pathPrefix.
+   */
+  com.google.protobuf.ByteString
+      getPathPrefixBytes();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/SubmissionRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/SubmissionRecord.java
@@ -50,6 +50,7 @@
             org.hemlockpick.proto.SubmissionRecord.class, org.hemlockpick.proto.SubmissionRecord.Builder.class);
   }
 
+  private int bitField0_;
   public static final int FORMAT_FIELD_NUMBER = 1;
   private int format_ = 0;
   /**
@@ -224,6 +225,44 @@
     return acceptedAtMillis_;
   }
 
+  public static final int TERMS_FIELD_NUMBER = 9;
+  private org.hemlockpick.proto.TermsRecord terms_;
+  /**
+   * <pre>
+   * The terms under which the job was accepted; rows of earlier versions have none.
+   * </pre>
+   *
+   * <code>.hemlockpick.TermsRecord terms = 9;</code>
+   * @return Whether the terms field is set.
+   */
+  @java.lang.Override
+  public boolean hasTerms() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The terms under which the job was accepted; rows of earlier versions have none.
+   * </pre>
+   *
+   * <code>.hemlockpick.TermsRecord terms = 9;</code>
+   * @return The terms.
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.TermsRecord getTerms() {
+    return terms_ == null ? org.hemlockpick.proto.TermsRecord.getDefaultInstance() : terms_;
+  }
+  /**
+   * <pre>
+   * The terms under which the job was accepted; rows of earlier versions have none.
+   * </pre>
+   *
+   * <code>.hemlockpick.TermsRecord terms = 9;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.TermsRecordOrBuilder getTermsOrBuilder() {
+    return terms_ == null ? org.hemlockpick.proto.TermsRecord.getDefaultInstance() : terms_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -262,6 +301,9 @@
     if (acceptedAtMillis_ != 0L) {
       output.writeUInt64(8, acceptedAtMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(9, getTerms());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -301,6 +343,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(8, acceptedAtMillis_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, getTerms());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -332,6 +378,11 @@
         != other.getRepeatCount()) return false;
     if (getAcceptedAtMillis()
         != other.getAcceptedAtMillis()) return false;
+    if (hasTerms() != other.hasTerms()) return false;
+    if (hasTerms()) {
+      if (!getTerms()
+          .equals(other.getTerms())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -364,6 +415,10 @@
     hash = (37 * hash) + ACCEPTED_AT_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAcceptedAtMillis());
+    if (hasTerms()) {
+      hash = (37 * hash) + TERMS_FIELD_NUMBER;
+      hash = (53 * hash) + getTerms().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -487,13 +542,20 @@
 
     // Construct using org.hemlockpick.proto.SubmissionRecord.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetStepsFieldBuilder();
+        internalGetTermsFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -513,6 +575,11 @@
       intervalMillis_ = 0L;
       repeatCount_ = 0;
       acceptedAtMillis_ = 0L;
+      terms_ = null;
+      if (termsBuilder_ != null) {
+        termsBuilder_.dispose();
+        termsBuilder_ = null;
+      }
       return this;
     }
 
@@ -580,6 +647,14 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.acceptedAtMillis_ = acceptedAtMillis_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.terms_ = termsBuilder_ == null
+            ? terms_
+            : termsBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -645,6 +720,9 @@
       if (other.getAcceptedAtMillis() != 0L) {
         setAcceptedAtMillis(other.getAcceptedAtMillis());
       }
+      if (other.hasTerms()) {
+        mergeTerms(other.getTerms());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -719,6 +797,13 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 74: {
+              input.readMessage(
+                  internalGetTermsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1280,6 +1365,163 @@
       return this;
     }
 
+    private org.hemlockpick.proto.TermsRecord terms_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hemlockpick.proto.TermsRecord, org.hemlockpick.proto.TermsRecord.Builder, org.hemlockpick.proto.TermsRecordOrBuilder> termsBuilder_;
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     * @return Whether the terms field is set.
+     */
+    public boolean hasTerms() {
+      return ((bitField0_ & 0x00000100) != 0);
+    }
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     * @return The terms.
+     */
+    public org.hemlockpick.proto.TermsRecord getTerms() {
+      if (termsBuilder_ == null) {
+        return terms_ == null ? org.hemlockpick.proto.TermsRecord.getDefaultInstance() : terms_;
+      } else {
+        return termsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     */
+    public Builder setTerms(org.hemlockpick.proto.TermsRecord value) {
+      if (termsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        terms_ = value;
+      } else {
+        termsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     */
+    public Builder setTerms(
+        org.hemlockpick.proto.TermsRecord.Builder builderForValue) {
+      if (termsBuilder_ == null) {
+        terms_ = builderForValue.build();
+      } else {
+        termsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     */
+    public Builder mergeTerms(org.hemlockpick.proto.TermsRecord value) {
+      if (termsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0) &&
+          terms_ != null &&
+          terms_ != org.hemlockpick.proto.TermsRecord.getDefaultInstance()) {
+          getTermsBuilder().mergeFrom(value);
+        } else {
+          terms_ = value;
+        }
+      } else {
+        termsBuilder_.mergeFrom(value);
+      }
+      if (terms_ != null) {
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     */
+    public Builder clearTerms() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      terms_ = null;
+      if (termsBuilder_ != null) {
+        termsBuilder_.dispose();
+        termsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     */
+    public org.hemlockpick.proto.TermsRecord.Builder getTermsBuilder() {
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return internalGetTermsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     */
+    public org.hemlockpick.proto.TermsRecordOrBuilder getTermsOrBuilder() {
+      if (termsBuilder_ != null) {
+        return termsBuilder_.getMessageOrBuilder();
+      } else {
+        return terms_ == null ?
+            org.hemlockpick.proto.TermsRecord.getDefaultInstance() : terms_;
+      }
+    }
+    /**
+     * <pre>
+     * The terms under which the job was accepted; rows of earlier versions have none.
+     * </pre>
+     *
+     * <code>.hemlockpick.TermsRecord terms = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hemlockpick.proto.TermsRecord, org.hemlockpick.proto.TermsRecord.Builder, org.hemlockpick.proto.TermsRecordOrBuilder> 
+        internalGetTermsFieldBuilder() {
+      if (termsBuilder_ == null) {
+        termsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hemlockpick.proto.TermsRecord, org.hemlockpick.proto.TermsRecord.Builder, org.hemlockpick.proto.TermsRecordOrBuilder>(
+                getTerms(),
+                getParentForChildren(),
+                isClean());
+        terms_ = null;
+      }
+      return termsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.SubmissionRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/SubmissionRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/SubmissionRecordOrBuilder.java
@@ -87,4 +87,31 @@
    * @return The acceptedAtMillis.
    */
   long getAcceptedAtMillis();
+
+  /**
+   * <pre>
+   * The terms under which the job was accepted; rows of earlier versions have none.
+   * </pre>
+   *
+   * <code>.hemlockpick.TermsRecord terms = 9;</code>
+   * @return Whether the terms field is set.
+   */
+  boolean hasTerms();
+  /**
+   * <pre>
+   * The terms under which the job was accepted; rows of earlier versions have none.
+   * </pre>
+   *
+   * <code>.hemlockpick.TermsRecord terms = 9;</code>
+   * @return The terms.
+   */
+  org.hemlockpick.proto.TermsRecord getTerms();
+  /**
+   * <pre>
+   * The terms under which the job was accepted; rows of earlier versions have none.
+   * </pre>
+   *
+   * <code>.hemlockpick.TermsRecord terms = 9;</code>
+   */
+  org.hemlockpick.proto.TermsRecordOrBuilder getTermsOrBuilder();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -23,7 +23,6 @@
 
   private final CellSettings settings;
   private final CellLease.Acquired lease;
-  private final Supplier<@Nullable Configuration> configuration;
   private final LoopClock clock;
   private final DecisionLog log;
   private final CellMetrics metrics;
@@ -37,6 +36,7 @@
   private final JobLifecycle lifecycle;
   private final JobWatcher jobWatcher;
   private final JobSweeper sweeper;
+  private final UnservedJobs unservedJobs;
   private final LearnedState learnedState;
   private final TakeoverTracker takeoverTracker;
   private final WorkerList workerList;
@@ -78,7 +78,6 @@
       Listener listener) {
     this.settings = settings;
     this.lease = lease;
-    this.configuration = configuration;
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
@@ -133,8 +132,11 @@
             log,
             new RunnerContext());
     this.crashes = new CrashTracker(workers, lifecycle, clock, log);
+    QueueResolver queues = new QueueResolver(configuration);
+    this.unservedJobs = new UnservedJobs(jobs, workers, queues, lifecycle);
     RunReconciler reconciler =
-        new RunReconciler(runner, jobs, lifecycle, crashes, clock, log, metrics, this::maxAttempts);
+        new RunReconciler(
+            runner, jobs, lifecycle, crashes, clock, log, metrics, queues::maxAttempts);
     this.workerLifecycle =
         new WorkerLifecycle(
             settings,
@@ -153,7 +155,7 @@
     Candidates candidates = new Candidates(workers, reservations);
     ReadyQueue ready =
         new ReadyQueue(
-            jobs, lifecycle, new SlackPriority(estimator), clock, this::queue, this::isStartable);
+            jobs, lifecycle, new SlackPriority(estimator), clock, queues::queue, this::isStartable);
     CapacityForecast forecast = new CapacityForecast(estimator);
     PlacementPolicy placement = new InterferenceAwarePlacement(interference);
     DrainDeadline drainDeadline = new DrainDeadline(settings, clock);
@@ -166,12 +168,12 @@
             placement,
             drainDeadline,
             runner::tryStop,
-            this::queue,
+            queues::queue,
             log,
             metrics);
     this.planner =
         new Planner(
-            ready, runner, candidates, reserver, reservations, placement, clock, this::queue);
+            ready, runner, candidates, reserver, reservations, placement, clock, queues::queue);
     this.paceController = new PaceController(token, port, runner::tryStop, interference, log);
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController =
@@ -187,7 +189,7 @@
             reserver,
             takeoverTracker,
             journal,
-            this::queue,
+            queues::queue,
             log);
     this.gauges = new HolderGauges(jobs, workers, reservations, takeoverTracker, journal, reports);
   }
@@ -269,6 +271,7 @@
     if (!journal.allowsOrders(now)) {
       return;
     }
+    unservedJobs.run(now);
     runner.run(workers.all());
     boolean mayStart = !releasing && journal.mayGrantLeases(now);
     if (mayStart && planningSchedule.isDue(now, changedSincePlan)) {
@@ -289,16 +292,6 @@
     workerList.requestRosterWrite();
   }
 
-  private @Nullable Queue queue(Job job) {
-    Configuration inForce = configuration.get();
-    return inForce == null ? null : inForce.queue(job.submission().queue()).orElse(null);
-  }
-
-  private int maxAttempts(Job job) {
-    Queue queue = queue(job);
-    return queue == null ? Integer.MAX_VALUE : queue.maxAttempts();
-  }
-
   private boolean isStartable(Task task) {
     return !takeoverTracker.blocksStart(task)
         && journal.isVisibleToSuccessor(task.job().rowVersion());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellMember.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellMember.java
@@ -67,7 +67,8 @@
     this.metrics = metrics;
     this.configuration = new ConfigurationWatcher(this.store, source, clock, this::decided, random);
     this.lease = new CellLease(settings, this.store, clock, random, log, this::onAcquired);
-    this.callHandler = new JobCallHandler(settings, this.store, clock, this::decided);
+    this.callHandler =
+        new JobCallHandler(settings, this.store, configuration::current, clock, this::decided);
     this.lastWallMillis = clock.wallMillis();
     this.lastMonotonicMillis = clock.monotonicMillis();
   }
@@ -138,7 +139,7 @@
   }
 
   /**
-   * Submits a job.
+   * Submits a job, which is accepted under the terms of its queue in force.
    *
    * @param timeoutMillis time for which the caller waits
    * @param handler receives the answer, once
@@ -153,7 +154,7 @@
    * @param timeoutMillis time for which the caller waits
    * @param handler receives the answer, once
    */
-  public void cancel(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+  public void cancel(JobAddress job, long timeoutMillis, Consumer<CallerReply> handler) {
     callHandler.cancel(job, timeoutMillis, handler);
   }
 
@@ -163,7 +164,7 @@
    * @param timeoutMillis time for which the caller waits
    * @param handler receives the answer, once
    */
-  public void state(String job, long timeoutMillis, Consumer<CallerReply> handler) {
+  public void state(JobAddress job, long timeoutMillis, Consumer<CallerReply> handler) {
     callHandler.state(job, timeoutMillis, handler);
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobCallHandler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobCallHandler.java
@@ -3,15 +3,17 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
-import java.util.Queue;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hemlockpick.cell.TableService.Outcome;
 import org.hemlockpick.cell.TableService.ReadResult;
 import org.hemlockpick.cell.TableService.TransactionResult;
 import org.hemlockpick.cell.Transaction.Condition;
 import org.hemlockpick.cell.Transaction.Write;
 import org.hemlockpick.errors.ResultCode;
+import org.hemlockpick.proto.ProgressRecord;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,17 +36,25 @@
   private static final long ANSWER_MARGIN_MILLIS = 150;
 
   private final CellSettings settings;
-
   private final MonitoredTableService store;
+
+  /** Returns the configuration in force; null until one was read. */
+  private final Supplier<@Nullable Configuration> configuration;
+
   private final LoopClock clock;
   private final DecisionLog log;
-  private final Queue<Retry> retries = new ArrayDeque<>();
+  private final Deque<Retry> retries = new ArrayDeque<>();
   private int openCalls;
 
   JobCallHandler(
-      CellSettings settings, MonitoredTableService store, LoopClock clock, DecisionLog log) {
+      CellSettings settings,
+      MonitoredTableService store,
+      Supplier<@Nullable Configuration> configuration,
+      LoopClock clock,
+      DecisionLog log) {
     this.settings = settings;
     this.store = store;
+    this.configuration = configuration;
     this.clock = clock;
     this.log = log;
   }
@@ -54,19 +64,46 @@
     return openCalls;
   }
 
-  /** Stores a job. Idempotent: a repeated identifier denotes the same job. */
+  /**
+   * Stores a job with the terms of its queue, which must be in force. Idempotent: a repeated
+   * identifier denotes the same job.
+   */
   void submit(Submission job, long timeoutMillis, Consumer<CallerReply> handler) {
-    new Submit(job, timeoutMillis, handler).trySend();
+    ifConfigured(handler, inForce -> submit(job, inForce, timeoutMillis, handler));
+  }
+
+  private void submit(
+      Submission job, Configuration inForce, long timeoutMillis, Consumer<CallerReply> handler) {
+    Queue queue = inForce.queue(job.queue()).orElse(null);
+    if (queue == null) {
+      handler.accept(CallerReply.of(ResultCode.UNKNOWN_SERVICE));
+      return;
+    }
+    new Submit(job.withTerms(queue), timeoutMillis, handler).trySend();
   }
 
   /** Stores the cancellation of a job. */
-  void cancel(String job, long timeoutMillis, Consumer<CallerReply> handler) {
-    new Cancel(job, timeoutMillis, handler).trySend();
+  void cancel(JobAddress job, long timeoutMillis, Consumer<CallerReply> handler) {
+    ifConfigured(
+        handler,
+        inForce -> new Cancel(new JobOwnership(job, inForce), timeoutMillis, handler).trySend());
   }
 
   /** Reads the state of a job. */
-  void state(String job, long timeoutMillis, Consumer<CallerReply> handler) {
-    new Query(job, timeoutMillis, handler).trySend();
+  void state(JobAddress job, long timeoutMillis, Consumer<CallerReply> handler) {
+    ifConfigured(
+        handler,
+        inForce -> new Query(new JobOwnership(job, inForce), timeoutMillis, handler).trySend());
+  }
+
+  /** Runs an action with the configuration in force, or asks the caller to retry. */
+  private void ifConfigured(Consumer<CallerReply> handler, Consumer<Configuration> action) {
+    Configuration inForce = configuration.get();
+    if (inForce == null) {
+      handler.accept(CallerReply.retryLater(ResultCode.NOT_READY));
+      return;
+    }
+    action.accept(inForce);
   }
 
   /** Sends the retries that are due. */
@@ -199,10 +236,12 @@
 
   /** A call that first reads what is stored of a job. */
   private abstract class Lookup extends Call {
+    private final JobOwnership ownership;
     private @Nullable JobState progress;
 
-    Lookup(String job, long timeoutMillis, Consumer<CallerReply> handler) {
-      super(job, timeoutMillis, handler);
+    Lookup(JobOwnership ownership, long timeoutMillis, Consumer<CallerReply> handler) {
+      super(ownership.job(), timeoutMillis, handler);
+      this.ownership = ownership;
     }
 
     @Override
@@ -222,15 +261,17 @@
         retryOrGiveUp();
         return;
       }
-      progress = null;
+      ProgressRecord record = null;
       for (StoredRow row : result.rows()) {
-        progress =
-            JobRows.progress(row.value())
-                .map(record -> JobRows.state(record.getState()))
-                .orElse(progress);
+        record = JobRows.progress(row.value()).orElse(record);
       }
-      if (progress != null && progress.isFinal()) {
-        onEnded(progress);
+      progress = record == null ? null : JobRows.state(record.getState());
+      if (record != null && progress != null && progress.isFinal()) {
+        if (ownership.covers(record)) {
+          onEnded(progress);
+        } else {
+          answer(CallerReply.of(ownership.unknownJob()));
+        }
         return;
       }
       store.read(JobRows.range(settings.cell(), job), storeTimeoutMillis(), this::onRows);
@@ -248,8 +289,8 @@
         submission = kind == JobRows.Kind.SUBMISSION ? row : submission;
         isCanceled |= kind == JobRows.Kind.CANCELLATION;
       }
-      if (submission == null) {
-        answer(CallerReply.of(ResultCode.UNKNOWN_JOB));
+      if (submission == null || !ownership.covers(submission)) {
+        answer(CallerReply.of(ownership.unknownJob()));
       } else if (isCanceled) {
         onEnded(JobState.CANCELED);
       } else {
@@ -259,8 +300,8 @@
   }
 
   private final class Query extends Lookup {
-    Query(String job, long timeoutMillis, Consumer<CallerReply> handler) {
-      super(job, timeoutMillis, handler);
+    Query(JobOwnership ownership, long timeoutMillis, Consumer<CallerReply> handler) {
+      super(ownership, timeoutMillis, handler);
     }
 
     @Override
@@ -280,8 +321,8 @@
   }
 
   private final class Cancel extends Lookup {
-    Cancel(String job, long timeoutMillis, Consumer<CallerReply> handler) {
-      super(job, timeoutMillis, handler);
+    Cancel(JobOwnership ownership, long timeoutMillis, Consumer<CallerReply> handler) {
+      super(ownership, timeoutMillis, handler);
     }
 
     @Override
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
@@ -185,6 +185,11 @@
     return !task.isDone() && !task.step().step().longRunning() && task.failures() >= maxAttempts;
   }
 
+  /** Fails an open job for a reason that is not one of its tasks. */
+  void fail(Job job, String reason) {
+    end(job, JobState.FAILED, reason);
+  }
+
   private void fail(Task task) {
     end(task.job(), JobState.FAILED, task.id() + " failed " + task.failures() + " times");
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -12,6 +12,7 @@
 import org.hemlockpick.proto.StepRecord;
 import org.hemlockpick.proto.SubmissionRecord;
 import org.hemlockpick.proto.TaskNote;
+import org.hemlockpick.proto.TermsRecord;
 
 /**
  * Names and converts the rows of jobs in the table service. The rows written by callers are spread
@@ -99,6 +100,10 @@
             .setIntervalMillis(job.intervalMillis())
             .setRepeatCount(job.repeatCount())
             .setAcceptedAtMillis(job.acceptedAtMillis());
+    Queue terms = job.terms();
+    if (terms != null) {
+      record.setTerms(encode(terms));
+    }
     job.steps().forEach(step -> record.addSteps(encode(step)));
     return record.build().toByteString();
   }
@@ -119,7 +124,8 @@
               record.getFirstStartAtMillis(),
               record.getIntervalMillis(),
               record.getRepeatCount(),
-              record.getAcceptedAtMillis()));
+              record.getAcceptedAtMillis(),
+              record.hasTerms() ? queue(record.getQueue(), record.getTerms()) : null));
     } catch (InvalidProtocolBufferException e) {
       return Optional.empty();
     }
@@ -141,7 +147,13 @@
             .setFormat(FORMAT)
             .setState(record(job.state()))
             .setEndedAtMillis(job.endedAtMillis());
-    if (!job.state().isFinal()) {
+    if (job.state().isFinal()) {
+      record.setQueue(job.submission().queue());
+      Queue terms = job.submission().terms();
+      if (terms != null) {
+        record.setHost(terms.host()).setPathPrefix(terms.pathPrefix());
+      }
+    } else {
       job.stepRuns().stream()
           .filter(StepRun::hasProgress)
           .forEach(run -> record.addSteps(encode(run)));
@@ -191,6 +203,32 @@
     return progress.setDone(ByteString.copyFrom(done.toByteArray())).build();
   }
 
+  private static TermsRecord encode(Queue queue) {
+    return TermsRecord.newBuilder()
+        .setHost(queue.host())
+        .setPathPrefix(queue.pathPrefix())
+        .setService(queue.service())
+        .setPriority(queue.priority())
+        .setMaxAttempts(queue.maxAttempts())
+        .setSlackFactor(queue.slackFactor())
+        .setLatencyTargetMillis(queue.latencyTargetMillis())
+        .setAdvised(queue.advised())
+        .build();
+  }
+
+  private static Queue queue(String name, TermsRecord terms) {
+    return new Queue(
+        name,
+        terms.getHost(),
+        terms.getPathPrefix(),
+        terms.getService(),
+        terms.getPriority(),
+        terms.getMaxAttempts(),
+        terms.getSlackFactor(),
+        terms.getLatencyTargetMillis(),
+        terms.getAdvised());
+  }
+
   private static StepRecord encode(Step step) {
     StepRecord.Builder record =
         StepRecord.newBuilder()
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Submission.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Submission.java
@@ -1,6 +1,7 @@
 package org.hemlockpick.cell;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A job as its caller submitted it.
@@ -14,6 +15,8 @@
  * @param intervalMillis time between occurrences
  * @param repeatCount number of occurrences; 0 for a job that runs once and immediately
  * @param acceptedAtMillis wall clock time at which it was accepted
+ * @param terms the queue as it was when the job was accepted; null before that, and if an earlier
+ *     version stored the job
  */
 public record Submission(
     String id,
@@ -23,13 +26,50 @@
     long firstStartAtMillis,
     long intervalMillis,
     int repeatCount,
-    long acceptedAtMillis) {
+    long acceptedAtMillis,
+    @Nullable Queue terms) {
 
   /** Copies the list. */
   public Submission {
     steps = List.copyOf(steps);
   }
 
+  /** Creates a job that is not accepted yet. */
+  public Submission(
+      String id,
+      String queue,
+      String spec,
+      List<Step> steps,
+      long firstStartAtMillis,
+      long intervalMillis,
+      int repeatCount,
+      long acceptedAtMillis) {
+    this(
+        id,
+        queue,
+        spec,
+        steps,
+        firstStartAtMillis,
+        intervalMillis,
+        repeatCount,
+        acceptedAtMillis,
+        null);
+  }
+
+  /** Returns this job as it is accepted under the terms of its queue. */
+  Submission withTerms(Queue accepting) {
+    return new Submission(
+        id,
+        queue,
+        spec,
+        steps,
+        firstStartAtMillis,
+        intervalMillis,
+        repeatCount,
+        acceptedAtMillis,
+        accepting);
+  }
+
   /** Returns whether the occurrences start at scheduled times. */
   public boolean isTimed() {
     return repeatCount > 0;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerTable.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerTable.java
@@ -17,6 +17,11 @@
     return workers.get(id);
   }
 
+  /** Returns whether a worker of a service is known. */
+  boolean hasService(String service) {
+    return workers.values().stream().anyMatch(worker -> worker.entry().service().equals(service));
+  }
+
   void add(Worker worker) {
     workers.put(worker.id(), worker);
   }
