--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/WorkerBootTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/WorkerBootTest.java
@@ -156,6 +156,23 @@
     assertUsable();
   }
 
+  /** Guards against starts that rely on the entry of another boot where capacity is not guarded. */
+  @Test
+  void entryOfAnotherBootIsNoReadingOfTheCapacity() {
+    world.setGuardsCapacity(false);
+    world.time.runFor(RETURN_MILLIS);
+    int started = startsAtWorker();
+    long other = worker.bootTimeMillis() + JUMP_MILLIS;
+    world.store.put("workers", "w0", ByteString.copyFromUtf8(other + " ready 8000 32000 0"));
+    world.time.runFor(RETURN_MILLIS);
+    world.submit(0, "a", step(4 * WORKERS));
+    world.time.runFor(1_000);
+    assertEquals(started, startsAtWorker(), this::log);
+    world.registerWorker("w0");
+    world.time.runFor(RETURN_MILLIS);
+    assertUsable();
+  }
+
   /** Guards against taking the late answer of an earlier boot for that of the next one. */
   @ParameterizedTest
   @ValueSource(longs = {-JUMP_MILLIS - 10_000, JUMP_MILLIS})
