Draw the faults of the cell's fuzz tests from one class

CellFuzzTest, ProcessFuzzTest and StartFuzzTest held three switches that overlapped, so that a kind known to one was not drawn by the others, and each healed only what it knew. CellFaults strikes with one kind and heals all; the tests name the kinds that they draw.

CellFuzzTest and ProcessFuzzTest now also assert that their watchdog has judged something.

The fakes learn what was missing: a store that is slow, turns single instances away or hides changes from watches; workers that fail or refuse all, are slow, stand still for a while, refuse connections, leave sooner than told or for good; processes that are slow, and instances that are added. The progress of a run is told by the run time of its job, where that is set. StartWatchdog takes all of these as disturbances.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFuzzTest.java
@@ -1,11 +1,14 @@
 package org.hemlockpick.cell;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.hemlockpick.cell.CellFaults.Kind;
+import org.hemlockpick.cell.CellFaults.Target;
 
 /** Tests jobs of a cell through random faults in series and at once. */
 class CellFuzzTest {
@@ -16,6 +19,22 @@
   private static final long RECOVERY_MILLIS = 45_000;
   private static final long LONG_LEASE_MILLIS = 10_000;
 
+  /** Each draw takes one of these; their order belongs to the seeds. */
+  private static final List<Kind> KINDS =
+      List.of(
+          Kind.KILL,
+          Kind.SUSPEND,
+          Kind.SWITCH_STORE_LINK,
+          Kind.SWITCH_WORKER_LINKS,
+          Kind.SWITCH_WORKER,
+          Kind.RESTART_WORKER,
+          Kind.REMOVE_ENTRY,
+          Kind.SWITCH_STORE,
+          Kind.LOSE_WRITES,
+          Kind.DELAY_ORDERS_SELDOM,
+          Kind.FORGET_HISTORY,
+          Kind.HEAL);
+
   @Property(tries = 60, seed = "20261204")
   void noTaskRunsTwiceAndEveryJobEnds(@ForAll long seed) {
     play(seed, CellWorld.LEASE_MILLIS);
@@ -31,17 +50,19 @@
     CellWorld world = new CellWorld(seed, NODES, WORKERS, leaseMillis);
     StartWatchdog watchdog = new StartWatchdog(world, leaseMillis);
     SplittableRandom random = new SplittableRandom(seed);
+    CellFaults faults = new CellFaults(world, random, WORKERS);
     world.workers.failureProbability = 0.05;
     world.workers.runMillis = 200L + random.nextInt(4_000);
     world.time.runFor(2_000);
     for (int i = 0; i < STEPS; i++) {
       world.submit(random.nextInt(NODES), "j" + i, steps(random));
-      disturb(world, random);
+      disturb(world, faults, random);
       world.time.runFor(random.nextLong(MAX_PAUSE_MILLIS));
     }
-    heal(world);
+    faults.heal();
     world.time.runFor(RECOVERY_MILLIS);
     assertEquals(List.of(), world.workers.violations, () -> tail(world));
+    assertTrue(watchdog.checks() > 50, () -> watchdog.checks() + " checks");
     assertEquals(List.of(), watchdog.violations, () -> tail(world));
     assertEquals(List.of(), world.unfinished(), () -> tail(world));
     assertEquals(List.of(), world.workers.violations, () -> tail(world));
@@ -59,43 +80,11 @@
         : new Step[] {CellWorld.step(first), CellWorld.step(1 + random.nextInt(3), 0)};
   }
 
-  private static void disturb(CellWorld world, SplittableRandom random) {
+  private static void disturb(CellWorld world, CellFaults faults, SplittableRandom random) {
     CellWorld.Node node = world.nodes.get(random.nextInt(NODES));
     String worker = "w" + random.nextInt(WORKERS);
-    switch (random.nextInt(12)) {
-      case 0 -> node.kill();
-      case 1 -> node.suspend(500 + random.nextLong(8_000));
-      case 2 -> node.storeView.disconnected = !node.storeView.disconnected;
-      case 3 -> node.workerView.disconnected = !node.workerView.disconnected;
-      case 4 -> world.workers.get(worker).disconnected = !world.workers.get(worker).disconnected;
-      case 5 -> world.workers.get(worker).restart();
-      case 6 -> world.store.remove("workers", worker);
-      case 7 -> world.store.unresponsive = !world.store.unresponsive;
-      case 8 -> {
-        world.store.lossProbability = 0.3;
-        world.store.maxDelayMillis = 6_000;
-      }
-      case 9 -> world.workers.lateOrderProbability = 0.1;
-      case 10 -> world.store.forgetHistory();
-      default -> heal(world);
-    }
-  }
-
-  private static void heal(CellWorld world) {
-    world.store.unresponsive = false;
-    world.store.lossProbability = 0;
-    world.workers.lateOrderProbability = 0;
-    for (CellWorld.Node node : world.nodes) {
-      if (node.process == null) {
-        node.start();
-      }
-      node.storeView.disconnected = false;
-      node.workerView.disconnected = false;
-    }
-    for (int i = 0; i < WORKERS; i++) {
-      world.workers.get("w" + i).disconnected = false;
-      world.registerWorker("w" + i);
-    }
+    Kind kind = KINDS.get(random.nextInt(KINDS.size()));
+    faults.strike(kind, new Target(node, worker, () -> 500 + random.nextLong(8_000), () -> 0));
   }
 
   private static String tail(CellWorld world) {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import org.hemlockpick.errors.ResultCode;
 import org.hemlockpick.fakes.VirtualTime;
 import org.hemlockpick.proto.ProgressRecord;
@@ -20,13 +21,16 @@
 final class CellWorld {
   static final String QUEUE = "topup";
   static final String SERVICE = "litepay";
-  private static final long TICK_MILLIS = 10;
+
+  /** Time between two ticks of a process, if it is not slow, in milliseconds. */
+  static final long TICK_MILLIS = 10;
 
   /** Interval at which a worker writes its entry of the platform's list. */
   private static final long HEARTBEAT_MILLIS = 500;
 
   private static final long START_MILLIS = 1_000_000;
   static final long LEASE_MILLIS = 5_000;
+  private static final long STATUS_KEEP_MILLIS = 120_000;
   private static final int MAX_ATTEMPTS = 50;
   static final ResourceAmounts WORKER_CAPACITY = new ResourceAmounts(8_000, 32_000, 0);
 
@@ -40,9 +44,13 @@
   /** Jobs whose acceptance was confirmed to their caller. */
   private final Map<String, Submission> acknowledged = new LinkedHashMap<>();
 
+  /** Are told the identifier of each job whose acceptance was confirmed, and by which node. */
+  final List<BiConsumer<String, Node>> onAcknowledged = new ArrayList<>();
+
   private final List<String> workerIds = new ArrayList<>();
   private final SplittableRandom random;
   private final long leaseMillis;
+  private final long statusKeepMillis;
   private int incarnationCount;
 
   CellWorld(long seed, int nodeCount, int workerCount) {
@@ -55,7 +63,17 @@
    * @param leaseMillis longest lease of a worker
    */
   CellWorld(long seed, int nodeCount, int workerCount, long leaseMillis) {
+    this(seed, nodeCount, workerCount, leaseMillis, STATUS_KEEP_MILLIS);
+  }
+
+  /**
+   * Creates a world in which the states of jobs that have ended are kept for another time.
+   *
+   * @param statusKeepMillis this time, in milliseconds
+   */
+  CellWorld(long seed, int nodeCount, int workerCount, long leaseMillis, long statusKeepMillis) {
     this.leaseMillis = leaseMillis;
+    this.statusKeepMillis = statusKeepMillis;
     random = new SplittableRandom(seed);
     store = new FakeStore(time, random.nextLong());
     workers = new FakeWorkers(time, random.nextLong(), leaseMillis);
@@ -71,6 +89,11 @@
     }
   }
 
+  /** Starts another entry instance. */
+  void addNode() {
+    nodes.add(new Node("n" + nodes.size()));
+  }
+
   /** Adds a worker to the platform's list, or replaces its entry. */
   void registerWorker(String worker) {
     FakeWorkers.Model model = workers.get(worker);
@@ -112,9 +135,14 @@
    * in milliseconds.
    */
   void drainWorker(String worker, long remainingMillis) {
-    listAsDraining(worker, time.millis() + remainingMillis);
+    drainWorker(worker, remainingMillis, remainingMillis);
+  }
+
+  /** Does the same with a worker that leaves sooner than its heartbeats tell. */
+  void drainWorker(String worker, long remainingMillis, long stayMillis) {
+    listAsDraining(worker, time.millis() + remainingMillis, time.millis() + stayMillis);
     time.after(
-        remainingMillis,
+        stayMillis,
         () -> {
           workers.get(worker).disconnected = true;
           workers.get(worker).endAllRuns();
@@ -122,12 +150,12 @@
         });
   }
 
-  private void listAsDraining(String worker, long leavesAt) {
-    long remainingMillis = leavesAt - time.millis();
-    if (remainingMillis > 0) {
+  private void listAsDraining(String worker, long toldAt, long leavesAt) {
+    if (time.millis() < leavesAt) {
+      long remainingMillis = toldAt - time.millis();
       String entry = workers.get(worker).bootTimeMillis() + " " + remainingMillis;
       store.put("workers", worker, ByteString.copyFromUtf8(entry));
-      time.after(HEARTBEAT_MILLIS, () -> listAsDraining(worker, leavesAt));
+      time.after(HEARTBEAT_MILLIS, () -> listAsDraining(worker, toldAt, leavesAt));
     }
   }
 
@@ -227,7 +255,7 @@
         reply -> {
           answered[0] = true;
           if (reply.code() == ResultCode.DONE) {
-            acknowledged.putIfAbsent(job.id(), job);
+            acknowledge(job, node);
           } else {
             time.after(200, () -> trySubmit(index + 1, job));
           }
@@ -235,6 +263,18 @@
     time.after(2_500, () -> retryUnlessAnswered(answered[0], index + 1, job));
   }
 
+  private void acknowledge(Submission job, Node node) {
+    if (accepted.containsKey(job.id()) && acknowledged.putIfAbsent(job.id(), job) == null) {
+      List.copyOf(onAcknowledged).forEach(listener -> listener.accept(job.id(), node));
+    }
+  }
+
+  /** Does not count a job as accepted any more, as its caller cancels it. */
+  void disregard(String id) {
+    accepted.remove(id);
+    acknowledged.remove(id);
+  }
+
   /** Submits again at another node, as a caller whose connection broke does. */
   private void retryUnlessAnswered(boolean answered, int index, Submission job) {
     if (!answered) {
@@ -465,6 +505,10 @@
     final RecordedMetrics metrics = new RecordedMetrics();
     final CellMember cell;
     private final String address;
+
+    /** Time between two ticks in milliseconds. */
+    long tickMillis = TICK_MILLIS;
+
     private boolean ended;
 
     Incarnation(Node node, String address, String incarnation) {
@@ -472,7 +516,14 @@
       cell =
           new CellMember(
               new CellSettings(
-                  node.name, address, incarnation, "c0", leaseMillis, 200, 120_000, node.size),
+                  node.name,
+                  address,
+                  incarnation,
+                  "c0",
+                  leaseMillis,
+                  200,
+                  statusKeepMillis,
+                  node.size),
               storeView,
               workerView,
               new Source(),
@@ -489,7 +540,7 @@
       if (!inbox.isPaused()) {
         cell.tick();
       }
-      time.after(TICK_MILLIS, this::tick);
+      time.after(tickMillis, this::tick);
     }
 
     /** Pauses the process as SIGSTOP does; both clocks go on. */
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -23,7 +23,9 @@
  * watches.
  */
 final class FakeStore {
-  private static final long LATENCY_MILLIS = 4;
+  /** Time until an answer, if the service is not slow, in milliseconds. */
+  static final long LATENCY_MILLIS = 4;
+
   private static final int PAGE = 7;
 
   /** Bytes of a reply besides the values of its rows. */
@@ -62,6 +64,12 @@
   /** Whether no call is answered. */
   boolean unresponsive;
 
+  /** Whether watches hear of no change. */
+  boolean watchesSilent;
+
+  /** Time until an answer in milliseconds. */
+  long latencyMillis = LATENCY_MILLIS;
+
   /** Time that a part takes for each transaction, one after another, in milliseconds. */
   long transactionMillis;
 
@@ -185,9 +193,15 @@
     /** Whether no call of this process arrives. */
     boolean disconnected;
 
+    /** Whether the service turns away the calls of this process at once. */
+    boolean turnsAway;
+
     /** Whether transactions of this process are applied and not answered. */
     boolean repliesLost;
 
+    /** Action that runs once, between the next commit of this process and its answer. */
+    private @Nullable Runnable afterCommit;
+
     /** Table that this process cannot read; empty for none. */
     String unreadableTable = "";
 
@@ -198,6 +212,19 @@
       this.inbox = inbox;
     }
 
+    /** Runs an action once, between the next commit of this process and its answer. */
+    void afterNextCommit(Runnable action) {
+      afterCommit = action;
+    }
+
+    private void onApplied(TransactionResult result) {
+      Runnable action = afterCommit;
+      if (action != null && result.outcome() == Outcome.COMMITTED) {
+        afterCommit = null;
+        action.run();
+      }
+    }
+
     private boolean isUnreachable() {
       return disconnected || unresponsive;
     }
@@ -207,7 +234,7 @@
         Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
       if (isRefused(transaction)) {
         TransactionResult refused = new TransactionResult(Outcome.REFUSED, 0, ImmutableList.of());
-        inbox.answer(LATENCY_MILLIS, () -> handler.accept(refused));
+        inbox.answer(latencyMillis, () -> handler.accept(refused));
         return;
       }
       outbox.send(() -> sendTransaction(transaction, timeoutMillis, handler));
@@ -224,8 +251,11 @@
       TransactionResult unknown = new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of());
       if (isUnreachable()) {
         inbox.timeout(timeoutMillis, () -> handler.accept(unknown));
+      } else if (turnsAway) {
+        TransactionResult none = new TransactionResult(Outcome.NOT_DONE, 0, ImmutableList.of());
+        inbox.answer(latencyMillis, () -> handler.accept(none));
       } else if (repliesLost) {
-        time.after(LATENCY_MILLIS, () -> apply(transaction));
+        time.after(latencyMillis, () -> apply(transaction));
         inbox.timeout(timeoutMillis, () -> handler.accept(unknown));
       } else if (random.nextDouble() < lossProbability) {
         time.after(random.nextLong(maxDelayMillis + 1), () -> apply(transaction));
@@ -241,16 +271,17 @@
       long begin = Math.max(now, busyUntil.getOrDefault(transaction.part(), 0L));
       if (begin - now > MAX_QUEUE_MILLIS) {
         TransactionResult refused = new TransactionResult(Outcome.NOT_DONE, 0, ImmutableList.of());
-        inbox.answer(LATENCY_MILLIS, () -> handler.accept(refused));
+        inbox.answer(latencyMillis, () -> handler.accept(refused));
         return;
       }
       long end = begin + transactionMillis;
       busyUntil.put(transaction.part(), end);
-      long taken = end - now + LATENCY_MILLIS;
+      long taken = end - now + latencyMillis;
       time.after(
           taken,
           () -> {
             TransactionResult result = apply(transaction);
+            onApplied(result);
             if (taken < timeoutMillis) {
               inbox.answer(1, () -> handler.accept(result));
             }
@@ -278,13 +309,18 @@
         inbox.timeout(timeoutMillis, () -> handler.accept(none));
         return;
       }
+      if (turnsAway) {
+        ReadResult none = new ReadResult(false, ImmutableList.of(), false, 0);
+        inbox.answer(latencyMillis, () -> handler.accept(none));
+        return;
+      }
       Reply reply =
           new Reply(
               timeoutMillis,
               isLarge,
               () -> handler.accept(new ReadResult(false, ImmutableList.of(), false, 0)));
       time.after(
-          LATENCY_MILLIS,
+          latencyMillis,
           () -> {
             ReadResult result = FakeStore.this.read(range);
             reply.send(bytes(result.rows()), () -> handler.accept(result));
@@ -312,13 +348,18 @@
         inbox.timeout(idleTimeoutMillis, () -> handler.accept(none));
         return;
       }
+      if (turnsAway) {
+        WatchResult none = new WatchResult(WatchOutcome.FAILED, ImmutableList.of(), 0);
+        inbox.answer(latencyMillis, () -> handler.accept(none));
+        return;
+      }
       Reply reply =
           new Reply(
               idleTimeoutMillis,
               true,
               () -> handler.accept(new WatchResult(WatchOutcome.FAILED, ImmutableList.of(), 0)));
-      long until = time.millis() + LATENCY_MILLIS + waitMillis;
-      time.after(LATENCY_MILLIS, () -> poll(table, afterVersion, until, reply, handler));
+      long until = time.millis() + latencyMillis + waitMillis;
+      time.after(latencyMillis, () -> poll(table, afterVersion, until, reply, handler));
     }
 
     private void poll(
@@ -331,13 +372,15 @@
         reply.send(ENVELOPE_BYTES, () -> handler.accept(gone));
         return;
       }
-      ImmutableList<StoredRow> changes = changes(table, afterVersion);
+      ImmutableList<StoredRow> changes =
+          watchesSilent ? ImmutableList.of() : changes(table, afterVersion);
       if (!changes.isEmpty() || time.millis() >= until) {
-        WatchResult result = new WatchResult(WatchOutcome.CHANGES, changes, version);
+        long upTo = watchesSilent ? afterVersion : version;
+        WatchResult result = new WatchResult(WatchOutcome.CHANGES, changes, upTo);
         reply.send(bytes(changes), () -> handler.accept(result));
         return;
       }
-      time.after(LATENCY_MILLIS, () -> poll(table, afterVersion, until, reply, handler));
+      time.after(latencyMillis, () -> poll(table, afterVersion, until, reply, handler));
     }
 
     private static long bytes(List<StoredRow> found) {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -31,7 +31,9 @@
  * acknowledged, or before the steps that it depends on are done.
  */
 final class FakeWorkers {
-  private static final long LATENCY_MILLIS = 2;
+  /** Time for which a call or its reply is in flight, in milliseconds. */
+  static final long LATENCY_MILLIS = 2;
+
   private static final long RESTART_MILLIS = 1_500;
   private static final long STOP_MILLIS = 100;
 
@@ -194,6 +196,13 @@
     return running(task) > 0;
   }
 
+  /** Returns whether a task of a job runs at a worker that is up. */
+  boolean isAnyRunning(String job) {
+    return models.values().stream()
+        .flatMap(model -> model.runs.keySet().stream())
+        .anyMatch(run -> run.task().job().equals(job));
+  }
+
   /** Returns whether a run of a task has ended as done. */
   boolean isDone(TaskId task) {
     return done.contains(task);
@@ -321,6 +330,21 @@
     /** Whether its runs make no progress and never end by themselves. */
     boolean stuck;
 
+    /** Whether runs that start now fail. */
+    boolean failsRuns;
+
+    /** Whether it refuses all starts, as it is not healthy. */
+    boolean refusesStarts;
+
+    /** Factor by which runs that start now take longer. */
+    long slowdown = 1;
+
+    /** Whether it is gone for good. */
+    boolean gone;
+
+    /** Ends of runs that became due while its runs stood still. */
+    private final Map<RunId, CompletionKind> overdueEnds = new LinkedHashMap<>();
+
     /** Number of the next orders to stop that it accepts and does not carry out. */
     int stopsToForget;
 
@@ -408,6 +432,7 @@
     /** Restarts; the new boot answers after a time in milliseconds. */
     void restart(long millis) {
       runs.clear();
+      overdueEnds.clear();
       stopped.clear();
       completions.clear();
       fence = 0;
@@ -482,6 +507,9 @@
       if (order.leaseUntilMillis() <= clock()) {
         return reply(OrderOutcome.LATE);
       }
+      if (refusesStarts) {
+        return reply(OrderOutcome.UNHEALTHY);
+      }
       if (refusesForCapacity(run)) {
         return reply(OrderOutcome.NO_ROOM);
       }
@@ -517,18 +545,35 @@
               }
             });
       }
-      CompletionKind kind =
-          random.nextDouble() < failureProbability ? CompletionKind.FAILED : CompletionKind.DONE;
-      long mean = runMillisByJob.getOrDefault(task.job(), runMillis);
+      boolean fails = random.nextDouble() < failureProbability || failsRuns;
+      CompletionKind kind = fails ? CompletionKind.FAILED : CompletionKind.DONE;
+      long mean = slowdown * runMillisByJob.getOrDefault(task.job(), runMillis);
       time.after(
           mean / 2 + random.nextLong(mean),
           () -> {
-            if (bootTime == this.bootTimeMillis && !stuck) {
+            if (bootTime != this.bootTimeMillis) {
+              return;
+            }
+            if (stuck) {
+              overdueEnds.put(run, kind);
+            } else {
               endRun(run, kind);
             }
           });
     }
 
+    /** Lets its runs stand still for a time in milliseconds; those that are due end after it. */
+    void freeze(long millis) {
+      stuck = true;
+      time.after(
+          millis,
+          () -> {
+            stuck = false;
+            overdueEnds.forEach(this::endRun);
+            overdueEnds.clear();
+          });
+    }
+
     /** Lets its serving tasks and fillers work for one step of a simulation. */
     private void advance(SimulatedInterference simulation) {
       Map<RunId, Step> simulated = new LinkedHashMap<>();
@@ -686,7 +731,8 @@
       if (isAtWork(run)) {
         return 100;
       }
-      return (int) Math.min(99, (time.millis() - since) * 100 / (2 * runMillis));
+      long mean = slowdown * runMillisByJob.getOrDefault(run.task().job(), runMillis);
+      return (int) Math.min(99, (time.millis() - since) * 100 / (2 * mean));
     }
 
     /** Returns whether it has a long-running run that has started up. */
@@ -826,6 +872,9 @@
       } else if (model.replaced) {
         inbox.answer(
             2 * LATENCY_MILLIS, () -> handler.accept(model.reply(OrderOutcome.OTHER_BOOT)));
+      } else if (model.refusesConnections) {
+        OrderReply refused = new OrderReply(OrderOutcome.NOT_SENT, 0);
+        inbox.answer(1, () -> handler.accept(refused));
       } else if (repliesLost) {
         time.after(LATENCY_MILLIS, () -> lateReplies.add(action.apply(model)));
         loseOrder(handler);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/ProcessFuzzTest.java
@@ -1,11 +1,14 @@
 package org.hemlockpick.cell;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.hemlockpick.cell.CellFaults.Kind;
+import org.hemlockpick.cell.CellFaults.Target;
 
 /**
  * Tests jobs of a cell whose processes are paused, overlap and send late, in series that overlap.
@@ -19,6 +22,21 @@
   private static final long RECOVERY_MILLIS = 40_000;
   private static final long LONG_LEASE_MILLIS = 10_000;
 
+  /** Each draw takes one of these; their order belongs to the seeds. */
+  private static final List<Kind> KINDS =
+      List.of(
+          Kind.PAUSE_BRIEFLY,
+          Kind.PAUSE,
+          Kind.PAUSE_BEFORE_SENDING,
+          Kind.SUSPEND,
+          Kind.START_ALONGSIDE,
+          Kind.STOP_AS_PLANNED,
+          Kind.RESTART_WORKER_AT_TIMES,
+          Kind.CUT_WORKER_FOR_A_WHILE,
+          Kind.HOLD_ORDERS,
+          Kind.CUT_STORE_FOR_A_WHILE,
+          Kind.HIDE_ENTRY);
+
   /** Time after which the clocks of the workers are beyond the length of a lease. */
   private static final long SETTLE_MILLIS = 6_000;
 
@@ -37,21 +55,23 @@
     CellWorld world = new CellWorld(seed, NODES, WORKERS, leaseMillis);
     StartWatchdog watchdog = new StartWatchdog(world, leaseMillis);
     SplittableRandom random = new SplittableRandom(seed);
+    CellFaults faults = new CellFaults(world, random, WORKERS);
     world.workers.failureProbability = 0.02;
     world.workers.runMillis = 100L + random.nextInt(6_000);
     world.time.runFor(settleMillis);
     for (int i = 0; i < STEPS; i++) {
       world.submit(random.nextInt(NODES), "j" + i, steps(random));
       world.time.runFor(random.nextLong(30));
-      disturb(world, random);
+      disturb(world, faults, random);
       world.time.runFor(random.nextLong(MAX_PAUSE_MILLIS));
-      disturb(world, random);
+      disturb(world, faults, random);
       world.time.runFor(random.nextLong(MAX_PAUSE_MILLIS));
     }
     world.time.runFor(MAX_FAULT_MILLIS);
-    heal(world);
+    faults.heal();
     world.time.runFor(RECOVERY_MILLIS);
     assertEquals(List.of(), world.workers.violations, () -> String.join("\n", world.log));
+    assertTrue(watchdog.checks() > 50, () -> watchdog.checks() + " checks");
     assertEquals(List.of(), watchdog.violations, () -> String.join("\n", world.log));
     assertEquals(List.of(), world.unfinished(), () -> String.join("\n", world.log));
     assertEquals(List.of(), world.workers.violations, () -> String.join("\n", world.log));
@@ -64,37 +84,13 @@
         : new Step[] {CellWorld.step(first), CellWorld.step(1 + random.nextInt(3), 0)};
   }
 
-  private static void disturb(CellWorld world, SplittableRandom random) {
+  private static void disturb(CellWorld world, CellFaults faults, SplittableRandom random) {
     CellWorld.Node node = node(world, random);
-    CellWorld.Incarnation incarnation = node.incarnation();
     String worker = "w" + random.nextInt(WORKERS);
     long millis = 200 + random.nextLong(MAX_FAULT_MILLIS - 200);
     long brief = random.nextLong(2_200);
-    switch (random.nextInt(11)) {
-      case 0 -> incarnation.pause(brief);
-      case 1 -> incarnation.pause(millis);
-      case 2 -> incarnation.pauseBeforeSending(millis / 2);
-      case 3 -> node.suspend(millis);
-      case 4 -> startAlongside(world, node, millis, random.nextBoolean());
-      case 5 -> stopAsPlanned(world, node, brief);
-      case 6 -> restart(world, worker, 750 + brief, random.nextBoolean());
-      case 7 -> {
-        incarnation.workerView.unreachable.add(worker);
-        world.time.after(millis, () -> incarnation.workerView.unreachable.remove(worker));
-      }
-      case 8 -> {
-        incarnation.workerView.hold();
-        world.time.after(brief / 3, incarnation.workerView::release);
-      }
-      case 9 -> {
-        incarnation.storeView.disconnected = true;
-        world.time.after(millis, () -> incarnation.storeView.disconnected = false);
-      }
-      default -> {
-        world.store.remove("workers", worker);
-        world.time.after(brief, () -> world.registerWorker(worker));
-      }
-    }
+    Kind kind = KINDS.get(random.nextInt(KINDS.size()));
+    faults.strike(kind, new Target(node, worker, () -> millis, () -> brief));
   }
 
   /** Returns the holder in two of three cases, else a random node. */
@@ -108,59 +104,4 @@
         .findFirst()
         .orElse(any);
   }
-
-  /**
-   * Starts a process while the old one runs on for a while, as one that was told to stop or was
-   * forgotten.
-   */
-  private static void startAlongside(
-      CellWorld world, CellWorld.Node node, long millis, boolean planned) {
-    CellWorld.Incarnation previous = node.startAlongside();
-    if (planned) {
-      previous.cell.beginStop();
-    }
-    world.time.after(millis, previous::kill);
-  }
-
-  /**
-   * Stops a process as planned; the replies to what it stores at the end are lost, and it restarts
-   * later.
-   */
-  private static void stopAsPlanned(CellWorld world, CellWorld.Node node, long millis) {
-    CellWorld.Incarnation incarnation = node.incarnation();
-    incarnation.storeView.repliesLost = true;
-    incarnation.cell.beginStop();
-    world.time.after(
-        1_000 + millis,
-        () -> {
-          incarnation.kill();
-          if (node.incarnation() == incarnation) {
-            node.start();
-          }
-        });
-  }
-
-  private static void restart(CellWorld world, String worker, long millis, boolean listed) {
-    world.workers.get(worker).restart(millis);
-    if (listed) {
-      world.registerWorker(worker);
-    } else {
-      world.time.after(millis + 500, () -> world.registerWorker(worker));
-    }
-  }
-
-  private static void heal(CellWorld world) {
-    for (CellWorld.Node node : world.nodes) {
-      CellWorld.Incarnation incarnation = node.incarnation();
-      if (incarnation.cell.isStopping()) {
-        incarnation.kill();
-        node.start();
-      }
-      incarnation.storeView.disconnected = false;
-      incarnation.workerView.unreachable.clear();
-    }
-    for (int i = 0; i < WORKERS; i++) {
-      world.registerWorker("w" + i);
-    }
-  }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartFuzzTest.java
@@ -3,11 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.hemlockpick.cell.CellFaults.Kind;
+import org.hemlockpick.cell.CellFaults.Target;
 
 /** Tests that what can run is started soon, in calm times after random faults. */
 class StartFuzzTest {
@@ -22,7 +23,25 @@
   private static final long MAX_INTERVAL_MILLIS = 2_500;
   private static final long LONG_MILLIS = 600_000;
 
-  private final List<String> draining = new ArrayList<>();
+  /** Time within which draining workers leave and crashed ones are back, in milliseconds. */
+  private static final long LAST_FAULTS_MILLIS = 4_000;
+
+  /** Each draw takes one of these; their order belongs to the seeds. */
+  private static final List<Kind> KINDS =
+      List.of(
+          Kind.KILL,
+          Kind.SUSPEND,
+          Kind.CUT_STORE,
+          Kind.CUT_WORKER,
+          Kind.LOSE_ANSWERS,
+          Kind.RESTART_WORKER,
+          Kind.LOSE_STARTS,
+          Kind.LEAVE_STOPS_UNANSWERED,
+          Kind.DELAY_ORDERS,
+          Kind.DRAIN,
+          Kind.CRASH,
+          Kind.SWITCH_STORE);
+
   private int jobs;
 
   /** Whether new jobs may have a task that crashes its workers. */
@@ -42,6 +61,7 @@
   void play(long seed, long leaseMillis) {
     CellWorld world = new CellWorld(seed, NODES, WORKERS, leaseMillis);
     SplittableRandom random = new SplittableRandom(seed);
+    CellFaults faults = new CellFaults(world, random, WORKERS);
     StartWatchdog watchdog = new StartWatchdog(world, leaseMillis);
     world.workers.failureProbability = random.nextInt(3) * 0.15;
     world.workers.runMillis = 200L + random.nextInt(3_000);
@@ -51,11 +71,12 @@
     submitLasting(world, random);
     for (int i = 0; i < FAULTS; i++) {
       submit(world, random);
-      disturb(world, random);
+      disturb(world, faults, random);
       world.time.runFor(random.nextLong(MAX_PAUSE_MILLIS));
     }
     mayCrash = false;
-    heal(world);
+    world.time.runFor(LAST_FAULTS_MILLIS);
+    faults.heal();
     runCalmly(world, random);
     if (random.nextBoolean()) {
       world.nodes.forEach(CellWorld.Node::killAll);
@@ -103,53 +124,10 @@
     }
   }
 
-  private void disturb(CellWorld world, SplittableRandom random) {
+  private static void disturb(CellWorld world, CellFaults faults, SplittableRandom random) {
     CellWorld.Node node = world.nodes.get(random.nextInt(NODES));
     String worker = "w" + random.nextInt(WORKERS);
-    switch (random.nextInt(12)) {
-      case 0 -> node.kill();
-      case 1 -> node.suspend(500 + random.nextLong(8_000));
-      case 2 -> node.storeView.disconnected = true;
-      case 3 -> node.workerView.unreachable.add(worker);
-      case 4 -> world.workers.get(worker).answersLost = true;
-      case 5 -> world.workers.get(worker).restart();
-      case 6 -> node.workerView.startsLost = true;
-      case 7 -> node.workerView.stopsUnanswered = true;
-      case 8 -> world.workers.lateOrderProbability = 0.2;
-      case 9 -> drain(world, worker);
-      case 10 -> world.workers.get(worker).crash();
-      default -> world.store.unresponsive = !world.store.unresponsive;
-    }
-  }
-
-  private void drain(CellWorld world, String worker) {
-    if (draining.size() < 2 && !draining.contains(worker)) {
-      draining.add(worker);
-      world.drainWorker(worker, 3_000);
-    }
-  }
-
-  private void heal(CellWorld world) {
-    world.time.runFor(4_000);
-    world.store.unresponsive = false;
-    world.workers.lateOrderProbability = 0;
-    for (CellWorld.Node node : world.nodes) {
-      if (node.process == null) {
-        node.start();
-      }
-      node.storeView.disconnected = false;
-      node.workerView.unreachable.clear();
-      node.workerView.startsLost = false;
-      node.workerView.stopsUnanswered = false;
-    }
-    for (int i = 0; i < WORKERS; i++) {
-      FakeWorkers.Model worker = world.workers.get("w" + i);
-      worker.answersLost = false;
-      if (worker.disconnected) {
-        worker.restart();
-        worker.disconnected = false;
-      }
-      world.registerWorker("w" + i);
-    }
+    Kind kind = KINDS.get(random.nextInt(KINDS.size()));
+    faults.strike(kind, new Target(node, worker, () -> 500 + random.nextLong(8_000), () -> 0));
   }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
@@ -35,6 +35,7 @@
   private final Map<String, Long> waitingSince = new HashMap<>();
 
   private final Map<String, Long> bootTimes = new HashMap<>();
+  private final Map<String, ResourceAmounts> capacities = new HashMap<>();
   private String lastHolder = "";
   private long disturbedAt;
   private long checks;
@@ -86,12 +87,16 @@
   private boolean isDisturbed() {
     String holder = "";
     boolean disturbed = world.store.unresponsive || world.store.lossProbability > 0;
+    disturbed |= world.store.transactionMillis > 0 || world.store.watchesSilent;
+    disturbed |= world.store.latencyMillis > FakeStore.LATENCY_MILLIS;
     disturbed |= world.workers.lateOrderProbability > 0;
     for (CellWorld.Node node : world.nodes) {
       CellMember process = node.process;
       boolean isUp = process != null && !node.isPaused() && !process.isStopping();
       disturbed |= !isUp || node.storeView.disconnected || node.workerView.disconnected;
+      disturbed |= node.storeView.turnsAway || node.storeView.repliesLost;
       disturbed |= !node.workerView.unreachable.isEmpty() || node.workerView.startsLost;
+      disturbed |= node.incarnation().tickMillis > CellWorld.TICK_MILLIS;
       disturbed |= node.workerView.stopsUnanswered || node.workerView.repliesLost;
       if (process != null && process.isHolder()) {
         holder += process.hashCode() + " ";
@@ -100,7 +105,12 @@
     disturbed |= holder.isEmpty() || !holder.equals(lastHolder);
     lastHolder = holder;
     for (FakeWorkers.Model worker : world.workers.all()) {
-      disturbed |= !worker.replaced && !isUsable(worker);
+      disturbed |= !worker.replaced && !worker.gone && !isUsable(worker);
+      disturbed |= worker.failsRuns || worker.stuck || worker.refusesStarts;
+      disturbed |= worker.slowdown > 1;
+      disturbed |= worker.replyMillis > FakeWorkers.LATENCY_MILLIS;
+      ResourceAmounts capacity = capacities.put(worker.id(), worker.capacity());
+      disturbed |= capacity == null || !capacity.equals(worker.capacity());
       Long bootTime = bootTimes.put(worker.id(), worker.bootTimeMillis());
       disturbed |= bootTime == null || bootTime != worker.bootTimeMillis();
     }
