--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/QueueChangeFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/QueueChangeFuzzTest.java
@@ -60,7 +60,7 @@
     new QueueChangeFuzzTest().play(seed, false);
   }
 
-  /** The same around kills, freezes and planned stops of the instances. */
+  /** The same around kills and freezes of the instances, mostly of the holder. */
   @Property(tries = 40, seed = "20261209")
   void everyAcceptedJobEndsThoughHoldersChange(@ForAll long seed) {
     new QueueChangeFuzzTest().play(seed, true);
