Let the members of a gang wait for the same commit

If the start of one member has to be stored before its order, the others were ordered at once, and waited for it at their workers, or ended without it where the holder changed in between. Now all wait for the row.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -90,11 +90,16 @@
 
   /** Starts a task on a worker. */
   void start(Task task, Worker worker) {
-    start(task, worker, task.nextAttempt(firstAttempt), task.checkpoint());
+    boolean isWatched = task.crashes().isWatched();
+    start(task, worker, task.nextAttempt(firstAttempt), task.checkpoint(), isWatched);
   }
 
-  /** Starts all tasks of a gang with the same attempt number and checkpoint. */
+  /**
+   * Starts all tasks of a gang with the same attempt number and checkpoint, and at once: if the
+   * start of one has to be stored before, all wait for it.
+   */
   void startGang(List<Task> tasks, List<Worker> workers) {
+    boolean isWatched = tasks.stream().anyMatch(task -> task.crashes().isWatched());
     int attempt = 0;
     String checkpoint = "";
     for (Task task : tasks) {
@@ -102,22 +107,23 @@
       checkpoint = checkpoint.isEmpty() ? task.checkpoint() : checkpoint;
     }
     for (int i = 0; i < tasks.size(); i++) {
-      start(tasks.get(i), workers.get(i), attempt, checkpoint);
+      start(tasks.get(i), workers.get(i), attempt, checkpoint, isWatched);
     }
   }
 
-  private void start(Task task, Worker worker, int attempt, String checkpoint) {
+  private void start(Task task, Worker worker, int attempt, String checkpoint, boolean isWatched) {
     Run run = new Run(task, attempt, worker, Run.State.STARTING, clock.monotonicMillis());
     task.setRun(run);
     worker.add(run);
-    boolean isWatched = task.crashes().isWatched();
-    if (isWatched) {
+    if (task.crashes().isWatched()) {
       lifecycle.watch(task, WatchedStart.of(run));
     }
     if (run.step().longRunning()) {
       setPlacement(task, worker.id());
     }
     if (isWatched || run.step().longRunning()) {
+      // The members of a gang wait for the same commit.
+      journal.markDirty(task.job());
       journal.whenStored(() -> sendStartIfStored(run, checkpoint));
     } else {
       sendStart(run, checkpoint);
