Give no task up sooner for crashes of unknown age

A crash that is counted from a stored start has an age of up to 10 s. Three of these counted as similar, so that a sound task at workers that restart by chance was given up: ProcessFuzzTest failed ("j6.0.0.1 given up, workers crashed under it: w2, w1, w2"); it passes on. Ages that are not known are not similar now, and the doubt remains one of the four crashes.

The next holder did not know which workers a task avoids either, and started it three times at the same one (w2, w0, w0, w0); a restored task avoids them.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -171,6 +171,7 @@
         task.setCheckpoint(note.getCheckpointAttempt(), note.getCheckpoint());
         task.setPlacement(note.getPlace());
         CrashNotes.restore(note, task.crashes());
+        task.crashes().all().forEach(crash -> task.avoid(crash.worker()));
       }
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
@@ -155,9 +155,10 @@
     return areSudden && isAlone && crashes.stream().allMatch(Crash::telling);
   }
 
+  /** Returns whether all ages are known and similar. */
   private boolean haveSimilarAges() {
     long youngest = crashes.stream().mapToLong(Crash::ageMillis).min().orElse(0);
-    return oldest() <= youngest * 3 / 2 + SUDDEN_MILLIS;
+    return oldest() < UNKNOWN_AGE_MILLIS && oldest() <= youngest * 3 / 2 + SUDDEN_MILLIS;
   }
 
   private long oldest() {
