Refuse a job of more than 9,000 tasks

The holder keeps an object for each task and collects the ready ones of all jobs anew in each planning pass.

Each holder lost the cell to the next one, which then loaded the job.

CellMember.submit refuses a job of more than 9,000 tasks over all steps and occurrences with TOO_LARGE (413) and logs their number. That is as many tasks as the largest cell runs at a time; the largest step of the sites has 36. Jobs that are stored already are kept as they are. Not done: making larger ones cheap, and a limit on the tasks of all jobs.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellMember.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellMember.java
@@ -141,12 +141,17 @@
   }
 
   /**
-   * Submits a job.
+   * Submits a job; one with too many tasks is refused.
    *
    * @param timeoutMillis time for which the caller waits
    * @param handler receives the answer, once
    */
   public void submit(Submission job, long timeoutMillis, Consumer<CallerReply> handler) {
+    if (JobSize.isTooLarge(job)) {
+      decided("submit", job.id(), ResultCode.TOO_LARGE.name(), JobSize.tasks(job) + " tasks");
+      handler.accept(CallerReply.of(ResultCode.TOO_LARGE));
+      return;
+    }
     callHandler.submit(job, timeoutMillis, handler);
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/errors/ResultCode.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/errors/ResultCode.java
@@ -23,8 +23,8 @@
   UNKNOWN_SERVICE(102, Effect.NOT_RUN, 404, "the contract does not name this service"),
   /** The deadline had passed before the work was sent to a backend server. */
   DEADLINE_PASSED(103, Effect.NOT_RUN, 504, "the deadline passed before the work was sent"),
-  /** The body exceeds the accepted size. */
-  TOO_LARGE(104, Effect.NOT_RUN, 413, "the body is too large"),
+  /** The body exceeds the accepted size, or the job in it has too many tasks. */
+  TOO_LARGE(104, Effect.NOT_RUN, 413, "the body is too large or its job has too many tasks"),
   /** A non-idempotent request carries no idempotency key. */
   KEY_REQUIRED(105, Effect.NOT_RUN, 400, "a non-idempotent request needs an idempotency key"),
   /** The idempotency key belongs to another request. */
