Catch SIGHUP before the settings are read

SIGHUP in the first 0.6 s of a process ended it with status 129: the handler was registered once the settings had been read, the log was installed and the daemon was built.

ReloadSignal keeps a signal that comes before the daemon has registered its action, which then runs at once: the settings that the process has read may be the former ones. An entry instance that is no platform's still ends on SIGHUP, as before: the signal is given back to the virtual machine when its settings show what it is. SIGTERM is not touched.

What remains is the start of the virtual machine itself, until main runs; no Java code can catch the signal there. -Xrs would hurt: the machine then handles neither SIGHUP nor SIGTERM, so that a stop would run no hooks. A virtual machine that is started with SIGHUP ignored leaves it ignored (docs/FINDINGS.md, `nohup`), which would close the gap at the price of the log line; deploy/system.toml is not changed.

CellProcessLogTest#processContinuesWhenItsSettingsFileChangesWhileIt- Starts gives the process a pipe as settings file and sends the signal while it reads.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessLogTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/CellProcessLogTest.java
@@ -7,14 +7,17 @@
 import jakarta.json.JsonObject;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.hemlockpick.transport.Eventually;
 import org.junit.jupiter.api.Test;
@@ -23,6 +26,10 @@
 /** Tests what a process of an entry instance on a platform writes to its standard output. */
 class CellProcessLogTest {
   private static final long RUN_SECONDS = 6;
+
+  /** Time in which the signal ends a process that does not handle it. */
+  private static final long SIGNAL_MILLIS = 1_000;
+
   private static final int MAX_CONNECTIONS = 8;
   private static final int CONNECT_MILLIS = 200;
   private static final int MAX_LINE_CHARS = 4_000;
@@ -74,6 +81,41 @@
     }
   }
 
+  /** Guards against the signal ending a process that has not read its settings yet. */
+  @Test
+  void processContinuesWhenItsSettingsFileChangesWhileItStarts()
+      throws IOException, InterruptedException {
+    Path pipe = folder.resolve("settings.toml");
+    assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+    ChildProcess process = ChildProcess.start(folder, "entry", "serve", "--settings", "" + pipe);
+    try {
+      // The pipe opens once the process reads its settings.
+      try (Writer first =
+          CompletableFuture.supplyAsync(() -> open(pipe)).orTimeout(1, TimeUnit.MINUTES).join()) {
+        process.reload();
+        TimeUnit.MILLISECONDS.sleep(SIGNAL_MILLIS);
+        assertTrue(process.isAlive(), () -> out(process));
+        // It reads them twice: what kind they are of, and the settings.
+        Path file = Files.writeString(folder.resolve("second.toml"), settings(freeAddress()));
+        Files.move(file, pipe, StandardCopyOption.REPLACE_EXISTING);
+        first.write(Files.readString(pipe));
+      }
+      Eventually.holds(() -> out(process).contains("started"), () -> out(process));
+      Eventually.holds(() -> out(process).contains("goes on"), () -> out(process));
+      assertTrue(process.isAlive());
+    } finally {
+      process.kill();
+    }
+  }
+
+  private static Writer open(Path pipe) {
+    try {
+      return Files.newBufferedWriter(pipe);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private static String out(ChildProcess process) {
     try {
       return process.out();
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
@@ -31,7 +31,7 @@
             .description(Messages.DESCRIPTION)
             .epilog(Messages.EXIT_STATUSES);
     Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND").dest(NAME);
-    add(commands, "serve", Messages.SERVE, ServeCommand::configure, ServeCommand::of);
+    add(commands, ServeCommand.NAME, Messages.SERVE, ServeCommand::configure, ServeCommand::of);
     add(commands, "check", Messages.CHECK, CheckCommand::configure, CheckCommand::of);
     add(commands, "diff", Messages.DIFF, DiffCommand::configure, DiffCommand::of);
     add(commands, "apply", Messages.APPLY, ApplyCommand::configure, ApplyCommand::of);
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ServeCommand.java
@@ -11,6 +11,7 @@
 import org.hemlockpick.daemon.EntryDaemon;
 import org.hemlockpick.daemon.Logging;
 import org.hemlockpick.daemon.ProcessIdentity;
+import org.hemlockpick.daemon.ReloadSignal;
 import org.hemlockpick.daemon.Settings;
 import org.hemlockpick.daemon.SettingsFault;
 import org.hemlockpick.daemon.SettingsReader;
@@ -18,6 +19,8 @@
 
 /** Runs an entry instance until a signal or an operator stops it. */
 final class ServeCommand implements Command {
+  static final String NAME = "serve";
+
   private final Console console;
   private Path settings = Path.of("");
 
@@ -45,6 +48,8 @@
     if (CellSettingsReader.isCellSettings(settings)) {
       return serveCell();
     }
+    // Such a process is no platform's, which would send the signal when its settings change.
+    ReloadSignal.release();
     var read = SettingsReader.read(settings);
     return read.isLeft() ? reportFaults(read.getLeft()) : serve(read.get());
   }
