Keep the entries of other writers unusable for one reason each

Since an address must be one, the entries with an unknown state or without capacity in PlatformRowParserTest were passed over for their address as well. They have a usable address now, so that each of the test's lines shows its own reason again.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformRowParserTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformRowParserTest.java
@@ -39,12 +39,15 @@
   void skipsEntriesOfOtherWriters() {
     assertTrue(worker("").isEmpty());
     assertTrue(worker("\u0000\u0001").isEmpty());
-    assertTrue(worker("{\"service\":3,\"address\":\"a\",\"state\":\"ready\"}").isEmpty());
     assertTrue(
-        worker("{\"service\":\"s\",\"address\":\"a\",\"state\":\"odd\",\"capacity\":{}}")
+        worker("{\"service\":3,\"address\":\"10.128.0.9:80\",\"state\":\"ready\"}").isEmpty());
+    assertTrue(
+        worker(
+                "{\"service\":\"s\",\"address\":\"10.128.0.9:80\",\"state\":\"odd\",\"capacity\":{}}")
             .isEmpty());
     assertTrue(
-        worker("{\"service\":\"s\",\"address\":\"a\",\"state\":\"ready\",\"capacity\":9}")
+        worker(
+                "{\"service\":\"s\",\"address\":\"10.128.0.9:80\",\"state\":\"ready\",\"capacity\":9}")
             .isEmpty());
   }
 
