--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFaults.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFaults.java
@@ -1,8 +1,9 @@
 package org.hemlockpick.cell;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
@@ -51,8 +52,8 @@
   private final SplittableRandom random;
   private final List<String> workers = new ArrayList<>();
 
-  /** Workers that leave or have left, until they are back. */
-  private final Set<String> leaving = new LinkedHashSet<>();
+  /** Workers that leave or have left, until they are back, with the times at which they leave. */
+  private final Map<String, Long> leaving = new LinkedHashMap<>();
 
   private int added;
   private int lost;
@@ -232,7 +233,8 @@
   /** Heals a worker, unless it still drains. */
   private void heal(String worker) {
     FakeWorkers.Model model = world.workers.get(worker);
-    if (leaving.contains(worker) && !model.disconnected) {
+    Long leavesAt = leaving.get(worker);
+    if (leavesAt != null && world.time.millis() <= leavesAt) {
       return;
     }
     model.answersLost = false;
@@ -240,7 +242,7 @@
     model.refusesStarts = false;
     model.slowdown = 1;
     model.replyMillis = FakeWorkers.LATENCY_MILLIS;
-    if (leaving.remove(worker) && model.disconnected) {
+    if (leaving.remove(worker) != null) {
       model.restart();
     }
     model.disconnected = false;
@@ -253,7 +255,7 @@
 
   /** Writes the entry of a worker, unless it leaves or is gone. */
   private void register(String worker) {
-    if (!leaving.contains(worker) && !world.workers.get(worker).gone) {
+    if (!leaving.containsKey(worker) && !world.workers.get(worker).gone) {
       world.registerWorker(worker);
     }
   }
@@ -460,7 +462,7 @@
     world.time.after(
         target.brief().getAsLong() + target.millis().getAsLong(),
         () -> {
-          model.disconnected = model.gone || leaving.contains(target.worker());
+          model.disconnected = model.gone || leaving.containsKey(target.worker());
           register(target.worker());
         });
   }
@@ -498,7 +500,7 @@
 
   private void loseWorker(Target target) {
     String worker = target.worker();
-    if (lost == MAX_LOST_WORKERS || leaving.contains(worker)) {
+    if (lost == MAX_LOST_WORKERS || leaving.containsKey(worker)) {
       return;
     }
     lost++;
@@ -548,7 +550,7 @@
   }
 
   private void resize(Target target) {
-    if (leaving.contains(target.worker())) {
+    if (leaving.containsKey(target.worker())) {
       return;
     }
     ResourceAmounts capacity = random.nextInt(3) == 0 ? LARGE : SMALL;
@@ -565,7 +567,8 @@
   }
 
   private void drain(Target target) {
-    if (leaving.size() < 2 && leaving.add(target.worker())) {
+    if (leaving.size() < 2 && !leaving.containsKey(target.worker())) {
+      leaving.put(target.worker(), world.time.millis() + DRAIN_MILLIS);
       world.drainWorker(target.worker(), DRAIN_MILLIS);
     }
   }
@@ -586,9 +589,10 @@
   }
 
   private void leave(String worker, long toldMillis, long stayMillis) {
-    if (!leaving.add(worker)) {
+    if (leaving.containsKey(worker)) {
       return;
     }
+    leaving.put(worker, world.time.millis() + stayMillis);
     // Entries of draining workers name no capacity.
     world.workers.get(worker).setCapacity(CellWorld.WORKER_CAPACITY);
     world.drainWorker(worker, toldMillis, stayMillis);
@@ -596,7 +600,7 @@
   }
 
   private void returnIfAway(String worker) {
-    if (leaving.contains(worker)) {
+    if (leaving.containsKey(worker)) {
       heal(worker);
     }
   }
