--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/UnusualJobs.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/UnusualJobs.java
@@ -123,7 +123,7 @@
     CellWorld.Node node = world.nodes.get(index % world.nodes.size());
     CellMember process = node.process;
     if (process != null && !node.isPaused()) {
-      process.cancel(id, CANCEL_TIMEOUT_MILLIS, reply -> onCanceled(id, reply));
+      process.cancel(CellWorld.address(id), CANCEL_TIMEOUT_MILLIS, reply -> onCanceled(id, reply));
     }
     world.time.after(CANCEL_TIMEOUT_MILLIS + RETRY_MILLIS, () -> tryCancel(id, index + 1));
   }
@@ -146,7 +146,7 @@
     Map<String, JobState> states = new HashMap<>();
     for (String id : canceled.keySet()) {
       process.state(
-          id,
+          CellWorld.address(id),
           STATE_TIMEOUT_MILLIS,
           reply -> {
             if (reply.state() != null) {
