Judge a job that was given up for crashes by the crashes under it

So the watchdog asks the fake workers now: a job that is stored as failed is passed over only if at least two of the boots that went down had a run of one of its tasks; every other failed job is still judged as one that waits.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -361,6 +361,15 @@
     return entry.split(" ", -1).length == 2;
   }
 
+  /** Returns whether it is stored that a job has failed. */
+  boolean isStoredAsFailed(Submission job) {
+    return store
+        .value("progress", job.id())
+        .flatMap(JobRows::progress)
+        .map(record -> JobRows.state(record.getState()) == JobState.FAILED)
+        .orElse(false);
+  }
+
   /** Returns how many failures of the tasks of a job are stored. */
   int failures(String id) {
     return store
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -119,6 +119,9 @@
   /** Draws the times of day; another generator, so that it changes no other draw of a seed. */
   private final SplittableRandom wallClocks;
 
+  /** Numbers of runs of tasks that were lost with the boot of their worker. */
+  private final Map<TaskId, Integer> lostRuns = new HashMap<>();
+
   /** Time after which a crashed worker is back, in milliseconds. */
   long crashReturnMillis = 3_300;
 
@@ -213,6 +216,15 @@
         .anyMatch(run -> run.task().job().equals(job));
   }
 
+  /** Returns the most runs that one task of a job has lost with the boots of their workers. */
+  int maxLostRuns(String job) {
+    return lostRuns.entrySet().stream()
+        .filter(lost -> lost.getKey().job().equals(job))
+        .mapToInt(Map.Entry::getValue)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns whether a run of a task has ended as done. */
   boolean isDone(TaskId task) {
     return done.contains(task);
@@ -458,8 +470,13 @@
       restart(RESTART_MILLIS);
     }
 
+    private void countLost() {
+      runs.keySet().forEach(run -> lostRuns.merge(run.task(), 1, Integer::sum));
+    }
+
     /** Restarts; the new boot answers after a time in milliseconds. */
     void restart(long millis) {
+      countLost();
       runs.clear();
       overdueEnds.clear();
       stopped.clear();
@@ -479,6 +496,7 @@
       crashLog.add(new Crash(id, time.millis(), List.copyOf(runs.keySet())));
       crashes++;
       List<RunId> lost = List.copyOf(runs.keySet());
+      countLost();
       runs.clear();
       lost.forEach(run -> endGang(run, CompletionKind.LAPSED));
       refusesConnections = true;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/HolderChangeFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/HolderChangeFuzzTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
@@ -86,6 +87,12 @@
     new HolderChangeFuzzTest().play(kind, 20261205L * number, leaseMillis(number));
   }
 
+  /** Guards against judging a job that was given up after crashes under it as one that waits. */
+  @Example
+  void jobThatIsGivenUpAfterThreeCrashesIsNotAwaited() {
+    new HolderChangeFuzzTest().play(Kind.CRASH_SEVERAL, 91195, LONG_LEASE_MILLIS);
+  }
+
   private static long leaseMillis(int number) {
     return number % 2 == 0 ? LONG_LEASE_MILLIS : CellWorld.LEASE_MILLIS;
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
@@ -28,6 +28,9 @@
   /** Time for which a holder gives orders after its last renewal, in milliseconds. */
   private static final long CELL_LEASE_MILLIS = 8_000;
 
+  /** Runs lost with their workers from which a task may be given up. */
+  private static final int MIN_LOST_RUNS = 2;
+
   private final CellWorld world;
   private final long settleMillis;
 
@@ -78,10 +81,16 @@
     }
   }
 
-  /** Returns whether a task of a job crashes its workers. */
+  /**
+   * Returns whether a task of a job crashes its workers, or was given up though it does not: that
+   * is allowed once two workers have gone down under it.
+   */
   private boolean mayBeGivenUp(Submission job) {
-    return world.workers.crashAfterMillis.keySet().stream()
-        .anyMatch(task -> task.job().equals(job.id()));
+    boolean crashes =
+        world.workers.crashAfterMillis.keySet().stream()
+            .anyMatch(task -> task.job().equals(job.id()));
+    return crashes
+        || (world.workers.maxLostRuns(job.id()) >= MIN_LOST_RUNS && world.isStoredAsFailed(job));
   }
 
   private boolean isDisturbed() {
