Show two faults that the review of the mends found; judge given-up jobs more strictly

- WorkerBootTest: after one failed call, a late entry of another boot at an address where another worker answers ends the runs of a sound worker, so that its tasks run twice.
On only if that boot's time is later.
- JobSizeTest: after a loss in a change of holder, the row of a job of 8,800 tasks is larger than the store takes, and none of its tasks starts.
The fake store refuses such rows in all tests now.

The watchdog passes over a job that was given up only if nothing in the world crashes workers, and a task of it lost three runs at two workers or more; before, two runs sufficed, and a neighbour of a crashing task passed, too.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -361,6 +361,14 @@
     return entry.split(" ", -1).length == 2;
   }
 
+  /**
+   * Returns the address of a worker; the identifiers of workers that follow each other at an
+   * address differ behind the tilde.
+   */
+  static String workerAddress(String worker) {
+    return worker.split("~", -1)[0] + ":1";
+  }
+
   /** Returns whether it is stored that a job has failed. */
   boolean isStoredAsFailed(Submission job) {
     return store
@@ -750,9 +758,7 @@
               key,
               Long.parseLong(fields[0]),
               fields.length > 5 ? fields[5] : SERVICE,
-              // The identifiers of workers that follow each other at an address differ behind the
-              // tilde.
-              key.split("~", -1)[0] + ":1",
+              fields.length > 6 ? fields[6] : workerAddress(key),
               "zone-a",
               draining,
               draining ? Long.parseLong(fields[1]) : 0,
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -23,6 +23,9 @@
  * watches.
  */
 final class FakeStore {
+  /** Largest value of a row, in bytes. */
+  private static final int MAX_ROW_BYTES = 65_536;
+
   /** Time until an answer, if the service is not slow, in milliseconds. */
   static final long LATENCY_MILLIS = 4;
 
@@ -241,6 +244,11 @@
     }
 
     private boolean isRefused(Transaction transaction) {
+      boolean isTooLarge =
+          transaction.writes().stream().anyMatch(write -> write.value().size() > MAX_ROW_BYTES);
+      if (isTooLarge && !isUnreachable()) {
+        return true;
+      }
       Transaction.RowName refused = JobRows.progress(refusedProgress);
       return !isUnreachable()
           && transaction.writes().stream().anyMatch(w -> w.row().equals(refused));
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -119,8 +119,8 @@
   /** Draws the times of day; another generator, so that it changes no other draw of a seed. */
   private final SplittableRandom wallClocks;
 
-  /** Numbers of runs of tasks that were lost with the boot of their worker. */
-  private final Map<TaskId, Integer> lostRuns = new HashMap<>();
+  /** Workers with whose boots runs of tasks were lost, one for each run. */
+  private final Map<TaskId, List<String>> lostRuns = new HashMap<>();
 
   /** Time after which a crashed worker is back, in milliseconds. */
   long crashReturnMillis = 3_300;
@@ -216,13 +216,15 @@
         .anyMatch(run -> run.task().job().equals(job));
   }
 
-  /** Returns the most runs that one task of a job has lost with the boots of their workers. */
-  int maxLostRuns(String job) {
+  /**
+   * Returns whether a task of a job has lost a number of runs with the boots of their workers, at
+   * two workers at least.
+   */
+  boolean hasLostRuns(String job, int count) {
     return lostRuns.entrySet().stream()
         .filter(lost -> lost.getKey().job().equals(job))
-        .mapToInt(Map.Entry::getValue)
-        .max()
-        .orElse(0);
+        .map(Map.Entry::getValue)
+        .anyMatch(workers -> workers.size() >= count && new HashSet<>(workers).size() > 1);
   }
 
   /** Returns whether a run of a task has ended as done. */
@@ -471,7 +473,9 @@
     }
 
     private void countLost() {
-      runs.keySet().forEach(run -> lostRuns.merge(run.task(), 1, Integer::sum));
+      for (RunId run : runs.keySet()) {
+        lostRuns.computeIfAbsent(run.task(), task -> new ArrayList<>()).add(id);
+      }
     }
 
     /** Restarts; the new boot answers after a time in milliseconds. */
@@ -958,6 +962,11 @@
 
     @Override
     public void hold(Target target, HoldCall call, Consumer<HoldReply> handler) {
+      if (!target.address().equals(CellWorld.workerAddress(target.id()))) {
+        HoldReply other = HoldReply.without(OrderOutcome.OTHER_BOOT);
+        inbox.answer(2 * LATENCY_MILLIS, () -> handler.accept(other));
+        return;
+      }
       Model model = get(target.id());
       HoldReply none = HoldReply.without(OrderOutcome.LOST);
       long timeout = HOLD_TIMEOUT_MILLIS + call.waitMillis();
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/JobSizeTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/JobSizeTest.java
@@ -65,4 +65,22 @@
   private static Step step(int count) {
     return CellWorld.step(count);
   }
+
+  /** Guards against notes of a job's tasks that make its row larger than the store takes. */
+  @Test
+  void largestJobGoesOnAfterAWorkerIsLostInAChangeOfHolder() {
+    CellWorld large = new CellWorld(20261205, 3, 100);
+    large.workers.returnsUnderOtherIdentifier = false;
+    large.workers.runMillis = 3_000;
+    large.time.runFor(SETTLE_MILLIS);
+    large.submit(0, "a", CellWorld.step(MAX_TASKS - 200));
+    large.time.runFor(400);
+    large.holder().kill();
+    large.workers.get("w0").restart(400);
+    large.time.after(400, () -> large.registerWorker("w0"));
+    large.time.runFor(30_000);
+    int before = large.workers.starts.size();
+    large.time.runFor(10_000);
+    assertTrue(large.workers.starts.size() > before);
+  }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Records tasks whose turn has come and that are not started for too long though there is room, as
@@ -29,7 +30,7 @@
   private static final long CELL_LEASE_MILLIS = 8_000;
 
   /** Runs lost with their workers from which a task may be given up. */
-  private static final int MIN_LOST_RUNS = 2;
+  private static final int MIN_LOST_RUNS = 3;
 
   private final CellWorld world;
   private final long settleMillis;
@@ -83,14 +84,15 @@
 
   /**
    * Returns whether a task of a job crashes its workers, or was given up though it does not: that
-   * is allowed once two workers have gone down under it.
+   * is allowed once workers have gone down under it again and again, unless another task can have
+   * caused that.
    */
   private boolean mayBeGivenUp(Submission job) {
-    boolean crashes =
-        world.workers.crashAfterMillis.keySet().stream()
-            .anyMatch(task -> task.job().equals(job.id()));
-    return crashes
-        || (world.workers.maxLostRuns(job.id()) >= MIN_LOST_RUNS && world.isStoredAsFailed(job));
+    Set<TaskId> crashing = world.workers.crashAfterMillis.keySet();
+    if (!crashing.isEmpty()) {
+      return crashing.stream().anyMatch(task -> task.job().equals(job.id()));
+    }
+    return world.workers.hasLostRuns(job.id(), MIN_LOST_RUNS) && world.isStoredAsFailed(job);
   }
 
   private boolean isDisturbed() {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/WorkerBootTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/WorkerBootTest.java
@@ -228,4 +228,24 @@
     returned.setBootTime(returned.upAt() - 60_000);
     world.registerWorker(id);
   }
+
+  /** Guards against believing that a worker ended, as another one is at an address it never had. */
+  @ParameterizedTest
+  @ValueSource(longs = {-5_000, 5_000})
+  void runsGoOnThoughALateEntryNamesTheAddressOfAnotherWorker(long wallOffsetMillis) {
+    world.workers.runMillis = 20_000;
+    world.submit(0, "a", CellWorld.step(8));
+    world.time.runFor(1_000);
+    worker.answersLost = true;
+    world.time.runFor(800);
+    String boot = Long.toString(worker.bootTimeMillis() + wallOffsetMillis);
+    String entry = String.join(" ", boot, "ready 8000 32000 0", CellWorld.SERVICE, "w9:1");
+    world.store.put("workers", "w0", ByteString.copyFromUtf8(entry));
+    world.time.runFor(600);
+    worker.answersLost = false;
+    world.time.runFor(400);
+    world.registerWorker("w0");
+    world.time.runFor(20_000);
+    assertEquals(List.of(), world.workers.violations);
+  }
 }
