Keep the row of a large job in doubt within the size that the store takes

After a change of holder that fell together with the loss of a worker, each task of a job was noted as in doubt by a note of its own. With 8,800 tasks the row exceeded 65,536 bytes, the store refused it, and no task of the job started again. Rows of earlier versions are still read.

JobSizeTest#largestJobGoesOnAfterAWorkerIsLostInAChangeOfHolder failed at every run before and passes; CrashingTaskTest, CrashFuzzTest, StartFuzzTest and HolderChangeFuzzTest pass.

--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/StepProgress.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/StepProgress.java
@@ -30,6 +30,7 @@
   private StepProgress() {
     done_ = com.google.protobuf.ByteString.EMPTY;
     notes_ = java.util.Collections.emptyList();
+    doubted_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -123,6 +124,22 @@
     return notes_.get(index);
   }
 
+  public static final int DOUBTED_FIELD_NUMBER = 5;
+  private com.google.protobuf.ByteString doubted_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * Bit set of the tasks that may have crashed a worker which was lost while the holder changed. A
+   * note for each would make the row of a large job larger than the table service takes.
+   * </pre>
+   *
+   * <code>bytes doubted = 5;</code>
+   * @return The doubted.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDoubted() {
+    return doubted_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -149,6 +166,9 @@
     for (int i = 0; i < notes_.size(); i++) {
       output.writeMessage(4, notes_.get(i));
     }
+    if (!doubted_.isEmpty()) {
+      output.writeBytes(5, doubted_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -174,6 +194,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, notes_.get(i));
     }
+    if (!doubted_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(5, doubted_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -197,6 +221,8 @@
         .equals(other.getDone())) return false;
     if (!getNotesList()
         .equals(other.getNotesList())) return false;
+    if (!getDoubted()
+        .equals(other.getDoubted())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -218,6 +244,8 @@
       hash = (37 * hash) + NOTES_FIELD_NUMBER;
       hash = (53 * hash) + getNotesList().hashCode();
     }
+    hash = (37 * hash) + DOUBTED_FIELD_NUMBER;
+    hash = (53 * hash) + getDoubted().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -359,6 +387,7 @@
         notesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      doubted_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -414,6 +443,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.done_ = done_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.doubted_ = doubted_;
+      }
     }
 
     @java.lang.Override
@@ -463,6 +495,9 @@
           }
         }
       }
+      if (!other.getDoubted().isEmpty()) {
+        setDoubted(other.getDoubted());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -517,6 +552,11 @@
               }
               break;
             } // case 34
+            case 42: {
+              doubted_ = input.readBytes();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -882,6 +922,53 @@
       return notesBuilder_;
     }
 
+    private com.google.protobuf.ByteString doubted_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * Bit set of the tasks that may have crashed a worker which was lost while the holder changed. A
+     * note for each would make the row of a large job larger than the table service takes.
+     * </pre>
+     *
+     * <code>bytes doubted = 5;</code>
+     * @return The doubted.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDoubted() {
+      return doubted_;
+    }
+    /**
+     * <pre>
+     * Bit set of the tasks that may have crashed a worker which was lost while the holder changed. A
+     * note for each would make the row of a large job larger than the table service takes.
+     * </pre>
+     *
+     * <code>bytes doubted = 5;</code>
+     * @param value The doubted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDoubted(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      doubted_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Bit set of the tasks that may have crashed a worker which was lost while the holder changed. A
+     * note for each would make the row of a large job larger than the table service takes.
+     * </pre>
+     *
+     * <code>bytes doubted = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDoubted() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      doubted_ = getDefaultInstance().getDoubted();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.StepProgress)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/StepProgressOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/StepProgressOrBuilder.java
@@ -55,4 +55,15 @@
    */
   org.hemlockpick.proto.TaskNoteOrBuilder getNotesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Bit set of the tasks that may have crashed a worker which was lost while the holder changed. A
+   * note for each would make the row of a large job larger than the table service takes.
+   * </pre>
+   *
+   * <code>bytes doubted = 5;</code>
+   * @return The doubted.
+   */
+  com.google.protobuf.ByteString getDoubted();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashNotes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashNotes.java
@@ -1,5 +1,6 @@
 package org.hemlockpick.cell;
 
+import java.util.BitSet;
 import org.hemlockpick.cell.TaskCrashes.Crash;
 import org.hemlockpick.proto.CrashNote;
 import org.hemlockpick.proto.StartNote;
@@ -13,10 +14,25 @@
   static void encode(TaskCrashes crashes, TaskNote.Builder note) {
     crashes.all().forEach(crash -> note.addCrashes(encode(crash)));
     crashes.starts().forEach(start -> note.addStarts(encode(start)));
-    note.setDoubted(crashes.isDoubted());
   }
 
-  /** Restores what an earlier holder has stored. */
+  /** Returns the tasks of a step that are in doubt, by index. */
+  static BitSet doubted(StepRun run) {
+    BitSet doubted = new BitSet(run.tasks().size());
+    for (Task task : run.tasks()) {
+      doubted.set(task.index(), !task.isDone() && task.crashes().isDoubted());
+    }
+    return doubted;
+  }
+
+  /** Restores which tasks of a step an earlier holder had in doubt. */
+  static void restoreDoubted(BitSet doubted, StepRun run) {
+    doubted.stream()
+        .filter(index -> index < run.tasks().size())
+        .forEach(index -> run.tasks().get(index).crashes().setDoubted());
+  }
+
+  /** Restores what an earlier holder has stored; earlier versions stored doubts here, too. */
   static void restore(TaskNote note, TaskCrashes crashes) {
     note.getCrashesList().forEach(crash -> crashes.add(decode(crash)));
     note.getStartsList().forEach(start -> crashes.watch(decode(start)));
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -162,6 +162,7 @@
     done.stream()
         .filter(index -> index < run.tasks().size())
         .forEach(index -> run.complete(run.tasks().get(index)));
+    CrashNotes.restoreDoubted(BitSet.valueOf(progress.getDoubted().toByteArray()), run);
     for (TaskNote note : progress.getNotesList()) {
       if (note.getIndex() < run.tasks().size()) {
         Task task = run.tasks().get(note.getIndex());
@@ -184,6 +185,17 @@
     openedOccurrences = occurrence + 1;
   }
 
+  /** Returns the number of watched starts of its tasks whose ends are not known. */
+  int watchedStarts() {
+    int starts = 0;
+    for (StepRun step : stepRuns) {
+      for (Task task : step.tasks()) {
+        starts += task.crashes().starts().size();
+      }
+    }
+    return starts;
+  }
+
   /** Returns whether a task has a run. */
   boolean hasRuns() {
     return stepRuns.stream().anyMatch(StepRun::hasRuns);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -187,7 +187,7 @@
         StepProgress.newBuilder().setOccurrence(run.occurrence()).setStep(run.number());
     for (Task task : run.tasks()) {
       done.set(task.index(), task.isDone());
-      if (task.needsStoring()) {
+      if (task.needsNote()) {
         TaskNote.Builder note =
             TaskNote.newBuilder()
                 .setIndex(task.index())
@@ -201,7 +201,10 @@
         progress.addNotes(note);
       }
     }
-    return progress.setDone(ByteString.copyFrom(done.toByteArray())).build();
+    return progress
+        .setDone(ByteString.copyFrom(done.toByteArray()))
+        .setDoubted(ByteString.copyFrom(CrashNotes.doubted(run).toByteArray()))
+        .build();
   }
 
   private static TermsRecord encode(Queue queue) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ReadyQueue.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.hemlockpick.cell.ReadyTasks.Kind;
+import org.hemlockpick.cell.limit.WatchedStartBudget;
 import org.jspecify.annotations.Nullable;
 
 /** Collects the ready tasks in the order in which they are placed. */
@@ -55,9 +56,10 @@
       }
       job.openDueOccurrences(wall);
       int before = ready.size();
+      WatchedStartBudget budget = new WatchedStartBudget(job.watchedStarts());
       for (StepRun step : job.stepRuns()) {
         if (!step.isDone() && hasReady(step, now) && job.areDependenciesDone(step)) {
-          add(step, queue, now, wall, ready);
+          add(step, queue, budget, now, wall, ready);
         }
       }
       if (job.hasRuns()) {
@@ -113,9 +115,20 @@
     return task.isReady(now) && isStartable.test(task);
   }
 
-  private void add(StepRun step, Queue queue, long now, long wall, List<ReadyTasks> ready) {
+  private static int countWatched(List<Task> tasks) {
+    return (int) tasks.stream().filter(task -> task.crashes().isWatched()).count();
+  }
+
+  private void add(
+      StepRun step,
+      Queue queue,
+      WatchedStartBudget budget,
+      long now,
+      long wall,
+      List<ReadyTasks> ready) {
     if (step.step().gang()) {
-      if (step.tasks().stream().allMatch(task -> isReady(task, now))) {
+      boolean areReady = step.tasks().stream().allMatch(task -> isReady(task, now));
+      if (areReady && budget.admit(countWatched(step.tasks()))) {
         Kind kind = Kind.ofGang(step.tasks());
         PriorityPolicy.Rank rank = priority.rank(step, kind.isRestart(), queue, wall);
         step.tasks().forEach(task -> task.setReady(now));
@@ -125,7 +138,7 @@
     }
     Map<Kind, List<Task>> kinds = new LinkedHashMap<>();
     for (Task task : step.tasks()) {
-      if (isReady(task, now)) {
+      if (isReady(task, now) && budget.admit(countWatched(List.of(task)))) {
         task.setReady(now);
         kinds.computeIfAbsent(Kind.of(task), kind -> new ArrayList<>()).add(task);
       }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -239,7 +239,12 @@
 
   /** Returns whether more must be stored than whether it is done. */
   boolean needsStoring() {
-    boolean hasNote = failures() > 0 || !checkpoint.isEmpty() || !placement.isEmpty();
-    return !done && (hasNote || crashes.isWatched());
+    return needsNote() || (!done && crashes.isDoubted());
+  }
+
+  /** Returns whether more must be stored than whether it is done or in doubt. */
+  boolean needsNote() {
+    boolean hasAttempts = failures() > 0 || !checkpoint.isEmpty() || !placement.isEmpty();
+    return !done && (hasAttempts || crashes.hasNotes());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
@@ -86,7 +86,12 @@
 
   /** Returns whether its starts have to be stored before their orders, until it is cleared. */
   boolean isWatched() {
-    return doubted || !crashes.isEmpty() || !starts.isEmpty();
+    return doubted || hasNotes();
+  }
+
+  /** Returns whether crashes or watched starts are known. */
+  boolean hasNotes() {
+    return !crashes.isEmpty() || !starts.isEmpty();
   }
 
   /** Returns the watched starts of which it is not known how they ended. */
