Start copies of stragglers of speculative steps

A straggler delays a whole step, and Step.speculative was stored but read by nothing. CopyPolicy decides by progress which runs get a copy; CopyStarter applies the limits and starts them after the planning pass, with capacity that no ready task in time waits for. A task keeps a second run besides the first; the first that is done counts, and the other is stopped. A successor adopts both.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -2,10 +2,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.function.Supplier;
-import org.hemlockpick.proto.CellRecord;
-import org.hemlockpick.proto.QueueLength;
+import org.hemlockpick.cell.speculation.RemainingTimePolicy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -92,7 +90,7 @@
             clock,
             lease.version(),
             lease.requestedAt(),
-            this::leaseRecord,
+            () -> lease.renewed(settings.holderName(), waitingJobs()),
             log,
             metrics,
             new JournalListener());
@@ -160,7 +158,6 @@
     ReadyQueue ready =
         new ReadyQueue(
             jobs, lifecycle, new SlackPriority(estimator), clock, queues::queue, this::isStartable);
-    CapacityForecast forecast = new CapacityForecast(estimator);
     PlacementPolicy placement = new InterferenceAwarePlacement(interference);
     DrainDeadline drainDeadline = new DrainDeadline(settings, clock);
     CapacityReserver reserver =
@@ -168,16 +165,36 @@
             workers,
             candidates,
             reservations,
-            forecast,
+            new CapacityForecast(estimator),
             placement,
             drainDeadline,
             runner::tryStop,
             queues::queue,
             log,
             metrics);
+    CopyStarter copies =
+        new CopyStarter(
+            jobs,
+            candidates,
+            placement,
+            new RemainingTimePolicy(),
+            estimator,
+            runner,
+            queues::queue,
+            this::isStartable,
+            log,
+            metrics);
     this.planner =
         new Planner(
-            ready, runner, candidates, reserver, reservations, placement, clock, queues::queue);
+            ready,
+            runner,
+            candidates,
+            reserver,
+            reservations,
+            placement,
+            copies,
+            clock,
+            queues::queue);
     this.paceController = new PaceController(token, port, runner::tryStop, interference, log);
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController =
@@ -231,16 +248,7 @@
    * loaded, these are the numbers that the previous holder stored.
    */
   ImmutableMap<String, Integer> waitingJobs() {
-    if (!jobWatcher.isLoaded()) {
-      return lease.waitingJobs();
-    }
-    Map<String, Integer> waiting = new TreeMap<>();
-    for (Job job : jobs.open()) {
-      if (job.state() == JobState.QUEUED) {
-        waiting.merge(job.submission().queue(), 1, Integer::sum);
-      }
-    }
-    return ImmutableMap.copyOf(waiting);
+    return jobWatcher.isLoaded() ? jobs.waitingByQueue() : lease.waitingJobs();
   }
 
   void run() {
@@ -289,20 +297,6 @@
         && journal.isVisibleToSuccessor(task.job().rowVersion());
   }
 
-  private CellRecord leaseRecord() {
-    CellRecord.Builder record =
-        CellRecord.newBuilder()
-            .setFormat(JobRows.FORMAT)
-            .setHolder(settings.holderName())
-            .setGeneration(lease.generation())
-            .setReplacedVersion(lease.replacedVersion());
-    waitingJobs()
-        .forEach(
-            (queue, count) ->
-                record.addWaiting(QueueLength.newBuilder().setQueue(queue).setWaiting(count)));
-    return record.build();
-  }
-
   private void end(HolderEnd cause, String reason) {
     if (ended) {
       return;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.hemlockpick.cell.TableService.Outcome;
 import org.hemlockpick.cell.TableService.ReadResult;
@@ -93,7 +94,22 @@
       long replacedVersion,
       long previousReplacedVersion,
       LeaseHistory history,
-      ImmutableMap<String, Integer> waitingJobs) {}
+      ImmutableMap<String, Integer> waitingJobs) {
+
+    /** Returns the record with which its holder renews it, with its current waiting jobs. */
+    CellRecord renewed(String holder, Map<String, Integer> waiting) {
+      CellRecord.Builder record =
+          CellRecord.newBuilder()
+              .setFormat(JobRows.FORMAT)
+              .setHolder(holder)
+              .setGeneration(generation)
+              .setReplacedVersion(replacedVersion);
+      waiting.forEach(
+          (queue, count) ->
+              record.addWaiting(QueueLength.newBuilder().setQueue(queue).setWaiting(count)));
+      return record.build();
+    }
+  }
 
   /** Returns the numbers of waiting jobs by queue, as last stored by the holder. */
   ImmutableMap<String, Integer> waitingJobs() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobTable.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobTable.java
@@ -1,9 +1,11 @@
 package org.hemlockpick.cell;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 
 /** The jobs of the cell by identifier, including those that have ended until they are swept. */
@@ -42,6 +44,17 @@
     return open.values();
   }
 
+  /** Returns the number of jobs of each queue of which no task has started. */
+  ImmutableMap<String, Integer> waitingByQueue() {
+    Map<String, Integer> waiting = new TreeMap<>();
+    for (Job job : open()) {
+      if (job.state() == JobState.QUEUED) {
+        waiting.merge(job.submission().queue(), 1, Integer::sum);
+      }
+    }
+    return ImmutableMap.copyOf(waiting);
+  }
+
   Optional<Task> task(TaskId id) {
     Job job = jobs.get(id.job());
     return job == null ? Optional.empty() : job.task(id);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -20,6 +20,7 @@
   private final CapacityReserver reserver;
   private final ReservationTable reservations;
   private final PlacementPolicy placement;
+  private final CopyStarter copies;
   private final LoopClock clock;
 
   /** Returns the queue of a job; null if no configuration contains it. */
@@ -32,6 +33,7 @@
       CapacityReserver reserver,
       ReservationTable reservations,
       PlacementPolicy placement,
+      CopyStarter copies,
       LoopClock clock,
       Function<Job, @Nullable Queue> queues) {
     this.readyQueue = readyQueue;
@@ -40,15 +42,24 @@
     this.reserver = reserver;
     this.reservations = reservations;
     this.placement = placement;
+    this.copies = copies;
     this.clock = clock;
     this.queues = queues;
   }
 
-  /** Starts every ready task that can be placed, up to the limit of the pass. */
+  /**
+   * Starts every ready task that can be placed, up to the limit of the pass, and then copies of
+   * stragglers where none waits for the capacity.
+   */
   void run() {
     long now = clock.monotonicMillis();
     reserver.review(now);
-    new Pass(now).place(readyQueue.collect());
+    List<ReadyTasks> ready = readyQueue.collect();
+    Pass pass = new Pass(now);
+    pass.place(ready);
+    if (pass.starts < MAX_STARTS_PER_PASS) {
+      copies.run(pass.schedulable, ready);
+    }
   }
 
   /** Returns whether a running task could be placed on another worker. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/PriorityPolicy.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/PriorityPolicy.java
@@ -27,8 +27,9 @@
    * @param group priority group; all steps of a lower group go first
    * @param latestStartMillis latest time on the wall clock at which the step can start and be on
    *     time
+   * @param inTime whether the step can still be on time
    */
-  record Rank(int group, long latestStartMillis) implements Comparable<Rank> {
+  record Rank(int group, long latestStartMillis, boolean inTime) implements Comparable<Rank> {
     private static final Comparator<Rank> ORDER =
         Comparator.comparingInt(Rank::group).thenComparingLong(Rank::latestStartMillis);
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Run.java
@@ -32,6 +32,7 @@
 
   private int progressPercent;
   private long lastProgressAt;
+  private long reportedAt;
   private long gauge;
   private long previousGauge;
   private int pace = 100;
@@ -44,6 +45,7 @@
     this.observedRunning = state == State.RUNNING;
     this.startedAt = nowMillis;
     this.lastProgressAt = nowMillis;
+    this.reportedAt = nowMillis;
   }
 
   Task task() {
@@ -144,10 +146,11 @@
       progressPercent = report.percent();
       lastProgressAt = nowMillis;
     }
+    reportedAt = nowMillis;
     previousGauge = gauge;
     gauge = report.gauge();
     worker.onReported(this);
-    if (task.run() == this) {
+    if (task.isAhead(this)) {
       task.setCheckpoint(attempt(), report.checkpoint());
     }
   }
@@ -161,6 +164,11 @@
     return lastProgressAt;
   }
 
+  /** Returns the time at which it was last reported; that of its start if it was not yet. */
+  long reportedAt() {
+    return reportedAt;
+  }
+
   /**
    * Returns the tail latency in milliseconds of a serving task, or else the CPU usage in
    * millicores.
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
@@ -138,11 +138,28 @@
         completion.kind(),
         completion.checkpoint(),
         // The duration of an orphaned run is not known.
-        task.run() == run ? run : null,
+        run != null && task.owns(run) ? run : null,
         maxAttempts.applyAsInt(task.job()));
     if (run != null) {
       recordLastRan(run, clock.monotonicMillis());
       runner.remove(run);
+      stopOther(task, run);
+    }
+  }
+
+  /** Stops the other run of a task of which one is done: what it ends with counts no more. */
+  private void stopOther(Task task, Run ended) {
+    Run other = task.run();
+    if (!task.isDone() || other == null || !task.mayHaveCopy()) {
+      return;
+    }
+    String first = ended.attempt() > other.attempt() ? "copy" : "original";
+    long wasted = clock.monotonicMillis() - other.startedAt();
+    if (other.state() != Run.State.STOPPING) {
+      metrics.count(ended.attempt() > other.attempt() ? "copies.first" : "copies.late");
+      metrics.record("copies.wasted.millis", wasted);
+      log.decided("copy", task.id().toString(), first + " is first", wasted + " ms lost");
+      runner.stop(other, "another run of the task is done");
     }
   }
 
@@ -207,7 +224,8 @@
       return null;
     }
     boolean isOver = task.isDone() || task.job().state().isFinal();
-    return isOver || task.run() != null ? stopOrphan(task, worker, id) : adopt(task, worker, id);
+    boolean mayGoOn = task.run() == null || (task.mayHaveCopy() && task.copy() == null);
+    return isOver || !mayGoOn ? stopOrphan(task, worker, id) : adopt(task, worker, id);
   }
 
   private Run stopOrphan(Task task, Worker worker, RunId id) {
@@ -222,7 +240,7 @@
   private Run adopt(Task task, Worker worker, RunId id) {
     Run run = new Run(task, id.attempt(), worker, Run.State.RUNNING, clock.monotonicMillis());
     run.setReportableSince(clock.monotonicMillis());
-    task.setRun(run);
+    task.addRun(run);
     task.setLocated();
     worker.add(run);
     if (run.step().longRunning()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackPriority.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SlackPriority.java
@@ -26,12 +26,12 @@
     Submission job = step.job().submission();
     long due = job.dueAtMillis(step.occurrence());
     if (isRestart) {
-      return new Rank(RESTART_GROUP, due + queue.latencyTargetMillis());
+      return new Rank(RESTART_GROUP, due + queue.latencyTargetMillis(), true);
     }
     if (job.isLongRunning()) {
       // Behind short jobs that are on time: these release their capacity again, and are worth more.
-      return new Rank(
-          queue.priority() * GROUPS_PER_PRIORITY + 1, due + queue.latencyTargetMillis());
+      long latest = due + queue.latencyTargetMillis();
+      return new Rank(queue.priority() * GROUPS_PER_PRIORITY + 1, latest, wallMillis <= latest);
     }
     long whole = longestChain(job, queue, 0);
     long objective = (long) (queue.slackFactor() * whole) + queue.latencyTargetMillis();
@@ -42,12 +42,12 @@
       lateness = wallMillis > due + LATE_FACTOR * objective - rest ? 2 : 1;
     }
     int group = queue.priority() * GROUPS_PER_PRIORITY + lateness;
-    return new Rank(group, latestStart);
+    return new Rank(group, latestStart, lateness == 0);
   }
 
   @Override
   public Rank rankOfStarved(long sinceMillis) {
-    return new Rank(STARVED_GROUP, sinceMillis);
+    return new Rank(STARVED_GROUP, sinceMillis, true);
   }
 
   /** Returns the expected duration of the longest chain of steps that begins at a step or later. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/StepRun.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/StepRun.java
@@ -62,6 +62,11 @@
     tasks.forEach(this::complete);
   }
 
+  /** Returns whether its tasks may have copies. */
+  boolean mayHaveCopies() {
+    return step.speculative() && !step.longRunning() && !step.gang() && !step.filler();
+  }
+
   /** Returns whether a task has a run. */
   boolean hasRuns() {
     return !isDone() && tasks.stream().anyMatch(task -> !task.hasNoRuns());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeoverTracker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeoverTracker.java
@@ -243,11 +243,12 @@
 
   /**
    * Returns whether a task must not be started yet. The location of a task is known if the task was
-   * found at a worker or was submitted after the lease was acquired; a long-running task can only
-   * be at its stored placement.
+   * found at a worker, unless it may have a second run elsewhere, or was submitted after the lease
+   * was acquired; a long-running task can only be at its stored placement.
    */
   boolean blocksStart(Task task) {
-    if (complete || !task.job().isInherited() || task.isLocated()) {
+    boolean isLocated = task.isLocated() && !task.mayHaveCopy();
+    if (complete || !task.job().isInherited() || isLocated) {
       return false;
     }
     if (placementsStored && task.step().step().longRunning()) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Task.java
@@ -24,7 +24,12 @@
   private int checkpointAttempt;
   private @Nullable Run run;
 
-  /** Runs besides that one, or of a task that has ended; they are stopped. */
+  /** Second run that may go on besides that one; only of a task that may have copies. */
+  private @Nullable Run copy;
+
+  private long lastCopyAt = Long.MIN_VALUE / 2;
+
+  /** Runs besides those, or of a task that has ended; they are stopped. */
   private final Set<Run> orphans = new HashSet<>();
 
   private boolean located;
@@ -143,6 +148,55 @@
     }
   }
 
+  /** Returns whether a second run of it may go on besides the first. */
+  boolean mayHaveCopy() {
+    return step.mayHaveCopies();
+  }
+
+  /** Returns the second run that may go on besides the first; null if there is none. */
+  @Nullable Run copy() {
+    return copy;
+  }
+
+  /** Returns the time on the monotonic clock at which it last got a copy. */
+  long lastCopyAt() {
+    return lastCopyAt;
+  }
+
+  /** Adds a run: the first one, or a copy of a task that may have one. */
+  void addRun(Run newRun) {
+    if (run == null) {
+      setRun(newRun);
+      return;
+    }
+    copy = newRun;
+    lastCopyAt = newRun.startedAt();
+    recordAttempt(newRun.attempt());
+  }
+
+  /** Removes a run that is gone; a copy takes the place of the first one. */
+  void removeRun(Run gone) {
+    orphans.remove(gone);
+    if (run == gone) {
+      setRun(copy);
+      copy = null;
+    } else if (copy == gone) {
+      copy = null;
+    }
+  }
+
+  /** Returns whether a run is one of those that may go on. */
+  boolean owns(Run candidate) {
+    return run == candidate || copy == candidate;
+  }
+
+  /** Returns whether a run has made at least as much progress as the others. */
+  boolean isAhead(Run candidate) {
+    Run other = run == candidate ? copy : run;
+    return owns(candidate)
+        && (other == null || candidate.progressPercent() >= other.progressPercent());
+  }
+
   /** Records that its turn has come; a start that was refused does not end its wait. */
   void setReady(long nowMillis) {
     readySince = Math.min(readySince, nowMillis);
@@ -169,10 +223,6 @@
     return orphans.stream().findFirst().orElse(null);
   }
 
-  void removeOrphan(Run run) {
-    orphans.remove(run);
-  }
-
   /** Returns whether it was found at a worker, so that it ran nowhere else. */
   boolean isLocated() {
     return located;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -88,7 +88,7 @@
     this.context = context;
   }
 
-  /** Starts a task on a worker. */
+  /** Starts a task on a worker, also as a copy of its run. */
   void start(Task task, Worker worker) {
     boolean isWatched = task.crashes().isWatched();
     start(task, worker, task.nextAttempt(firstAttempt), task.checkpoint(), isWatched);
@@ -113,7 +113,7 @@
 
   private void start(Task task, Worker worker, int attempt, String checkpoint, boolean isWatched) {
     Run run = new Run(task, attempt, worker, Run.State.STARTING, clock.monotonicMillis());
-    task.setRun(run);
+    task.addRun(run);
     worker.add(run);
     if (task.crashes().isWatched()) {
       lifecycle.watch(task, WatchedStart.of(run));
@@ -413,11 +413,8 @@
   /** Removes a run that is gone, with its placement if it was the last one of its task. */
   void remove(Run run) {
     run.worker().remove(run);
-    run.task().removeOrphan(run);
+    run.task().removeRun(run);
     lifecycle.onStartResolved(run.task(), run.attempt());
-    if (run.task().run() == run) {
-      run.task().setRun(null);
-    }
     if (run.task().hasNoRuns()) {
       setPlacement(run.task(), "");
     }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WaitCauses.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WaitCauses.java
@@ -20,7 +20,10 @@
 
   /** Returns whether a task is known to run at a worker that answers. */
   static boolean isRunning(Task task) {
-    Run run = task.run();
+    return isRunning(task.run()) || isRunning(task.copy());
+  }
+
+  private static boolean isRunning(@Nullable Run run) {
     return run != null && run.state() == Run.State.RUNNING && !run.worker().isUnresponsive();
   }
 
