--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CopyStarter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CopyStarter.java
@@ -138,6 +138,8 @@
           && !task.isDone()
           && !task.crashes().isWatched()
           && task.failures() + 1 < queue.maxAttempts()
+          // A failed copy is followed by none, as it costs an attempt.
+          && task.failedAttempts().newest() < run.attempt()
           && now >= Math.max(task.notBefore(), task.lastCopyAt() + COPY_INTERVAL_MILLIS)
           && isStartable.test(task);
     }
