Limit what callers can make a process hold

A caller could hold any number of bodies and parsed requests in memory: the HTTP server read pipelined requests ahead, passed bodies on piece by piece, and kept connections for ever.

Between the socket and the HTTP codec each connection of a caller now has a gate, on both servers. It holds back a head until it is complete, and what follows a request until its response is written; it collects a body until it is complete, and refuses a body by its head (unknown path, too large, no bytes left). Bytes of heads, bodies and bytes behind a request count in one budget for the process, a quarter of its heap; the incomplete request that has been silent for longest is dropped first. Connections, heads, bodies and responses have time limits, and the number of connections has a limit. The limits of the operator's configuration are followed as they change; section [limits] of the settings lowers them. Readiness and metrics have an event loop of their own.

The drain counts bytes that the gate holds back as a request that was read, and a request that lies whole behind another one is still answered.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiServer.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiServer.java
@@ -14,7 +14,12 @@
 
 /** HTTP server with the controllers whose required beans are given. */
 public final class ApiServer implements AutoCloseable {
-  private static final long MAX_BODY_BYTES = 8L * 1024 * 1024;
+  /** Largest body of a request, in bytes. */
+  static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+
+  /** Largest head that the HTTP codec accepts; the limit in force is lower. */
+  private static final int MAX_HEAD_BYTES = 1024 * 1024;
+
   private static final int EVENT_LOOP_THREADS = 2;
   private static final long SHUTDOWN_GRACE_MILLIS = 1_000;
   private static final Logger log = Logger.getLogger(ApiServer.class);
@@ -63,6 +68,9 @@
   private static ApiServer start(Map<String, Object> addresses, Object... beans) {
     Map<String, Object> properties = new HashMap<>(addresses);
     properties.put("micronaut.server.max-request-size", MAX_BODY_BYTES);
+    properties.put("micronaut.server.netty.max-header-size", MAX_HEAD_BYTES);
+    properties.put("micronaut.server.netty.max-initial-line-length", MAX_HEAD_BYTES);
+    properties.put("micronaut.server.netty.worker.event-loop-group", ConnectionLoops.NAME);
     properties.put("micronaut.netty.event-loops.default.num-threads", EVENT_LOOP_THREADS);
     ApplicationContext context =
         ApplicationContext.builder()
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CallerConnection.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CallerConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.function.BooleanSupplier;
 
 /**
  * One connection of a caller. It is busy from the first byte read of a request to the last byte
@@ -20,18 +21,29 @@
 final class CallerConnection {
   private final CallerDrain drain;
   private final Channel channel;
+  private final BooleanSupplier hasUnread;
   private boolean requestIncomplete;
   private boolean endAnnounced;
   private int unanswered;
 
-  private CallerConnection(CallerDrain drain, Channel channel) {
+  private CallerConnection(CallerDrain drain, Channel channel, BooleanSupplier hasUnread) {
     this.drain = drain;
     this.channel = channel;
+    this.hasUnread = hasUnread;
   }
 
   /** Tracks a connection whose pipeline has an HTTP codec and has not read anything. */
   static void track(CallerDrain drain, Channel channel) {
-    CallerConnection connection = new CallerConnection(drain, channel);
+    track(drain, channel, () -> false);
+  }
+
+  /**
+   * Tracks a connection whose pipeline has an HTTP codec and has not read anything.
+   *
+   * @param hasUnread whether bytes were read that have not been passed to the codec
+   */
+  static void track(CallerDrain drain, Channel channel, BooleanSupplier hasUnread) {
+    CallerConnection connection = new CallerConnection(drain, channel, hasUnread);
     String codec = channel.pipeline().context(HttpServerCodec.class).name();
     channel.pipeline().addFirst(connection.new ByteHandler());
     channel.pipeline().addAfter(codec, null, connection.new MessageHandler());
@@ -51,7 +63,7 @@
   }
 
   private void onRequestComplete() {
-    requestIncomplete = false;
+    requestIncomplete = hasUnread.getAsBoolean();
     closeIfDue();
   }
 
@@ -62,7 +74,7 @@
 
   /** Announces the end with the last answer that is due. */
   private void announceEnd(HttpResponse answer) {
-    if (drain.isAnnouncing() && unanswered <= 1) {
+    if (drain.isAnnouncing() && unanswered <= 1 && !hasUnread.getAsBoolean()) {
       HttpUtil.setKeepAlive(answer, false);
       endAnnounced = true;
     }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import org.hemlockpick.cell.InstanceSize;
+import org.hemlockpick.daemon.admission.AdmissionSettings;
 
 /**
  * Settings of an entry instance that runs on a platform.
@@ -18,6 +19,7 @@
  * @param stopMillis longest time that a worker takes to stop a run
  * @param statusKeepMillis minimum time for which the state of a finished job is kept
  * @param graceMillis time from the stop signal until the process is killed
+ * @param limits limits on callers
  */
 public record CellDaemonSettings(
     String name,
@@ -30,7 +32,8 @@
     long workerLeaseMillis,
     long stopMillis,
     long statusKeepMillis,
-    long graceMillis) {
+    long graceMillis,
+    AdmissionSettings limits) {
 
   /** Returns the address at which callers connect, as host and port. */
   public String callersText() {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.hemlockpick.cell.InstanceSize;
+import org.hemlockpick.daemon.admission.AdmissionSettings;
 import org.hemlockpick.util.DepthLimitedToml;
 import org.tomlj.TomlParseResult;
 
@@ -91,6 +92,7 @@
     Duration keep = cell.duration("status-keep", Duration.ofMinutes(2), MIN_DURATION, MAX_DURATION);
     Duration grace = cell.duration("stop-grace", Duration.ofSeconds(6), MIN_DURATION, MAX_DURATION);
     cell.reportUnknownKeys();
+    AdmissionSettings limits = LimitsSection.read(document);
     document.reportUnknownSections();
     if (!faults.isEmpty()) {
       return Either.left(faults.sorted());
@@ -107,7 +109,8 @@
             lease.toMillis(),
             stop.toMillis(),
             keep.toMillis(),
-            grace.toMillis()));
+            grace.toMillis(),
+            limits));
   }
 
   private static InstanceSize size(SettingsSection instance) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DaemonMetrics.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/DaemonMetrics.java
@@ -11,6 +11,7 @@
 import jakarta.json.JsonObjectBuilder;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.hemlockpick.daemon.admission.RefusalReason;
 import org.hemlockpick.errors.ResultCode;
 
 /** Metrics of one process. Times are in microseconds. */
@@ -40,6 +41,11 @@
     tickTime.update(TimeUnit.NANOSECONDS.toMicros(nanos));
   }
 
+  /** Counts a request or a connection that the limits on callers ended. */
+  void onRefused(RefusalReason reason) {
+    registry.counter("callers.refused." + reason.name()).inc();
+  }
+
   void onStoreCall() {
     storeCalls.inc();
   }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/EntryDaemon.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.hemlockpick.daemon.admission.CallerAdmission;
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.Output;
 import org.hemlockpick.proto.StopOrder;
@@ -40,6 +41,7 @@
   private final Effects effects;
   private final LoopThread loop;
   private final @Nullable TraceWriter trace;
+  private final CallerAdmission admission;
   private final ApiServer api;
   private boolean closed;
 
@@ -66,6 +68,11 @@
             this::onTick,
             ended::completeExceptionally);
     metrics.addGauge("queue.length", queue::length);
+    admission =
+        new CallerAdmission(
+            settings.limits(), new ApiCallerPolicy(), metrics::onRefused, time::millis);
+    metrics.addGauge("callers.connections", admission::openConnections);
+    metrics.addGauge("callers.body.bytes", admission::bodyBytes);
     api = startServing(settings);
     log.infof(Messages.STARTED, name, startedAt, seed, api.port());
   }
@@ -198,6 +205,7 @@
           loop,
           metrics,
           drain,
+          admission,
           new CallDispatcher(exchanges),
           new ApiKeys(settings.operatorKeyDigests()));
     } catch (IOException | RuntimeException e) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Messages.java
@@ -84,6 +84,10 @@
     return "must be from " + min + " to " + max;
   }
 
+  static String notWholeNumberFrom(long min) {
+    return "must be a whole number of at least " + min;
+  }
+
   static String amountOutOfRange(double max) {
     return "must be above 0 and at most " + max;
   }
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Settings.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/Settings.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import org.hemlockpick.daemon.admission.AdmissionSettings;
 import org.hemlockpick.lib.InstanceSettings;
 import org.jspecify.annotations.Nullable;
 
@@ -19,6 +20,7 @@
  * @param operatorKeyDigests SHA-256 digests, in lower-case hex, of the operators' keys
  * @param traceDirectory directory for the recording of inputs; null to record none
  * @param timeline whether and where the timeline is written
+ * @param limits limits on callers
  */
 public record Settings(
     InstanceSettings instance,
@@ -28,7 +30,8 @@
     Platform platform,
     List<String> operatorKeyDigests,
     @Nullable Path traceDirectory,
-    Timeline timeline) {
+    Timeline timeline,
+    AdmissionSettings limits) {
 
   /** Copies the collections. */
   public Settings {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsReader.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import org.hemlockpick.daemon.admission.AdmissionSettings;
 import org.hemlockpick.lib.InstanceSettings;
 import org.hemlockpick.lib.RosterMember;
 import org.hemlockpick.lib.Timing;
@@ -98,6 +99,7 @@
     Path traceDirectory = trace.path("directory");
     trace.reportUnknownKeys();
     Settings.Timeline timeline = readTimeline();
+    AdmissionSettings limits = LimitsSection.read(document);
     Timing timing = readTiming();
     Map<RosterMember, InetSocketAddress> roster = readRoster();
     checkOwnRosterMember(instance, listen, name, zone, peers, roster);
@@ -113,7 +115,8 @@
         Objects.requireNonNull(platform),
         digests,
         traceDirectory,
-        timeline);
+        timeline,
+        limits);
   }
 
   private SettingsSection section(String name) {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsSection.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsSection.java
@@ -137,6 +137,19 @@
     return defaultValue;
   }
 
+  /** Returns a whole number; the default if it is missing. */
+  long count(String key, long defaultValue, long min, long max) {
+    Object value = value(key);
+    if (value == null) {
+      return defaultValue;
+    }
+    if (value instanceof Long count && count >= min && count <= max) {
+      return count;
+    }
+    reportFault(key, Messages.notWholeNumberFrom(min));
+    return defaultValue;
+  }
+
   /**
    * Returns a number from a string, above 0 and at most {@code max}; the default if the string is
    * missing or empty.
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DemoZone.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/DemoZone.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.hemlockpick.daemon.EntryDaemon;
 import org.hemlockpick.daemon.Settings;
+import org.hemlockpick.daemon.admission.AdmissionSettings;
 import org.hemlockpick.lib.InstanceSettings;
 import org.hemlockpick.lib.RosterMember;
 import org.hemlockpick.lib.Timing;
@@ -96,7 +97,8 @@
         platform,
         List.of(Digests.sha256(OPERATOR_KEY)),
         null,
-        new Settings.Timeline(Settings.Timeline.Level.OFF, null));
+        new Settings.Timeline(Settings.Timeline.Level.OFF, null),
+        AdmissionSettings.DEFAULT);
   }
 
   private static InetSocketAddress loopback(int port) {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -736,7 +736,7 @@
               Long.parseLong(fields[0]),
               lines.size() == 1 ? List.of(DEFAULT_QUEUE) : queues,
               ImmutableMap.copyOf(services),
-              100_000));
+              RequestLimits.DEFAULT.withMaxBodyBytes(100_000)));
     }
 
     private static Queue queue(String line) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Configuration.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Configuration.java
@@ -10,13 +10,13 @@
  * @param version version; increases with each change
  * @param queues queues in no particular order
  * @param services services by name
- * @param maxBodyBytes largest body of a request
+ * @param limits limits of the requests of callers
  */
 public record Configuration(
     long version,
     List<Queue> queues,
     ImmutableMap<String, ServiceEntry> services,
-    int maxBodyBytes) {
+    RequestLimits limits) {
 
   /** Copies the list. */
   public Configuration {
@@ -40,6 +40,11 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns the largest body of a request, in bytes. */
+  public int maxBodyBytes() {
+    return limits.maxBodyBytes();
+  }
+
   /** Returns the queue with a name. */
   public Optional<Queue> queue(String name) {
     return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
