--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
@@ -9,12 +9,12 @@
 import org.hemlockpick.platform.soak.StubHttpServer.Reply;
 
 /** Simulates the users' platform: the table service, the list of workers and the workers. */
-final class Platform implements AutoCloseable {
+public final class Platform implements AutoCloseable {
   static final String SERVICE = "svc1";
   static final String HOST = "127.0.0.1";
 
   /** Unique to this test process, as another soak test may reuse the port of an ended process. */
-  static final String PREFIX = "/q" + ProcessHandle.current().pid() + "/";
+  public static final String PREFIX = "/q" + ProcessHandle.current().pid() + "/";
 
   private static final int WORKERS = 8;
   private static final int MAX_ATTEMPTS = 2;
@@ -38,7 +38,7 @@
   private long storeSeenAt;
   private boolean entriesExpired;
 
-  Platform(World world) throws IOException {
+  public Platform(World world) throws IOException {
     this.world = world;
     this.rows = new Rows(world);
     this.faults = new Faults(world);
@@ -84,7 +84,7 @@
   }
 
   /** Opens a port of the table service for one process and returns its address. */
-  String openStore(String process) throws IOException {
+  public String openStore(String process) throws IOException {
     StubHttpServer server = new StubHttpServer(call -> store(process, call));
     servers.add(server);
     return server.address();
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/World.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/World.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** State that all parts of the soak test share: a lock, a clock, a random source, an event log. */
-final class World implements AutoCloseable {
+public final class World implements AutoCloseable {
   private final long startNanos = System.nanoTime();
   private final long startWallMillis = System.currentTimeMillis();
   private final SplittableRandom random;
@@ -23,7 +23,7 @@
             return thread;
           });
 
-  World(long seed) {
+  public World(long seed) {
     random = new SplittableRandom(seed);
   }
 
