Start no task in an availability zone that the operator evacuates

Nothing read the operator's request, so that starts in the zone continued indefinitely. The holder now polls the rows evacuate/ZONE every 500 ms, the first time before its first order, and checks the newest reading immediately before each start order, repeated ones included. A reading is used for the bound less the time of an order and a margin of 500 ms, and not at all if the clocks have diverged since it was requested. WorkerEligibility has the reason EVACUATED.

The setting [cell] evacuation-bound enables it; without it no call is made. The rows of the lease move from CellHolder to LeaseRecords, the look for runs to stop from TaskRunner to StopReview, and the back-off of a worker from Worker to WorkerAdmission, without a change of behavior.

CellScenarioTest, CompletionTest, DisruptionBudgetTest, TakeoverTest, TaskRunnerTest, CellMetricsTest and PendingTaskReporterTest pass.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
@@ -17,6 +17,8 @@
  * @param workerLeaseMillis longest lease that workers grant
  * @param stopMillis longest time that a worker takes to stop a run
  * @param statusKeepMillis minimum time for which the state of a finished job is kept
+ * @param evacuationBoundMillis time after the confirmation of a request to evacuate an availability
+ *     zone from which no task may be started there; 0 if evacuation is disabled
  * @param graceMillis time from the stop signal until the process is killed
  */
 public record CellDaemonSettings(
@@ -30,6 +32,7 @@
     long workerLeaseMillis,
     long stopMillis,
     long statusKeepMillis,
+    long evacuationBoundMillis,
     long graceMillis) {
 
   /** Returns the address at which callers connect, as host and port. */
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
@@ -18,6 +18,9 @@
   private static final Duration MIN_DURATION = Duration.ofMillis(1);
   private static final Duration MAX_DURATION = Duration.ofHours(1);
 
+  /** A start order may take 1 s, and the requests must be read before. */
+  private static final Duration MIN_EVACUATION_BOUND = Duration.ofMillis(2_500);
+
   private static final double MAX_CORES = 1_024;
   private static final double MAX_LINK_MBITS = 1_000_000;
 
@@ -89,6 +92,8 @@
         cell.duration("worker-lease", Duration.ofSeconds(6), MIN_DURATION, MAX_DURATION);
     Duration stop = cell.duration("worker-stop", Duration.ofSeconds(1), MIN_DURATION, MAX_DURATION);
     Duration keep = cell.duration("status-keep", Duration.ofMinutes(2), MIN_DURATION, MAX_DURATION);
+    Duration evacuation =
+        cell.duration("evacuation-bound", Duration.ZERO, MIN_EVACUATION_BOUND, MAX_DURATION);
     Duration grace = cell.duration("stop-grace", Duration.ofSeconds(6), MIN_DURATION, MAX_DURATION);
     cell.reportUnknownKeys();
     document.reportUnknownSections();
@@ -107,6 +112,7 @@
             lease.toMillis(),
             stop.toMillis(),
             keep.toMillis(),
+            evacuation.toMillis(),
             grace.toMillis()));
   }
 
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellSettingsReaderTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellSettingsReaderTest.java
@@ -24,6 +24,7 @@
           Map.entry("{{bounds.stop_ms}}", "900"),
           Map.entry("{{bounds.status_s}}", "120"),
           Map.entry("{{bounds.grace_s}}", "6"),
+          Map.entry("{{bounds.evacuate_ms}}", "5000"),
           Map.entry("{{limits.cpu_share}}", "0.75"),
           Map.entry("{{limits.cores}}", "2"),
           Map.entry("{{limits.link_mbps}}", "1000.0"));
@@ -34,8 +35,18 @@
     return Files.writeString(folder.resolve("settings.toml"), text);
   }
 
+  /** Renders the template for a platform that provides no bound for evacuations. */
   private static String rendered() throws IOException {
-    String text = Files.readString(Path.of("../deploy/settings.toml"));
+    return rendered("(?s)\\{\\{#.*?\\{\\{/.*?}}");
+  }
+
+  /**
+   * Renders the template.
+   *
+   * @param removed pattern of what is removed from it
+   */
+  private static String rendered(String removed) throws IOException {
+    String text = Files.readString(Path.of("../deploy/settings.toml")).replaceAll(removed, "");
     for (Map.Entry<String, String> field : FIELDS.entrySet()) {
       text = text.replace(field.getKey(), field.getValue());
     }
@@ -54,6 +65,13 @@
     assertEquals(8161, settings.callers().getPort());
     assertEquals(1.5, settings.size().cores());
     assertEquals(1_000, settings.size().linkMbits());
+    assertEquals(0, settings.evacuationBoundMillis());
+  }
+
+  @Test
+  void readsTheBoundOfEvacuationsIfThePlatformProvidesOne() throws IOException {
+    Path file = write(rendered("\\{\\{[#/].*?}}"));
+    assertEquals(5_000, CellSettingsReader.read(file).get().evacuationBoundMillis());
   }
 
   /** The platform may render its limits as empty or as invalid values. */
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -44,6 +44,7 @@
   final FakeStore store;
   final FakeWorkers workers;
   final List<Node> nodes = new ArrayList<>();
+  final Evacuations evacuations;
   final List<String> log = new ArrayList<>();
   private final Map<String, Submission> accepted = new LinkedHashMap<>();
 
@@ -60,6 +61,7 @@
   private final SplittableRandom random;
   private final long leaseMillis;
   private final long statusKeepMillis;
+  private final long evacuationBoundMillis;
   private int incarnationCount;
 
   /** Whether processes go on after a tick that throws, as real ones do; else it fails the test. */
@@ -93,12 +95,32 @@
    * @param statusKeepMillis this time, in milliseconds
    */
   CellWorld(long seed, int nodeCount, int workerCount, long leaseMillis, long statusKeepMillis) {
+    this(seed, nodeCount, workerCount, leaseMillis, statusKeepMillis, 1, 0);
+  }
+
+  /**
+   * Creates a world with several availability zones, which may be evacuated.
+   *
+   * @param zoneCount number of zones, over which the workers are spread in turn
+   * @param evacuationBoundMillis setting of the entry instances
+   */
+  CellWorld(
+      long seed,
+      int nodeCount,
+      int workerCount,
+      long leaseMillis,
+      long statusKeepMillis,
+      int zoneCount,
+      long evacuationBoundMillis) {
     this.leaseMillis = leaseMillis;
     this.statusKeepMillis = statusKeepMillis;
+    this.evacuations = new Evacuations(this, zoneCount);
+    this.evacuationBoundMillis = evacuationBoundMillis;
     random = new SplittableRandom(seed);
     store = new FakeStore(time, random.nextLong());
     workers = new FakeWorkers(time, random.nextLong(), leaseMillis);
     workers.onReturned = this::onWorkerReturned;
+    workers.onStartOrdered = evacuations::check;
     store.put("operator", "configuration", ByteString.copyFromUtf8("1"));
     for (int i = 0; i < workerCount; i++) {
       workers.add("w" + i);
@@ -623,6 +645,7 @@
                   leaseMillis,
                   200,
                   statusKeepMillis,
+                  evacuationBoundMillis,
                   node.size),
               storeView,
               workerView,
@@ -701,7 +724,7 @@
    * boot time of a worker, followed by its remaining time if it is draining, or by a word, its
    * capacity, and its service if it is not the usual one.
    */
-  private static final class Source implements ConfigurationSource {
+  private final class Source implements ConfigurationSource {
     private final Node node;
 
     Source(Node node) {
@@ -718,6 +741,11 @@
       return "configuration";
     }
 
+    @Override
+    public String evacuationKeyPrefix() {
+      return Evacuations.KEY_PREFIX;
+    }
+
     @Override
     public Optional<Configuration> configuration(ByteString value) {
       if (node.missesConfigurations) {
@@ -726,7 +754,7 @@
       List<String> lines = value.toStringUtf8().lines().toList();
       String[] fields = lines.get(0).split(" ", -1);
       List<Queue> queues = new ArrayList<>();
-      lines.stream().skip(2).map(Source::queue).forEach(queues::add);
+      lines.stream().skip(2).map(this::queue).forEach(queues::add);
       Map<String, ServiceEntry> services = new HashMap<>();
       services.put(SERVICE, new ServiceEntry(SERVICE, fields.length == 1, false));
       queues.forEach(
@@ -739,7 +767,7 @@
               100_000));
     }
 
-    private static Queue queue(String line) {
+    private Queue queue(String line) {
       String[] fields = line.split(" ", -1);
       return CellWorld.queue(fields[0], fields[1], fields[2], Integer.parseInt(fields[3]));
     }
@@ -759,14 +787,14 @@
               Long.parseLong(fields[0]),
               fields.length > 5 ? fields[5] : SERVICE,
               fields.length > 6 ? fields[6] : workerAddress(key),
-              "zone-a",
+              evacuations.zoneOf(key),
               draining,
               draining ? Long.parseLong(fields[1]) : 0,
               fields.length > 2 ? capacity(fields) : WORKER_CAPACITY,
               ImmutableSet.of("a", "r1")));
     }
 
-    private static ResourceAmounts capacity(String[] fields) {
+    private ResourceAmounts capacity(String[] fields) {
       return new ResourceAmounts(
           Long.parseLong(fields[2]), Long.parseLong(fields[3]), Long.parseLong(fields[4]));
     }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
@@ -464,6 +464,11 @@
   private TaskRunner runner(JobLifecycle lifecycle) {
     TaskRunner.Context context =
         new TaskRunner.Context() {
+          @Override
+          public boolean mayStartAt(Worker worker) {
+            return true;
+          }
+
           @Override
           public void onStarted(Run run) {}
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -4,9 +4,11 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -58,6 +60,9 @@
   /** Probability that a transaction is applied and not answered. */
   double lossProbability;
 
+  /** Ranges that were read. */
+  final Set<TableService.Range> rangesRead = new HashSet<>();
+
   /** Longest delay of a transaction that is not answered, in milliseconds. */
   long maxDelayMillis;
 
@@ -302,6 +307,7 @@
 
     @Override
     public void read(Range range, long timeoutMillis, Consumer<ReadResult> handler) {
+      rangesRead.add(range);
       outbox.send(() -> sendRead(range, timeoutMillis, false, handler));
     }
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -131,6 +131,9 @@
   /** Is told which worker is back after a crash, and the identifier that it had. */
   BiConsumer<String, String> onReturned = (returned, previous) -> {};
 
+  /** Is told each worker where a run is ordered to start, when the order is given. */
+  Consumer<String> onStartOrdered = worker -> {};
+
   /** Simulates fillers beside serving tasks; null for runs that do not affect each other. */
   private @Nullable SimulatedInterference interference;
 
@@ -879,6 +882,7 @@
 
     @Override
     public void start(Target target, StartOrder order, Consumer<OrderReply> handler) {
+      onStartOrdered.accept(target.id());
       if (startsLost) {
         loseOrder(handler);
         return;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TaskRunnerTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TaskRunnerTest.java
@@ -152,6 +152,11 @@
     @Override
     public void onFenced(Worker worker) {}
 
+    @Override
+    public boolean mayStartAt(Worker worker) {
+      return true;
+    }
+
     @Override
     public void onStarted(Run run) {}
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -2,10 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.function.Supplier;
-import org.hemlockpick.proto.CellRecord;
-import org.hemlockpick.proto.QueueLength;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,7 +19,6 @@
   private static final int MAX_GENERATION = 2_000_000;
 
   private final CellSettings settings;
-  private final CellLease.Acquired lease;
   private final LoopClock clock;
   private final DecisionLog log;
   private final CellMetrics metrics;
@@ -32,7 +28,9 @@
   private final WorkerTable workers = new WorkerTable();
   private final RunTimeEstimator estimator = new RunTimeEstimator();
   private final InterferenceModel interference = new InterferenceModel();
+  private final LeaseRecords leaseRecords;
   private final CellJournal journal;
+  private final EvacuationController evacuation;
   private final JobLifecycle lifecycle;
   private final JobWatcher jobWatcher;
   private final JobSweeper sweeper;
@@ -78,13 +76,15 @@
       CellMetrics metrics,
       Listener listener) {
     this.settings = settings;
-    this.lease = lease;
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
     this.listener = listener;
     long token = lease.version();
     int firstAttempt = (lease.generation() % MAX_GENERATION) * ATTEMPTS_PER_GENERATION + 1;
+    this.leaseRecords = new LeaseRecords(settings, lease, jobs, this::areJobsLoaded);
+    this.evacuation =
+        new EvacuationController(settings, store, source, workers, clock, log, metrics);
     this.journal =
         new CellJournal(
             settings,
@@ -92,7 +92,7 @@
             clock,
             lease.version(),
             lease.requestedAt(),
-            this::leaseRecord,
+            leaseRecords::current,
             log,
             metrics,
             new JournalListener());
@@ -210,6 +210,7 @@
   void requireRenewal() {
     journal.requireRenewal();
     workerList.requireRead();
+    evacuation.requireRead();
   }
 
   /** Returns the time since the last successful renewal was sent, in milliseconds. */
@@ -231,16 +232,7 @@
    * loaded, these are the numbers that the previous holder stored.
    */
   ImmutableMap<String, Integer> waitingJobs() {
-    if (!jobWatcher.isLoaded()) {
-      return lease.waitingJobs();
-    }
-    Map<String, Integer> waiting = new TreeMap<>();
-    for (Job job : jobs.open()) {
-      if (job.state() == JobState.QUEUED) {
-        waiting.merge(job.submission().queue(), 1, Integer::sum);
-      }
-    }
-    return ImmutableMap.copyOf(waiting);
+    return leaseRecords.waitingJobs();
   }
 
   void run() {
@@ -248,6 +240,7 @@
       return;
     }
     long now = clock.monotonicMillis();
+    evacuation.run();
     takeoverTracker.load(now);
     if (takeoverTracker.isLoaded()) {
       jobWatcher.run(now);
@@ -270,7 +263,7 @@
     }
     unservedJobs.run(now);
     runner.run(workers.all());
-    boolean mayStart = !releasing && journal.mayGrantLeases(now);
+    boolean mayStart = !releasing && journal.mayGrantLeases(now) && evacuation.mayStart();
     if (mayStart && planningSchedule.isDue(now, changedSincePlan)) {
       changedSincePlan = false;
       planner.run();
@@ -289,18 +282,8 @@
         && journal.isVisibleToSuccessor(task.job().rowVersion());
   }
 
-  private CellRecord leaseRecord() {
-    CellRecord.Builder record =
-        CellRecord.newBuilder()
-            .setFormat(JobRows.FORMAT)
-            .setHolder(settings.holderName())
-            .setGeneration(lease.generation())
-            .setReplacedVersion(lease.replacedVersion());
-    waitingJobs()
-        .forEach(
-            (queue, count) ->
-                record.addWaiting(QueueLength.newBuilder().setQueue(queue).setWaiting(count)));
-    return record.build();
+  private boolean areJobsLoaded() {
+    return jobWatcher.isLoaded();
   }
 
   private void end(HolderEnd cause, String reason) {
@@ -337,6 +320,11 @@
       end(HolderEnd.FENCED, worker.id() + " has seen a higher fencing token");
     }
 
+    @Override
+    public boolean mayStartAt(Worker worker) {
+      return evacuation.mayStartAt(worker);
+    }
+
     @Override
     public void onStarted(Run run) {
       paceController.onStarted(run);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
@@ -10,6 +10,8 @@
  * @param workerLeaseMillis duration of the lease under which runs execute on a worker
  * @param stopMillis maximum time that a worker takes to stop a run
  * @param statusKeepMillis minimum time for which the state of an ended job is kept
+ * @param evacuationBoundMillis time after the confirmation of a request to evacuate an availability
+ *     zone from which no task may be started there; 0 if evacuation is disabled
  * @param size capacity of its machine; a small instance delays its claims of the cell in favor of
  *     others
  */
@@ -21,9 +23,10 @@
     long workerLeaseMillis,
     long stopMillis,
     long statusKeepMillis,
+    long evacuationBoundMillis,
     InstanceSize size) {
 
-  /** Creates the settings of an entry instance of ample size. */
+  /** Creates the settings of an entry instance of ample size without evacuation. */
   public CellSettings(
       String instance,
       String address,
@@ -40,6 +43,7 @@
         workerLeaseMillis,
         stopMillis,
         statusKeepMillis,
+        0,
         InstanceSize.AMPLE);
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationSource.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/ConfigurationSource.java
@@ -11,6 +11,12 @@
   /** Returns the key of the configuration in the operator's table. */
   String configurationKey();
 
+  /**
+   * Returns the prefix of the keys of the operator's requests to evacuate an availability zone; the
+   * name of the zone follows.
+   */
+  String evacuationKeyPrefix();
+
   /** Returns the configuration in a row's value; empty if it cannot be read. */
   Optional<Configuration> configuration(ByteString value);
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
@@ -19,6 +19,9 @@
 
   DRAINING("draining"),
 
+  /** The operator evacuates its availability zone. */
+  EVACUATED("zone evacuated"),
+
   /** It refused a start a moment ago. */
   BACKING_OFF("backing off after a refusal"),
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -1,7 +1,6 @@
 package org.hemlockpick.cell;
 
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
-import java.util.ArrayList;
 import java.util.List;
 import org.hemlockpick.cell.WorkerPort.OrderOutcome;
 import org.hemlockpick.cell.WorkerPort.OrderReply;
@@ -23,15 +22,6 @@
 
   private static final long STOP_RETRY_MILLIS = 400;
 
-  /**
-   * Time beyond that of a stop after which an order to stop that was accepted is sent again, in
-   * milliseconds.
-   */
-  private static final long STOP_REPEAT_MILLIS = 2_000;
-
-  /** Interval between two looks for runs that have to be stopped, in milliseconds. */
-  private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
-
   private static final long NO_CAPACITY_BACKOFF_MILLIS = 250;
   private static final long UNHEALTHY_BACKOFF_MILLIS = 1_000;
   private static final long MALFORMED_BACKOFF_MILLIS = 2_000;
@@ -51,15 +41,16 @@
   private final LoopClock clock;
   private final DecisionLog log;
   private final Context context;
-
-  /** Time on the monotonic clock of the next look for runs that have to be stopped. */
-  private long nextStopCheckAt = Long.MIN_VALUE;
+  private final StopReview stopReview;
 
   /** Provides what the runner needs from the holder. */
   interface Context {
     /** Called when a worker has seen a higher fencing token. */
     void onFenced(Worker worker);
 
+    /** Returns whether a task may be started on a worker now, as its zone is not evacuated. */
+    boolean mayStartAt(Worker worker);
+
     /** Called when a worker has accepted the order to start a run. */
     void onStarted(Run run);
 
@@ -86,6 +77,7 @@
     this.clock = clock;
     this.log = log;
     this.context = context;
+    this.stopReview = new StopReview(settings);
   }
 
   /** Starts a task on a worker. */
@@ -160,12 +152,12 @@
   private void sendStart(Run run, String checkpoint) {
     Worker worker = run.worker();
     long now = clock.monotonicMillis();
-    if (!journal.mayGrantLeases(now)) {
-      // The cell's lease became uncertain while the order was prepared.
+    if (!journal.mayGrantLeases(now) || !context.mayStartAt(worker)) {
+      // The lease became uncertain, or a zone was evacuated, while the order was prepared.
       if (run.startOrdersSent() == 0) {
         drop(run);
       } else {
-        stop(run, "the order cannot be repeated without a renewal");
+        stop(run, "the order may not be repeated now");
       }
       return;
     }
@@ -210,7 +202,7 @@
         dropUnlessRetried(run, reply.outcome());
       }
       case UNHEALTHY -> {
-        worker.backOffUntil(now + UNHEALTHY_BACKOFF_MILLIS);
+        worker.admission().backOffUntil(now + UNHEALTHY_BACKOFF_MILLIS);
         dropUnlessRetried(run, reply.outcome());
       }
       case MALFORMED, NO_TICKET -> {
@@ -218,7 +210,7 @@
         dropUnlessRetried(run, reply.outcome());
       }
       case LATE, OUTDATED, NOT_SENT, OTHER_BOOT -> {
-        worker.backOffUntil(now + NO_CAPACITY_BACKOFF_MILLIS);
+        worker.admission().backOffUntil(now + NO_CAPACITY_BACKOFF_MILLIS);
         worker.setNextHoldAt(now);
         dropUnlessRetried(run, reply.outcome());
       }
@@ -361,33 +353,8 @@
 
   /** Retries unanswered stop orders and stops the runs of finished tasks and jobs. */
   void run(Iterable<Worker> workers) {
-    long now = clock.monotonicMillis();
-    if (now < nextStopCheckAt) {
-      return;
-    }
-    nextStopCheckAt = now + STOP_CHECK_INTERVAL_MILLIS;
-    List<Run> toStop = new ArrayList<>();
-    for (Worker worker : workers) {
-      for (Run run : worker.runs()) {
-        if (needsStopOrder(run, now)) {
-          toStop.add(run);
-        }
-      }
-    }
-    toStop.forEach(run -> stop(run, "its job or task has ended"));
-  }
-
-  private boolean needsStopOrder(Run run, long now) {
-    if (run.state() == Run.State.STOPPING) {
-      return run.reportableSince() == Long.MAX_VALUE || isStopOverdue(run, now);
-    }
-    return run.task().job().state().isFinal() || run.task().isDone();
-  }
-
-  /** Returns whether a worker that answers has not carried out a stop that it accepted. */
-  private boolean isStopOverdue(Run run, long now) {
-    long overdueAt = run.stopSentAt() + settings.stopMillis() + STOP_REPEAT_MILLIS;
-    return now >= overdueAt && !run.worker().isUnresponsive();
+    List<Run> overdue = stopReview.overdue(workers, clock.monotonicMillis());
+    overdue.forEach(run -> stop(run, "its job or task has ended"));
   }
 
   /** Orders a worker to stop a run of an unknown task. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Worker.java
@@ -62,12 +62,11 @@
   private long lastOrderAt = NEVER;
   private int holdFailures;
 
-  private long backoffUntil = Long.MIN_VALUE;
-
   /** Time on the monotonic clock from which it may have left; the maximum unless it drains. */
   private long leavesAt = Long.MAX_VALUE;
 
   private final WorkerHealth health = new WorkerHealth();
+  private final WorkerAdmission admission = new WorkerAdmission();
   private final ListedCapacity listedCapacity = new ListedCapacity();
   private final CapacityRefusals capacityRefusals = new CapacityRefusals();
 
@@ -478,13 +477,9 @@
     return runs.worstServing();
   }
 
-  /** Rejects new tasks until a time on the monotonic clock. */
-  void backOffUntil(long untilMillis) {
-    backoffUntil = Math.max(backoffUntil, untilMillis);
-  }
-
-  boolean isBackingOff(long nowMillis) {
-    return nowMillis < backoffUntil;
+  /** Returns what keeps new tasks from it for a while. */
+  WorkerAdmission admission() {
+    return admission;
   }
 
   /** Returns whether it may be assigned tasks. */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerEligibility.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerEligibility.java
@@ -26,7 +26,10 @@
     if (worker.entry().draining()) {
       return IneligibleReason.DRAINING;
     }
-    if (worker.isBackingOff(nowMillis)) {
+    if (worker.admission().isEvacuated()) {
+      return IneligibleReason.EVACUATED;
+    }
+    if (worker.admission().isBackingOff(nowMillis)) {
       return IneligibleReason.BACKING_OFF;
     }
     if (!worker.leases().hasClock()) {
--- a/review/standin/Entry.java
+++ b/review/standin/Entry.java
@@ -85,6 +85,11 @@
   private String rendered(String template) throws IOException {
     // The metrics port of the deploy file is the same on all machines; here they share one address.
     String text = template.replace("{{ip}}:9464", "{{ip}}:{{metrics}}");
+    // Keeps the sections of given values only.
+    for (String field : fields.keySet()) {
+      text = text.replace("{{#" + field + "}}", "").replace("{{/" + field + "}}", "");
+    }
+    text = text.replaceAll("(?s)\\{\\{#.*?\\{\\{/.*?}}", "");
     Matcher matcher = Pattern.compile("\\{\\{([a-z_.]+)}}").matcher(text);
     StringBuilder result = new StringBuilder();
     while (matcher.find()) {
