--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
@@ -18,6 +18,8 @@
  * @param workerLeaseMillis longest lease that workers grant
  * @param stopMillis longest time that a worker takes to stop a run
  * @param statusKeepMillis minimum time for which the state of a finished job is kept
+ * @param evacuationBoundMillis time after the confirmation of a request to evacuate an availability
+ *     zone from which no task may be started there; 0 if evacuation is disabled
  * @param graceMillis time from the stop signal until the process is killed
  * @param limits limits on callers
  */
@@ -32,8 +34,13 @@
     long workerLeaseMillis,
     long stopMillis,
     long statusKeepMillis,
+<<<<<<< HEAD
     long graceMillis,
     AdmissionSettings limits) {
+=======
+    long evacuationBoundMillis,
+    long graceMillis) {
+>>>>>>> f4ae61d100f21594f3010bea4e41549707b80869
 
   /** Returns the address at which callers connect, as host and port. */
   public String callersText() {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -31,6 +31,7 @@
   private final RunTimeEstimator estimator = new RunTimeEstimator();
   private final InterferenceModel interference = new InterferenceModel();
   private final CellJournal journal;
+  private final EvacuationController evacuation;
   private final JobLifecycle lifecycle;
   private final JobWatcher jobWatcher;
   private final JobSweeper sweeper;
@@ -83,6 +84,8 @@
     this.listener = listener;
     long token = lease.version();
     int firstAttempt = (lease.generation() % MAX_GENERATION) * ATTEMPTS_PER_GENERATION + 1;
+    this.evacuation =
+        new EvacuationController(settings, store, source, workers, clock, log, metrics);
     this.journal =
         new CellJournal(
             settings,
@@ -227,6 +230,7 @@
   void requireRenewal() {
     journal.requireRenewal();
     workerList.requireRead();
+    evacuation.requireRead();
   }
 
   /** Returns the time since the last successful renewal was sent, in milliseconds. */
@@ -256,6 +260,7 @@
       return;
     }
     long now = clock.monotonicMillis();
+    evacuation.run();
     takeoverTracker.load(now);
     if (takeoverTracker.isLoaded()) {
       jobWatcher.run(now);
@@ -278,7 +283,7 @@
     }
     unservedJobs.run(now);
     runner.run(workers.all());
-    boolean mayStart = !releasing && journal.mayGrantLeases(now);
+    boolean mayStart = !releasing && journal.mayGrantLeases(now) && evacuation.mayStart();
     if (mayStart && planningSchedule.isDue(now, changedSincePlan)) {
       changedSincePlan = false;
       planner.run();
@@ -331,6 +336,11 @@
       end(HolderEnd.FENCED, worker.id() + " has seen a higher fencing token");
     }
 
+    @Override
+    public boolean mayStartAt(Worker worker) {
+      return evacuation.mayStartAt(worker);
+    }
+
     @Override
     public void onStarted(Run run) {
       paceController.onStarted(run);
