--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
@@ -34,13 +34,9 @@
     long workerLeaseMillis,
     long stopMillis,
     long statusKeepMillis,
-<<<<<<< HEAD
+    long evacuationBoundMillis,
     long graceMillis,
     AdmissionSettings limits) {
-=======
-    long evacuationBoundMillis,
-    long graceMillis) {
->>>>>>> f4ae61d100f21594f3010bea4e41549707b80869
 
   /** Returns the address at which callers connect, as host and port. */
   public String callersText() {
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
@@ -114,13 +114,9 @@
             lease.toMillis(),
             stop.toMillis(),
             keep.toMillis(),
-<<<<<<< HEAD
+            evacuation.toMillis(),
             grace.toMillis(),
             limits));
-=======
-            evacuation.toMillis(),
-            grace.toMillis()));
->>>>>>> f4ae61d100f21594f3010bea4e41549707b80869
   }
 
   private static InstanceSize size(SettingsSection instance) {
