--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Heartbeat.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Heartbeat.java
@@ -29,6 +29,7 @@
   }
   private Heartbeat() {
     workers_ = java.util.Collections.emptyList();
+    evacuations_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -175,6 +176,47 @@
     return settledForwardsBelow_;
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.hemlockpick.proto.EvacuationRecord> evacuations_;
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.hemlockpick.proto.EvacuationRecord> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.hemlockpick.proto.EvacuationRecordOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.EvacuationRecord getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.EvacuationRecordOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -210,6 +252,9 @@
     if (settledForwardsBelow_ != 0L) {
       output.writeUInt64(7, settledForwardsBelow_);
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      output.writeMessage(8, evacuations_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -247,6 +292,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(7, settledForwardsBelow_);
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, evacuations_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -276,6 +325,8 @@
         != other.getFreeSlots()) return false;
     if (getSettledForwardsBelow()
         != other.getSettledForwardsBelow()) return false;
+    if (!getEvacuationsList()
+        .equals(other.getEvacuationsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -307,6 +358,10 @@
     hash = (37 * hash) + SETTLED_FORWARDS_BELOW_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSettledForwardsBelow());
+    if (getEvacuationsCount() > 0) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuationsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -451,6 +506,13 @@
       freeBatchCpuMillis_ = 0;
       freeSlots_ = 0;
       settledForwardsBelow_ = 0L;
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+      } else {
+        evacuations_ = null;
+        evacuationsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
       return this;
     }
 
@@ -493,6 +555,15 @@
       } else {
         result.workers_ = workersBuilder_.build();
       }
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          evacuations_ = java.util.Collections.unmodifiableList(evacuations_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.evacuations_ = evacuations_;
+      } else {
+        result.evacuations_ = evacuationsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.hemlockpick.proto.Heartbeat result) {
@@ -573,6 +644,32 @@
       if (other.getSettledForwardsBelow() != 0L) {
         setSettledForwardsBelow(other.getSettledForwardsBelow());
       }
+      if (evacuationsBuilder_ == null) {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuations_.isEmpty()) {
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureEvacuationsIsMutable();
+            evacuations_.addAll(other.evacuations_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuationsBuilder_.isEmpty()) {
+            evacuationsBuilder_.dispose();
+            evacuationsBuilder_ = null;
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            evacuationsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEvacuationsFieldBuilder() : null;
+          } else {
+            evacuationsBuilder_.addAllMessages(other.evacuations_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -642,6 +739,19 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              org.hemlockpick.proto.EvacuationRecord m =
+                  input.readMessage(
+                      org.hemlockpick.proto.EvacuationRecord.parser(),
+                      extensionRegistry);
+              if (evacuationsBuilder_ == null) {
+                ensureEvacuationsIsMutable();
+                evacuations_.add(m);
+              } else {
+                evacuationsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1175,6 +1285,246 @@
       return this;
     }
 
+    private java.util.List<org.hemlockpick.proto.EvacuationRecord> evacuations_ =
+      java.util.Collections.emptyList();
+    private void ensureEvacuationsIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        evacuations_ = new java.util.ArrayList<org.hemlockpick.proto.EvacuationRecord>(evacuations_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hemlockpick.proto.EvacuationRecord, org.hemlockpick.proto.EvacuationRecord.Builder, org.hemlockpick.proto.EvacuationRecordOrBuilder> evacuationsBuilder_;
+
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public java.util.List<org.hemlockpick.proto.EvacuationRecord> getEvacuationsList() {
+      if (evacuationsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      } else {
+        return evacuationsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public int getEvacuationsCount() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.size();
+      } else {
+        return evacuationsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.hemlockpick.proto.EvacuationRecord getEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);
+      } else {
+        return evacuationsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.hemlockpick.proto.EvacuationRecord value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.hemlockpick.proto.EvacuationRecord.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addEvacuations(org.hemlockpick.proto.EvacuationRecord value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.hemlockpick.proto.EvacuationRecord value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addEvacuations(
+        org.hemlockpick.proto.EvacuationRecord.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.hemlockpick.proto.EvacuationRecord.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.hemlockpick.proto.EvacuationRecord> values) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, evacuations_);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder clearEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        evacuationsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public Builder removeEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.remove(index);
+        onChanged();
+      } else {
+        evacuationsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.hemlockpick.proto.EvacuationRecord.Builder getEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.hemlockpick.proto.EvacuationRecordOrBuilder getEvacuationsOrBuilder(
+        int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);  } else {
+        return evacuationsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public java.util.List<? extends org.hemlockpick.proto.EvacuationRecordOrBuilder> 
+         getEvacuationsOrBuilderList() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.hemlockpick.proto.EvacuationRecord.Builder addEvacuationsBuilder() {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          org.hemlockpick.proto.EvacuationRecord.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public org.hemlockpick.proto.EvacuationRecord.Builder addEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          index, org.hemlockpick.proto.EvacuationRecord.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+     */
+    public java.util.List<org.hemlockpick.proto.EvacuationRecord.Builder> 
+         getEvacuationsBuilderList() {
+      return internalGetEvacuationsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hemlockpick.proto.EvacuationRecord, org.hemlockpick.proto.EvacuationRecord.Builder, org.hemlockpick.proto.EvacuationRecordOrBuilder> 
+        internalGetEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.hemlockpick.proto.EvacuationRecord, org.hemlockpick.proto.EvacuationRecord.Builder, org.hemlockpick.proto.EvacuationRecordOrBuilder>(
+                evacuations_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
+      }
+      return evacuationsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.Heartbeat)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/HeartbeatOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/HeartbeatOrBuilder.java
@@ -93,4 +93,28 @@
    * @return The settledForwardsBelow.
    */
   long getSettledForwardsBelow();
+
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  java.util.List<org.hemlockpick.proto.EvacuationRecord> 
+      getEvacuationsList();
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  org.hemlockpick.proto.EvacuationRecord getEvacuations(int index);
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  int getEvacuationsCount();
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  java.util.List<? extends org.hemlockpick.proto.EvacuationRecordOrBuilder> 
+      getEvacuationsOrBuilderList();
+  /**
+   * <code>repeated .hemlockpick.EvacuationRecord evacuations = 8;</code>
+   */
+  org.hemlockpick.proto.EvacuationRecordOrBuilder getEvacuationsOrBuilder(
+      int index);
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Input.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Input.java
@@ -63,6 +63,7 @@
     STORE_REPLY(14),
     BLOB_REPLY(15),
     INSTANCE_LIST(16),
+    EVACUATION_CHANGE(17),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -94,6 +95,7 @@
         case 14: return STORE_REPLY;
         case 15: return BLOB_REPLY;
         case 16: return INSTANCE_LIST;
+        case 17: return EVACUATION_CHANGE;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -573,6 +575,37 @@
     return org.hemlockpick.proto.InstanceList.getDefaultInstance();
   }
 
+  public static final int EVACUATION_CHANGE_FIELD_NUMBER = 17;
+  /**
+   * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+   * @return Whether the evacuationChange field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvacuationChange() {
+    return bodyCase_ == 17;
+  }
+  /**
+   * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+   * @return The evacuationChange.
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.EvacuationChange getEvacuationChange() {
+    if (bodyCase_ == 17) {
+       return (org.hemlockpick.proto.EvacuationChange) body_;
+    }
+    return org.hemlockpick.proto.EvacuationChange.getDefaultInstance();
+  }
+  /**
+   * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.EvacuationChangeOrBuilder getEvacuationChangeOrBuilder() {
+    if (bodyCase_ == 17) {
+       return (org.hemlockpick.proto.EvacuationChange) body_;
+    }
+    return org.hemlockpick.proto.EvacuationChange.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -635,6 +668,9 @@
     if (bodyCase_ == 16) {
       output.writeMessage(16, (org.hemlockpick.proto.InstanceList) body_);
     }
+    if (bodyCase_ == 17) {
+      output.writeMessage(17, (org.hemlockpick.proto.EvacuationChange) body_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -708,6 +744,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, (org.hemlockpick.proto.InstanceList) body_);
     }
+    if (bodyCase_ == 17) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, (org.hemlockpick.proto.EvacuationChange) body_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -785,6 +825,10 @@
         if (!getInstanceList()
             .equals(other.getInstanceList())) return false;
         break;
+      case 17:
+        if (!getEvacuationChange()
+            .equals(other.getEvacuationChange())) return false;
+        break;
       case 0:
       default:
     }
@@ -862,6 +906,10 @@
         hash = (37 * hash) + INSTANCE_LIST_FIELD_NUMBER;
         hash = (53 * hash) + getInstanceList().hashCode();
         break;
+      case 17:
+        hash = (37 * hash) + EVACUATION_CHANGE_FIELD_NUMBER;
+        hash = (53 * hash) + getEvacuationChange().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1040,6 +1088,9 @@
       if (instanceListBuilder_ != null) {
         instanceListBuilder_.clear();
       }
+      if (evacuationChangeBuilder_ != null) {
+        evacuationChangeBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1143,6 +1194,10 @@
           instanceListBuilder_ != null) {
         result.body_ = instanceListBuilder_.build();
       }
+      if (bodyCase_ == 17 &&
+          evacuationChangeBuilder_ != null) {
+        result.body_ = evacuationChangeBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1220,6 +1275,10 @@
           mergeInstanceList(other.getInstanceList());
           break;
         }
+        case EVACUATION_CHANGE: {
+          mergeEvacuationChange(other.getEvacuationChange());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1358,6 +1417,13 @@
               bodyCase_ = 16;
               break;
             } // case 130
+            case 138: {
+              input.readMessage(
+                  internalGetEvacuationChangeFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 17;
+              break;
+            } // case 138
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3466,6 +3532,148 @@
       return instanceListBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hemlockpick.proto.EvacuationChange, org.hemlockpick.proto.EvacuationChange.Builder, org.hemlockpick.proto.EvacuationChangeOrBuilder> evacuationChangeBuilder_;
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     * @return Whether the evacuationChange field is set.
+     */
+    @java.lang.Override
+    public boolean hasEvacuationChange() {
+      return bodyCase_ == 17;
+    }
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     * @return The evacuationChange.
+     */
+    @java.lang.Override
+    public org.hemlockpick.proto.EvacuationChange getEvacuationChange() {
+      if (evacuationChangeBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          return (org.hemlockpick.proto.EvacuationChange) body_;
+        }
+        return org.hemlockpick.proto.EvacuationChange.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 17) {
+          return evacuationChangeBuilder_.getMessage();
+        }
+        return org.hemlockpick.proto.EvacuationChange.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     */
+    public Builder setEvacuationChange(org.hemlockpick.proto.EvacuationChange value) {
+      if (evacuationChangeBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        body_ = value;
+        onChanged();
+      } else {
+        evacuationChangeBuilder_.setMessage(value);
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     */
+    public Builder setEvacuationChange(
+        org.hemlockpick.proto.EvacuationChange.Builder builderForValue) {
+      if (evacuationChangeBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        evacuationChangeBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     */
+    public Builder mergeEvacuationChange(org.hemlockpick.proto.EvacuationChange value) {
+      if (evacuationChangeBuilder_ == null) {
+        if (bodyCase_ == 17 &&
+            body_ != org.hemlockpick.proto.EvacuationChange.getDefaultInstance()) {
+          body_ = org.hemlockpick.proto.EvacuationChange.newBuilder((org.hemlockpick.proto.EvacuationChange) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 17) {
+          evacuationChangeBuilder_.mergeFrom(value);
+        } else {
+          evacuationChangeBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     */
+    public Builder clearEvacuationChange() {
+      if (evacuationChangeBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        evacuationChangeBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     */
+    public org.hemlockpick.proto.EvacuationChange.Builder getEvacuationChangeBuilder() {
+      return internalGetEvacuationChangeFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     */
+    @java.lang.Override
+    public org.hemlockpick.proto.EvacuationChangeOrBuilder getEvacuationChangeOrBuilder() {
+      if ((bodyCase_ == 17) && (evacuationChangeBuilder_ != null)) {
+        return evacuationChangeBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 17) {
+          return (org.hemlockpick.proto.EvacuationChange) body_;
+        }
+        return org.hemlockpick.proto.EvacuationChange.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.hemlockpick.proto.EvacuationChange, org.hemlockpick.proto.EvacuationChange.Builder, org.hemlockpick.proto.EvacuationChangeOrBuilder> 
+        internalGetEvacuationChangeFieldBuilder() {
+      if (evacuationChangeBuilder_ == null) {
+        if (!(bodyCase_ == 17)) {
+          body_ = org.hemlockpick.proto.EvacuationChange.getDefaultInstance();
+        }
+        evacuationChangeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.hemlockpick.proto.EvacuationChange, org.hemlockpick.proto.EvacuationChange.Builder, org.hemlockpick.proto.EvacuationChangeOrBuilder>(
+                (org.hemlockpick.proto.EvacuationChange) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 17;
+      onChanged();
+      return evacuationChangeBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.Input)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/InputOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/InputOrBuilder.java
@@ -240,5 +240,20 @@
    */
   org.hemlockpick.proto.InstanceListOrBuilder getInstanceListOrBuilder();
 
+  /**
+   * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+   * @return Whether the evacuationChange field is set.
+   */
+  boolean hasEvacuationChange();
+  /**
+   * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+   * @return The evacuationChange.
+   */
+  org.hemlockpick.proto.EvacuationChange getEvacuationChange();
+  /**
+   * <code>.hemlockpick.EvacuationChange evacuation_change = 17;</code>
+   */
+  org.hemlockpick.proto.EvacuationChangeOrBuilder getEvacuationChangeOrBuilder();
+
   org.hemlockpick.proto.Input.BodyCase getBodyCase();
 }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Loop.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Loop.java
@@ -56,6 +56,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hemlockpick_ContractQuery_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_EvacuationChange_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_EvacuationChange_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hemlockpick_StatusQuery_descriptor;
   static final 
@@ -91,6 +96,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hemlockpick_WorkerView_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_EvacuationView_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_EvacuationView_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hemlockpick_StatusView_descriptor;
   static final 
@@ -146,68 +156,75 @@
       "\t\022\013\n\003job\030\004 \001(\t\"j\n\rContractApply\022\020\n\010excha" +
       "nge\030\001 \001(\004\022\020\n\010operator\030\002 \001(\t\022\020\n\010customer\030" +
       "\003 \001(\t\022\025\n\rbase_revision\030\004 \001(\004\022\014\n\004text\030\005 \001" +
-      "(\t\"!\n\rContractQuery\022\020\n\010exchange\030\001 \001(\004\"\037\n" +
-      "\013StatusQuery\022\020\n\010exchange\030\001 \001(\004\"\013\n\tStopOr" +
-      "der\"\036\n\nCallerGone\022\020\n\010exchange\030\001 \001(\004\"\341\005\n\005" +
-      "Input\022\r\n\005clock\030\001 \001(\004\022\021\n\tat_millis\030\002 \001(\004\022" +
-      "4\n\016caller_request\030\003 \001(\0132\032.hemlockpick.Ca" +
-      "llerRequestH\000\022,\n\njob_submit\030\004 \001(\0132\026.heml" +
-      "ockpick.JobSubmitH\000\022*\n\tjob_query\030\005 \001(\0132\025" +
-      ".hemlockpick.JobQueryH\000\022,\n\njob_cancel\030\006 " +
-      "\001(\0132\026.hemlockpick.JobCancelH\000\0224\n\016contrac" +
-      "t_apply\030\007 \001(\0132\032.hemlockpick.ContractAppl" +
-      "yH\000\0224\n\016contract_query\030\010 \001(\0132\032.hemlockpic" +
-      "k.ContractQueryH\000\0220\n\014status_query\030\t \001(\0132" +
-      "\030.hemlockpick.StatusQueryH\000\022,\n\nstop_orde" +
-      "r\030\n \001(\0132\026.hemlockpick.StopOrderH\000\022.\n\013cal" +
-      "ler_gone\030\013 \001(\0132\027.hemlockpick.CallerGoneH" +
-      "\000\0220\n\014peer_message\030\014 \001(\0132\030.hemlockpick.Pe" +
-      "erMessageH\000\0220\n\014worker_reply\030\r \001(\0132\030.heml" +
-      "ockpick.WorkerReplyH\000\022.\n\013store_reply\030\016 \001" +
-      "(\0132\027.hemlockpick.StoreReplyH\000\022,\n\nblob_re" +
-      "ply\030\017 \001(\0132\026.hemlockpick.BlobReplyH\000\0222\n\ri" +
-      "nstance_list\030\020 \001(\0132\031.hemlockpick.Instanc" +
-      "eListH\000B\006\n\004body\"\303\001\n\007JobView\022\013\n\003job\030\001 \001(\t" +
-      "\022\014\n\004name\030\002 \001(\t\022\r\n\005state\030\003 \001(\t\022\016\n\006queued\030" +
-      "\004 \001(\r\022\020\n\010assigned\030\005 \001(\r\022\014\n\004done\030\006 \001(\r\022\016\n" +
-      "\006parked\030\007 \001(\r\022\021\n\tcancelled\030\010 \001(\r\022\032\n\022dead" +
-      "line_at_millis\030\t \001(\004\022\016\n\006reason\030\n \001(\t\022\017\n\007" +
-      "results\030\013 \003(\014\"R\n\014ContractView\022\020\n\010custome" +
-      "r\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\020\n\010operator\030\003 " +
-      "\001(\t\022\014\n\004text\030\004 \001(\t\"}\n\nWorkerView\022\016\n\006worke" +
-      "r\030\001 \001(\t\022\r\n\005owner\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\004\022\022\n" +
-      "\nslots_used\030\004 \001(\r\022\r\n\005slots\030\005 \001(\r\022\r\n\005task" +
-      "s\030\006 \001(\r\022\017\n\007leaving\030\007 \001(\010\"\304\002\n\nStatusView\022" +
-      "\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\014" +
-      "\n\004zone\030\003 \001(\t\022\r\n\005ready\030\004 \001(\010\022\030\n\020not_ready" +
-      "_reason\030\005 \001(\t\022\020\n\010stopping\030\006 \001(\010\022\017\n\007stopp" +
-      "ed\030\007 \001(\010\022\026\n\016config_version\030\010 \001(\004\022\027\n\017stor" +
-      "e_reachable\030\t \001(\010\022\022\n\nlive_peers\030\n \003(\t\022(\n" +
-      "\007workers\030\013 \003(\0132\027.hemlockpick.WorkerView\022" +
-      "\032\n\022requests_in_flight\030\014 \001(\r\022\023\n\013shards_he" +
-      "ld\030\r \001(\r\022\025\n\rtasks_running\030\016 \001(\r\"\364\001\n\014Call" +
-      "erAnswer\022\020\n\010exchange\030\001 \001(\004\022\014\n\004code\030\002 \001(\r" +
-      "\022\016\n\006detail\030\003 \001(\t\022\032\n\022retry_after_millis\030\004" +
-      " \001(\r\022\014\n\004body\030\005 \001(\014\022\020\n\010revision\030\006 \001(\004\022!\n\003" +
-      "job\030\007 \001(\0132\024.hemlockpick.JobView\022,\n\tcontr" +
-      "acts\030\010 \003(\0132\031.hemlockpick.ContractView\022\'\n" +
-      "\006status\030\t \001(\0132\027.hemlockpick.StatusView\"\177" +
-      "\n\005Event\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation" +
-      "\030\002 \001(\004\022\r\n\005clock\030\003 \001(\004\022\021\n\tat_millis\030\004 \001(\004" +
-      "\022\014\n\004kind\030\005 \001(\t\022\017\n\007subject\030\006 \001(\t\022\016\n\006detai" +
-      "l\030\007 \001(\t\"\035\n\013WorkerReset\022\016\n\006worker\030\001 \001(\t\"\t" +
-      "\n\007Stopped\"\217\003\n\006Output\022\r\n\005clock\030\001 \001(\004\0222\n\rc" +
-      "aller_answer\030\002 \001(\0132\031.hemlockpick.CallerA" +
-      "nswerH\000\0220\n\014peer_message\030\003 \001(\0132\030.hemlockp" +
-      "ick.PeerMessageH\000\022.\n\013worker_call\030\004 \001(\0132\027" +
-      ".hemlockpick.WorkerCallH\000\022,\n\nstore_call\030" +
-      "\005 \001(\0132\026.hemlockpick.StoreCallH\000\022*\n\tblob_" +
-      "call\030\006 \001(\0132\025.hemlockpick.BlobCallH\000\022#\n\005e" +
-      "vent\030\007 \001(\0132\022.hemlockpick.EventH\000\0220\n\014work" +
-      "er_reset\030\010 \001(\0132\030.hemlockpick.WorkerReset" +
-      "H\000\022\'\n\007stopped\030\t \001(\0132\024.hemlockpick.Stoppe" +
-      "dH\000B\006\n\004bodyB\031\n\025org.hemlockpick.protoP\001b\006" +
-      "proto3"
+      "(\t\"!\n\rContractQuery\022\020\n\010exchange\030\001 \001(\004\"Q\n" +
+      "\020EvacuationChange\022\020\n\010exchange\030\001 \001(\004\022\020\n\010o" +
+      "perator\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022\013\n\003end\030\004 \001(\010" +
+      "\"\037\n\013StatusQuery\022\020\n\010exchange\030\001 \001(\004\"\013\n\tSto" +
+      "pOrder\"\036\n\nCallerGone\022\020\n\010exchange\030\001 \001(\004\"\235" +
+      "\006\n\005Input\022\r\n\005clock\030\001 \001(\004\022\021\n\tat_millis\030\002 \001" +
+      "(\004\0224\n\016caller_request\030\003 \001(\0132\032.hemlockpick" +
+      ".CallerRequestH\000\022,\n\njob_submit\030\004 \001(\0132\026.h" +
+      "emlockpick.JobSubmitH\000\022*\n\tjob_query\030\005 \001(" +
+      "\0132\025.hemlockpick.JobQueryH\000\022,\n\njob_cancel" +
+      "\030\006 \001(\0132\026.hemlockpick.JobCancelH\000\0224\n\016cont" +
+      "ract_apply\030\007 \001(\0132\032.hemlockpick.ContractA" +
+      "pplyH\000\0224\n\016contract_query\030\010 \001(\0132\032.hemlock" +
+      "pick.ContractQueryH\000\0220\n\014status_query\030\t \001" +
+      "(\0132\030.hemlockpick.StatusQueryH\000\022,\n\nstop_o" +
+      "rder\030\n \001(\0132\026.hemlockpick.StopOrderH\000\022.\n\013" +
+      "caller_gone\030\013 \001(\0132\027.hemlockpick.CallerGo" +
+      "neH\000\0220\n\014peer_message\030\014 \001(\0132\030.hemlockpick" +
+      ".PeerMessageH\000\0220\n\014worker_reply\030\r \001(\0132\030.h" +
+      "emlockpick.WorkerReplyH\000\022.\n\013store_reply\030" +
+      "\016 \001(\0132\027.hemlockpick.StoreReplyH\000\022,\n\nblob" +
+      "_reply\030\017 \001(\0132\026.hemlockpick.BlobReplyH\000\0222" +
+      "\n\rinstance_list\030\020 \001(\0132\031.hemlockpick.Inst" +
+      "anceListH\000\022:\n\021evacuation_change\030\021 \001(\0132\035." +
+      "hemlockpick.EvacuationChangeH\000B\006\n\004body\"\303" +
+      "\001\n\007JobView\022\013\n\003job\030\001 \001(\t\022\014\n\004name\030\002 \001(\t\022\r\n" +
+      "\005state\030\003 \001(\t\022\016\n\006queued\030\004 \001(\r\022\020\n\010assigned" +
+      "\030\005 \001(\r\022\014\n\004done\030\006 \001(\r\022\016\n\006parked\030\007 \001(\r\022\021\n\t" +
+      "cancelled\030\010 \001(\r\022\032\n\022deadline_at_millis\030\t " +
+      "\001(\004\022\016\n\006reason\030\n \001(\t\022\017\n\007results\030\013 \003(\014\"R\n\014" +
+      "ContractView\022\020\n\010customer\030\001 \001(\t\022\020\n\010revisi" +
+      "on\030\002 \001(\004\022\020\n\010operator\030\003 \001(\t\022\014\n\004text\030\004 \001(\t" +
+      "\"}\n\nWorkerView\022\016\n\006worker\030\001 \001(\t\022\r\n\005owner\030" +
+      "\002 \001(\t\022\r\n\005epoch\030\003 \001(\004\022\022\n\nslots_used\030\004 \001(\r" +
+      "\022\r\n\005slots\030\005 \001(\r\022\r\n\005tasks\030\006 \001(\r\022\017\n\007leavin" +
+      "g\030\007 \001(\010\"g\n\016EvacuationView\022\014\n\004zone\030\001 \001(\t\022" +
+      "\020\n\010operator\030\002 \001(\t\022\024\n\014since_millis\030\003 \001(\004\022" +
+      "\020\n\010requests\030\004 \001(\r\022\r\n\005tasks\030\005 \001(\r\"\366\002\n\nSta" +
+      "tusView\022\020\n\010instance\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\004\022\014\n\004zone\030\003 \001(\t\022\r\n\005ready\030\004 \001(\010\022\030\n\020n" +
+      "ot_ready_reason\030\005 \001(\t\022\020\n\010stopping\030\006 \001(\010\022" +
+      "\017\n\007stopped\030\007 \001(\010\022\026\n\016config_version\030\010 \001(\004" +
+      "\022\027\n\017store_reachable\030\t \001(\010\022\022\n\nlive_peers\030" +
+      "\n \003(\t\022(\n\007workers\030\013 \003(\0132\027.hemlockpick.Wor" +
+      "kerView\022\032\n\022requests_in_flight\030\014 \001(\r\022\023\n\013s" +
+      "hards_held\030\r \001(\r\022\025\n\rtasks_running\030\016 \001(\r\022" +
+      "0\n\013evacuations\030\017 \003(\0132\033.hemlockpick.Evacu" +
+      "ationView\"\364\001\n\014CallerAnswer\022\020\n\010exchange\030\001" +
+      " \001(\004\022\014\n\004code\030\002 \001(\r\022\016\n\006detail\030\003 \001(\t\022\032\n\022re" +
+      "try_after_millis\030\004 \001(\r\022\014\n\004body\030\005 \001(\014\022\020\n\010" +
+      "revision\030\006 \001(\004\022!\n\003job\030\007 \001(\0132\024.hemlockpic" +
+      "k.JobView\022,\n\tcontracts\030\010 \003(\0132\031.hemlockpi" +
+      "ck.ContractView\022\'\n\006status\030\t \001(\0132\027.hemloc" +
+      "kpick.StatusView\"\177\n\005Event\022\020\n\010instance\030\001 " +
+      "\001(\t\022\023\n\013incarnation\030\002 \001(\004\022\r\n\005clock\030\003 \001(\004\022" +
+      "\021\n\tat_millis\030\004 \001(\004\022\014\n\004kind\030\005 \001(\t\022\017\n\007subj" +
+      "ect\030\006 \001(\t\022\016\n\006detail\030\007 \001(\t\"\035\n\013WorkerReset" +
+      "\022\016\n\006worker\030\001 \001(\t\"\t\n\007Stopped\"\217\003\n\006Output\022\r" +
+      "\n\005clock\030\001 \001(\004\0222\n\rcaller_answer\030\002 \001(\0132\031.h" +
+      "emlockpick.CallerAnswerH\000\0220\n\014peer_messag" +
+      "e\030\003 \001(\0132\030.hemlockpick.PeerMessageH\000\022.\n\013w" +
+      "orker_call\030\004 \001(\0132\027.hemlockpick.WorkerCal" +
+      "lH\000\022,\n\nstore_call\030\005 \001(\0132\026.hemlockpick.St" +
+      "oreCallH\000\022*\n\tblob_call\030\006 \001(\0132\025.hemlockpi" +
+      "ck.BlobCallH\000\022#\n\005event\030\007 \001(\0132\022.hemlockpi" +
+      "ck.EventH\000\0220\n\014worker_reset\030\010 \001(\0132\030.hemlo" +
+      "ckpick.WorkerResetH\000\022\'\n\007stopped\030\t \001(\0132\024." +
+      "hemlockpick.StoppedH\000B\006\n\004bodyB\031\n\025org.hem" +
+      "lockpick.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -252,80 +269,92 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_ContractQuery_descriptor,
         new java.lang.String[] { "Exchange", });
-    internal_static_hemlockpick_StatusQuery_descriptor =
+    internal_static_hemlockpick_EvacuationChange_descriptor =
       getDescriptor().getMessageType(6);
+    internal_static_hemlockpick_EvacuationChange_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_EvacuationChange_descriptor,
+        new java.lang.String[] { "Exchange", "Operator", "Zone", "End", });
+    internal_static_hemlockpick_StatusQuery_descriptor =
+      getDescriptor().getMessageType(7);
     internal_static_hemlockpick_StatusQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_StatusQuery_descriptor,
         new java.lang.String[] { "Exchange", });
     internal_static_hemlockpick_StopOrder_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_hemlockpick_StopOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_StopOrder_descriptor,
         new java.lang.String[] { });
     internal_static_hemlockpick_CallerGone_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_hemlockpick_CallerGone_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_CallerGone_descriptor,
         new java.lang.String[] { "Exchange", });
     internal_static_hemlockpick_Input_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_hemlockpick_Input_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_Input_descriptor,
-        new java.lang.String[] { "Clock", "AtMillis", "CallerRequest", "JobSubmit", "JobQuery", "JobCancel", "ContractApply", "ContractQuery", "StatusQuery", "StopOrder", "CallerGone", "PeerMessage", "WorkerReply", "StoreReply", "BlobReply", "InstanceList", "Body", });
+        new java.lang.String[] { "Clock", "AtMillis", "CallerRequest", "JobSubmit", "JobQuery", "JobCancel", "ContractApply", "ContractQuery", "StatusQuery", "StopOrder", "CallerGone", "PeerMessage", "WorkerReply", "StoreReply", "BlobReply", "InstanceList", "EvacuationChange", "Body", });
     internal_static_hemlockpick_JobView_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_hemlockpick_JobView_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_JobView_descriptor,
         new java.lang.String[] { "Job", "Name", "State", "Queued", "Assigned", "Done", "Parked", "Cancelled", "DeadlineAtMillis", "Reason", "Results", });
     internal_static_hemlockpick_ContractView_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_hemlockpick_ContractView_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_ContractView_descriptor,
         new java.lang.String[] { "Customer", "Revision", "Operator", "Text", });
     internal_static_hemlockpick_WorkerView_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_hemlockpick_WorkerView_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_WorkerView_descriptor,
         new java.lang.String[] { "Worker", "Owner", "Epoch", "SlotsUsed", "Slots", "Tasks", "Leaving", });
+    internal_static_hemlockpick_EvacuationView_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_hemlockpick_EvacuationView_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_EvacuationView_descriptor,
+        new java.lang.String[] { "Zone", "Operator", "SinceMillis", "Requests", "Tasks", });
     internal_static_hemlockpick_StatusView_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_hemlockpick_StatusView_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_StatusView_descriptor,
-        new java.lang.String[] { "Instance", "Incarnation", "Zone", "Ready", "NotReadyReason", "Stopping", "Stopped", "ConfigVersion", "StoreReachable", "LivePeers", "Workers", "RequestsInFlight", "ShardsHeld", "TasksRunning", });
+        new java.lang.String[] { "Instance", "Incarnation", "Zone", "Ready", "NotReadyReason", "Stopping", "Stopped", "ConfigVersion", "StoreReachable", "LivePeers", "Workers", "RequestsInFlight", "ShardsHeld", "TasksRunning", "Evacuations", });
     internal_static_hemlockpick_CallerAnswer_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_hemlockpick_CallerAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_CallerAnswer_descriptor,
         new java.lang.String[] { "Exchange", "Code", "Detail", "RetryAfterMillis", "Body", "Revision", "Job", "Contracts", "Status", });
     internal_static_hemlockpick_Event_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_hemlockpick_Event_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_Event_descriptor,
         new java.lang.String[] { "Instance", "Incarnation", "Clock", "AtMillis", "Kind", "Subject", "Detail", });
     internal_static_hemlockpick_WorkerReset_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_hemlockpick_WorkerReset_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_WorkerReset_descriptor,
         new java.lang.String[] { "Worker", });
     internal_static_hemlockpick_Stopped_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_hemlockpick_Stopped_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_Stopped_descriptor,
         new java.lang.String[] { });
     internal_static_hemlockpick_Output_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_hemlockpick_Output_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_Output_descriptor,
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Peer.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Peer.java
@@ -103,53 +103,54 @@
       "\n\npeer.proto\022\013hemlockpick\032\rrecords.proto" +
       "\"X\n\013OwnedWorker\022\016\n\006worker\030\001 \001(\t\022\r\n\005epoch" +
       "\030\002 \001(\004\022\022\n\nfree_slots\030\003 \001(\r\022\026\n\016latency_mi" +
-      "cros\030\004 \001(\r\"\301\001\n\tHeartbeat\022\026\n\016config_versi" +
+      "cros\030\004 \001(\r\"\365\001\n\tHeartbeat\022\026\n\016config_versi" +
       "on\030\001 \001(\004\022\017\n\007leaving\030\002 \001(\010\022\r\n\005ready\030\003 \001(\010" +
       "\022)\n\007workers\030\004 \003(\0132\030.hemlockpick.OwnedWor" +
       "ker\022\035\n\025free_batch_cpu_millis\030\005 \001(\r\022\022\n\nfr" +
       "ee_slots\030\006 \001(\r\022\036\n\026settled_forwards_below" +
-      "\030\007 \001(\004\"\231\001\n\016RequestForward\022\022\n\nforward_id\030" +
-      "\001 \001(\004\022\020\n\010customer\030\002 \001(\t\022\017\n\007service\030\003 \001(\t" +
-      "\022\022\n\nidempotent\030\004 \001(\010\022\026\n\016timeout_millis\030\005" +
-      " \001(\r\022\014\n\004body\030\006 \001(\014\022\026\n\016to_incarnation\030\007 \001" +
-      "(\004\"t\n\016RequestOutcome\022\022\n\nforward_id\030\001 \001(\004" +
-      "\022\014\n\004code\030\002 \001(\r\022\032\n\022retry_after_millis\030\003 \001" +
-      "(\r\022\014\n\004body\030\004 \001(\014\022\026\n\016to_incarnation\030\005 \001(\004" +
-      "\"#\n\nConfigPull\022\025\n\rknown_version\030\001 \001(\004\":\n" +
-      "\nConfigPush\022,\n\007records\030\001 \003(\0132\033.hemlockpi" +
-      "ck.ContractRecord\"}\n\007LoanAsk\022\020\n\010customer" +
-      "\030\001 \001(\t\022$\n\004kind\030\002 \001(\0162\026.hemlockpick.Limit" +
-      "Kind\022\r\n\005units\030\003 \001(\r\022\023\n\013known_total\030\004 \001(\004" +
-      "\022\026\n\016to_incarnation\030\005 \001(\004\"~\n\004Loan\022\020\n\010cust" +
-      "omer\030\001 \001(\t\022$\n\004kind\030\002 \001(\0162\026.hemlockpick.L" +
-      "imitKind\022\022\n\nlent_total\030\003 \001(\004\022\022\n\ndue_mill" +
-      "is\030\004 \001(\r\022\026\n\016to_incarnation\030\005 \001(\004\"t\n\nLoan" +
-      "Return\022\020\n\010customer\030\001 \001(\t\022$\n\004kind\030\002 \001(\0162\026" +
-      ".hemlockpick.LimitKind\022\026\n\016returned_total" +
-      "\030\003 \001(\004\022\026\n\016to_incarnation\030\004 \001(\004\"W\n\rAssign" +
-      "edTasks\022\016\n\006worker\030\001 \001(\t\022\014\n\004boot\030\002 \001(\t\022(\n" +
-      "\005tasks\030\003 \003(\0132\031.hemlockpick.AssignedTask\"" +
-      "X\n\014AssignedTask\022\013\n\003job\030\001 \001(\t\022\r\n\005index\030\002 " +
-      "\001(\r\022\017\n\007attempt\030\003 \001(\r\022\r\n\005shard\030\004 \001(\r\022\014\n\004s" +
-      "top\030\005 \001(\010\"\'\n\tShardHint\022\013\n\003job\030\001 \001(\t\022\r\n\005s" +
-      "hard\030\002 \001(\r\"\277\004\n\013PeerMessage\022\014\n\004from\030\001 \001(\t" +
-      "\022\023\n\013incarnation\030\002 \001(\004\022\014\n\004zone\030\003 \001(\t\022\n\n\002t" +
-      "o\030\004 \001(\t\022\r\n\005clock\030\005 \001(\004\022+\n\theartbeat\030\006 \001(" +
-      "\0132\026.hemlockpick.HeartbeatH\000\0226\n\017request_f" +
-      "orward\030\007 \001(\0132\033.hemlockpick.RequestForwar" +
-      "dH\000\0226\n\017request_outcome\030\010 \001(\0132\033.hemlockpi" +
-      "ck.RequestOutcomeH\000\022.\n\013config_pull\030\t \001(\013" +
-      "2\027.hemlockpick.ConfigPullH\000\022.\n\013config_pu" +
-      "sh\030\n \001(\0132\027.hemlockpick.ConfigPushH\000\022(\n\010l" +
-      "oan_ask\030\013 \001(\0132\024.hemlockpick.LoanAskH\000\022!\n" +
-      "\004loan\030\014 \001(\0132\021.hemlockpick.LoanH\000\022.\n\013loan" +
-      "_return\030\r \001(\0132\027.hemlockpick.LoanReturnH\000" +
-      "\0224\n\016assigned_tasks\030\016 \001(\0132\032.hemlockpick.A" +
-      "ssignedTasksH\000\022,\n\nshard_hint\030\017 \001(\0132\026.hem" +
-      "lockpick.ShardHintH\000B\006\n\004body*K\n\tLimitKin" +
-      "d\022\025\n\021LIMIT_UNSPECIFIED\020\000\022\026\n\022REQUESTS_IN_" +
-      "FLIGHT\020\001\022\017\n\013BATCH_TASKS\020\002B\031\n\025org.hemlock" +
-      "pick.protoP\001b\006proto3"
+      "\030\007 \001(\004\0222\n\013evacuations\030\010 \003(\0132\035.hemlockpic" +
+      "k.EvacuationRecord\"\231\001\n\016RequestForward\022\022\n" +
+      "\nforward_id\030\001 \001(\004\022\020\n\010customer\030\002 \001(\t\022\017\n\007s" +
+      "ervice\030\003 \001(\t\022\022\n\nidempotent\030\004 \001(\010\022\026\n\016time" +
+      "out_millis\030\005 \001(\r\022\014\n\004body\030\006 \001(\014\022\026\n\016to_inc" +
+      "arnation\030\007 \001(\004\"t\n\016RequestOutcome\022\022\n\nforw" +
+      "ard_id\030\001 \001(\004\022\014\n\004code\030\002 \001(\r\022\032\n\022retry_afte" +
+      "r_millis\030\003 \001(\r\022\014\n\004body\030\004 \001(\014\022\026\n\016to_incar" +
+      "nation\030\005 \001(\004\"#\n\nConfigPull\022\025\n\rknown_vers" +
+      "ion\030\001 \001(\004\":\n\nConfigPush\022,\n\007records\030\001 \003(\013" +
+      "2\033.hemlockpick.ContractRecord\"}\n\007LoanAsk" +
+      "\022\020\n\010customer\030\001 \001(\t\022$\n\004kind\030\002 \001(\0162\026.hemlo" +
+      "ckpick.LimitKind\022\r\n\005units\030\003 \001(\r\022\023\n\013known" +
+      "_total\030\004 \001(\004\022\026\n\016to_incarnation\030\005 \001(\004\"~\n\004" +
+      "Loan\022\020\n\010customer\030\001 \001(\t\022$\n\004kind\030\002 \001(\0162\026.h" +
+      "emlockpick.LimitKind\022\022\n\nlent_total\030\003 \001(\004" +
+      "\022\022\n\ndue_millis\030\004 \001(\r\022\026\n\016to_incarnation\030\005" +
+      " \001(\004\"t\n\nLoanReturn\022\020\n\010customer\030\001 \001(\t\022$\n\004" +
+      "kind\030\002 \001(\0162\026.hemlockpick.LimitKind\022\026\n\016re" +
+      "turned_total\030\003 \001(\004\022\026\n\016to_incarnation\030\004 \001" +
+      "(\004\"W\n\rAssignedTasks\022\016\n\006worker\030\001 \001(\t\022\014\n\004b" +
+      "oot\030\002 \001(\t\022(\n\005tasks\030\003 \003(\0132\031.hemlockpick.A" +
+      "ssignedTask\"X\n\014AssignedTask\022\013\n\003job\030\001 \001(\t" +
+      "\022\r\n\005index\030\002 \001(\r\022\017\n\007attempt\030\003 \001(\r\022\r\n\005shar" +
+      "d\030\004 \001(\r\022\014\n\004stop\030\005 \001(\010\"\'\n\tShardHint\022\013\n\003jo" +
+      "b\030\001 \001(\t\022\r\n\005shard\030\002 \001(\r\"\277\004\n\013PeerMessage\022\014" +
+      "\n\004from\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\014\n\004zon" +
+      "e\030\003 \001(\t\022\n\n\002to\030\004 \001(\t\022\r\n\005clock\030\005 \001(\004\022+\n\the" +
+      "artbeat\030\006 \001(\0132\026.hemlockpick.HeartbeatH\000\022" +
+      "6\n\017request_forward\030\007 \001(\0132\033.hemlockpick.R" +
+      "equestForwardH\000\0226\n\017request_outcome\030\010 \001(\013" +
+      "2\033.hemlockpick.RequestOutcomeH\000\022.\n\013confi" +
+      "g_pull\030\t \001(\0132\027.hemlockpick.ConfigPullH\000\022" +
+      ".\n\013config_push\030\n \001(\0132\027.hemlockpick.Confi" +
+      "gPushH\000\022(\n\010loan_ask\030\013 \001(\0132\024.hemlockpick." +
+      "LoanAskH\000\022!\n\004loan\030\014 \001(\0132\021.hemlockpick.Lo" +
+      "anH\000\022.\n\013loan_return\030\r \001(\0132\027.hemlockpick." +
+      "LoanReturnH\000\0224\n\016assigned_tasks\030\016 \001(\0132\032.h" +
+      "emlockpick.AssignedTasksH\000\022,\n\nshard_hint" +
+      "\030\017 \001(\0132\026.hemlockpick.ShardHintH\000B\006\n\004body" +
+      "*K\n\tLimitKind\022\025\n\021LIMIT_UNSPECIFIED\020\000\022\026\n\022" +
+      "REQUESTS_IN_FLIGHT\020\001\022\017\n\013BATCH_TASKS\020\002B\031\n" +
+      "\025org.hemlockpick.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -167,7 +168,7 @@
     internal_static_hemlockpick_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_Heartbeat_descriptor,
-        new java.lang.String[] { "ConfigVersion", "Leaving", "Ready", "Workers", "FreeBatchCpuMillis", "FreeSlots", "SettledForwardsBelow", });
+        new java.lang.String[] { "ConfigVersion", "Leaving", "Ready", "Workers", "FreeBatchCpuMillis", "FreeSlots", "SettledForwardsBelow", "Evacuations", });
     internal_static_hemlockpick_RequestForward_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_hemlockpick_RequestForward_fieldAccessorTable = new
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Records.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Records.java
@@ -56,6 +56,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hemlockpick_ShardRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_EvacuationRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_EvacuationRecord_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -94,14 +99,17 @@
       "\t\"\217\001\n\013ShardRecord\022\013\n\003job\030\001 \001(\t\022\r\n\005shard\030" +
       "\002 \001(\r\022\016\n\006holder\030\003 \001(\t\022\032\n\022holder_incarnat" +
       "ion\030\004 \001(\004\022&\n\005tasks\030\005 \003(\0132\027.hemlockpick.T" +
-      "askRecord\022\020\n\010write_id\030\006 \001(\t*D\n\010KeyState\022" +
-      "\031\n\025KEY_STATE_UNSPECIFIED\020\000\022\017\n\013KEY_STARTE" +
-      "D\020\001\022\014\n\010KEY_DONE\020\002*F\n\010JobPhase\022\031\n\025JOB_PHA" +
-      "SE_UNSPECIFIED\020\000\022\014\n\010JOB_OPEN\020\001\022\021\n\rJOB_CA" +
-      "NCELLED\020\002*f\n\tTaskState\022\032\n\026TASK_STATE_UNS" +
-      "PECIFIED\020\000\022\n\n\006QUEUED\020\001\022\014\n\010ASSIGNED\020\002\022\010\n\004" +
-      "DONE\020\003\022\n\n\006PARKED\020\004\022\r\n\tCANCELLED\020\005B\031\n\025org" +
-      ".hemlockpick.protoP\001b\006proto3"
+      "askRecord\022\020\n\010write_id\030\006 \001(\t\"d\n\020Evacuatio" +
+      "nRecord\022\016\n\006format\030\001 \001(\r\022\014\n\004zone\030\002 \001(\t\022\020\n" +
+      "\010operator\030\003 \001(\t\022\021\n\tat_millis\030\004 \001(\004\022\r\n\005en" +
+      "ded\030\005 \001(\010*D\n\010KeyState\022\031\n\025KEY_STATE_UNSPE" +
+      "CIFIED\020\000\022\017\n\013KEY_STARTED\020\001\022\014\n\010KEY_DONE\020\002*" +
+      "F\n\010JobPhase\022\031\n\025JOB_PHASE_UNSPECIFIED\020\000\022\014" +
+      "\n\010JOB_OPEN\020\001\022\021\n\rJOB_CANCELLED\020\002*f\n\tTaskS" +
+      "tate\022\032\n\026TASK_STATE_UNSPECIFIED\020\000\022\n\n\006QUEU" +
+      "ED\020\001\022\014\n\010ASSIGNED\020\002\022\010\n\004DONE\020\003\022\n\n\006PARKED\020\004" +
+      "\022\r\n\tCANCELLED\020\005B\031\n\025org.hemlockpick.proto" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -143,6 +151,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_ShardRecord_descriptor,
         new java.lang.String[] { "Job", "Shard", "Holder", "HolderIncarnation", "Tasks", "WriteId", });
+    internal_static_hemlockpick_EvacuationRecord_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_hemlockpick_EvacuationRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_EvacuationRecord_descriptor,
+        new java.lang.String[] { "Format", "Zone", "Operator", "AtMillis", "Ended", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/StatusView.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/StatusView.java
@@ -34,6 +34,7 @@
     livePeers_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     workers_ = java.util.Collections.emptyList();
+    evacuations_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -343,6 +344,47 @@
     return tasksRunning_;
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 15;
+  @SuppressWarnings("serial")
+  private java.util.List<org.hemlockpick.proto.EvacuationView> evacuations_;
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.hemlockpick.proto.EvacuationView> getEvacuationsList() {
+    return evacuations_;
+  }
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.hemlockpick.proto.EvacuationViewOrBuilder> 
+      getEvacuationsOrBuilderList() {
+    return evacuations_;
+  }
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  @java.lang.Override
+  public int getEvacuationsCount() {
+    return evacuations_.size();
+  }
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.EvacuationView getEvacuations(int index) {
+    return evacuations_.get(index);
+  }
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  @java.lang.Override
+  public org.hemlockpick.proto.EvacuationViewOrBuilder getEvacuationsOrBuilder(
+      int index) {
+    return evacuations_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -399,6 +441,9 @@
     if (tasksRunning_ != 0) {
       output.writeUInt32(14, tasksRunning_);
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      output.writeMessage(15, evacuations_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -465,6 +510,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(14, tasksRunning_);
     }
+    for (int i = 0; i < evacuations_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, evacuations_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -508,6 +557,8 @@
         != other.getShardsHeld()) return false;
     if (getTasksRunning()
         != other.getTasksRunning()) return false;
+    if (!getEvacuationsList()
+        .equals(other.getEvacuationsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -557,6 +608,10 @@
     hash = (53 * hash) + getShardsHeld();
     hash = (37 * hash) + TASKS_RUNNING_FIELD_NUMBER;
     hash = (53 * hash) + getTasksRunning();
+    if (getEvacuationsCount() > 0) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuationsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -709,6 +764,13 @@
       requestsInFlight_ = 0;
       shardsHeld_ = 0;
       tasksRunning_ = 0;
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+      } else {
+        evacuations_ = null;
+        evacuationsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00004000);
       return this;
     }
 
@@ -751,6 +813,15 @@
       } else {
         result.workers_ = workersBuilder_.build();
       }
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00004000) != 0)) {
+          evacuations_ = java.util.Collections.unmodifiableList(evacuations_);
+          bitField0_ = (bitField0_ & ~0x00004000);
+        }
+        result.evacuations_ = evacuations_;
+      } else {
+        result.evacuations_ = evacuationsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.hemlockpick.proto.StatusView result) {
@@ -887,6 +958,32 @@
       if (other.getTasksRunning() != 0) {
         setTasksRunning(other.getTasksRunning());
       }
+      if (evacuationsBuilder_ == null) {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuations_.isEmpty()) {
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+          } else {
+            ensureEvacuationsIsMutable();
+            evacuations_.addAll(other.evacuations_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.evacuations_.isEmpty()) {
+          if (evacuationsBuilder_.isEmpty()) {
+            evacuationsBuilder_.dispose();
+            evacuationsBuilder_ = null;
+            evacuations_ = other.evacuations_;
+            bitField0_ = (bitField0_ & ~0x00004000);
+            evacuationsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetEvacuationsFieldBuilder() : null;
+          } else {
+            evacuationsBuilder_.addAllMessages(other.evacuations_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -992,6 +1089,19 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 122: {
+              org.hemlockpick.proto.EvacuationView m =
+                  input.readMessage(
+                      org.hemlockpick.proto.EvacuationView.parser(),
+                      extensionRegistry);
+              if (evacuationsBuilder_ == null) {
+                ensureEvacuationsIsMutable();
+                evacuations_.add(m);
+              } else {
+                evacuationsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1864,6 +1974,246 @@
       return this;
     }
 
+    private java.util.List<org.hemlockpick.proto.EvacuationView> evacuations_ =
+      java.util.Collections.emptyList();
+    private void ensureEvacuationsIsMutable() {
+      if (!((bitField0_ & 0x00004000) != 0)) {
+        evacuations_ = new java.util.ArrayList<org.hemlockpick.proto.EvacuationView>(evacuations_);
+        bitField0_ |= 0x00004000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hemlockpick.proto.EvacuationView, org.hemlockpick.proto.EvacuationView.Builder, org.hemlockpick.proto.EvacuationViewOrBuilder> evacuationsBuilder_;
+
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public java.util.List<org.hemlockpick.proto.EvacuationView> getEvacuationsList() {
+      if (evacuationsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      } else {
+        return evacuationsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public int getEvacuationsCount() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.size();
+      } else {
+        return evacuationsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public org.hemlockpick.proto.EvacuationView getEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);
+      } else {
+        return evacuationsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.hemlockpick.proto.EvacuationView value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder setEvacuations(
+        int index, org.hemlockpick.proto.EvacuationView.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder addEvacuations(org.hemlockpick.proto.EvacuationView value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.hemlockpick.proto.EvacuationView value) {
+      if (evacuationsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, value);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder addEvacuations(
+        org.hemlockpick.proto.EvacuationView.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder addEvacuations(
+        int index, org.hemlockpick.proto.EvacuationView.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        evacuationsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder addAllEvacuations(
+        java.lang.Iterable<? extends org.hemlockpick.proto.EvacuationView> values) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, evacuations_);
+        onChanged();
+      } else {
+        evacuationsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder clearEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00004000);
+        onChanged();
+      } else {
+        evacuationsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public Builder removeEvacuations(int index) {
+      if (evacuationsBuilder_ == null) {
+        ensureEvacuationsIsMutable();
+        evacuations_.remove(index);
+        onChanged();
+      } else {
+        evacuationsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public org.hemlockpick.proto.EvacuationView.Builder getEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public org.hemlockpick.proto.EvacuationViewOrBuilder getEvacuationsOrBuilder(
+        int index) {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_.get(index);  } else {
+        return evacuationsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public java.util.List<? extends org.hemlockpick.proto.EvacuationViewOrBuilder> 
+         getEvacuationsOrBuilderList() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(evacuations_);
+      }
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public org.hemlockpick.proto.EvacuationView.Builder addEvacuationsBuilder() {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          org.hemlockpick.proto.EvacuationView.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public org.hemlockpick.proto.EvacuationView.Builder addEvacuationsBuilder(
+        int index) {
+      return internalGetEvacuationsFieldBuilder().addBuilder(
+          index, org.hemlockpick.proto.EvacuationView.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+     */
+    public java.util.List<org.hemlockpick.proto.EvacuationView.Builder> 
+         getEvacuationsBuilderList() {
+      return internalGetEvacuationsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.hemlockpick.proto.EvacuationView, org.hemlockpick.proto.EvacuationView.Builder, org.hemlockpick.proto.EvacuationViewOrBuilder> 
+        internalGetEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.hemlockpick.proto.EvacuationView, org.hemlockpick.proto.EvacuationView.Builder, org.hemlockpick.proto.EvacuationViewOrBuilder>(
+                evacuations_,
+                ((bitField0_ & 0x00004000) != 0),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
+      }
+      return evacuationsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.StatusView)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/StatusViewOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/StatusViewOrBuilder.java
@@ -148,4 +148,28 @@
    * @return The tasksRunning.
    */
   int getTasksRunning();
+
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  java.util.List<org.hemlockpick.proto.EvacuationView> 
+      getEvacuationsList();
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  org.hemlockpick.proto.EvacuationView getEvacuations(int index);
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  int getEvacuationsCount();
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  java.util.List<? extends org.hemlockpick.proto.EvacuationViewOrBuilder> 
+      getEvacuationsOrBuilderList();
+  /**
+   * <code>repeated .hemlockpick.EvacuationView evacuations = 15;</code>
+   */
+  org.hemlockpick.proto.EvacuationViewOrBuilder getEvacuationsOrBuilder(
+      int index);
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/errors/ResultCode.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/errors/ResultCode.java
@@ -42,6 +42,8 @@
   STORE_UNREACHABLE(114, Effect.NOT_RUN, 503, "the table service does not answer"),
   /** No worker can be reached. */
   NO_WORKER(115, Effect.NOT_RUN, 503, "no worker can take the work"),
+  /** Every availability zone that could serve the request is evacuated. */
+  EVACUATED(116, Effect.NOT_RUN, 503, "every zone that could serve the request is evacuated"),
 
   /** The work ran at the backend server and failed there. */
   FAILED(200, Effect.RAN, 502, "the work ran and failed"),
@@ -63,6 +65,9 @@
   /** Another change was accepted since the version that this one was based on. */
   CONTRACT_CONFLICT(311, Effect.NOT_RUN, 409, "the contract was changed by another operator"),
 
+  /** No entry instance of the roster is in the availability zone. */
+  UNKNOWN_ZONE(320, Effect.NOT_RUN, 404, "no entry instance is in this zone"),
+
   /** The entry instance had an internal error. */
   INTERNAL(900, Effect.UNKNOWN, 500, "internal error");
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/loop/TableNames.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/loop/TableNames.java
@@ -17,5 +17,8 @@
   /** Blocks of tasks that are all finished, by availability zone, job and number. */
   public static final String FINISHED_SHARDS = "finished-shards";
 
+  /** Evacuations of availability zones, by zone. */
+  public static final String EVACUATIONS = "evacuations";
+
   private TableNames() {}
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
@@ -8,6 +8,8 @@
 import org.hemlockpick.internal.batch.ContractTaskQuota;
 import org.hemlockpick.internal.contract.ContractSystem;
 import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.evacuation.EvacuationSystem;
+import org.hemlockpick.internal.evacuation.EvacuationTable;
 import org.hemlockpick.internal.limit.LimitSystem;
 import org.hemlockpick.internal.loop.BlobCalls;
 import org.hemlockpick.internal.loop.Outbox;
@@ -60,6 +62,8 @@
   private final MembershipSystem membership;
   private final ContractTable contracts = new ContractTable();
   private final ContractSystem contractSystem;
+  private final EvacuationTable evacuations;
+  private final EvacuationSystem evacuationSystem;
   private final LimitSystem limits;
   private final OwnershipSystem ownership;
   private final RequestModule requests;
@@ -92,6 +96,8 @@
     workers = new WorkerTable(settings);
     membership = new MembershipSystem(settings, outbox, peers, this::heartbeat);
     contractSystem = new ContractSystem(settings, outbox, store, peers, contracts);
+    evacuations = new EvacuationTable(outbox);
+    evacuationSystem = new EvacuationSystem(settings, outbox, store, peers, evacuations);
     limits = new LimitSystem(settings, outbox, peers, contracts);
     ownership = new OwnershipSystem(settings, outbox, workerCalls, peers, workers);
     ownership.setReleaseNotice(membership::sendNow);
@@ -141,6 +147,7 @@
     workerCalls.run(now);
     membership.run(now);
     contractSystem.run(now);
+    evacuationSystem.run(now);
     limits.run(now);
     if (mayAcquireLeases(now)) {
       ownership.run(now);
@@ -153,7 +160,7 @@
 
   /** Returns whether this entry instance serves callers. */
   public boolean isReady() {
-    return contractSystem.isReady(outbox.now()) && stopOrderedAt < 0;
+    return mayServe(outbox.now()) && stopOrderedAt < 0;
   }
 
   /** Returns whether the planned stop is complete. */
@@ -170,7 +177,7 @@
             .setIncarnation(outbox.incarnation())
             .setZone(settings.zone())
             .setReady(isReady())
-            .setNotReadyReason(contractSystem.isReady(now) ? "" : contractSystem.notReadyReason())
+            .setNotReadyReason(notReadyReason(now))
             .setStopping(stopOrderedAt >= 0)
             .setStopped(stopped)
             .setConfigVersion(contractSystem.version())
@@ -183,6 +190,17 @@
     return status.build();
   }
 
+  /** Returns whether this entry instance has learned the contracts and the evacuations. */
+  private boolean mayServe(long now) {
+    return contractSystem.isReady(now) && evacuationSystem.isReady(now);
+  }
+
+  private String notReadyReason(long now) {
+    return contractSystem.isReady(now)
+        ? evacuationSystem.notReadyReason()
+        : contractSystem.notReadyReason();
+  }
+
   private void handle(Input input, long now) {
     switch (input.getBodyCase()) {
       case CALLER_REQUEST -> onCallerRequest(input.getCallerRequest(), now);
@@ -200,6 +218,7 @@
       }
       case CONTRACT_APPLY -> contractSystem.on(input.getContractApply());
       case CONTRACT_QUERY -> contractSystem.on(input.getContractQuery());
+      case EVACUATION_CHANGE -> evacuationSystem.on(input.getEvacuationChange());
       case STATUS_QUERY -> onStatusQuery(input.getStatusQuery());
       case STOP_ORDER -> beginStop(now);
       case PEER_MESSAGE -> onPeerMessage(input.getPeerMessage());
@@ -227,7 +246,7 @@
 
   /** Refuses a customer's call while this entry instance is starting or stopping. */
   private boolean refuseUnlessServing(long exchange, long now) {
-    if (!contractSystem.isReady(now)) {
+    if (!mayServe(now)) {
       refuse(exchange, ResultCode.NOT_READY);
       return true;
     }
@@ -269,7 +288,8 @@
             .setReady(isReady())
             .setFreeSlots(requests.freeSlots(now))
             .setFreeBatchCpuMillis(batch.freeCpuMillis(now))
-            .setSettledForwardsBelow(requests.settledForwardsBelow());
+            .setSettledForwardsBelow(requests.settledForwardsBelow())
+            .addAllEvacuations(evacuations.evacuations());
     if (withinZone) {
       heartbeat.addAllWorkers(ownership.ownedWorkers(now));
     }
@@ -283,7 +303,7 @@
   private boolean mayAcquireLeases(long now) {
     boolean allPeersAlive = peers.aliveInZone(now).size() == settings.zonePeers().size();
     boolean waited = now - startedAt >= settings.timing().startWait().toMillis();
-    return contractSystem.isReady(now) && (allPeersAlive || waited);
+    return mayServe(now) && (allPeersAlive || waited);
   }
 
   private void beginStop(long now) {
