Keep new work out of an evacuated availability zone

An entry instance of an evacuated zone starts no request at its own workers, announces no free slots and forwards callers' requests to other zones without the wait for local slots. Forwards from peers that do not know of the evacuation yet are refused as not run, with a code that every version knows. When no live peer is in a zone that is not evacuated, requests are refused at once with EVACUATED (116, not run), at admission and while they wait.

No task is assigned and no start call is sent in the zone, not even a repeated one; a task that is assigned but not started waits until the evacuation ends. What runs goes on. The status lists the evacuated zones with the requests and tasks that still run there as far as the instance knows.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeInstance.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/internal/batch/FakeInstance.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.evacuation.EvacuationTable;
 import org.hemlockpick.internal.loop.BlobCalls;
 import org.hemlockpick.internal.loop.Outbox;
 import org.hemlockpick.internal.loop.StoreCalls;
@@ -58,6 +59,7 @@
             workers,
             ownership,
             contracts,
+            new EvacuationTable(outbox),
             quota,
             new Random(1));
   }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Callers.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.hemlockpick.proto.CallerRequest;
 import org.hemlockpick.proto.ContractApply;
+import org.hemlockpick.proto.EvacuationChange;
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.JobCancel;
 import org.hemlockpick.proto.JobSpec;
@@ -84,6 +85,19 @@
     return exchange;
   }
 
+  /** Begins or ends the evacuation of an availability zone and returns the exchange. */
+  long evacuate(EntryNode node, String zone, boolean end) {
+    long exchange = newExchange();
+    EvacuationChange.Builder change =
+        EvacuationChange.newBuilder()
+            .setExchange(exchange)
+            .setOperator("operator")
+            .setZone(zone)
+            .setEnd(end);
+    world.input(node, Input.newBuilder().setEvacuationChange(change));
+    return exchange;
+  }
+
   /** Submits a job with the given number of tasks. */
   void submit(EntryNode node, int tasks) {
     String key = "job" + ++lastKey;
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/EntryNode.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/EntryNode.java
@@ -9,6 +9,7 @@
 import org.hemlockpick.lib.InstanceSettings;
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.Output;
+import org.hemlockpick.proto.StatusView;
 import org.hemlockpick.proto.StopOrder;
 import org.jspecify.annotations.Nullable;
 
@@ -69,6 +70,10 @@
         .anyMatch(view -> view.getWorker().equals(worker) && view.getEpoch() != 0);
   }
 
+  StatusView status() {
+    return instance.status();
+  }
+
   long configVersion() {
     return instance.status().getConfigVersion();
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/BatchModule.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/BatchModule.java
@@ -1,8 +1,10 @@
 package org.hemlockpick.internal.batch;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.evacuation.EvacuationTable;
 import org.hemlockpick.internal.loop.BlobCalls;
 import org.hemlockpick.internal.loop.LoopSystem;
 import org.hemlockpick.internal.loop.Outbox;
@@ -33,6 +35,7 @@
   private static final long CLEAN_UP_INTERVAL_MILLIS = 1_000;
 
   private final InstanceSettings settings;
+  private final BooleanSupplier evacuated;
   private final WorkerTable workers;
   private final WorkerLoadTable loads = new WorkerLoadTable();
   private final JobTable jobs;
@@ -66,9 +69,11 @@
       WorkerTable workers,
       OwnershipSystem ownership,
       ContractTable contracts,
+      EvacuationTable evacuations,
       TaskQuota quota,
       RandomGenerator random) {
     this.settings = settings;
+    evacuated = () -> evacuations.isEvacuated(settings.zone());
     this.workers = workers;
     WriteIdGenerator writeIds = new WriteIdGenerator(settings, outbox);
     CustomerTaskUnits units = new CustomerTaskUnits(quota, contracts);
@@ -78,13 +83,15 @@
     journal = new ShardJournal(settings, outbox, store, shards, writeIds);
     takeover = new ShardTakeover(settings, outbox, store, peers, workers, shards);
     quarantine = new Quarantine(outbox);
-    dispatcher = new TaskDispatcher(outbox, settings.timing(), calls, workers, loads, shards);
+    dispatcher =
+        new TaskDispatcher(outbox, settings.timing(), calls, workers, loads, shards, evacuated);
     reports =
         new ReportReconciler(
             settings, outbox, workers, loads, shards, journal, dispatcher, quarantine);
     assigner =
         new TaskAssigner(
             workers,
+            evacuated,
             loads,
             jobs,
             shards,
@@ -170,8 +177,14 @@
     return loads.all().stream().mapToInt(WorkerLoad::runningTasks).sum();
   }
 
-  /** Returns how many thousandths of CPU cores are free on the workers owned here. */
+  /**
+   * Returns how many thousandths of CPU cores are free for tasks on the workers owned here; 0 while
+   * this availability zone is evacuated.
+   */
   public int freeCpuMillis(long now) {
+    if (evacuated.getAsBoolean()) {
+      return 0;
+    }
     long free = 0;
     for (Worker worker : workers.held(now)) {
       if (worker.accepts(now)) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskAssigner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskAssigner.java
@@ -2,12 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.hemlockpick.internal.loop.LoopSystem;
 import org.hemlockpick.internal.ownership.Worker;
 import org.hemlockpick.internal.ownership.WorkerTable;
 import org.jspecify.annotations.Nullable;
 
-/** Assigns queued tasks of held shards to workers that this entry instance owns. */
+/**
+ * Assigns queued tasks of held shards to workers that this entry instance owns, unless their
+ * availability zone is evacuated.
+ */
 final class TaskAssigner implements LoopSystem {
   /**
    * Resources that may be assigned to a worker, in percent of its capacity. Tasks beyond the
@@ -23,6 +27,7 @@
   private static final long MIN_INTERVAL_MILLIS = 50;
 
   private final WorkerTable workers;
+  private final BooleanSupplier evacuated;
   private final WorkerLoadTable loads;
   private final JobTable jobs;
   private final ShardTable shards;
@@ -35,6 +40,7 @@
 
   TaskAssigner(
       WorkerTable workers,
+      BooleanSupplier evacuated,
       WorkerLoadTable loads,
       JobTable jobs,
       ShardTable shards,
@@ -43,6 +49,7 @@
       TaskOrder order,
       PlacementPolicy placement) {
     this.workers = workers;
+    this.evacuated = evacuated;
     this.loads = loads;
     this.jobs = jobs;
     this.shards = shards;
@@ -120,6 +127,9 @@
 
   private List<PlacementCandidate> candidates(long now) {
     List<PlacementCandidate> candidates = new ArrayList<>();
+    if (evacuated.getAsBoolean()) {
+      return candidates;
+    }
     for (Worker worker : workers.held(now)) {
       if (worker.accepts(now) && !quarantine.isQuarantined(worker.name(), now)) {
         candidates.add(candidate(worker));
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskDispatcher.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/batch/TaskDispatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import org.hemlockpick.internal.loop.LoopSystem;
 import org.hemlockpick.internal.loop.Outbox;
 import org.hemlockpick.internal.loop.WorkerCalls;
@@ -26,6 +27,9 @@
  * <p>An attempt is started only when a read or commit sent after the current lease was granted
  * showed that its row assigns it to this boot of the worker: a previous owner may have recorded the
  * end of the attempt before, and the worker may have forgotten it.
+ *
+ * <p>While the availability zone is evacuated, no start call is sent, not even a repeated one. A
+ * task that is assigned but not started waits until the evacuation ends.
  */
 final class TaskDispatcher implements LoopSystem {
   /** Delay before a call is repeated, in milliseconds. */
@@ -40,6 +44,7 @@
   private final WorkerTable workers;
   private final WorkerLoadTable loads;
   private final ShardTable shards;
+  private final BooleanSupplier evacuated;
   private BiConsumer<Worker, TaskStatus> statusHandler = (worker, status) -> {};
 
   TaskDispatcher(
@@ -48,13 +53,15 @@
       WorkerCalls calls,
       WorkerTable workers,
       WorkerLoadTable loads,
-      ShardTable shards) {
+      ShardTable shards,
+      BooleanSupplier evacuated) {
     this.outbox = outbox;
     this.timing = timing;
     this.calls = calls;
     this.workers = workers;
     this.loads = loads;
     this.shards = shards;
+    this.evacuated = evacuated;
   }
 
   /** Sets the handler of the task statuses in replies. */
@@ -98,6 +105,9 @@
         stop(worker, task.ref());
         continue;
       }
+      if (evacuated.getAsBoolean()) {
+        continue;
+      }
       if (task.shard.knownAt < load.grantedAt()) {
         task.nextStartAt = now + RETRY_MILLIS;
         shards.read(task.shard.key);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/AdmissionSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/AdmissionSystem.java
@@ -27,6 +27,7 @@
   private final PeerTable peers;
   private final ContractTable contracts;
   private final LimitSystem limits;
+  private final ServingZones zones;
   private final RequestTable requests;
   private final IdempotencyKeyJournal keys;
   private final RetryBudget budget;
@@ -39,6 +40,7 @@
       PeerTable peers,
       ContractTable contracts,
       LimitSystem limits,
+      ServingZones zones,
       RequestTable requests,
       IdempotencyKeyJournal keys,
       RetryBudget budget,
@@ -49,6 +51,7 @@
     this.peers = peers;
     this.contracts = contracts;
     this.limits = limits;
+    this.zones = zones;
     this.requests = requests;
     this.keys = keys;
     this.budget = budget;
@@ -118,6 +121,10 @@
       refuse(call, ResultCode.IN_PROGRESS);
       return;
     }
+    if (zones.areNone(outbox.now())) {
+      refuse(call, ResultCode.EVACUATED);
+      return;
+    }
     if (requests.waiting().size(call.getCustomer()) >= MAX_WAITING_PER_WEIGHT * contract.weight()) {
       refuse(call, ResultCode.OVERLOADED);
       return;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RequestModule.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RequestModule.java
@@ -3,6 +3,7 @@
 import java.util.random.RandomGenerator;
 import org.hemlockpick.errors.ResultCode;
 import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.evacuation.EvacuationTable;
 import org.hemlockpick.internal.limit.LimitSystem;
 import org.hemlockpick.internal.loop.LoopSystem;
 import org.hemlockpick.internal.loop.Outbox;
@@ -38,6 +39,7 @@
       WorkerTable workers,
       OwnershipSystem ownership,
       ContractTable contracts,
+      EvacuationTable evacuations,
       LimitSystem limits,
       RandomGenerator random) {
     RetryBudget budget = new RetryBudget();
@@ -46,14 +48,17 @@
     deduplicator = new ForwardDeduplicator(outbox);
     finisher = new RequestFinisher(outbox, requests, limits, keys, deduplicator, random);
     RequestEnqueuer enqueuer = new RequestEnqueuer(outbox, requests, contracts, budget, finisher);
+    ServingZones zones = new ServingZones(settings, peers, evacuations);
     admission =
         new AdmissionSystem(
-            outbox, store, peers, contracts, limits, requests, keys, budget, enqueuer, finisher);
+            outbox, store, peers, contracts, limits, zones, requests, keys, budget, enqueuer,
+            finisher);
     dispatch = new DispatchSystem(outbox, calls, ownership, requests, enqueuer, finisher);
     forwards = new ForwardSystem(outbox, peers, requests, deduplicator, enqueuer, finisher);
     RoutingPolicy policy = new TwoChoicesRouting(random);
     routing =
-        new RoutingSystem(settings, peers, workers, requests, policy, dispatch, forwards, finisher);
+        new RoutingSystem(
+            settings, peers, workers, zones, requests, policy, dispatch, forwards, finisher);
     ownership.addListener(dispatch);
     ownership.addFenceSource(dispatch);
   }
@@ -96,6 +101,11 @@
     return requests.size();
   }
 
+  /** Returns how many requests may be running in an availability zone, as far as known here. */
+  public int runningIn(String zone, long now) {
+    return routing.runningIn(zone, now);
+  }
+
   /** Returns the id below which all forwards of this entry instance are settled. */
   public long settledForwardsBelow() {
     return forwards.settledBelow();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RoutingSystem.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/internal/request/RoutingSystem.java
@@ -19,6 +19,9 @@
  * Routes waiting requests to a worker whose lease this entry instance holds, else to a peer of the
  * availability zone with free slots, else, after a short wait, to a peer of another availability
  * zone. A request that has waited too long is refused.
+ *
+ * <p>While this availability zone is evacuated, requests are forwarded to other zones at once, and
+ * those forwarded by peers are refused as not run, so that their senders try elsewhere.
  */
 final class RoutingSystem implements LoopSystem {
   /** Maximum wait for a slot, in milliseconds. */
@@ -42,6 +45,7 @@
   private final InstanceSettings settings;
   private final PeerTable peers;
   private final WorkerTable workers;
+  private final ServingZones zones;
   private final RequestTable requests;
   private final RoutingPolicy policy;
   private final DispatchSystem dispatch;
@@ -52,6 +56,7 @@
       InstanceSettings settings,
       PeerTable peers,
       WorkerTable workers,
+      ServingZones zones,
       RequestTable requests,
       RoutingPolicy policy,
       DispatchSystem dispatch,
@@ -60,6 +65,7 @@
     this.settings = settings;
     this.peers = peers;
     this.workers = workers;
+    this.zones = zones;
     this.requests = requests;
     this.policy = policy;
     this.dispatch = dispatch;
@@ -70,15 +76,42 @@
   @Override
   public void run(long now) {
     refuseOverdue(now);
+    if (!zones.includeOwn()) {
+      refuseEvacuated(now);
+    }
     placeAtWorkers(now);
     placeAtPeers(now);
   }
 
-  /** Returns the number of free slots of the workers whose lease this entry instance holds. */
+  /**
+   * Returns the number of free slots of the workers whose lease this entry instance holds; 0 while
+   * this availability zone is evacuated.
+   */
   int freeSlots(long now) {
+    if (!zones.includeOwn()) {
+      return 0;
+    }
     return workers.all().stream().mapToInt(worker -> worker.freeSlots(now)).sum();
   }
 
+  /**
+   * Returns how many requests may be running in an availability zone, as far as is known here: at
+   * the workers whose lease this entry instance holds and at the peers that it forwarded to.
+   */
+  int runningIn(String zone, long now) {
+    int running = 0;
+    if (zone.equals(settings.zone())) {
+      running = workers.held(now).stream().mapToInt(Worker::slotsUsed).sum();
+    }
+    for (Request request : requests.inState(RequestState.FORWARDED)) {
+      Peer peer = request.peer == null ? null : peers.find(request.peer);
+      if (peer != null && peer.zone().equals(zone)) {
+        running++;
+      }
+    }
+    return running;
+  }
+
   private void placeAtWorkers(long now) {
     List<Worker> free = freeWorkers(now);
     while (!free.isEmpty()) {
@@ -94,6 +127,9 @@
   }
 
   private List<Worker> freeWorkers(long now) {
+    if (!zones.includeOwn()) {
+      return List.of();
+    }
     return workers.all().stream().filter(worker -> worker.freeSlots(now) > 0).toList();
   }
 
@@ -141,12 +177,16 @@
         forwarded.merge(open.peer, 1, Integer::sum);
       }
     }
-    Optional<Peer> local = withMostFreeSlots(peers.aliveInZone(now), request, forwarded);
-    if (local.isPresent() || now - request.waitingSince < REMOTE_AFTER_MILLIS) {
-      return local;
+    if (zones.includeOwn()) {
+      Optional<Peer> local = withMostFreeSlots(peers.aliveInZone(now), request, forwarded);
+      if (local.isPresent() || now - request.waitingSince < REMOTE_AFTER_MILLIS) {
+        return local;
+      }
     }
     List<Peer> remote =
-        peers.alive(now).stream().filter(peer -> !peer.zone().equals(settings.zone())).toList();
+        peers.alive(now).stream()
+            .filter(peer -> !peer.zone().equals(settings.zone()) && zones.includeZoneOf(peer))
+            .toList();
     return withMostFreeSlots(remote, request, forwarded);
   }
 
@@ -175,6 +215,18 @@
     }
   }
 
+  private void refuseEvacuated(long now) {
+    boolean noneLeft = zones.areNone(now);
+    for (Request request : requests.waiting().all()) {
+      if (request.isForwarded()) {
+        // Peers of any software version know this code as not run.
+        finisher.finishUnsent(request, ResultCode.NO_WORKER);
+      } else if (noneLeft) {
+        finisher.finishUnsent(request, ResultCode.EVACUATED);
+      }
+    }
+  }
+
   private ResultCode refusalCode(long now) {
     boolean anyWorker = workers.all().stream().anyMatch(worker -> worker.accepts(now));
     boolean anyPeer =
--- a/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
@@ -25,6 +25,8 @@
 import org.hemlockpick.internal.request.RequestModule;
 import org.hemlockpick.proto.CallerAnswer;
 import org.hemlockpick.proto.CallerRequest;
+import org.hemlockpick.proto.EvacuationRecord;
+import org.hemlockpick.proto.EvacuationView;
 import org.hemlockpick.proto.Heartbeat;
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.JobSubmit;
@@ -112,6 +114,7 @@
             workers,
             ownership,
             contracts,
+            evacuations,
             limits,
             random);
     batch =
@@ -125,6 +128,7 @@
             workers,
             ownership,
             contracts,
+            evacuations,
             new ContractTaskQuota(limits),
             random);
   }
@@ -187,6 +191,7 @@
             .setTasksRunning(batch.tasksRunning());
     peers.alive(now).stream().map(Peer::name).forEach(status::addLivePeers);
     workers.all().stream().map(worker -> view(worker, now)).forEach(status::addWorkers);
+    evacuations.evacuations().stream().map(e -> view(e, now)).forEach(status::addEvacuations);
     return status.build();
   }
 
@@ -340,6 +345,18 @@
         .build();
   }
 
+  /** Describes an evacuation, with the requests and tasks that still run there as known here. */
+  private EvacuationView view(EvacuationRecord evacuation, long now) {
+    String zone = evacuation.getZone();
+    return EvacuationView.newBuilder()
+        .setZone(zone)
+        .setOperator(evacuation.getOperator())
+        .setSinceMillis(evacuation.getAtMillis())
+        .setRequests(requests.runningIn(zone, now))
+        .setTasks(zone.equals(settings.zone()) ? batch.tasksRunning() : 0)
+        .build();
+  }
+
   /** Tells the peers of the slots of a worker whose lease was granted. */
   private final class GrantNotice implements LeaseListener {
     @Override
