Let operators begin and end evacuations over HTTP

PUT and DELETE /v1/evacuations/{zone} take the key of an operator; PUT has the operator's name in the body, DELETE as a query parameter, since a body there is not sent by every client. GET /v1/status lists the evacuated zones.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/AnswerJson.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/AnswerJson.java
@@ -11,6 +11,7 @@
 import org.hemlockpick.errors.ResultCode;
 import org.hemlockpick.proto.CallerAnswer;
 import org.hemlockpick.proto.ContractView;
+import org.hemlockpick.proto.EvacuationView;
 import org.hemlockpick.proto.JobView;
 import org.hemlockpick.proto.StatusView;
 import org.hemlockpick.proto.WorkerView;
@@ -103,6 +104,8 @@
     status.getLivePeersList().forEach(peers::add);
     JsonArrayBuilder workers = Json.createArrayBuilder();
     status.getWorkersList().forEach(worker -> workers.add(worker(worker)));
+    JsonArrayBuilder evacuations = Json.createArrayBuilder();
+    status.getEvacuationsList().forEach(each -> evacuations.add(evacuation(each)));
     return Json.createObjectBuilder()
         .add("instance", status.getInstance())
         .add("incarnation", status.getIncarnation())
@@ -117,9 +120,19 @@
         .add("shardsHeld", status.getShardsHeld())
         .add("tasksRunning", status.getTasksRunning())
         .add("livePeers", peers)
+        .add("evacuations", evacuations)
         .add("workers", workers);
   }
 
+  private static JsonObjectBuilder evacuation(EvacuationView evacuation) {
+    return Json.createObjectBuilder()
+        .add("zone", evacuation.getZone())
+        .add("operator", evacuation.getOperator())
+        .add("sinceMillis", evacuation.getSinceMillis())
+        .add("requests", evacuation.getRequests())
+        .add("tasks", evacuation.getTasks());
+  }
+
   private static JsonObjectBuilder worker(WorkerView worker) {
     return Json.createObjectBuilder()
         .add("worker", worker.getWorker())
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CallerApiTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CallerApiTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import org.hemlockpick.proto.CallerRequest;
+import org.hemlockpick.proto.EvacuationChange;
 import org.hemlockpick.proto.Input;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -124,6 +125,8 @@
         "PUT    | /v1/contracts/lantern                  | {}                           | 101",
         "GET    | /v1/status                             | ``                           | 101",
         "POST   | /v1/stop                               | ``                           | 101",
+        "PUT    | /v1/evacuations/kgn-b                  | {\"operator\":\"kei\"}       | 101",
+        "DELETE | /v1/evacuations/kgn-b?operator=kei     | ``                           | 101",
       })
   void refusesBadInputWithOneNumberedError(String method, String path, String body, int code)
       throws Exception {
@@ -189,6 +192,42 @@
     assertEquals(8, json(applied).getInt("revision"));
   }
 
+  @Test
+  void operatorsBeginAndEndEvacuations() throws Exception {
+    String path = "/v1/evacuations/kgn-b";
+
+    assertEquals(200, call("PUT", path, "{\"operator\":\"kei\"}", OPERATOR_KEY).statusCode());
+    assertEquals(200, call("DELETE", path + "?operator=kei", "", OPERATOR_KEY).statusCode());
+
+    EvacuationChange begun = loop.received.get(0).getEvacuationChange();
+    EvacuationChange ended = loop.received.get(1).getEvacuationChange();
+    EvacuationChange.Builder change =
+        EvacuationChange.newBuilder().setZone("kgn-b").setOperator("kei");
+    assertEquals(change.setExchange(begun.getExchange()).build(), begun);
+    assertEquals(change.setExchange(ended.getExchange()).setEnd(true).build(), ended);
+  }
+
+  @Test
+  void evacuationNeedsTheNameOfTheOperator() throws Exception {
+    String path = "/v1/evacuations/kgn-b";
+
+    assertEquals(400, call("PUT", path, "{}", OPERATOR_KEY).statusCode());
+    assertEquals(400, call("DELETE", path, "", OPERATOR_KEY).statusCode());
+
+    assertTrue(loop.received.isEmpty());
+  }
+
+  @Test
+  void statusListsEvacuations() throws Exception {
+    String body = call("GET", "/v1/status", "", OPERATOR_KEY).body();
+
+    String evacuation =
+        "{\"zone\":\"kgn-b\",\"operator\":\"kei\",\"sinceMillis\":5,\"requests\":3,\"tasks\":2}";
+    assertEquals(
+        json(evacuation),
+        json(body).getJsonObject("status").getJsonArray("evacuations").getJsonObject(0));
+  }
+
   @Test
   void reportsADisconnectedCallerToTheLoop() throws Exception {
     try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), daemon.callersPort())) {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/FakeLoop.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/FakeLoop.java
@@ -7,6 +7,7 @@
 import org.hemlockpick.errors.ResultCode;
 import org.hemlockpick.proto.CallerAnswer;
 import org.hemlockpick.proto.ContractView;
+import org.hemlockpick.proto.EvacuationView;
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.JobView;
 import org.hemlockpick.proto.Output;
@@ -77,10 +78,9 @@
               .addContracts(ContractView.newBuilder().setCustomer("lantern").setRevision(7));
       case CONTRACT_APPLY ->
           answer.setExchange(input.getContractApply().getExchange()).setRevision(8);
+      case EVACUATION_CHANGE -> answer.setExchange(input.getEvacuationChange().getExchange());
       case STATUS_QUERY ->
-          answer
-              .setExchange(input.getStatusQuery().getExchange())
-              .setStatus(StatusView.newBuilder().setReady(!stopped).setStopping(stopped));
+          answer.setExchange(input.getStatusQuery().getExchange()).setStatus(status());
       case STOP_ORDER -> {
         stopped = true;
         outputs.add(Output.newBuilder().setStopped(Stopped.getDefaultInstance()).build());
@@ -92,4 +92,18 @@
     }
     outputs.add(Output.newBuilder().setCallerAnswer(answer).build());
   }
+
+  private StatusView.Builder status() {
+    EvacuationView.Builder evacuation =
+        EvacuationView.newBuilder()
+            .setZone("kgn-b")
+            .setOperator("kei")
+            .setSinceMillis(5)
+            .setRequests(3)
+            .setTasks(2);
+    return StatusView.newBuilder()
+        .setReady(!stopped)
+        .setStopping(stopped)
+        .addEvacuations(evacuation);
+  }
 }
