--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcessTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcessTest.java
@@ -107,6 +107,37 @@
     await(() -> serves(0));
   }
 
+  /** The zone is the only one, so no request is served while it is evacuated. */
+  @Test
+  void evacuateCommandStopsRequestsUntilTheEnd() throws Exception {
+    RecordedConsole console = new RecordedConsole();
+
+    assertEquals(0, evacuate(console, 0, "zone-a"), console.err());
+    await(() -> result(1).equals("EVACUATED"));
+    assertEquals(0, evacuate(console, 2, "--end", "zone-a"), console.err());
+    await(() -> serves(1));
+    assertEquals(1, evacuate(console, 0, "zone-x"));
+
+    assertEquals(
+        List.of("zone-a is evacuated", "zone-a is not evacuated"), console.out().lines().toList());
+    assertEquals(
+        "hemlockpick: UNKNOWN_ZONE (320): no entry instance is in zone zone-x; zones are zone-a",
+        console.err().strip());
+  }
+
+  private int evacuate(RecordedConsole console, int index, String... rest) throws IOException {
+    List<String> args = new ArrayList<>(List.of("evacuate"));
+    args.addAll(zone.operatorArguments(index));
+    args.addAll(List.of(rest));
+    return console.run(args.toArray(String[]::new));
+  }
+
+  private String result(int index) throws IOException {
+    try (ApiClient client = zone.client(index, KEY)) {
+      return client.post(PATH, request()).getString("result");
+    }
+  }
+
   /** Sends requests until the entry instance answers STOPPING or refuses the connection. */
   private List<JsonObject> callUntilStopped() throws IOException {
     List<JsonObject> answers = new ArrayList<>();
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcesses.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/pgm/ZoneProcesses.java
@@ -54,6 +54,13 @@
     return new ApiClient(URI.create("http://127.0.0.1:" + callerPorts.get(index)), key);
   }
 
+  /** Returns the arguments that all operator commands share and the operator's name. */
+  List<String> operatorArguments(int index) throws IOException {
+    Path key = Files.writeString(folder.resolve("operator.key"), OPERATOR_KEY);
+    String url = "http://127.0.0.1:" + callerPorts.get(index);
+    return List.of("--url", url, "--key-file", key.toString(), "--operator", "kei");
+  }
+
   /** Sends a signal, such as {@code -STOP}, to an entry instance. */
   void signal(int index, String signal) throws IOException, InterruptedException {
     String pid = Long.toString(entries.get(index).pid());
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ApiClient.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/ApiClient.java
@@ -81,6 +81,15 @@
     return send(HttpRequest.PUT(path, body.toString()));
   }
 
+  /**
+   * Sends a DELETE request.
+   *
+   * @throws IOException if no complete answer arrives
+   */
+  JsonObject delete(String path) throws IOException {
+    return send(HttpRequest.DELETE(path));
+  }
+
   @Override
   public void close() {
     client.close();
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/CommandLine.java
@@ -37,6 +37,7 @@
     add(commands, "apply", Messages.APPLY, ApplyCommand::configure, ApplyCommand::of);
     add(commands, "status", Messages.STATUS, StatusCommand::configure, StatusCommand::of);
     add(commands, "drain", Messages.DRAIN, DrainCommand::configure, DrainCommand::of);
+    add(commands, "evacuate", Messages.EVACUATE, EvacuateCommand::configure, EvacuateCommand::of);
     add(commands, "timeline", Messages.TIMELINE, TimelineCommand::configure, TimelineCommand::of);
     add(commands, "explain", Messages.EXPLAIN, ExplainCommand::configure, ExplainCommand::of);
     add(commands, "replay", Messages.REPLAY, ReplayCommand::configure, ReplayCommand::of);
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/Messages.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/Messages.java
@@ -3,6 +3,7 @@
 import jakarta.json.JsonObject;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Instant;
 
 /** Help texts, results and error messages of the command line. */
 final class Messages {
@@ -18,6 +19,7 @@
   static final String DIFF = "compare contracts with those in force";
   static final String STATUS = "show what an entry instance knows";
   static final String DRAIN = "begin the planned stop of an entry instance";
+  static final String EVACUATE = "move work out of an availability zone, or end that";
   static final String TIMELINE = "merge logs into one time line in causal order";
   static final String EXPLAIN = "gather what was decided about one job, over several logs";
   static final String REPLAY = "run a recorded trace again and compare its outputs";
@@ -137,6 +139,19 @@
         + (worker.getBoolean("leaving") ? ", leaving" : "");
   }
 
+  static String evacuation(JsonObject evacuation) {
+    return "evacuated "
+        + evacuation.getString("zone")
+        + ": since "
+        + Instant.ofEpochMilli(evacuation.getJsonNumber("sinceMillis").longValue())
+        + ", operator "
+        + evacuation.getString("operator")
+        + ", requests "
+        + evacuation.get("requests")
+        + ", tasks "
+        + evacuation.get("tasks");
+  }
+
   static String demoTimeout(String goal) {
     return "waited too long for " + goal;
   }
--- a/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/StatusCommand.java
+++ b/org.hemlockpick.pgm/src/main/java/org/hemlockpick/pgm/StatusCommand.java
@@ -55,13 +55,16 @@
 
   private void show(JsonObject status) {
     status.forEach(this::show);
+    for (JsonObject each : status.getJsonArray("evacuations").getValuesAs(JsonObject.class)) {
+      console.out().println(Messages.evacuation(each));
+    }
     for (JsonObject worker : status.getJsonArray("workers").getValuesAs(JsonObject.class)) {
       console.out().println(Messages.worker(worker));
     }
   }
 
   private void show(String name, JsonValue value) {
-    if (!name.equals("workers")) {
+    if (!name.equals("workers") && !name.equals("evacuations")) {
       console.out().println(name + ": " + value);
     }
   }
