--- a/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/lib/EntryInstance.java
@@ -8,6 +8,8 @@
 import org.hemlockpick.internal.batch.ContractTaskQuota;
 import org.hemlockpick.internal.contract.ContractSystem;
 import org.hemlockpick.internal.contract.ContractTable;
+import org.hemlockpick.internal.evacuation.EvacuationSystem;
+import org.hemlockpick.internal.evacuation.EvacuationTable;
 import org.hemlockpick.internal.limit.LimitSystem;
 import org.hemlockpick.internal.loop.BlobCalls;
 import org.hemlockpick.internal.loop.Outbox;
@@ -23,6 +25,8 @@
 import org.hemlockpick.internal.request.RequestModule;
 import org.hemlockpick.proto.CallerAnswer;
 import org.hemlockpick.proto.CallerRequest;
+import org.hemlockpick.proto.EvacuationRecord;
+import org.hemlockpick.proto.EvacuationView;
 import org.hemlockpick.proto.Heartbeat;
 import org.hemlockpick.proto.Input;
 import org.hemlockpick.proto.JobSubmit;
@@ -60,6 +64,8 @@
   private final MembershipSystem membership;
   private final ContractTable contracts = new ContractTable();
   private final ContractSystem contractSystem;
+  private final EvacuationTable evacuations;
+  private final EvacuationSystem evacuationSystem;
   private final LimitSystem limits;
   private final OwnershipSystem ownership;
   private final RequestModule requests;
@@ -92,6 +98,8 @@
     workers = new WorkerTable(settings);
     membership = new MembershipSystem(settings, outbox, peers, this::heartbeat);
     contractSystem = new ContractSystem(settings, outbox, store, peers, contracts);
+    evacuations = new EvacuationTable(outbox);
+    evacuationSystem = new EvacuationSystem(settings, outbox, store, peers, evacuations);
     limits = new LimitSystem(settings, outbox, peers, contracts);
     ownership = new OwnershipSystem(settings, outbox, workerCalls, peers, workers);
     ownership.setReleaseNotice(membership::sendNow);
@@ -106,6 +114,7 @@
             workers,
             ownership,
             contracts,
+            evacuations,
             limits,
             random);
     batch =
@@ -119,6 +128,7 @@
             workers,
             ownership,
             contracts,
+            evacuations,
             new ContractTaskQuota(limits),
             random);
   }
@@ -141,6 +151,7 @@
     workerCalls.run(now);
     membership.run(now);
     contractSystem.run(now);
+    evacuationSystem.run(now);
     limits.run(now);
     if (mayAcquireLeases(now)) {
       ownership.run(now);
@@ -153,7 +164,7 @@
 
   /** Returns whether this entry instance serves callers. */
   public boolean isReady() {
-    return contractSystem.isReady(outbox.now()) && stopOrderedAt < 0;
+    return mayServe(outbox.now()) && stopOrderedAt < 0;
   }
 
   /** Returns whether the planned stop is complete. */
@@ -170,7 +181,7 @@
             .setIncarnation(outbox.incarnation())
             .setZone(settings.zone())
             .setReady(isReady())
-            .setNotReadyReason(contractSystem.isReady(now) ? "" : contractSystem.notReadyReason())
+            .setNotReadyReason(notReadyReason(now))
             .setStopping(stopOrderedAt >= 0)
             .setStopped(stopped)
             .setConfigVersion(contractSystem.version())
@@ -180,9 +191,21 @@
             .setTasksRunning(batch.tasksRunning());
     peers.alive(now).stream().map(Peer::name).forEach(status::addLivePeers);
     workers.all().stream().map(worker -> view(worker, now)).forEach(status::addWorkers);
+    evacuations.evacuations().stream().map(e -> view(e, now)).forEach(status::addEvacuations);
     return status.build();
   }
 
+  /** Returns whether this entry instance has learned the contracts and the evacuations. */
+  private boolean mayServe(long now) {
+    return contractSystem.isReady(now) && evacuationSystem.isReady(now);
+  }
+
+  private String notReadyReason(long now) {
+    return contractSystem.isReady(now)
+        ? evacuationSystem.notReadyReason()
+        : contractSystem.notReadyReason();
+  }
+
   private void handle(Input input, long now) {
     switch (input.getBodyCase()) {
       case CALLER_REQUEST -> onCallerRequest(input.getCallerRequest(), now);
@@ -200,6 +223,7 @@
       }
       case CONTRACT_APPLY -> contractSystem.on(input.getContractApply());
       case CONTRACT_QUERY -> contractSystem.on(input.getContractQuery());
+      case EVACUATION_CHANGE -> evacuationSystem.on(input.getEvacuationChange());
       case STATUS_QUERY -> onStatusQuery(input.getStatusQuery());
       case STOP_ORDER -> beginStop(now);
       case PEER_MESSAGE -> onPeerMessage(input.getPeerMessage());
@@ -227,7 +251,7 @@
 
   /** Refuses a customer's call while this entry instance is starting or stopping. */
   private boolean refuseUnlessServing(long exchange, long now) {
-    if (!contractSystem.isReady(now)) {
+    if (!mayServe(now)) {
       refuse(exchange, ResultCode.NOT_READY);
       return true;
     }
@@ -269,7 +293,8 @@
             .setReady(isReady())
             .setFreeSlots(requests.freeSlots(now))
             .setFreeBatchCpuMillis(batch.freeCpuMillis(now))
-            .setSettledForwardsBelow(requests.settledForwardsBelow());
+            .setSettledForwardsBelow(requests.settledForwardsBelow())
+            .addAllEvacuations(evacuations.evacuations());
     if (withinZone) {
       heartbeat.addAllWorkers(ownership.ownedWorkers(now));
     }
@@ -283,7 +308,7 @@
   private boolean mayAcquireLeases(long now) {
     boolean allPeersAlive = peers.aliveInZone(now).size() == settings.zonePeers().size();
     boolean waited = now - startedAt >= settings.timing().startWait().toMillis();
-    return contractSystem.isReady(now) && (allPeersAlive || waited);
+    return mayServe(now) && (allPeersAlive || waited);
   }
 
   private void beginStop(long now) {
@@ -320,6 +345,18 @@
         .build();
   }
 
+  /** Describes an evacuation, with the requests and tasks that still run there as known here. */
+  private EvacuationView view(EvacuationRecord evacuation, long now) {
+    String zone = evacuation.getZone();
+    return EvacuationView.newBuilder()
+        .setZone(zone)
+        .setOperator(evacuation.getOperator())
+        .setSinceMillis(evacuation.getAtMillis())
+        .setRequests(requests.runningIn(zone, now))
+        .setTasks(zone.equals(settings.zone()) ? batch.tasksRunning() : 0)
+        .build();
+  }
+
   /** Tells the peers of the slots of a worker whose lease was granted. */
   private final class GrantNotice implements LeaseListener {
     @Override
