Let the server read what clients sent before its state is checked

Clients count as done when the system has taken their bytes, which is before the server has read them: some cases passed though the process ran out of memory a moment later. The crowd now waits a second after it has sent. The test of SIGTERM also checks that the memory sufficed, and a crowd of idle connections, more than the process may have descriptors, is added. Sizes and bounds are as before.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/clients/Crowd.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/clients/Crowd.java
@@ -16,6 +16,9 @@
   /** Time without any progress after which the server counts as not reading. */
   private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** Time in which the server reads what the buffers of the system hold. */
+  private static final long SETTLE_MILLIS = 1_000;
+
   /** Small, so that a server meets a full connection soon after the client stops reading. */
   private static final int RECEIVE_BUFFER_BYTES = 4_096;
 
@@ -36,6 +39,11 @@
 
   /** Sends until everything is sent, nothing more is taken, or the time is up. */
   void send() throws InterruptedException {
+    sendAll();
+    Thread.sleep(SETTLE_MILLIS);
+  }
+
+  private void sendAll() throws InterruptedException {
     long end = System.nanoTime() + MAX_SEND_NANOS;
     long progressAt = System.nanoTime();
     while (System.nanoTime() < end && System.nanoTime() - progressAt < STALL_NANOS) {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/clients/Flood.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/clients/Flood.java
@@ -31,6 +31,11 @@
   /** Bytes of a head that is just within the limit of 16,384 bytes but never complete. */
   private static final int INCOMPLETE_HEAD_BYTES = 16_000;
 
+  /** More connections than the process may have descriptors. */
+  static Flood idleConnections() {
+    return new Flood(ServerProcess.DESCRIPTORS + MANY, "", "", 0, SMALL_PIECE, true);
+  }
+
   static Flood headsOverTheLimit() {
     return new Flood(MANY, "GET /none/x HTTP/1.1\r\nX: ", "a", 2 * MEBIBYTE, LARGE_PIECE, false);
   }
@@ -68,7 +73,7 @@
   }
 
   byte[] content() {
-    String text = beginning + unit.repeat(bytes / unit.length());
+    String text = beginning + unit.repeat(bytes / Math.max(1, unit.length()));
     return text.getBytes(StandardCharsets.US_ASCII);
   }
 }
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/clients/UncontrolledClientsTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/process/clients/UncontrolledClientsTest.java
@@ -41,6 +41,13 @@
     System.out.println(log.substring(Math.max(0, log.length() - 4_000)));
   }
 
+  /** Guards against callers that take the descriptors of the store, the workers and the peers. */
+  @ParameterizedTest
+  @EnumSource(ServerKind.class)
+  void idleConnections(ServerKind kind) throws Exception {
+    assertSurvives(kind, Flood.idleConnections());
+  }
+
   @ParameterizedTest
   @EnumSource(ServerKind.class)
   void headsOverTheLimit(ServerKind kind) throws Exception {
@@ -103,6 +110,7 @@
       server.process().terminate();
       assertEquals(0, server.process().waitFor());
     }
+    assertMemorySufficed();
   }
 
   @ParameterizedTest
@@ -134,6 +142,7 @@
     }
     try (Crowd crowd = new Crowd(server.address(), List.of(floods))) {
       crowd.send();
+      assertTrue(server.process().isAlive(), "the process ended");
       int most = crowd.size() + ORDINARY_CALLERS + ServerProcess.OWN_DESCRIPTORS;
       int descriptors = server.descriptors();
       assertTrue(descriptors <= most, "open descriptors: " + descriptors);
@@ -142,6 +151,10 @@
     long resident = server.residentKib();
     assertTrue(resident <= ServerProcess.MAX_RESIDENT_KIB, "resident KiB: " + resident);
     assertTrue(server.process().isAlive());
+    assertMemorySufficed();
+  }
+
+  private void assertMemorySufficed() throws IOException {
     String log = server.log();
     assertFalse(log.contains("OutOfMemoryError") || log.contains("OutOfDirectMemoryError"));
   }
