Evacuate zones in the fuzz test of entry instances

FaultFuzzTest and SeededFaultTest draw EVACUATE_ZONE and END_EVACUATION too. Healing ends all evacuations once no earlier change can still be written.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Scenario.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Scenario.java
@@ -18,11 +18,16 @@
   private static final long ANSWER_GRACE_MILLIS = 400;
   private static final long LOAD_INTERVAL_MILLIS = 25;
   private static final int BURST_REQUESTS = 60;
+
+  /** Maximum time for which an operator's change of an evacuation may still be written. */
+  private static final long PENDING_EVACUATION_MILLIS = 8_000;
+
   private static final int CONTRACT_CHANGES = 3;
 
   final World world;
   final Callers callers;
   private final List<Long> applies = new ArrayList<>();
+  private boolean evacuated;
 
   Scenario(long seed) {
     this(seed, ZONES, ENTRIES_PER_ZONE, WORKERS_PER_ZONE);
@@ -143,12 +148,19 @@
       case SUBMIT_JOB -> callers.submit(entry, 3 + step.index() % 40);
       case CANCEL_JOBS -> callers.jobs().forEach(job -> callers.cancel(entry, job));
       case OPERATORS_RACE -> raceOperators(step.index());
+      case EVACUATE_ZONE -> evacuate(entry, step.index());
+      case END_EVACUATION -> callers.evacuate(entry, "zone" + step.index() % ZONES, true);
       case WAIT -> {
         // Only virtual time passes.
       }
     }
   }
 
+  private void evacuate(EntryNode entry, int index) {
+    evacuated = true;
+    callers.evacuate(entry, "zone" + index % ZONES, false);
+  }
+
   private void replace(WorkerNode worker) {
     worker.kill();
     worker.listed = false;
@@ -202,5 +214,14 @@
       node.leavingSince = -1;
       node.shownLeavingAt.clear();
     }
+    if (evacuated) {
+      world.time.after(PENDING_EVACUATION_MILLIS, this::endEvacuations);
+    }
+  }
+
+  private void endEvacuations() {
+    for (int zone = 0; zone < ZONES; zone++) {
+      callers.evacuate(entry(0), "zone" + zone, true);
+    }
   }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Step.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/world/Step.java
@@ -37,6 +37,8 @@
     SUBMIT_JOB,
     CANCEL_JOBS,
     OPERATORS_RACE,
+    EVACUATE_ZONE,
+    END_EVACUATION,
     WAIT
   }
 }
