--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CopyStarter.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CopyStarter.java
@@ -19,6 +19,9 @@
   /** Maximum share of the CPU of a service's schedulable workers that copies use, in percent. */
   private static final int MAX_CPU_PERCENT = 5;
 
+  /** Interval between two looks for stragglers, in milliseconds. */
+  private static final long CHECK_INTERVAL_MILLIS = 50;
+
   /** Minimum time between two copies of a task, in milliseconds; a copy may be refused at once. */
   private static final long COPY_INTERVAL_MILLIS = 500;
 
@@ -37,6 +40,7 @@
 
   private final DecisionLog log;
   private final CellMetrics metrics;
+  private long nextCheckAt = Long.MIN_VALUE;
 
   CopyStarter(
       JobTable jobs,
@@ -68,6 +72,10 @@
    * @param ready tasks that were ready in this pass; those that it has not started still wait
    */
   void run(SchedulableWorkers schedulable, List<ReadyTasks> ready) {
+    if (schedulable.nowMillis() < nextCheckAt) {
+      return;
+    }
+    nextCheckAt = schedulable.nowMillis() + CHECK_INTERVAL_MILLIS;
     Pass pass = null;
     for (Job job : jobs.open()) {
       Queue queue = queues.apply(job);
@@ -116,18 +124,16 @@
 
     private StepState stateOf(StepRun step, Queue queue) {
       int done = 0;
-      int copies = 0;
       List<RunState> runs = new ArrayList<>();
       for (Task task : step.tasks()) {
         done += task.isDone() ? 1 : 0;
-        copies += task.copy() != null ? 1 : 0;
         Run run = task.run();
         if (run != null && isCopyable(task, run, queue)) {
           runs.add(stateOf(task, run));
         }
       }
       long expected = estimator.expectedMillis(step);
-      return new StepState(step.tasks().size(), done, copies, expected, runs);
+      return new StepState(step.tasks().size(), done, step.countCopies(), expected, runs);
     }
 
     private boolean isCopyable(Task task, Run run, Queue queue) {
@@ -161,14 +167,23 @@
 
     private long cpuLeft(String service) {
       long capacity = 0;
-      long used = 0;
       for (Worker worker : schedulable.of(service)) {
         capacity += worker.entry().capacity().cpuMillis();
-        for (Run run : worker.runs()) {
-          used += run.task().copy() == run ? run.step().reserved().cpuMillis() : 0;
+      }
+      return capacity * MAX_CPU_PERCENT / 100 - cpuOfCopies(service);
+    }
+
+    private long cpuOfCopies(String service) {
+      long used = 0;
+      for (Job job : jobs.open()) {
+        Queue queue = queues.apply(job);
+        if (queue != null && queue.service().equals(service)) {
+          for (StepRun step : job.stepRuns()) {
+            used += step.countCopies() * step.step().reserved().cpuMillis();
+          }
         }
       }
-      return capacity * MAX_CPU_PERCENT / 100 - used;
+      return used;
     }
 
     private void tryCopy(Task task, Run run, Queue queue, RunState straggler) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/RunReconciler.java
@@ -150,17 +150,19 @@
   /** Stops the other run of a task of which one is done: what it ends with counts no more. */
   private void stopOther(Task task, Run ended) {
     Run other = task.run();
-    if (!task.isDone() || other == null || !task.mayHaveCopy()) {
+    boolean isLeft = task.isDone() && task.mayHaveCopy();
+    if (other == null || !isLeft || other.state() == Run.State.STOPPING) {
       return;
     }
-    String first = ended.attempt() > other.attempt() ? "copy" : "original";
-    long wasted = clock.monotonicMillis() - other.startedAt();
-    if (other.state() != Run.State.STOPPING) {
-      metrics.count(ended.attempt() > other.attempt() ? "copies.first" : "copies.late");
-      metrics.record("copies.wasted.millis", wasted);
-      log.decided("copy", task.id().toString(), first + " is first", wasted + " ms lost");
-      runner.stop(other, "another run of the task is done");
+    boolean isCopyFirst = ended.attempt() > other.attempt();
+    if (isCopyFirst) {
+      metrics.count("copies.first");
     }
+    long wasted = clock.monotonicMillis() - other.startedAt();
+    metrics.record("copies.wasted.millis", wasted);
+    String first = isCopyFirst ? "copy is first" : "original is first";
+    log.decided("copy", task.id().toString(), first, wasted + " ms lost");
+    runner.stop(other, "another run of the task is done");
   }
 
   private static String at(Worker worker, CompletionReport completion) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/StepRun.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/StepRun.java
@@ -67,6 +67,15 @@
     return step.speculative() && !step.longRunning() && !step.gang() && !step.filler();
   }
 
+  /** Returns how many tasks have a copy. */
+  int countCopies() {
+    int count = 0;
+    for (Task task : mayHaveCopies() ? tasks : List.<Task>of()) {
+      count += task.copy() != null ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Returns whether a task has a run. */
   boolean hasRuns() {
     return !isDone() && tasks.stream().anyMatch(task -> !task.hasNoRuns());
