--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CapacityReserver.java
@@ -14,8 +14,9 @@
 
 /**
  * Reserves capacity for long-running tasks that have lost their run and fit on no worker, or that
- * will lose it, as their worker leaves or does not answer: nothing else is started on the worker
- * that will have enough free capacity first. Short tasks that stay there for too long are stopped.
+ * will lose it, as their worker leaves, does not answer or is in an evacuated zone: nothing else is
+ * started on the worker that will have enough free capacity first. Short tasks that stay there for
+ * too long are stopped.
  */
 final class CapacityReserver {
   /**
@@ -151,21 +152,29 @@
     if (run == null) {
       return task.isReady(now);
     }
-    return isAlmostLost(run.worker(), now) || isToBeMoved(run);
+    return isAlmostLost(run.worker(), now) || isToBeMoved(run, now);
   }
 
   /**
-   * Returns whether a run is stopped, or may be by now, because its worker leaves. When that is
-   * gone, its lease counts.
+   * Returns whether a run is stopped, or may be by now, because its worker leaves or is in an
+   * evacuated zone. When the worker is gone, its lease counts.
    */
-  private boolean isToBeMoved(Run run) {
+  private boolean isToBeMoved(Run run, long now) {
     Worker worker = run.worker();
-    if (!worker.entry().draining() || worker.isUnreachable() || !worker.isListed()) {
+    if (!isLeft(worker) || worker.isUnreachable() || !worker.isListed()) {
       return false;
     }
-    return run.state() == Run.State.STOPPING
-        || DisruptionBudget.allowsStop(run)
-        || drainDeadline.isNear(worker);
+    if (run.state() == Run.State.STOPPING || drainDeadline.isNear(worker)) {
+      return true;
+    }
+    return worker.entry().draining()
+        ? DisruptionBudget.allowsStop(run)
+        : DisruptionBudget.allowsMove(run, now);
+  }
+
+  /** Returns whether the long-running tasks of a worker are moved to others. */
+  private static boolean isLeft(Worker worker) {
+    return worker.entry().draining() || worker.admission().isEvacuated();
   }
 
   private static boolean isAlmostLost(Worker worker, long now) {
@@ -182,6 +191,8 @@
         worker -> isAlmostLost(worker, now) || drainDeadline.isNear(worker);
     reserveForRunsAt(isUrgent, now);
     reserveForRunsAt(isUrgent.negate().and(worker -> worker.entry().draining()), now);
+    reserveForRunsAt(
+        isUrgent.negate().and(w -> w.admission().isEvacuated() && !w.entry().draining()), now);
   }
 
   private void reserveForRunsAt(Predicate<Worker> condition, long now) {
@@ -310,7 +321,7 @@
     boolean mayWait =
         run != null
             && run.state() == Run.State.RUNNING
-            && run.worker().entry().draining()
+            && isLeft(run.worker())
             && !drainDeadline.isNear(run.worker());
     return mayWait ? MAX_RESERVED_FOR_RUNNING_PERCENT : MAX_RESERVED_PERCENT;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -48,6 +48,7 @@
   private final PaceController paceController;
   private final StallDetector stallDetector;
   private final DrainController drainController;
+  private final EvacuationMoves evacuationMoves;
   private final CellReports reports;
   private final HolderGauges gauges;
 
@@ -182,6 +183,8 @@
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController =
         new DrainController(drainDeadline, runner, estimator, clock, planner::hasReservedCapacity);
+    this.evacuationMoves =
+        new EvacuationMoves(runner, metrics, planner::hasReservedCapacity, planner::isMovable);
     this.reports =
         new CellReports(
             settings.cell(),
@@ -272,6 +275,9 @@
       metrics.record("plan.millis", endedAt - now);
     }
     drainController.run(now, workers.all());
+    if (mayStart) {
+      evacuationMoves.run(now, workers.all());
+    }
     reports.runLoad(now);
     sweeper.run(now);
     learnedState.run(now);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Planner.java
@@ -64,6 +64,16 @@
     return placement.choose(task, eligible) != null;
   }
 
+  /** Returns whether a running task, with its whole gang, could be placed on other workers. */
+  boolean isMovable(Task task) {
+    Queue queue = queues.apply(task.job());
+    if (queue == null || !task.step().step().gang()) {
+      return isPlaceableElsewhere(task);
+    }
+    List<Task> members = task.step().tasks();
+    return new Pass(clock.monotonicMillis()).tryOut(members, queue).size() == members.size();
+  }
+
   /**
    * Returns whether the worker that is reserved for a task has enough free capacity by now, also
    * for the other tasks that wait for it there.
@@ -226,12 +236,23 @@
       if (isWithoutWorker(shape, first) || isWithoutWorker(shape.single(), first)) {
         return;
       }
+      List<Worker> chosen = tryOut(gang.tasks(), gang.queue());
+      if (chosen.size() < gang.tasks().size()) {
+        setWithoutWorker(shape, first);
+        return;
+      }
+      runner.startGang(gang.tasks(), chosen);
+      starts += gang.tasks().size();
+    }
+
+    /** Returns the workers on which the members of a gang fit at once, up to the first without. */
+    private List<Worker> tryOut(List<Task> members, Queue queue) {
       // Capacity is tried out with runs that are never ordered.
       List<Worker> chosen = new ArrayList<>();
       List<Run> trials = new ArrayList<>();
-      for (Task task : gang.tasks()) {
-        List<Worker> eligible = candidates.of(task, gang.queue(), schedulable);
-        Worker worker = chooseAmong(task, gang.queue(), eligible);
+      for (Task task : members) {
+        List<Worker> eligible = candidates.of(task, queue, schedulable);
+        Worker worker = chooseAmong(task, queue, eligible);
         if (worker == null) {
           break;
         }
@@ -241,12 +262,7 @@
         chosen.add(worker);
       }
       trials.forEach(trial -> trial.worker().remove(trial));
-      if (chosen.size() < gang.tasks().size()) {
-        setWithoutWorker(shape, first);
-        return;
-      }
-      runner.startGang(gang.tasks(), chosen);
-      starts += gang.tasks().size();
+      return chosen;
     }
   }
 }
