Limit slow workers after an evacuation, and show how an evacuation goes

A worker that was cold after an evacuation immediately got as much work as any other. An entry of the list now has cold_left_ms; after the end of an evacuation a worker of the zone listed with more than 0 gets one task at a time, twice as many with each that completes in time, and none of priority 0 while a worker that is not recovering is eligible, for 10 s at most.

The holder logs requested, starts held, empty, ended and recovered, and publishes the gauges and counters evacuation.*; without the setting none.

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -132,6 +132,16 @@
     }
   }
 
+  /** Returns whether the entry instances mind requests to evacuate zones. */
+  boolean isEvacuationEnabled() {
+    return evacuationBoundMillis > 0;
+  }
+
+  /** Returns a parser of the rows, as a machine that reads all configurations has it. */
+  ConfigurationSource newSource() {
+    return new Source(nodes.get(0));
+  }
+
   /** Starts another entry instance. */
   void addNode() {
     nodes.add(new Node("n" + nodes.size()));
@@ -790,6 +800,7 @@
               evacuations.zoneOf(key),
               draining,
               draining ? Long.parseLong(fields[1]) : 0,
+              evacuations.coldLeftMillis(key),
               fields.length > 2 ? capacity(fields) : WORKER_CAPACITY,
               ImmutableSet.of("a", "r1")));
     }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RunFactory.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/RunFactory.java
@@ -43,6 +43,7 @@
             "zone",
             false,
             0,
+            0,
             new ResourceAmounts(64_000, 250_000, 0),
             ImmutableSet.of()));
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -45,7 +45,7 @@
     if (isLastAttempt(task, queue) && waitsForHealthy(task, suitable, now)) {
       candidates.removeIf(worker -> worker.health().hasLastRunFailed());
     }
-    return candidates;
+    return preferRecovered(candidates, queue);
   }
 
   /**
@@ -65,7 +65,20 @@
         resorts.add(worker);
       }
     }
-    return resorts;
+    return preferRecovered(resorts, queue);
+  }
+
+  /**
+   * Returns the workers for a task of a queue: one of the most urgent queues gets none that is
+   * still slow after an evacuation while there are others.
+   */
+  private static List<Worker> preferRecovered(List<Worker> found, Queue queue) {
+    if (queue.priority() > 0) {
+      return found;
+    }
+    List<Worker> recovered = new ArrayList<>(found);
+    recovered.removeIf(worker -> worker.admission().isRecovering());
+    return recovered.isEmpty() ? found : recovered;
   }
 
   private static boolean isResort(StepRun step, Worker worker, long now) {
@@ -129,6 +142,9 @@
     if (!wanted.fitsInto(worker.free())) {
       return IneligibleReason.NO_CAPACITY;
     }
+    if (worker.admission().isAtLimit(worker.runs())) {
+      return IneligibleReason.RECOVERING;
+    }
     if (worker.capacityRefusals().rulesOut(worker, wanted, now)) {
       return IneligibleReason.BACKING_OFF;
     }
@@ -144,6 +160,7 @@
   boolean isSuitable(Task task, Queue queue, Worker worker, long now) {
     return unsuitableReason(task, queue, worker, now) == null
         && !isAtPerWorkerLimit(task.step(), worker)
+        && !worker.admission().isAtLimit(worker.runs())
         && healthReason(task.step(), worker, now, false) == null;
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -84,8 +84,6 @@
     long token = lease.version();
     int firstAttempt = (lease.generation() % MAX_GENERATION) * ATTEMPTS_PER_GENERATION + 1;
     this.leaseRecords = new LeaseRecords(settings, lease, jobs, this::areJobsLoaded);
-    this.evacuation =
-        new EvacuationController(settings, store, source, workers, clock, log, metrics);
     this.journal =
         new CellJournal(
             settings,
@@ -111,6 +109,9 @@
     this.sweeper = new JobSweeper(settings, store, jobs, journal, clock);
     this.learnedState = new LearnedState(interference, estimator, journal);
     this.takeoverTracker = new TakeoverTracker(settings, lease, store, learnedState, clock, log);
+    this.evacuation =
+        new EvacuationController(
+            settings, store, source, workers, takeoverTracker::isComplete, clock, log, metrics);
     this.workerList =
         new WorkerList(
             store,
@@ -198,7 +199,9 @@
             journal,
             queues::queue,
             log);
-    this.gauges = new HolderGauges(jobs, workers, reservations, takeoverTracker, journal, reports);
+    this.gauges =
+        new HolderGauges(
+            jobs, workers, reservations, takeoverTracker, journal, reports, evacuation);
   }
 
   /**
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HolderGauges.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HolderGauges.java
@@ -10,6 +10,7 @@
   private final TakeoverTracker takeover;
   private final CellJournal journal;
   private final CellReports reports;
+  private final EvacuationController evacuation;
 
   HolderGauges(
       JobTable jobs,
@@ -17,13 +18,15 @@
       ReservationTable reservations,
       TakeoverTracker takeover,
       CellJournal journal,
-      CellReports reports) {
+      CellReports reports,
+      EvacuationController evacuation) {
     this.jobs = jobs;
     this.workers = workers;
     this.reservations = reservations;
     this.takeover = takeover;
     this.journal = journal;
     this.reports = reports;
+    this.evacuation = evacuation;
   }
 
   void addTo(Map<String, Long> gauges, long now) {
@@ -34,6 +37,7 @@
     gauges.put("workers.unaccounted", (long) takeover.unaccounted().size());
     addWorkers(gauges, now);
     reports.addGauges(gauges, now);
+    evacuation.addGauges(gauges);
   }
 
   private void addWorkers(Map<String, Long> gauges, long now) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/IneligibleReason.java
@@ -37,6 +37,9 @@
 
   NO_CAPACITY("no room"),
 
+  /** It is still slow after the evacuation of its zone, and runs as many tasks as it gets then. */
+  RECOVERING("recovering after an evacuation"),
+
   /** It runs the maximum number of tasks of the step per worker. */
   PER_WORKER_LIMIT("at the most per worker"),
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
@@ -140,7 +140,9 @@
     worker.health().onDone();
     StepRun step = task.step();
     if (run != null) {
-      estimator.addSample(task, clock.monotonicMillis() - run.startedAt());
+      long took = clock.monotonicMillis() - run.startedAt();
+      worker.admission().onDone(run, took, estimator.expectedMillis(step));
+      estimator.addSample(task, took);
     }
     if (step.step().longRunning()) {
       return;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerEntry.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerEntry.java
@@ -12,6 +12,7 @@
  * @param zone availability zone
  * @param draining whether it is about to leave
  * @param remainingMillis minimum time until it leaves; only when draining
+ * @param coldLeftMillis time for which it will still be slow; 0 if it is not
  * @param capacity capacity for all of its tasks together
  * @param labels its kind and its rack
  */
@@ -23,6 +24,7 @@
     String zone,
     boolean draining,
     long remainingMillis,
+    long coldLeftMillis,
     ResourceAmounts capacity,
     ImmutableSet<String> labels) {
 
@@ -41,6 +43,7 @@
         zone,
         draining,
         remainingMillis,
+        isSameBoot ? coldLeftMillis : 0,
         isSameBoot ? capacity : ResourceAmounts.NONE,
         isSameBoot ? labels : ImmutableSet.of());
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -285,6 +285,7 @@
                 "",
                 false,
                 0,
+                0,
                 ResourceAmounts.NONE,
                 ImmutableSet.of()));
     worker.setUnlisted();
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/evacuation/EvacuatedZones.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/evacuation/EvacuatedZones.java
@@ -38,6 +38,9 @@
   /** Time at which the newest reading was requested; null if a new one is required. */
   private @Nullable Moment readAt;
 
+  /** Time since which a reading is required. */
+  private Moment requiredAt;
+
   /** Receives changes. */
   public interface Listener {
     /** Called when a zone is to be evacuated. */
@@ -66,6 +69,7 @@
     this.maxAgeMillis = boundMillis - WorkerPort.ORDER_TIMEOUT_MILLIS - MARGIN_MILLIS;
     this.clock = clock;
     this.listener = listener;
+    this.requiredAt = Moment.now(clock);
     this.reader = new EvacuationReader(store, source, clock, this::onRead);
   }
 
@@ -77,6 +81,7 @@
   /** Requires a new reading, as the age of the last one is not known after a suspension. */
   public void requireRead() {
     readAt = null;
+    requiredAt = Moment.now(clock);
     reader.requireRead();
   }
 
@@ -119,9 +124,12 @@
     return Collections.unmodifiableSet(since.keySet());
   }
 
-  /** Returns the age of the newest reading in milliseconds; the maximum if there is none. */
+  /**
+   * Returns the age of the newest reading, or the time for which one has been required, in
+   * milliseconds.
+   */
   public long ageMillis() {
-    return readAt == null ? Long.MAX_VALUE : ageMillis(Moment.now(clock), readAt);
+    return ageMillis(Moment.now(clock), readAt == null ? requiredAt : readAt);
   }
 
   private static long ageMillis(Moment now, Moment read) {
