--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -49,6 +49,7 @@
   private final PaceController paceController;
   private final StallDetector stallDetector;
   private final DrainController drainController;
+  private final EvacuationMoves evacuationMoves;
   private final CellReports reports;
   private final HolderGauges gauges;
 
@@ -84,8 +85,6 @@
     this.listener = listener;
     long token = lease.version();
     int firstAttempt = (lease.generation() % MAX_GENERATION) * ATTEMPTS_PER_GENERATION + 1;
-    this.evacuation =
-        new EvacuationController(settings, store, source, workers, clock, log, metrics);
     this.journal =
         new CellJournal(
             settings,
@@ -111,6 +110,9 @@
     this.sweeper = new JobSweeper(settings, store, jobs, journal, clock);
     this.learnedState = new LearnedState(interference, estimator, journal);
     this.takeoverTracker = new TakeoverTracker(settings, lease, store, learnedState, clock, log);
+    this.evacuation =
+        new EvacuationController(
+            settings, store, source, workers, takeoverTracker::isComplete, clock, log, metrics);
     this.workerList =
         new WorkerList(
             store,
@@ -202,6 +204,8 @@
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController =
         new DrainController(drainDeadline, runner, estimator, clock, planner::hasReservedCapacity);
+    this.evacuationMoves =
+        new EvacuationMoves(runner, metrics, planner::hasReservedCapacity, planner::isMovable);
     this.reports =
         new CellReports(
             settings.cell(),
@@ -215,7 +219,9 @@
             journal,
             queues::queue,
             log);
-    this.gauges = new HolderGauges(jobs, workers, reservations, takeoverTracker, journal, reports);
+    this.gauges =
+        new HolderGauges(
+            jobs, workers, reservations, takeoverTracker, journal, reports, evacuation);
   }
 
   /**
@@ -292,6 +298,9 @@
       metrics.record("plan.millis", endedAt - now);
     }
     drainController.run(now, workers.all());
+    if (mayStart) {
+      evacuationMoves.run(now, workers.all());
+    }
     reports.runLoad(now);
     sweeper.run(now);
     learnedState.run(now);
