--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiCallerPolicy.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/ApiCallerPolicy.java
@@ -14,7 +14,7 @@
 
   private static final Pattern PATHS =
       Pattern.compile(
-          "/v1/(customers/[^/]+/(services/[^/]+|jobs(/[^/]+)?)|contracts/[^/]+|[a-z]+)");
+          "/v1/(customers/[^/]+/(services/[^/]+|jobs(/[^/]+)?)|(contracts|evacuations)/[^/]+|[a-z]+)");
 
   @Override
   public RequestLimits limits() {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformRowParserTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/PlatformRowParserTest.java
@@ -6,10 +6,12 @@
 import com.google.protobuf.ByteString;
 import java.util.Optional;
 import org.hemlockpick.cell.Configuration;
+import org.hemlockpick.cell.RequestLimits;
 import org.hemlockpick.cell.ResourceAmounts;
 import org.hemlockpick.cell.WorkerEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class PlatformRowParserTest {
@@ -105,6 +107,25 @@
     assertEquals(1_000, configuration.maxBodyBytes());
   }
 
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "{} | 16384 | 262144 | 3000 | 15000",
+        "{\"max_header_bytes\":1,\"max_body_bytes\":2,\"header_timeout_ms\":3,\"idle_timeout_ms\":4}"
+            + " | 1 | 2 | 3 | 4",
+        "{\"max_header_bytes\":0,\"max_body_bytes\":-1,\"header_timeout_ms\":\"x\"}"
+            + " | 16384 | 262144 | 3000 | 15000",
+      })
+  void readsTheLimitsOfRequests(String json, int head, int body, long header, long idle) {
+    Configuration configuration =
+        rows.configuration(
+                ByteString.copyFromUtf8("{\"version\":1,\"routes\":[],\"limits\":" + json + "}"))
+            .orElseThrow();
+    assertEquals(new RequestLimits(head, body, header, idle), configuration.limits());
+  }
+
   @Test
   void rejectsMalformedConfigurations() {
     assertTrue(rows.configuration(ByteString.copyFromUtf8("{}")).isEmpty());
--- a/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/FrameReceiver.java
+++ b/org.hemlockpick.transport/src/main/java/org/hemlockpick/transport/peer/FrameReceiver.java
@@ -53,7 +53,8 @@
   }
 
   private void answerPing(ChannelHandlerContext context) {
-    if (answersPings) {
+    // A peer that does not read the answers must not make this side keep them.
+    if (answersPings && context.channel().isWritable()) {
       var unused = context.writeAndFlush(PeerMessage.getDefaultInstance());
     }
   }
