--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Map;
 import java.util.function.Supplier;
-import org.hemlockpick.cell.speculation.RemainingTimePolicy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -158,70 +157,34 @@
     this.workerPoller =
         new WorkerPoller(
             settings, token, port, reconciler, crashes, journal, clock, log, new PollerListener());
-    ReservationTable reservations = new ReservationTable();
-    Candidates candidates = new Candidates(workers, reservations);
-    ReadyQueue ready =
-        new ReadyQueue(
-            jobs, lifecycle, new SlackPriority(estimator), clock, queues::queue, this::isStartable);
-    PlacementPolicy placement = new InterferenceAwarePlacement(interference);
-    DrainDeadline drainDeadline = new DrainDeadline(settings, clock);
-    CapacityReserver reserver =
-        new CapacityReserver(
-            workers,
-            candidates,
-            reservations,
-            new CapacityForecast(estimator),
-            placement,
-            drainDeadline,
-            runner::tryStop,
-            queues::queue,
-            log,
-            metrics);
-    CopyStarter copies =
-        new CopyStarter(
+    PlannerParts parts =
+        new PlannerParts(
+            settings,
             jobs,
-            candidates,
-            placement,
-            new RemainingTimePolicy(),
+            workers,
+            lifecycle,
             estimator,
+            interference,
             runner,
-            queues::queue,
+            queues,
             this::isStartable,
+            clock,
             log,
             metrics);
-    this.planner =
-        new Planner(
-            ready,
-            runner,
-            candidates,
-            reserver,
-            reservations,
-            placement,
-            copies,
-            clock,
-            queues::queue);
+    this.planner = parts.planner();
     this.paceController = new PaceController(token, port, runner::tryStop, interference, log);
     this.stallDetector = new StallDetector(runner, estimator, clock, log);
     this.drainController =
-        new DrainController(drainDeadline, runner, estimator, clock, planner::hasReservedCapacity);
+        new DrainController(
+            parts.drainDeadline(), runner, estimator, clock, planner::hasReservedCapacity);
     this.evacuationMoves =
         new EvacuationMoves(runner, metrics, planner::hasReservedCapacity, planner::isMovable);
     this.reports =
         new CellReports(
-            settings.cell(),
-            jobs,
-            workers,
-            candidates,
-            placement,
-            reservations,
-            reserver,
-            takeoverTracker,
-            journal,
-            queues::queue,
-            log);
+            settings.cell(), jobs, workers, parts, takeoverTracker, journal, queues::queue, log);
     this.gauges =
         new HolderGauges(
-            jobs, workers, reservations, takeoverTracker, journal, reports, evacuation);
+            jobs, workers, parts.reservations(), takeoverTracker, journal, reports, evacuation);
   }
 
   /**
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellReports.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellReports.java
@@ -23,10 +23,7 @@
       String cell,
       JobTable jobs,
       WorkerTable workers,
-      Candidates candidates,
-      PlacementPolicy placement,
-      ReservationTable reservations,
-      CapacityReserver reserver,
+      PlannerParts planning,
       TakeoverTracker takeover,
       CellJournal journal,
       Function<Job, @Nullable Queue> queues,
@@ -36,9 +33,18 @@
     this.workers = workers;
     this.log = log;
     WaitCauses causes = new WaitCauses(takeover, journal, queues);
-    WorkerReview.Reviewer reviewer = new WorkerReview.Reviewer(workers, candidates, placement);
+    WorkerReview.Reviewer reviewer =
+        new WorkerReview.Reviewer(workers, planning.candidates(), planning.placement());
     this.pending =
-        new PendingTaskReporter(cell, jobs, causes, reviewer, reservations, reserver, log, waiting);
+        new PendingTaskReporter(
+            cell,
+            jobs,
+            causes,
+            reviewer,
+            planning.reservations(),
+            planning.reserver(),
+            log,
+            waiting);
     this.longest =
         new LongestWaitReporter(
             cell, new TaskWaits(jobs), causes, reviewer, longestWaits, unusedCpu, log);
