--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFaults.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellFaults.java
@@ -42,6 +42,9 @@
   /** Time for which watches hear nothing before the history is lost, in milliseconds. */
   private static final long SILENT_WATCH_MILLIS = 1_000;
 
+  /** Time for which workers are slow after an evacuation, in milliseconds. */
+  private static final long COLD_MILLIS = 3_000;
+
   private static final long SLOWDOWN = 4;
   private static final int MAX_ADDED_WORKERS = 3;
   private static final int MAX_LOST_WORKERS = 2;
@@ -180,7 +183,13 @@
     LEAVE_EARLY(CellFaults::leaveEarly),
     ADD_WORKER((faults, target) -> faults.addWorker()),
 
-    HEAL((faults, target) -> faults.heal());
+    HEAL((faults, target) -> faults.heal()),
+
+    /**
+     * The zone of a worker is evacuated, and its workers are slow afterwards. The last kind: those
+     * before it are what any kind is drawn from, and their number belongs to the seeds.
+     */
+    EVACUATE(CellFaults::evacuate);
 
     @SuppressWarnings("ImmutableEnumChecker") // All are functions without a state.
     private final BiConsumer<CellFaults, Target> effect;
@@ -209,6 +218,7 @@
     store.transactionMillis = 0;
     store.latencyMillis = FakeStore.LATENCY_MILLIS;
     world.workers.lateOrderProbability = 0;
+    world.evacuations.endAll();
     world.nodes.forEach(CellFaults::heal);
     for (String worker : workers) {
       heal(worker);
@@ -605,6 +615,21 @@
     }
   }
 
+  private void evacuate(Target target) {
+    String zone = world.evacuations.zoneOf(target.worker());
+    world.evacuations.begin(zone);
+    world.time.after(target.millis().getAsLong(), () -> endEvacuation(zone));
+  }
+
+  private void endEvacuation(String zone) {
+    for (String worker : workers) {
+      if (world.evacuations.zoneOf(worker).equals(zone)) {
+        world.evacuations.setCold(worker, COLD_MILLIS);
+      }
+    }
+    world.evacuations.end(zone);
+  }
+
   private void addWorker() {
     if (added < MAX_ADDED_WORKERS) {
       add("a" + ++added);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/HolderChangeFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/HolderChangeFuzzTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
@@ -21,6 +22,7 @@
 class HolderChangeFuzzTest {
   private static final int NODES = 3;
   private static final int WORKERS = 4;
+  private static final int ZONES = 2;
   private static final int ROUNDS = 6;
   private static final long LONG_LEASE_MILLIS = 10_000;
 
@@ -56,6 +58,10 @@
           Kind.STOP_AS_PLANNED,
           Kind.CUT_STORE_FOR_A_WHILE);
 
+  /** What any kind is drawn from; their order belongs to the seeds. */
+  private static final List<Kind> ANY_KINDS =
+      Stream.of(Kind.values()).filter(kind -> kind != Kind.EVACUATE).toList();
+
   private int jobs;
 
   /** Plays each kind without a change of holder but those that it causes. */
@@ -120,7 +126,16 @@
       SplittableRandom random,
       long seed,
       long leaseMillis) {
-    CellWorld world = new CellWorld(seed, NODES, WORKERS, leaseMillis, STATUS_KEEP_MILLIS);
+    boolean isEvacuation = kind == Kind.EVACUATE;
+    CellWorld world =
+        new CellWorld(
+            seed,
+            NODES,
+            WORKERS,
+            leaseMillis,
+            STATUS_KEEP_MILLIS,
+            isEvacuation ? ZONES : 1,
+            isEvacuation ? Evacuations.BOUND_MILLIS : 0);
     StartWatchdog watchdog = new StartWatchdog(world, leaseMillis);
     CellFaults faults = new CellFaults(world, random, WORKERS);
     UnusualJobs unusualJobs = new UnusualJobs(world, random);
@@ -222,10 +237,9 @@
         .anyMatch(process -> process != null && process != former && process.isHolder());
   }
 
-  /** Returns any kind. */
+  /** Returns any kind but an evacuation, which most worlds do not have. */
   private static Kind anyKind(SplittableRandom random) {
-    Kind[] kinds = Kind.values();
-    return kinds[random.nextInt(kinds.length)];
+    return ANY_KINDS.get(random.nextInt(ANY_KINDS.size()));
   }
 
   private static Target target(CellWorld world, SplittableRandom random) {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/StartWatchdog.java
@@ -134,6 +134,14 @@
     return isListed && !isDraining && worker.isReachable();
   }
 
+  private boolean takesTasks(FakeWorkers.Model worker) {
+    boolean isKept =
+        world.isEvacuationEnabled()
+            && (world.evacuations.isEvacuated(worker.id())
+                || world.evacuations.isLimited(worker.id()));
+    return isUsable(worker) && !isKept;
+  }
+
   private void judge(Submission job, long now) {
     boolean isRunning = false;
     String waiting = "";
@@ -185,7 +193,7 @@
     int wanted = 2 * (plan.gang() ? plan.count() : 1);
     int places = 0;
     for (FakeWorkers.Model worker : world.workers.all()) {
-      if (!isUsable(worker) || !world.mayRun.test(task.job(), worker.id())) {
+      if (!takesTasks(worker) || !world.mayRun.test(task.job(), worker.id())) {
         continue;
       }
       int limit = plan.maxPerWorker() > 0 ? plan.maxPerWorker() - worker.countOfStep(task) : wanted;
@@ -202,7 +210,7 @@
     long free = 0;
     long capacity = 0;
     for (FakeWorkers.Model worker : world.workers.all()) {
-      if (isUsable(worker) && world.mayRun.test(job, worker.id())) {
+      if (takesTasks(worker) && world.mayRun.test(job, worker.id())) {
         free += worker.free().cpuMillis();
         capacity += worker.capacity().cpuMillis();
       }
