--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EvacuationBurstTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/EvacuationBurstTest.java
@@ -16,7 +16,7 @@
 class EvacuationBurstTest {
   private static final int ZONES = 6;
   private static final int WORKERS = 12;
-  private static final int TASKS_PER_JOB = 5;
+  private static final int TASKS_PER_JOB = 11;
   private static final long SETTLE_MILLIS = 8_000;
   private static final long BURST_MILLIS = 60_000;
   private static final long INTERVAL_MILLIS = 150;
