Limit the sockets of callers as they are accepted

Sockets are now counted on the thread that accepts them until they are closed. Those beyond the descriptor limit less 256 are closed at once, without a log line each; the table of connections keeps 64 below that, so that a new connection still replaces the oldest idle one.

--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/admission/CallerAdmission.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/admission/CallerAdmission.java
@@ -7,12 +7,16 @@
 
 /** Applies the limits on callers of one process. May be used on any thread. */
 public final class CallerAdmission {
+  /** Sockets that may be open while they are closed for newer ones. */
+  private static final int CLOSING = 64;
+
   private final AdmissionSettings settings;
   private final CallerPolicy policy;
   private final RefusalCounter counter;
   private final LongSupplier clock;
   private final ByteBudget budget;
   private final ConnectionTable connections;
+  private final AcceptLimit acceptLimit;
 
   /**
    * Creates the limits of a process.
@@ -26,8 +30,24 @@
     this.counter = counter;
     this.clock = clock;
     this.budget = new ByteBudget(settings.budgetBytes(Runtime.getRuntime().maxMemory()));
-    this.connections =
-        new ConnectionTable(Math.min(settings.connections(), DescriptorLimit.forCallers()));
+    int descriptors = DescriptorLimit.forCallers();
+    int limit = Math.min(settings.connections(), Math.max(1, descriptors - CLOSING));
+    this.connections = new ConnectionTable(limit);
+    this.acceptLimit = new AcceptLimit(Math.min(descriptors, limit + CLOSING));
+  }
+
+  /**
+   * Counts a connection that was accepted and is not registered yet.
+   *
+   * @return whether it may be kept; if not, the caller closes it
+   */
+  public boolean accept(Channel channel) {
+    if (!acceptLimit.tryOpen()) {
+      count(RefusalReason.CONNECTIONS);
+      return false;
+    }
+    var unused = channel.closeFuture().addListener(closed -> acceptLimit.onClosed());
+    return true;
   }
 
   /**
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/admission/ConnectionTableTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/admission/ConnectionTableTest.java
@@ -1,6 +1,8 @@
 package org.hemlockpick.daemon.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -44,6 +46,24 @@
     assertEquals(2, table.size());
   }
 
+  /** Guards against a burst that takes the descriptors of the store and of the workers. */
+  @Test
+  void burstIsLimitedAsItIsAccepted() {
+    AcceptLimit accepted = new AcceptLimit(2);
+    assertTrue(accepted.tryOpen());
+    assertTrue(accepted.tryOpen());
+    assertFalse(accepted.tryOpen());
+    accepted.onClosed();
+    assertTrue(accepted.tryOpen());
+    assertFalse(accepted.tryOpen());
+  }
+
+  @Test
+  void descriptorsAreKeptForOthers() {
+    assertEquals(3_844, DescriptorLimit.forCallers(4_100));
+    assertEquals(150, DescriptorLimit.forCallers(300));
+  }
+
   @Test
   void closedConnectionMakesRoom() {
     ConnectionTable.Entry first = add("first", 1);
