Let tasks that have waited exceed the ramp-up after an evacuation

With every other zone evacuated, a task could wait for more than 3 s beside workers that were listed as slow and had free capacity. After 2 s of waiting such a worker counts among the last resorts, as a paused one does.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Candidates.java
@@ -130,6 +130,10 @@
     if (reason != null) {
       return reason;
     }
+    // A task that has waited may exceed this limit, see lastResorts.
+    if (worker.admission().isAtLimit(worker.runs())) {
+      return IneligibleReason.RECOVERING;
+    }
     if (SuspectPlacement.isKeptApart(task, worker, now)) {
       return IneligibleReason.KEPT_APART;
     }
@@ -142,9 +146,6 @@
     if (!wanted.fitsInto(worker.free())) {
       return IneligibleReason.NO_CAPACITY;
     }
-    if (worker.admission().isAtLimit(worker.runs())) {
-      return IneligibleReason.RECOVERING;
-    }
     if (worker.capacityRefusals().rulesOut(worker, wanted, now)) {
       return IneligibleReason.BACKING_OFF;
     }
