--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -132,7 +132,7 @@
     }
   }
 
-  /** Returns whether the entry instances mind requests to evacuate zones. */
+  /** Returns whether the entry instances follow requests to evacuate zones. */
   boolean isEvacuationEnabled() {
     return evacuationBoundMillis > 0;
   }
