--- a/review/harness-2/Fleet.java
+++ b/review/harness-2/Fleet.java
@@ -13,7 +13,7 @@
   private final Store store;
   private final Map<String, List<Phase>> jobs = new HashMap<>();
   private final List<Worker> workers = new ArrayList<>();
-  private final List<Event> events = new ArrayList<>();
+  private final Map<String, List<Event>> events = new HashMap<>();
 
   /** A step: what one of its tasks takes, and how long it works; 0 if it lasts. */
   record Phase(long cpu, long workMillis) {}
@@ -68,31 +68,30 @@
   }
 
   synchronized void onStart(String worker, String task, int attempt) {
-    events.add(new Event(world.now(), worker, task, attempt, "start"));
+    add(new Event(world.now(), worker, task, attempt, "start"));
     world.log("start " + task + " attempt " + attempt + " at " + worker);
     notifyAll();
   }
 
   synchronized void onEnd(String worker, String task, int attempt, String how) {
-    events.add(new Event(world.now(), worker, task, attempt, how));
+    add(new Event(world.now(), worker, task, attempt, how));
     world.log("end " + task + " attempt " + attempt + " at " + worker + ": " + how);
     notifyAll();
   }
 
   synchronized void onUnasked(String worker, String task) {
-    events.add(new Event(world.now(), worker, task, 0, "unasked"));
+    add(new Event(world.now(), worker, task, 0, "unasked"));
     world.log("UNASKED start of " + task + " at " + worker);
   }
 
   /** Returns the events of a job. */
   synchronized List<Event> of(String job) {
-    List<Event> found = new ArrayList<>();
-    for (Event event : events) {
-      if (event.task().startsWith(job + ".")) {
-        found.add(event);
-      }
-    }
-    return found;
+    return List.copyOf(events.getOrDefault(job, List.of()));
+  }
+
+  private void add(Event event) {
+    String job = event.task().substring(0, event.task().indexOf('.'));
+    events.computeIfAbsent(job, key -> new ArrayList<>()).add(event);
   }
 
   /** Waits until a job has a start after a time; returns it, or null if there is none in time. */
--- a/review/harness-2/Worker.java
+++ b/review/harness-2/Worker.java
@@ -278,6 +278,11 @@
     return runs.values().stream().mapToLong(run -> run.cpu).sum();
   }
 
+  /** Returns the number of ends that are listed, as nobody has taken note of them. */
+  synchronized int listedEnds() {
+    return ends.size();
+  }
+
   /** Returns the tasks that run here. */
   synchronized List<String> running() {
     return List.copyOf(runs.keySet());
