--- a/review/harness-2/LongSchedule.java
+++ b/review/harness-2/LongSchedule.java
@@ -16,13 +16,15 @@
       "{\"spec\":\"ordinary\",\"phases\":[{\"count\":20,\"cpu\":500,\"mem_mb\":64,\"estimate_ms\":100},"
           + "{\"count\":1,\"cpu\":500,\"mem_mb\":64,\"estimate_ms\":100,\"depends_on\":[0]}]}";
 
-  private static final long TRAFFIC_MILLIS = 30_000;
+  private static final long TRAFFIC_MILLIS = 25_000;
 
   /** The bound `finish_s` of the pages. */
   private static final long FINISH_MILLIS = 14_000;
 
   private static final long IDLE_MILLIS = 3_000;
 
+  private static final long AFTER_KILL_MILLIS = 20_000;
+
   public static void main(String[] arguments) throws Exception {
     run(new LongSchedule(), arguments);
   }
@@ -45,7 +47,7 @@
     if (submit(entries.get(0), BATCH, SCHEDULE, schedule, 3_000).status() != 200) {
       return Verdict.NOT_RUN;
     }
-    long until = world.now() + 45_000;
+    long until = world.now() + 40_000;
     while (done(SCHEDULE) < 2 * due && world.now() < until) {
       World.sleep(200);
     }
@@ -57,10 +59,47 @@
       if (submit(entries.get(sent % 3), QUICK, job, ORDINARY, 3_000).status() == 200) {
         accepted.add(job);
       }
-      World.sleep(200);
+      World.sleep(150);
     }
     World.sleep(FINISH_MILLIS);
-    return judge(entries, accepted);
+    Verdict waiting = judge(entries, accepted);
+    int again = killHolder(accepted);
+    return again > 0 ? Verdict.BROKEN : waiting;
+  }
+
+  /**
+   * Kills the holder, with and without the disruption, and returns how many tasks of ordinary
+   * submissions start again though they have ended `done` long before.
+   */
+  private int killHolder(List<String> accepted) throws Exception {
+    Nodes.Node holder = nodes.holder();
+    if (holder == null) {
+      return 0;
+    }
+    holder.signal("KILL");
+    long killed = world.now();
+    World.sleep(AFTER_KILL_MILLIS);
+    int again = 0;
+    for (String job : accepted) {
+      List<Fleet.Event> events = fleet.of(job);
+      for (Fleet.Event start : events) {
+        boolean isAgain =
+            start.what().equals("start")
+                && start.at() >= killed
+                && events.stream()
+                    .anyMatch(
+                        end ->
+                            end.what().equals("done")
+                                && end.task().equals(start.task())
+                                && end.at() < start.at() - 1_000);
+        if (isAgain) {
+          again++;
+          world.log(start.task() + " runs again, though it has ended `done`");
+        }
+      }
+    }
+    world.log(again + " tasks of ordinary submissions that had ended `done` were started again");
+    return again;
   }
 
   private long done(String job) {
--- a/review/harness-2/Nodes.java
+++ b/review/harness-2/Nodes.java
@@ -71,14 +71,27 @@
     this.folder = folder;
   }
 
-  /** Starts entry instances and waits until all are ready; returns whether they are. */
+  /**
+   * Starts entry instances and waits until all are ready; returns whether they are. Another process
+   * may take a free port before they do: then they are started once more, at other ports.
+   */
   boolean start(int count) throws IOException {
+    if (tryStart(count)) {
+      return true;
+    }
+    world.log("not all entry instances are ready, they are started once more");
+    close();
+    nodes.clear();
+    return tryStart(count);
+  }
+
+  private boolean tryStart(int count) throws IOException {
     for (int i = 1; i <= count; i++) {
       Node node = new Node("edge-zone-a-" + i);
       nodes.add(node);
       node.start();
     }
-    long until = world.now() + 20_000;
+    long until = world.now() + 10_000;
     while (world.now() < until) {
       if (nodes.stream().allMatch(Node::isReady)) {
         world.log("all entry instances are ready");
