--- a/review/harness-2/Case.java
+++ b/review/harness-2/Case.java
@@ -28,8 +28,19 @@
 
   abstract Verdict play() throws Exception;
 
-  /** Runs a case and exits with its verdict. */
-  static void run(Case played, String[] arguments) throws Exception {
+  /** Runs a case and exits with its verdict; one that fails could not run. */
+  static void run(Case played, String[] arguments) {
+    Verdict verdict = Verdict.NOT_RUN;
+    try {
+      verdict = playAll(played, arguments);
+    } catch (Exception e) {
+      System.err.println("the case could not run: " + e);
+    }
+    System.out.println(verdict);
+    System.exit(verdict.ordinal());
+  }
+
+  private static Verdict playAll(Case played, String[] arguments) throws Exception {
     Path folder = Files.createTempDirectory("review-2-");
     Verdict verdict = Verdict.NOT_RUN;
     try (World world = new World(Path.of(arguments[0]))) {
@@ -63,8 +74,7 @@
       }
       Files.delete(folder);
     }
-    System.out.println(verdict);
-    System.exit(verdict.ordinal());
+    return verdict;
   }
 
   String manifest() {
