Put tasks in doubt for whose crash others are blamed

Cause: where a suspect ran at a crashed worker, only suspects and tasks in doubt were blamed (CrashTracker.blamed), and nothing was kept of the others. A guilty task that has no counted crash yet, and runs beside a suspect, was started on as if nothing had happened, each time that it met one. A change of holders makes suspects of all tasks of a lost worker, for 21.5 s as their ages are not known, so that in a busy service nearly every worker has one.

The tasks that are not blamed are in doubt from now on, as those are of a crash that fell into a change of holders: their starts are stored, and from the next crash on they are blamed. So at most one crash of a task goes uncounted.

Ruled out: a crash between the reply to a start and the next call (CrashBeforeReportTest, which passed before), and starts that the next holder does not resolve (no such crash in the traces).

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CrashTracker.java
@@ -211,6 +211,11 @@
     String many = isOneOfMany ? ", one of several lost at once" : "";
     log.decided("worker", loss.worker().id(), "crashed", evidence + ", " + runs + many);
     @Nullable Run only = onlyLikely(suitable);
+    for (LostRun lost : suitable) {
+      if (!blamed.contains(lost)) {
+        lifecycle.onCrashDoubted(lost.run().task());
+      }
+    }
     for (LostRun lost : blamed) {
       Run run = lost.run();
       boolean isTelling = lost.isYoung() && !isOneOfMany;
@@ -238,7 +243,9 @@
 
   /**
    * Returns the runs that are blamed: those of suspect tasks that have not outlived the ages at
-   * which their earlier runs were lost, with those of tasks in doubt; or else all.
+   * which their earlier runs were lost, with those of tasks in doubt; or else all. The tasks of the
+   * others are in doubt from then on: one of them may be guilty as well, and would never be blamed
+   * if it always ran beside suspects.
    */
   private static List<LostRun> blamed(List<LostRun> suitable) {
     List<LostRun> suspects =
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
@@ -97,6 +97,16 @@
     }
   }
 
+  /** Records that a crash for which other tasks are blamed may be the doing of a task. */
+  void onCrashDoubted(Task task) {
+    if (task.isDone() || task.job().state().isFinal() || task.crashes().isDoubted()) {
+      return;
+    }
+    task.crashes().setDoubted();
+    journal.markDirty(task.job());
+    log.decided("task", task.id().toString(), "in doubt", "others are blamed for the crash");
+  }
+
   /** Has a start of a task watched; returns whether it is, as the task has not ended. */
   @CanIgnoreReturnValue
   boolean watch(Task task, WatchedStart start) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskCrashes.java
@@ -34,7 +34,10 @@
   /** Watched starts of which it is not known how they ended. */
   private final List<WatchedStart> starts = new ArrayList<>(0);
 
-  /** Whether one more crash, which fell into a change of holders, may be its doing. */
+  /**
+   * Whether one more crash may be its doing: one that fell into a change of holders, or for which
+   * others were blamed.
+   */
   private boolean doubted;
 
   /**
@@ -116,7 +119,7 @@
     return starts.removeIf(start -> start.attempt() == attempt);
   }
 
-  /** Returns whether one more crash, which fell into a change of holders, may be its doing. */
+  /** Returns whether one more crash, for which it was not blamed, may be its doing. */
   boolean isDoubted() {
     return doubted;
   }
