Order no start whose task ended while it was stored

A start that waits for its row was ordered though its task had been given up or canceled meanwhile, and stopped again a few milliseconds later: too late for one that crashes its worker. Seen in a play of CrashStormFuzzTest's kind in virtual time: job j6 FAILED at 1040764, its next start ordered at 1040803, the worker crashed at 1040844.

TaskRunnerTest#startIsNotOrderedIfItsJobEndsBeforeItIsStored failed before ("expected: <0> but was: <1>").

--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TaskRunnerTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TaskRunnerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import com.google.protobuf.ByteString;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,10 +25,11 @@
   private final CellSettings settings =
       new CellSettings("n0", "n0:1", "i1", "c0", CellWorld.LEASE_MILLIS, 200, 120_000);
   private final VirtualTime time = new VirtualTime(0);
+  private final TableService store = new FakeStore(time, 1).view(new Inbox(time));
   private final CellJournal journal =
       new CellJournal(
           settings,
-          new FakeStore(time, 1).view(new Inbox(time)),
+          store,
           clock,
           1,
           0,
@@ -68,6 +70,43 @@
     assertEquals(0, port.starts.size());
   }
 
+  /** Guards against an order for a task that was given up while its start was being stored. */
+  @Test
+  void startIsNotOrderedIfItsJobEndsBeforeItIsStored() {
+    storeLease();
+    Worker worker = worker();
+    Task task = task();
+    task.crashes().setDoubted();
+    runner.start(task, worker);
+    journal.run();
+    task.job().end(JobState.FAILED, 0);
+    time.runFor(CHECK_MILLIS);
+    assertEquals(0, port.starts.size());
+    assertEquals(List.of(), List.copyOf(worker.runs()));
+  }
+
+  /** Guards against a start that is never ordered though it is stored. */
+  @Test
+  void startIsOrderedOnceItIsStored() {
+    storeLease();
+    Worker worker = worker();
+    Task task = task();
+    task.crashes().setDoubted();
+    runner.start(task, worker);
+    journal.run();
+    assertEquals(0, port.starts.size());
+    time.runFor(CHECK_MILLIS);
+    assertEquals(1, port.starts.size());
+  }
+
+  /** Stores the row of the lease, with the first version. */
+  private void storeLease() {
+    Transaction.Write write = new Transaction.Write(CellRows.lease("c0"), ByteString.EMPTY);
+    Transaction transaction = new Transaction("c0", List.of(), List.of(write), List.of());
+    store.transact(transaction, CHECK_MILLIS, result -> {});
+    time.runFor(CHECK_MILLIS);
+  }
+
   private void passUntil(long millis) {
     while (clock.now < millis) {
       clock.now = Math.min(millis, clock.now + CHECK_MILLIS);
@@ -77,8 +116,10 @@
 
   private static Worker worker() {
     Worker worker = RunFactory.worker("w");
-    worker.leases().observeClock(0, 0);
+    worker.leases().observeClock(1, 0);
     worker.listedCapacity().setGuarded(true);
+    worker.setTokenAcknowledged(0, CellWorld.LEASE_MILLIS);
+    worker.setFullyReported();
     worker.onWrittenToRoster(1);
     worker.onRosterStored(1);
     return worker;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TaskRunner.java
@@ -140,7 +140,8 @@
     }
     long now = clock.monotonicMillis();
     boolean isStored = !journal.isRefused(run.task().job());
-    if (isStored && run.worker().isSchedulable(now) && !run.worker().isOverCapacity()) {
+    boolean isOver = run.task().isDone() || run.task().job().state().isFinal();
+    if (isStored && !isOver && run.worker().isSchedulable(now) && !run.worker().isOverCapacity()) {
       sendStart(run, checkpoint);
       return;
     }
