--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Fleet.java
@@ -64,6 +64,7 @@
     try {
       Instance process = new Instance(folder, name, label, platform.openStore(label));
       processes.add(process);
+      platform.oracle().onDisturbed(label, world.now());
       world.log("start " + label);
       return process;
     } catch (IOException e) {
@@ -77,6 +78,7 @@
         return;
       }
       process.setPaused(true);
+      platform.oracle().onDisturbed(process.label(), world.now() + millis);
     }
     world.log("pause " + process.label() + " for " + millis + " ms");
     schedule(millis, () -> resume(process));
@@ -86,6 +88,7 @@
     if (process.isPaused()) {
       world.log("resume " + process.label());
       process.setPaused(false);
+      platform.oracle().onDisturbed(process.label(), world.now());
     }
   }
 
