--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellJournalTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellJournalTest.java
@@ -37,7 +37,7 @@
           CellRecord::getDefaultInstance,
           (kind, subject, outcome, reason) -> {},
           new RecordedMetrics(),
-          new IgnoringListener());
+          new IgnoringJournalListener());
 
   /** The machine was suspended, and its monotonic clock does not show for how long. */
   @Test
@@ -139,16 +139,4 @@
       throw new UnsupportedOperationException();
     }
   }
-
-  /** Ignores all events. */
-  private static final class IgnoringListener implements CellJournal.Listener {
-    @Override
-    public void onDeposed(String reason) {}
-
-    @Override
-    public void onStoreAvailability(boolean answers) {}
-
-    @Override
-    public void onReleased() {}
-  }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
@@ -723,16 +723,7 @@
         CellRecord::getDefaultInstance,
         (kind, subject, outcome, reason) -> {},
         new RecordedMetrics(),
-        new CellJournal.Listener() {
-          @Override
-          public void onDeposed(String reason) {}
-
-          @Override
-          public void onStoreAvailability(boolean answers) {}
-
-          @Override
-          public void onReleased() {}
-        });
+        new IgnoringJournalListener());
   }
 
   private void run(CellJournal journal) {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CrashBlameTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CrashBlameTest.java
@@ -29,7 +29,7 @@
           CellRecord::getDefaultInstance,
           CrashBlameTest::ignore,
           new RecordedMetrics(),
-          new IgnoringListener());
+          new IgnoringJournalListener());
   private final JobLifecycle lifecycle =
       new JobLifecycle(
           new JobTable(), journal, clock, CrashBlameTest::ignore, new RunTimeEstimator());
@@ -113,15 +113,4 @@
       return time.millis();
     }
   }
-
-  private static final class IgnoringListener implements CellJournal.Listener {
-    @Override
-    public void onDeposed(String reason) {}
-
-    @Override
-    public void onStoreAvailability(boolean answers) {}
-
-    @Override
-    public void onReleased() {}
-  }
 }
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TaskRunnerTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/TaskRunnerTest.java
@@ -36,7 +36,7 @@
           CellRecord::getDefaultInstance,
           TaskRunnerTest::ignore,
           new RecordedMetrics(),
-          new IgnoringListener());
+          new IgnoringJournalListener());
   private final JobLifecycle lifecycle =
       new JobLifecycle(
           new JobTable(), journal, clock, TaskRunnerTest::ignore, new RunTimeEstimator());
@@ -178,17 +178,6 @@
     }
   }
 
-  private static final class IgnoringListener implements CellJournal.Listener {
-    @Override
-    public void onDeposed(String reason) {}
-
-    @Override
-    public void onStoreAvailability(boolean answers) {}
-
-    @Override
-    public void onReleased() {}
-  }
-
   private static final class IgnoringContext implements TaskRunner.Context {
     @Override
     public void onFenced(Worker worker) {}
