--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/HolderFaults.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/HolderFaults.java
@@ -11,25 +11,31 @@
   private static final int PAUSE_MILLIS = 4_000;
   private static final int KILL_INTERVAL_MILLIS = 3_600;
   private static final int MAX_DOWN_MILLIS = 3_500;
-  private static final int KINDS = 3;
 
   private final World world;
   private final Fleet fleet;
-  private final int kind;
+  private final Loss loss;
   private final SplittableRandom random;
 
   HolderFaults(World world, Fleet fleet, long seed) {
     this.world = world;
     this.fleet = fleet;
-    this.kind = Math.floorMod(seed, KINDS);
+    this.loss = Loss.values()[Math.floorMod(seed, Loss.values().length)];
     this.random = new SplittableRandom(seed);
   }
 
+  /** How the cell loses its holders. */
+  private enum Loss {
+    KILLS,
+    PAUSES,
+    BOTH
+  }
+
   @Override
   public void run(long millis) throws InterruptedException {
     long end = world.now() + millis;
     while (world.now() < end) {
-      boolean isPause = kind == 1 || (kind == 2 && random.nextBoolean());
+      boolean isPause = loss == Loss.PAUSES || (loss == Loss.BOTH && random.nextBoolean());
       Instance holder = fleet.holder();
       if (isPause) {
         fleet.pause(holder, PAUSE_MILLIS);
