--- a/review/harness-3/Cases.java
+++ b/review/harness-3/Cases.java
@@ -26,6 +26,8 @@
   private static final long TRAFFIC_MILLIS = 20_000;
   private static final long TROUBLE_AT_MILLIS = 5_000;
 
+  private static final long STEP_MILLIS = 4_000;
+
   /** The bound {@code finish_s} of the pages. */
   private static final long FINISH_MILLIS = 14_000;
 
@@ -127,12 +129,12 @@
    * has nothing running though a task's turn has come, there is capacity for it twice over, and
    * under half of the capacity is in use.
    */
-  private void watchForLost() throws InterruptedException {
+  private void watchForLost(long watchMillis) throws InterruptedException {
     Thread.sleep(FINISH_MILLIS);
     zone.log.say("finish_s after the end of the traffic");
     Map<Jobs.Job, Long> since = new HashMap<>();
     Map<Jobs.Job, String> lost = new HashMap<>();
-    long end = zone.log.now() + WATCH_MILLIS;
+    long end = zone.log.now() + watchMillis;
     while (zone.log.now() < end) {
       synchronized (zone.jobs) {
         long now = zone.log.now();
@@ -174,24 +176,47 @@
     }
   }
 
-  /** Case 11: two submissions of many steps that need wider workers than there are. */
+  /**
+   * Case 11: submissions of many steps that need wider workers than there are: one of 3,000 steps,
+   * and one of 1,000 each 4 s for as long as the system still starts tasks, 14 at most.
+   */
   private void playSteps() throws Exception {
     startZone(WORKERS, WORKER_CPU, true);
     List<Jobs.Job> large = new ArrayList<>();
-    playTraffic(
-        () -> {
-          for (int i = 0; i < 2; i++) {
-            large.add(send(submission(3_500, 1, 64_000, 16), 2_000));
-          }
-        });
-    watchForLost();
+    long begin = zone.log.now();
+    long end = begin + TRAFFIC_MILLIS;
+    long nextAt = begin + TROUBLE_AT_MILLIS;
+    int startsBefore = -1;
+    while (zone.log.now() < end) {
+      ordinary.add(send(ordinarySubmission(), 640));
+      if (troubled && zone.log.now() >= nextAt) {
+        nextAt += STEP_MILLIS;
+        if (zone.jobs.starts == startsBefore) {
+          zone.log.say("no task was started for 4 s");
+          nextAt = Long.MAX_VALUE;
+          end = zone.log.now() + STEP_MILLIS;
+        } else if (large.size() <= 14) {
+          startsBefore = zone.jobs.starts;
+          large.add(send(wideSubmission(large.isEmpty() ? 3_000 : 1_000), 2_000));
+          end = Math.max(end, zone.log.now() + 2 * STEP_MILLIS);
+        }
+      }
+      Thread.sleep(500);
+    }
+    zone.log.say("end of the traffic");
+    watchForLost(15_000);
     for (Jobs.Job job : large) {
       zone.log.say(
-          "large submission: answer %s, %d starts, %d of %d tasks done"
-              .formatted(job.answer, job.starts, job.done, job.tasks()));
+          "large submission: %d steps, %d bytes, answer %s, %d starts"
+              .formatted(job.steps.size(), job.body.length(), job.answer, job.starts));
     }
   }
 
+  /** Steps of one task each that needs 64 cores; no worker has as many. */
+  private static ObjectNode wideSubmission(int steps) {
+    return submission(steps, 1, 64_000, 16);
+  }
+
   /** Case 13: submissions of many tasks. */
   private void playCounts() throws Exception {
     startZone(WORKERS, WORKER_CPU, true);
@@ -202,7 +227,7 @@
             large.add(send(submission(1, 9_000, 500, 16), 2_000));
           }
         });
-    watchForLost();
+    watchForLost(WATCH_MILLIS);
     long accepted = large.stream().filter(job -> job.accepted).count();
     zone.log.say(accepted + " of " + large.size() + " large submissions accepted");
     long ended = zone.entries.stream().filter(entry -> entry.ownEnds >= 3).count();
@@ -256,7 +281,7 @@
     Jobs.Job large = troubled ? send(body, 15_000) : null;
     Thread.sleep(15_000);
     playTraffic(() -> {});
-    watchForLost();
+    watchForLost(WATCH_MILLIS);
     if (large != null) {
       zone.log.say(
           "large submission: answer %s, %d of %d tasks done, all of them long ago; shown as %s"
