--- a/review/harness-3/Cases.java
+++ b/review/harness-3/Cases.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.zip.GZIPOutputStream;
@@ -28,6 +29,11 @@
 
   private static final long STEP_MILLIS = 4_000;
 
+  /** The bounds {@code contact_ms} and {@code visible_ms} of the pages. */
+  private static final long CONTACT_MILLIS = 4_000;
+
+  private static final long VISIBLE_MILLIS = 3_000;
+
   /** The bound {@code finish_s} of the pages. */
   private static final long FINISH_MILLIS = 14_000;
 
@@ -44,7 +50,7 @@
 
   private final Zone zone;
   private final boolean troubled;
-  private final List<Jobs.Job> ordinary = new ArrayList<>();
+  private final List<Jobs.Job> ordinary = new CopyOnWriteArrayList<>();
 
   private Cases(Zone zone, boolean troubled) {
     this.zone = zone;
@@ -68,13 +74,16 @@
 
   private void play(String number) throws Exception {
     switch (number) {
-      case "11" -> playSteps();
-      case "12" -> playCheckpoints();
-      case "13" -> playCounts();
-      case "14" -> playCompressed();
+      case "11" -> playEntry();
+      case "12" -> playWaiting();
+      case "13" -> playCompressed();
+      case "14" -> playCheckpoints();
       case "15" -> playUnits();
-      // Not one of the five: REPORT-3.md names it.
+      // Not among the five: REPORT-3.md names them.
+      case "steps" -> playSteps();
+      case "counts" -> playCounts();
       case "lasting" -> playLasting();
+      case "gang" -> playGang();
       default -> throw new IOException("no case " + number);
     }
   }
@@ -97,9 +106,13 @@
   }
 
   private void startZone(int workers, long cpu, boolean guards) throws Exception {
+    startZone(workers, cpu, guards, 3);
+  }
+
+  private void startZone(int workers, long cpu, boolean guards, int instances) throws Exception {
     zone.writeManifest(guards, 2);
     zone.addWorkers(workers, cpu, guards, "a");
-    zone.start(3);
+    zone.start(instances);
   }
 
   private Jobs.Job send(ObjectNode body, long workMillis) {
@@ -177,7 +190,7 @@
   }
 
   /**
-   * Case 11: submissions of many steps that need wider workers than there are: one of 3,000 steps,
+   * Submissions of many steps that need wider workers than there are: one of 3,000 steps,
    * and one of 1,000 each 4 s for as long as the system still starts tasks, 14 at most.
    */
   private void playSteps() throws Exception {
@@ -217,7 +230,7 @@
     return submission(steps, 1, 64_000, 16);
   }
 
-  /** Case 13: submissions of many tasks. */
+  /** Submissions of many tasks. */
   private void playCounts() throws Exception {
     startZone(WORKERS, WORKER_CPU, true);
     List<Jobs.Job> large = new ArrayList<>();
@@ -239,6 +252,20 @@
     }
   }
 
+  /** One gang, of 40 tasks for each worker; only shown, as no rule names what is seen. */
+  private void playGang() throws Exception {
+    startZone(WORKERS, WORKER_CPU, true);
+    ObjectNode body = submission(1, troubled ? 400 : 200, 100, 16);
+    ((ObjectNode) body.path("phases").get(0)).put("gang", true);
+    Jobs.Job gang = send(body, 2_000);
+    for (int i = 0; i < 6; i++) {
+      Thread.sleep(5_000);
+      zone.log.say(
+          "gang of %d: answer %s, %d starts, %d running, %d done"
+              .formatted(gang.tasks(), gang.answer, gang.starts, gang.running, gang.done));
+    }
+  }
+
   /** 5,000 tasks that last, in one submission or in 250. */
   private void playLasting() throws Exception {
     startZone(WORKERS, WORKER_CPU, true);
@@ -273,7 +300,7 @@
     }
   }
 
-  /** Case 12: one submission of many tasks that checkpoint, before the ordinary traffic. */
+  /** Case 14: one submission of many tasks that checkpoint, before the ordinary traffic. */
   private void playCheckpoints() throws Exception {
     startZone(4, 64_000, true);
     ObjectNode body = submission(1, 6_000, 30, 16);
@@ -289,6 +316,85 @@
     }
   }
 
+  /** Case 12: the process that holds the cell is killed, and the next two as they take it. */
+  private void playWaiting() throws Exception {
+    startZone(WORKERS, WORKER_CPU, true, 6);
+    long begin = zone.log.now();
+    long killAt = begin + 8_000;
+    int kills = 0;
+    long claimsSeen = 0;
+    while (zone.log.now() - begin < 30_000) {
+      Jobs.Job job = zone.jobs.add(zone.newId(), submission(1, 1, 100, 16), 300);
+      ordinary.add(job);
+      zone.submit(job);
+      zone.entries.forEach(this::askWaiting);
+      Thread.sleep(100);
+      String holder = zone.store.holder();
+      long now = zone.log.now();
+      if (troubled && kills < 3 && now >= killAt && (kills == 0 || zone.store.claims() > claimsSeen)) {
+        claimsSeen = zone.store.claims();
+        kills++;
+        zone.entries.stream().filter(entry -> entry.name.equals(holder)).forEach(Zone.Entry::kill);
+      }
+    }
+    Thread.sleep(4_000);
+    reportOrdinary();
+  }
+
+  /** Asks an instance, and checks MIXED if it was in touch all the while. */
+  private void askWaiting(Zone.Entry entry) {
+    long askedAt = zone.log.now();
+    zone.waiting(
+        entry,
+        waiting -> {
+          long now = zone.log.now();
+          boolean inTouch = entry.ready && now - entry.disturbedAt > CONTACT_MILLIS;
+          if (waiting < 0 || !inTouch) {
+            return;
+          }
+          long oldEnough = askedAt - VISIBLE_MILLIS - 2_000;
+          long count;
+          synchronized (zone.jobs) {
+            count =
+                ordinary.stream()
+                    .filter(job -> job.accepted && job.acceptedAt < oldEnough && job.starts == 0)
+                    .count();
+          }
+          zone.log.add(entry.name + " says that " + waiting + " wait, of at least " + count);
+          if (2 * waiting < count) {
+            zone.jobs.addBreak(
+                "MIXED: %s says that %d submissions wait; %d accepted over 5 s before haven't begun"
+                    .formatted(entry.name, waiting, count));
+          }
+        });
+  }
+
+  /** Case 11: another writer writes entries of workers, with fields missing and of another type. */
+  private void playEntry() throws Exception {
+    startZone(WORKERS, WORKER_CPU, true);
+    long begin = zone.log.now();
+    int written = 0;
+    while (zone.log.now() - begin < 27_000) {
+      ordinary.add(send(submission(1, 8, 2_000, 16), 6_000));
+      Thread.sleep(1_000);
+      if (troubled && written < 4 && zone.log.now() - begin > 8_000 + 5_300L * written) {
+        writeForeign(zone.workers.get(written), zone.workers.get(written + 1));
+        written++;
+      }
+    }
+    Thread.sleep(12_000);
+    reportOrdinary();
+  }
+
+  /** Writes the entry of a worker with the address of another one. */
+  private void writeForeign(Worker named, Worker addressed) {
+    ObjectNode copy = Json.object().put("service", Jobs.SERVICE).put("state", "ready");
+    copy.put("address", addressed.address()).put("born", "" + named.entry().path("born").asLong());
+    copy.putObject("capacity").put("cpu", "" + named.cpu).put("mem_mb", "" + named.memory);
+    zone.log.say("another writer writes servers/" + named.id + ": " + copy);
+    zone.store.put("servers", named.id, copy);
+  }
+
   /** Case 15: a submission that asks for more memory than any worker has. */
   private void playUnits() throws Exception {
     startZone(WORKERS, WORKER_CPU, false);
@@ -307,7 +413,7 @@
     }
   }
 
-  /** Case 14: a crowd sends bodies of legal size, compressed or not. */
+  /** Case 13: a crowd sends bodies of legal size, compressed or not. */
   private void playCompressed() throws Exception {
     startZone(WORKERS, WORKER_CPU, true);
     byte[] body = crowdBody();
--- a/review/harness-3/Jobs.java
+++ b/review/harness-3/Jobs.java
@@ -12,6 +12,9 @@
 final class Jobs {
   static final String SERVICE = "svc1";
 
+  /** Number of breaks that are shown; the others stand in the record only. */
+  private static final int MAX_SHOWN = 8;
+
   record Step(
       int count, long cpu, long memory, long workMillis, boolean lasting, boolean checkpointing) {}
 
@@ -128,6 +131,10 @@
 
   synchronized void addBreak(String text) {
     breaks.add(text);
-    log.say(text);
+    if (breaks.size() <= MAX_SHOWN) {
+      log.say(text);
+    } else {
+      log.add(text);
+    }
   }
 }
--- a/review/harness-3/Store.java
+++ b/review/harness-3/Store.java
@@ -2,12 +2,15 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.Comparator;
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** The platform's store: rows in tables, as PROTOCOL.md describes it, with its limits. */
 final class Store {
@@ -15,6 +18,7 @@
   private static final int MAX_TX_ENTRIES = 100;
   private static final int MAX_BYTES = 1_000_000;
   private static final int MAX_ROWS = 500;
+  private static final Pattern HOLDER = Pattern.compile("(edge-[0-9]+)(@[0-9.:]+/[a-z0-9]+)");
 
   record Name(String table, String part, String key) {
     static final Comparator<Name> ORDER =
@@ -43,7 +47,12 @@
   private final List<Row> history = new ArrayList<>();
   private long version = 1;
   final Web web;
-  String holder = "";
+
+  /** Name of the instance that wrote the row of the cell's lease last. */
+  private String holder = "";
+
+  private String holderProcess = "";
+  private long claims;
 
   Store(Log log) throws IOException {
     this.log = log;
@@ -62,6 +71,31 @@
     notifyAll();
   }
 
+  synchronized String holder() {
+    return holder;
+  }
+
+  /** Returns how often another process has taken the cell. */
+  synchronized long claims() {
+    return claims;
+  }
+
+  /** Notes which instance holds the cell; its name stands in the row of the lease. */
+  private void noteHolder(JsonNode body) {
+    for (JsonNode write : body.path("write")) {
+      if (write.path("table").asText().equals("cells") && write.path("key").asText().equals("c0")) {
+        byte[] value = Base64.getDecoder().decode(write.path("value").asText());
+        Matcher name = HOLDER.matcher(new String(value, StandardCharsets.ISO_8859_1));
+        if (name.find() && !name.group().equals(holderProcess)) {
+          holderProcess = name.group();
+          holder = name.group(1);
+          claims++;
+          log.say("the cell is held by " + holder);
+        }
+      }
+    }
+  }
+
   private Web.Reply handle(Web.Call call) throws InterruptedException {
     Thread.sleep(3);
     return switch (call.path()) {
@@ -117,6 +151,7 @@
       return new Web.Reply(412, answer);
     }
     version++;
+    noteHolder(body);
     body.path("write").forEach(write -> set(Name.of(write), write.path("value").asText()));
     body.path("remove").forEach(removal -> remove(Name.of(removal)));
     notifyAll();
--- a/review/harness-3/Worker.java
+++ b/review/harness-3/Worker.java
@@ -117,6 +117,10 @@
     }
   }
 
+  String address() {
+    return web.address();
+  }
+
   long usedCpu() {
     long used = 0;
     for (Run run : runs.values()) {
--- a/review/harness-3/Zone.java
+++ b/review/harness-3/Zone.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 /** A small deployment: store, workers and entry instances, which are real processes. */
 final class Zone implements AutoCloseable {
@@ -46,13 +47,26 @@
     /** Number of times that the process ended by itself. */
     volatile int ownEnds;
 
+    /** Time at which the process was killed or started last. */
+    volatile long disturbedAt;
+
     private volatile boolean expected;
 
     Entry(String name) throws IOException {
       this.name = name;
     }
 
+    /** Kills the process; it is started again about a second later. */
+    void kill() {
+      expected = true;
+      disturbedAt = log.now();
+      process.destroyForcibly();
+      log.say("instance " + name + " is killed");
+    }
+
     void start() throws IOException {
+      expected = false;
+      disturbedAt = log.now();
       Path settings = temporary.resolve(name + ".toml");
       Files.writeString(
           settings,
@@ -89,6 +103,7 @@
           .onExit()
           .thenAccept(
               ended -> {
+                ready = false;
                 if (!expected) {
                   ownEnds++;
                   log.say("instance " + name + " ended by itself, status " + ended.exitValue());
@@ -240,6 +255,17 @@
         });
   }
 
+  /** Asks an instance for the number of waiting submissions; the handler gets -1 without an answer. */
+  void waiting(Entry entry, LongConsumer handler) {
+    client
+        .sendAsync(request(entry, PREFIX).GET().build(), HttpResponse.BodyHandlers.ofString())
+        .whenComplete(
+            (answer, failure) -> {
+              boolean isOk = failure == null && answer.statusCode() == 200;
+              handler.accept(isOk ? Json.parse(answer.body().getBytes()).path("pending").asLong(-1) : -1);
+            });
+  }
+
   /** Asks three instances in turn for the state of a submission; "none" without an answer. */
   String state(Jobs.Job job) {
     String state = "none";
