--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellDaemonSettings.java
@@ -21,6 +21,7 @@
  * @param evacuationBoundMillis time after the confirmation of a request to evacuate an availability
  *     zone from which no task may be started there; 0 if evacuation is disabled
  * @param graceMillis time from the stop signal until the process is killed
+ * @param rowBytes largest value of a row of the table service, in bytes
  * @param limits limits on callers
  */
 public record CellDaemonSettings(
@@ -36,6 +37,7 @@
     long statusKeepMillis,
     long evacuationBoundMillis,
     long graceMillis,
+    int rowBytes,
     AdmissionSettings limits) {
 
   /** Returns the address at which callers connect, as host and port. */
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/CellSettingsReader.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.hemlockpick.cell.InstanceSize;
+import org.hemlockpick.cell.rows.RowLimits;
 import org.hemlockpick.daemon.admission.AdmissionSettings;
 import org.hemlockpick.util.DepthLimitedToml;
 import org.tomlj.TomlParseResult;
@@ -96,6 +97,12 @@
     Duration evacuation =
         cell.duration("evacuation-bound", Duration.ZERO, MIN_EVACUATION_BOUND, MAX_DURATION);
     Duration grace = cell.duration("stop-grace", Duration.ofSeconds(6), MIN_DURATION, MAX_DURATION);
+    int rowBytes =
+        cell.wholeNumber(
+            "row-bytes",
+            RowLimits.DEFAULT_ROW_BYTES,
+            RowLimits.MIN_ROW_BYTES,
+            RowLimits.MAX_ROW_BYTES);
     cell.reportUnknownKeys();
     AdmissionSettings limits = LimitsSection.read(document);
     document.reportUnknownSections();
@@ -116,6 +123,7 @@
             keep.toMillis(),
             evacuation.toMillis(),
             grace.toMillis(),
+            rowBytes,
             limits));
   }
 
--- a/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsSection.java
+++ b/org.hemlockpick.daemon/src/main/java/org/hemlockpick/daemon/SettingsSection.java
@@ -34,6 +34,10 @@
   private final FaultCollector faults;
   private final String prefix;
   private final @Nullable TomlTable table;
+
+  /** As many digits as a number of type {@code long} holds for certain. */
+  private static final String DIGITS = "[0-9]{1,18}";
+
   private final int line;
   private final Set<String> known = new HashSet<>();
   private boolean hasNoFaults = true;
@@ -150,6 +154,26 @@
     return defaultValue;
   }
 
+  /**
+   * Returns a whole number from a string; the default if the string is missing or empty.
+   *
+   * @param max largest value, which stands for larger ones
+   */
+  int wholeNumber(String key, int defaultValue, int min, int max) {
+    String text = text(key);
+    if (text == null || text.isEmpty()) {
+      return defaultValue;
+    }
+    if (text.matches(DIGITS)) {
+      long number = Long.parseLong(text);
+      if (number >= min) {
+        return (int) Math.min(number, max);
+      }
+    }
+    reportFault(key, Messages.notWholeNumberFrom(min));
+    return defaultValue;
+  }
+
   /**
    * Returns a number from a string, above 0 and at most {@code max}; the default if the string is
    * missing or empty.
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellSettingsReaderTest.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/daemon/CellSettingsReaderTest.java
@@ -20,6 +20,7 @@
           Map.entry("{{listen.readiness}}", "10.1.0.13:8167"),
           Map.entry("{{ip}}", "10.1.0.13"),
           Map.entry("{{platform.address}}", "10.200.1.7:8169"),
+          Map.entry("{{platform.row_bytes}}", "32768"),
           Map.entry("{{bounds.hold_max_ms}}", "10000"),
           Map.entry("{{bounds.stop_ms}}", "900"),
           Map.entry("{{bounds.status_s}}", "120"),
@@ -74,6 +75,22 @@
     assertEquals(5_000, CellSettingsReader.read(file).get().evacuationBoundMillis());
   }
 
+  /** Guards against a limit of the platform that is assumed instead of read. */
+  @Test
+  void readsTheLargestRowIfThePlatformProvidesIt() throws IOException {
+    String known = rendered("\\{\\{[#/].*?}}");
+    assertEquals(32_768, CellSettingsReader.read(write(known)).get().rowBytes());
+    assertEquals(65_536, CellSettingsReader.read(write(rendered())).get().rowBytes());
+    String huge = known.replace("32768", "8388608");
+    assertEquals(131_072, CellSettingsReader.read(write(huge)).get().rowBytes());
+    for (String invalid : List.of("1000", "many", "-1", "99999999999999999999")) {
+      Path file = write(known.replace("32768", invalid));
+      List<SettingsFault> faults = CellSettingsReader.read(file).getLeft();
+      assertEquals(1, faults.size(), invalid);
+      assertEquals("cell.row-bytes", faults.get(0).key());
+    }
+  }
+
   /** The platform may render its limits as empty or as invalid values. */
   @Test
   void sizeHasDefaultsWhenMissingAndIsRefusedWhenInvalid() throws IOException {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CompletionTest.java
@@ -71,6 +71,18 @@
     assertEquals(2, task.failures());
   }
 
+  /** Guards against a gang that fails too soon, as its holder ended while its rows were written. */
+  @Test
+  void failureOfAGangCountsOnceThoughItIsStoredForSomeMembersOnly() {
+    Task stored = task(longStep(2, true));
+    Task other = stored.step().tasks().get(1);
+    stored.failedAttempts().restore(1, 1, List.of());
+    Worker worker = RunFactory.worker("w0");
+    lifecycle().onCompletion(other, 1, worker, CompletionKind.FAILED, "", null, MAX_ATTEMPTS);
+    assertEquals(1, stored.failures());
+    assertEquals(1, other.failures());
+  }
+
   /** The completion of an attempt that was replaced is reported late, with its old checkpoint. */
   @Test
   void checkpointOfAReplacedAttemptIsDropped() {
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -28,6 +28,12 @@
   /** Largest value of a row, in bytes. */
   private static final int MAX_ROW_BYTES = 65_536;
 
+  /** Largest number of entries of a transaction. */
+  private static final int MAX_ENTRIES = 100;
+
+  /** Largest size of the values of a transaction as base64, in bytes. */
+  private static final int MAX_TRANSACTION_BYTES = 1_000_000;
+
   /** Time until an answer, if the service is not slow, in milliseconds. */
   static final long LATENCY_MILLIS = 4;
 
@@ -69,6 +75,9 @@
   /** Time after which transactions are applied, without an answer; 0 for the usual time. */
   long lateMillis;
 
+  /** Number of transactions that were refused for their size. */
+  int oversizedWrites;
+
   /** Job whose progress is refused for good; empty for none. */
   String refusedProgress = "";
 
@@ -257,9 +266,8 @@
     }
 
     private boolean isRefused(Transaction transaction) {
-      boolean isTooLarge =
-          transaction.writes().stream().anyMatch(write -> write.value().size() > MAX_ROW_BYTES);
-      if (isTooLarge && !isUnreachable()) {
+      if (isTooLarge(transaction) && !isUnreachable()) {
+        oversizedWrites++;
         return true;
       }
       Transaction.RowName refused = JobRows.progress(refusedProgress);
@@ -267,6 +275,18 @@
           && transaction.writes().stream().anyMatch(w -> w.row().equals(refused));
     }
 
+    private static boolean isTooLarge(Transaction transaction) {
+      int entries =
+          transaction.conditions().size()
+              + transaction.writes().size()
+              + transaction.removals().size();
+      long bytes =
+          transaction.writes().stream().mapToLong(w -> (w.value().size() + 2) / 3 * 4L).sum();
+      return entries > MAX_ENTRIES
+          || bytes > MAX_TRANSACTION_BYTES
+          || transaction.writes().stream().anyMatch(w -> w.value().size() > MAX_ROW_BYTES);
+    }
+
     private void sendTransaction(
         Transaction transaction, long timeoutMillis, Consumer<TransactionResult> handler) {
       TransactionResult unknown = new TransactionResult(Outcome.UNKNOWN, 0, ImmutableList.of());
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -74,6 +74,12 @@
    */
   final Map<String, Long> gaugeByJob = new HashMap<>();
 
+  /** Bytes of the checkpoints that the runs of single jobs report; none for other jobs. */
+  final Map<String, Integer> checkpointBytesByJob = new HashMap<>();
+
+  /** Tasks that were started with a checkpoint, which must be one of their own. */
+  final Set<TaskId> resumed = new HashSet<>();
+
   /** Violations, in the order of time. */
   final List<String> violations = new ArrayList<>();
 
@@ -596,10 +602,21 @@
       if (refusesForCapacity(run)) {
         return reply(OrderOutcome.NO_ROOM);
       }
+      checkCheckpoint(order);
       begin(run);
       return reply(OrderOutcome.ACCEPTED);
     }
 
+    private void checkCheckpoint(StartOrder order) {
+      if (order.checkpoint().isEmpty()) {
+        return;
+      }
+      resumed.add(order.run().task());
+      if (!order.checkpoint().equals(checkpoint(order.run().task()))) {
+        violations.add(order.run() + " was started with a checkpoint of another task");
+      }
+    }
+
     private void begin(RunId run) {
       TaskId task = run.task();
       starts.add(task);
@@ -799,12 +816,19 @@
     private RunReport report(RunId run, long since) {
       SimulatedInterference simulation = interference;
       if (simulation == null || !isSimulated(run.task())) {
-        return new RunReport(run, "", percent(run, since), gauge(run.task().job()));
+        return new RunReport(
+            run, checkpoint(run.task()), percent(run, since), gauge(run.task().job()));
       }
       int percent = isLongRunning(run) ? percent(run, since) : simulation.percent(run);
       return new RunReport(run, "", percent, simulation.gauge(run));
     }
 
+    private String checkpoint(TaskId task) {
+      int bytes = checkpointBytesByJob.getOrDefault(task.job(), 0);
+      String text = String.format("%08x", task.hashCode());
+      return text.repeat(bytes / text.length() + 1).substring(0, bytes);
+    }
+
     private boolean isLongRunning(RunId run) {
       Step step = step(run.task());
       return step != null && step.longRunning();
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/JobSizeTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/JobSizeTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.hemlockpick.errors.ResultCode;
 import org.junit.jupiter.api.Test;
@@ -62,6 +63,19 @@
     assertEquals(ResultCode.DONE, submit(job(MAX_TASKS / 3, step(1), step(2))));
   }
 
+  /**
+   * Guards against a submission that is sent to the store time and again, and refused each time.
+   */
+  @Test
+  void submissionThatFitsNoRowIsRefusedAtOnce() {
+    world.time.runFor(SETTLE_MILLIS);
+    Step[] steps = new Step[8_000];
+    Arrays.fill(steps, step(1));
+    assertEquals(ResultCode.TOO_LARGE, submit(job(0, steps)));
+    assertEquals(0, world.store.oversizedWrites);
+    assertNull(world.state("a"));
+  }
+
   private static Step step(int count) {
     return CellWorld.step(count);
   }
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecord.java
@@ -7,7 +7,9 @@
 
 /**
  * <pre>
- * Table "jobs", key ID/p. Written by the holder of the cell.
+ * Table "progress", key ID. Written by the holder of the cell. Notes that do not fit are in further
+ * rows with the key ID/N and a format of their own, each for a range of tasks from number N on: the
+ * checkpoints, or all notes if the row is compact.
  * </pre>
  *
  * Protobuf type {@code hemlockpick.ProgressRecord}
@@ -37,6 +39,8 @@
     queue_ = "";
     host_ = "";
     pathPrefix_ = "";
+    doneTasks_ = com.google.protobuf.ByteString.EMPTY;
+    doubtedTasks_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -260,6 +264,49 @@
     }
   }
 
+  public static final int COMPACT_FIELD_NUMBER = 30;
+  private boolean compact_ = false;
+  /**
+   * <pre>
+   * Whether the row has no steps: the next two fields say which tasks are done and in doubt, and all
+   * notes are in rows of their own. Set where the steps do not fit into the row. Earlier versions
+   * would take no task for done, so that the row of the submission is hidden from them before.
+   * </pre>
+   *
+   * <code>bool compact = 30;</code>
+   * @return The compact.
+   */
+  @java.lang.Override
+  public boolean getCompact() {
+    return compact_;
+  }
+
+  public static final int DONE_TASKS_FIELD_NUMBER = 31;
+  private com.google.protobuf.ByteString doneTasks_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * Bit sets of the tasks of all steps of all occurrences, in order.
+   * </pre>
+   *
+   * <code>bytes done_tasks = 31;</code>
+   * @return The doneTasks.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDoneTasks() {
+    return doneTasks_;
+  }
+
+  public static final int DOUBTED_TASKS_FIELD_NUMBER = 32;
+  private com.google.protobuf.ByteString doubtedTasks_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes doubted_tasks = 32;</code>
+   * @return The doubtedTasks.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getDoubtedTasks() {
+    return doubtedTasks_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -295,6 +342,15 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathPrefix_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 22, pathPrefix_);
     }
+    if (compact_ != false) {
+      output.writeBool(30, compact_);
+    }
+    if (!doneTasks_.isEmpty()) {
+      output.writeBytes(31, doneTasks_);
+    }
+    if (!doubtedTasks_.isEmpty()) {
+      output.writeBytes(32, doubtedTasks_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -329,6 +385,18 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathPrefix_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(22, pathPrefix_);
     }
+    if (compact_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(30, compact_);
+    }
+    if (!doneTasks_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(31, doneTasks_);
+    }
+    if (!doubtedTasks_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(32, doubtedTasks_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -357,6 +425,12 @@
         .equals(other.getHost())) return false;
     if (!getPathPrefix()
         .equals(other.getPathPrefix())) return false;
+    if (getCompact()
+        != other.getCompact()) return false;
+    if (!getDoneTasks()
+        .equals(other.getDoneTasks())) return false;
+    if (!getDoubtedTasks()
+        .equals(other.getDoubtedTasks())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -385,6 +459,13 @@
     hash = (53 * hash) + getHost().hashCode();
     hash = (37 * hash) + PATH_PREFIX_FIELD_NUMBER;
     hash = (53 * hash) + getPathPrefix().hashCode();
+    hash = (37 * hash) + COMPACT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCompact());
+    hash = (37 * hash) + DONE_TASKS_FIELD_NUMBER;
+    hash = (53 * hash) + getDoneTasks().hashCode();
+    hash = (37 * hash) + DOUBTED_TASKS_FIELD_NUMBER;
+    hash = (53 * hash) + getDoubtedTasks().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -484,7 +565,9 @@
   }
   /**
    * <pre>
-   * Table "jobs", key ID/p. Written by the holder of the cell.
+   * Table "progress", key ID. Written by the holder of the cell. Notes that do not fit are in further
+   * rows with the key ID/N and a format of their own, each for a range of tasks from number N on: the
+   * checkpoints, or all notes if the row is compact.
    * </pre>
    *
    * Protobuf type {@code hemlockpick.ProgressRecord}
@@ -533,6 +616,9 @@
       queue_ = "";
       host_ = "";
       pathPrefix_ = "";
+      compact_ = false;
+      doneTasks_ = com.google.protobuf.ByteString.EMPTY;
+      doubtedTasks_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -597,6 +683,15 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.pathPrefix_ = pathPrefix_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.compact_ = compact_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.doneTasks_ = doneTasks_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.doubtedTasks_ = doubtedTasks_;
+      }
     }
 
     @java.lang.Override
@@ -661,6 +756,15 @@
         bitField0_ |= 0x00000040;
         onChanged();
       }
+      if (other.getCompact() != false) {
+        setCompact(other.getCompact());
+      }
+      if (!other.getDoneTasks().isEmpty()) {
+        setDoneTasks(other.getDoneTasks());
+      }
+      if (!other.getDoubtedTasks().isEmpty()) {
+        setDoubtedTasks(other.getDoubtedTasks());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -730,6 +834,21 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 178
+            case 240: {
+              compact_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 240
+            case 250: {
+              doneTasks_ = input.readBytes();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 250
+            case 258: {
+              doubtedTasks_ = input.readBytes();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 258
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1343,6 +1462,132 @@
       return this;
     }
 
+    private boolean compact_ ;
+    /**
+     * <pre>
+     * Whether the row has no steps: the next two fields say which tasks are done and in doubt, and all
+     * notes are in rows of their own. Set where the steps do not fit into the row. Earlier versions
+     * would take no task for done, so that the row of the submission is hidden from them before.
+     * </pre>
+     *
+     * <code>bool compact = 30;</code>
+     * @return The compact.
+     */
+    @java.lang.Override
+    public boolean getCompact() {
+      return compact_;
+    }
+    /**
+     * <pre>
+     * Whether the row has no steps: the next two fields say which tasks are done and in doubt, and all
+     * notes are in rows of their own. Set where the steps do not fit into the row. Earlier versions
+     * would take no task for done, so that the row of the submission is hidden from them before.
+     * </pre>
+     *
+     * <code>bool compact = 30;</code>
+     * @param value The compact to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompact(boolean value) {
+
+      compact_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the row has no steps: the next two fields say which tasks are done and in doubt, and all
+     * notes are in rows of their own. Set where the steps do not fit into the row. Earlier versions
+     * would take no task for done, so that the row of the submission is hidden from them before.
+     * </pre>
+     *
+     * <code>bool compact = 30;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompact() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      compact_ = false;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString doneTasks_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * Bit sets of the tasks of all steps of all occurrences, in order.
+     * </pre>
+     *
+     * <code>bytes done_tasks = 31;</code>
+     * @return The doneTasks.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDoneTasks() {
+      return doneTasks_;
+    }
+    /**
+     * <pre>
+     * Bit sets of the tasks of all steps of all occurrences, in order.
+     * </pre>
+     *
+     * <code>bytes done_tasks = 31;</code>
+     * @param value The doneTasks to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDoneTasks(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      doneTasks_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Bit sets of the tasks of all steps of all occurrences, in order.
+     * </pre>
+     *
+     * <code>bytes done_tasks = 31;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDoneTasks() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      doneTasks_ = getDefaultInstance().getDoneTasks();
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString doubtedTasks_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes doubted_tasks = 32;</code>
+     * @return The doubtedTasks.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getDoubtedTasks() {
+      return doubtedTasks_;
+    }
+    /**
+     * <code>bytes doubted_tasks = 32;</code>
+     * @param value The doubtedTasks to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDoubtedTasks(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      doubtedTasks_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes doubted_tasks = 32;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDoubtedTasks() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      doubtedTasks_ = getDefaultInstance().getDoubtedTasks();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.ProgressRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecordOrBuilder.java
@@ -102,4 +102,32 @@
    */
   com.google.protobuf.ByteString
       getPathPrefixBytes();
+
+  /**
+   * <pre>
+   * Whether the row has no steps: the next two fields say which tasks are done and in doubt, and all
+   * notes are in rows of their own. Set where the steps do not fit into the row. Earlier versions
+   * would take no task for done, so that the row of the submission is hidden from them before.
+   * </pre>
+   *
+   * <code>bool compact = 30;</code>
+   * @return The compact.
+   */
+  boolean getCompact();
+
+  /**
+   * <pre>
+   * Bit sets of the tasks of all steps of all occurrences, in order.
+   * </pre>
+   *
+   * <code>bytes done_tasks = 31;</code>
+   * @return The doneTasks.
+   */
+  com.google.protobuf.ByteString getDoneTasks();
+
+  /**
+   * <code>bytes doubted_tasks = 32;</code>
+   * @return The doubtedTasks.
+   */
+  com.google.protobuf.ByteString getDoubtedTasks();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -91,7 +91,7 @@
             clock,
             lease.version(),
             lease.requestedAt(),
-            () -> lease.renewed(settings.holderName(), waitingJobs()),
+            () -> lease.renewed(settings.holderName(), waitingJobs(), settings.rowBytes()),
             log,
             metrics,
             new JournalListener());
@@ -107,7 +107,7 @@
             log,
             () -> changedSincePlan = true);
     this.sweeper = new JobSweeper(settings, store, jobs, jobWatcher.tombstones(), journal, clock);
-    this.learnedState = new LearnedState(interference, estimator, journal);
+    this.learnedState = new LearnedState(interference, estimator, journal, settings.rowBytes());
     this.takeoverTracker = new TakeoverTracker(settings, lease, store, learnedState, clock, log);
     this.evacuation =
         new EvacuationController(
@@ -119,6 +119,7 @@
             workers,
             takeoverTracker,
             lease.generation(),
+            settings.rowBytes(),
             journal,
             clock,
             log,
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -1,20 +1,17 @@
 package org.hemlockpick.cell;
 
 import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.Supplier;
 import org.hemlockpick.cell.TableService.Outcome;
 import org.hemlockpick.cell.TableService.TransactionResult;
 import org.hemlockpick.cell.Transaction.Condition;
 import org.hemlockpick.cell.Transaction.RowName;
 import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.cell.rows.TransactionRoom;
 import org.hemlockpick.proto.CellRecord;
 import org.hemlockpick.proto.LearnedRecord;
 import org.hemlockpick.proto.RosterRecord;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Writes the state of a cell's holder to the table service. Every transaction also rewrites the row
@@ -41,26 +38,12 @@
   private final Listener listener;
   private final LeaseValidity validity;
 
-  /** Jobs whose latest progress the service has refused, so that it is not stored. */
-  private final Set<Job> refusedJobs = new HashSet<>();
-
-  private Set<Job> dirtyJobs = new LinkedHashSet<>();
-  private Set<Job> sentJobs = Set.of();
-  private List<Runnable> pendingActions = new ArrayList<>();
-  private List<Runnable> sentActions = List.of();
-  private List<RowName> removals = new ArrayList<>();
-  private @Nullable RosterRecord roster;
-  private @Nullable RosterRecord sentRoster;
-  private @Nullable LearnedRecord learned;
-
+  private final JournalRows rows;
   private long leaseVersion;
 
   /** Maximum number of rows in the next transaction besides the row of the lease. */
   private int maxRows = MAX_ROWS - 1;
 
-  /** Whether the service has refused the latest roster, so that it is not stored. */
-  private boolean rosterRefused;
-
   /** Time on the monotonic clock from which the refused jobs are sent again. */
   private long nextRefusedRetryAt;
 
@@ -98,6 +81,8 @@
     this.log = log;
     this.metrics = metrics;
     this.listener = listener;
+    SubmissionHider hider = new SubmissionHider(settings, store, log, this::markDirty);
+    this.rows = new JournalRows(settings, hider::hide);
   }
 
   /** Is notified of the end of the lease and of the availability of the table service. */
@@ -114,24 +99,24 @@
 
   /** Schedules the progress of a job to be written with the next transaction. */
   void markDirty(Job job) {
-    dirtyJobs.add(job);
+    rows.markDirty(job);
   }
 
   /** Returns whether the latest progress of a job is not stored, as the service refuses its row. */
   boolean isRefused(Job job) {
-    return refusedJobs.contains(job);
+    return rows.isRefused(job);
   }
 
   /** Returns whether the latest roster is not stored, as the service refuses its row. */
   boolean isRosterRefused() {
-    return rosterRefused;
+    return rows.isRosterRefused();
   }
 
   /**
    * Schedules the roster, the workers that may run tasks, to be written with the next transaction.
    */
   void setRoster(RosterRecord newest) {
-    roster = newest;
+    rows.setRoster(newest);
   }
 
   /**
@@ -139,13 +124,22 @@
    * retried.
    */
   void setLearned(LearnedRecord newest) {
-    learned = newest;
+    rows.setLearned(newest);
   }
 
   /** Schedules the progress of a job to be removed. */
-  void remove(String job) {
-    refusedJobs.removeIf(left -> left.id().equals(job));
-    removals.add(JobRows.progress(job));
+  void remove(Job job) {
+    rows.remove(job);
+  }
+
+  /** Schedules the rows of a job that has ended to be removed, but for the one that says so. */
+  void removeFurtherRows(Job job) {
+    rows.removeFurtherRows(job);
+  }
+
+  /** Schedules a row that belongs to no job to be removed. */
+  void remove(RowName orphan) {
+    rows.remove(orphan);
   }
 
   /**
@@ -153,12 +147,11 @@
    * pending.
    */
   void whenStored(Runnable action) {
-    boolean clean = dirtyJobs.isEmpty() && roster == null && !inFlight;
-    if (clean) {
+    if (rows.isStored() && !inFlight) {
       action.run();
       return;
     }
-    pendingActions.add(action);
+    rows.addAction(action);
   }
 
   /** Releases the cell with the next transaction that can hold all pending changes. */
@@ -247,7 +240,7 @@
     retryRefused(now);
     boolean renewal =
         now - sentAt >= CellTiming.RENEWAL_INTERVAL_MILLIS || validity.isRenewalRequired();
-    boolean due = hasChanges() || releasing || renewal;
+    boolean due = rows.hasChanges() || releasing || renewal;
     if (!ended && !inFlight && due && now >= nextSendAt) {
       send(now);
     }
@@ -258,19 +251,16 @@
       return;
     }
     nextRefusedRetryAt = now + REFUSED_RETRY_PAUSE_MILLIS;
-    dirtyJobs.addAll(refusedJobs);
-  }
-
-  private boolean hasChanges() {
-    return !dirtyJobs.isEmpty()
-        || roster != null
-        || !pendingActions.isEmpty()
-        || !removals.isEmpty();
+    rows.retryRefused();
   }
 
   private void send(long now) {
-    boolean isRelease = releasing && fitsOneTransaction();
-    Transaction transaction = buildTransaction(isRelease);
+    CellRecord record = leaseRecord.get();
+    TransactionRoom room = new TransactionRoom(maxRows + 1);
+    room.take(record.toByteString());
+    JournalRows.Batch batch = rows.build(room);
+    boolean isRelease = releasing && batch.isComplete();
+    Transaction transaction = transaction(record, batch, isRelease);
     inFlight = true;
     sentAt = now;
     requirementsWhenSent = validity.requirementCount();
@@ -284,45 +274,14 @@
         result -> onResult(result, now, transaction, isRelease));
   }
 
-  private boolean fitsOneTransaction() {
-    int singleRows = (roster == null ? 0 : 1) + (learned == null ? 0 : 1);
-    return singleRows + dirtyJobs.size() <= maxRows;
-  }
-
-  private Transaction buildTransaction(boolean isRelease) {
-    List<Write> writes = new ArrayList<>();
-    CellRecord record = leaseRecord.get();
+  private Transaction transaction(CellRecord record, JournalRows.Batch batch, boolean isRelease) {
     RowName leaseRow = CellRows.lease(settings.cell());
+    List<Write> writes = new ArrayList<>();
     writes.add(
         new Write(leaseRow, record.toBuilder().setReleased(isRelease).build().toByteString()));
-    sentRoster = roster;
-    roster = null;
-    if (sentRoster != null) {
-      writes.add(new Write(CellRows.roster(settings.cell()), sentRoster.toByteString()));
-    }
-    if (learned != null && writes.size() <= maxRows) {
-      writes.add(new Write(CellRows.learned(settings.cell()), learned.toByteString()));
-      learned = null;
-    }
-    sentJobs = new LinkedHashSet<>();
-    Set<Job> rest = new LinkedHashSet<>();
-    for (Job job : dirtyJobs) {
-      if (writes.size() <= maxRows) {
-        sentJobs.add(job);
-        writes.add(new Write(JobRows.progress(job.id()), JobRows.encode(job)));
-      } else {
-        rest.add(job);
-      }
-    }
-    dirtyJobs = rest;
-    // While changed jobs remain for a later transaction, the pending actions wait for it.
-    sentActions = rest.isEmpty() ? pendingActions : List.of();
-    pendingActions = rest.isEmpty() ? new ArrayList<>() : pendingActions;
-    int freeRows = Math.min(removals.size(), maxRows + 1 - writes.size());
-    List<RowName> removed = new ArrayList<>(removals.subList(0, Math.max(0, freeRows)));
-    removals = new ArrayList<>(removals.subList(removed.size(), removals.size()));
+    writes.addAll(batch.writes());
     return new Transaction(
-        settings.cell(), List.of(new Condition(leaseRow, leaseVersion)), writes, removed);
+        settings.cell(), List.of(new Condition(leaseRow, leaseVersion)), writes, batch.removals());
   }
 
   private void onResult(
@@ -360,7 +319,7 @@
   }
 
   private void retry(Transaction transaction, long now) {
-    requeue(transaction);
+    rows.requeue(transaction);
     nextSendAt = now + RETRY_PAUSE_MILLIS;
   }
 
@@ -389,20 +348,9 @@
     }
     leaseVersion = newVersion;
     validity.renew(startedAt, requirementsWhenSent);
-    onRowsStored();
-    nextSendAt = Math.max(startedAt + CellTiming.MIN_COMMIT_INTERVAL_MILLIS, now);
-    sentJobs = Set.of();
-    sentRoster = null;
-    List<Runnable> stored = sentActions;
-    sentActions = List.of();
-    stored.forEach(Runnable::run);
-  }
-
-  /** Records that the rows of the last transaction are stored. */
-  private void onRowsStored() {
-    refusedJobs.removeAll(sentJobs);
-    rosterRefused &= sentRoster == null;
     maxRows = Math.min(MAX_ROWS - 1, 2 * maxRows);
+    nextSendAt = Math.max(startedAt + CellTiming.MIN_COMMIT_INTERVAL_MILLIS, now);
+    rows.onStored().forEach(Runnable::run);
   }
 
   /**
@@ -410,30 +358,25 @@
    * excluded, so that the others can be stored.
    */
   private void onRefused(Transaction transaction, long now) {
-    int rows = transaction.writes().size() - 1 + transaction.removals().size();
-    maxRows = Math.max(1, rows / 2);
-    nextSendAt = rows > 0 ? now : now + RETRY_PAUSE_MILLIS;
-    if (rows == 1) {
-      excludeRefused(transaction);
-    }
-    requeue(transaction);
-    if (rows == 1) {
-      removals.removeAll(transaction.removals());
+    int count = transaction.writes().size() - 1 + transaction.removals().size();
+    maxRows = Math.max(1, count / 2);
+    nextSendAt = count > 0 ? now : now + RETRY_PAUSE_MILLIS;
+    if (count == 1) {
+      rows.excludeRefused(transaction, row -> logRefused(row, transaction));
+    } else {
+      rows.requeue(transaction);
     }
   }
 
-  private void excludeRefused(Transaction transaction) {
-    for (Write write : transaction.writes().subList(1, transaction.writes().size())) {
-      String size = write.value().size() + " bytes, not stored";
-      log.decided("journal", write.row().key(), "row refused", write.row().table() + ", " + size);
+  private void logRefused(RowName row, Transaction transaction) {
+    for (Write write : transaction.writes()) {
+      if (write.row().equals(row)) {
+        String size = write.value().size() + " bytes, not stored";
+        log.decided("journal", row.key(), "row refused", row.table() + ", " + size);
+        return;
+      }
     }
-    transaction
-        .removals()
-        .forEach(row -> log.decided("journal", row.key(), "removal refused", row.table()));
-    refusedJobs.addAll(sentJobs);
-    sentJobs = Set.of();
-    rosterRefused |= sentRoster != null;
-    sentRoster = null;
+    log.decided("journal", row.key(), "removal refused", row.table());
   }
 
   /** Handles a conflict with another holder, or with an own write whose answer was lost. */
@@ -447,7 +390,7 @@
               && !record.getReleased();
       if (row.key().equals(settings.cell()) && ours) {
         leaseVersion = row.version();
-        requeue(transaction);
+        rows.requeue(transaction);
         nextSendAt = now;
         return;
       }
@@ -456,21 +399,6 @@
     listener.onDeposed("the row of the lease has another holder");
   }
 
-  private void requeue(Transaction transaction) {
-    Set<Job> all = new LinkedHashSet<>(sentJobs);
-    all.addAll(dirtyJobs);
-    dirtyJobs = all;
-    List<Runnable> actions = new ArrayList<>(sentActions);
-    actions.addAll(pendingActions);
-    pendingActions = actions;
-    sentActions = List.of();
-    sentJobs = Set.of();
-    if (roster == null) {
-      roster = sentRoster;
-    }
-    removals.addAll(transaction.removals());
-  }
-
   private void setStoreAvailable(boolean answers) {
     if (storeAvailable != answers) {
       storeAvailable = answers;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellLease.java
@@ -1,6 +1,7 @@
 package org.hemlockpick.cell;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -9,6 +10,7 @@
 import org.hemlockpick.cell.TableService.TransactionResult;
 import org.hemlockpick.cell.Transaction.Condition;
 import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.cell.rows.BoundedRecords;
 import org.hemlockpick.proto.CellRecord;
 import org.hemlockpick.proto.QueueLength;
 import org.jspecify.annotations.Nullable;
@@ -96,18 +98,24 @@
       LeaseHistory history,
       ImmutableMap<String, Integer> waitingJobs) {
 
-    /** Returns the record with which its holder renews it, with its current waiting jobs. */
-    CellRecord renewed(String holder, Map<String, Integer> waiting) {
+    /**
+     * Returns the record with which its holder renews it, with its current waiting jobs: of as many
+     * queues as fit, as the cell is lost if the row cannot be written.
+     *
+     * @param rowBytes largest value of a row
+     */
+    CellRecord renewed(String holder, Map<String, Integer> waiting, int rowBytes) {
       CellRecord.Builder record =
           CellRecord.newBuilder()
               .setFormat(JobRows.FORMAT)
               .setHolder(holder)
               .setGeneration(generation)
               .setReplacedVersion(replacedVersion);
+      List<QueueLength> lengths = new ArrayList<>();
       waiting.forEach(
           (queue, count) ->
-              record.addWaiting(QueueLength.newBuilder().setQueue(queue).setWaiting(count)));
-      return record.build();
+              lengths.add(QueueLength.newBuilder().setQueue(queue).setWaiting(count).build()));
+      return record.addAllWaiting(BoundedRecords.fitting(lengths, rowBytes)).build();
     }
   }
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellSettings.java
@@ -1,5 +1,7 @@
 package org.hemlockpick.cell;
 
+import org.hemlockpick.cell.rows.RowLimits;
+
 /**
  * Settings of an entry instance as a member of a cell. Times are in milliseconds.
  *
@@ -14,6 +16,7 @@
  *     zone from which no task may be started there; 0 if evacuation is disabled
  * @param size capacity of its machine; a small instance delays its claims of the cell in favor of
  *     others
+ * @param rowBytes largest value of a row of the table service, in bytes
  */
 public record CellSettings(
     String instance,
@@ -24,7 +27,32 @@
     long stopMillis,
     long statusKeepMillis,
     long evacuationBoundMillis,
-    InstanceSize size) {
+    InstanceSize size,
+    int rowBytes) {
+
+  /** Creates the settings of an entry instance on a platform with rows of the usual size. */
+  public CellSettings(
+      String instance,
+      String address,
+      String incarnation,
+      String cell,
+      long workerLeaseMillis,
+      long stopMillis,
+      long statusKeepMillis,
+      long evacuationBoundMillis,
+      InstanceSize size) {
+    this(
+        instance,
+        address,
+        incarnation,
+        cell,
+        workerLeaseMillis,
+        stopMillis,
+        statusKeepMillis,
+        evacuationBoundMillis,
+        size,
+        RowLimits.DEFAULT_ROW_BYTES);
+  }
 
   /** Creates the settings of an entry instance of ample size without evacuation. */
   public CellSettings(
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/Job.java
@@ -4,6 +4,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
+import org.hemlockpick.cell.rows.ProgressRows;
 import org.hemlockpick.proto.ProgressRecord;
 import org.hemlockpick.proto.StepProgress;
 import org.hemlockpick.proto.TaskNote;
@@ -14,6 +15,7 @@
   private final Submission submission;
   private final long rowVersion;
   private final boolean inherited;
+  private final ProgressRows rows;
   private final List<StepRun> stepRuns = new ArrayList<>();
   private int openedOccurrences;
   private JobState state = JobState.QUEUED;
@@ -33,6 +35,7 @@
     this.submission = submission;
     this.rowVersion = rowVersion;
     this.inherited = inherited;
+    this.rows = new ProgressRows(submission);
   }
 
   String id() {
@@ -51,6 +54,11 @@
     return inherited;
   }
 
+  /** Returns the rows in which its progress is stored. */
+  ProgressRows rows() {
+    return rows;
+  }
+
   JobState state() {
     return state;
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobCallHandler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobCallHandler.java
@@ -85,7 +85,14 @@
       handler.accept(CallerReply.of(ResultCode.UNKNOWN_SERVICE));
       return;
     }
-    new Submit(job.withTerms(queue), timeoutMillis, handler).trySend();
+    Submission accepted = job.withTerms(queue);
+    ByteString row = JobRows.encode(accepted);
+    if (row.size() > settings.rowBytes()) {
+      log.decided("submit", job.id(), ResultCode.TOO_LARGE.name(), row.size() + " bytes in a row");
+      handler.accept(CallerReply.of(ResultCode.TOO_LARGE));
+      return;
+    }
+    new Submit(job.id(), row, timeoutMillis, handler).trySend();
   }
 
   /** Stores the cancellation of a job; of one that is not stored, a tombstone. */
@@ -212,9 +219,9 @@
     private final ByteString value;
     private boolean sent;
 
-    Submit(Submission submission, long timeoutMillis, Consumer<CallerReply> handler) {
-      super(submission.id(), timeoutMillis, handler);
-      this.value = JobRows.encode(submission);
+    Submit(String job, ByteString value, long timeoutMillis, Consumer<CallerReply> handler) {
+      super(job, timeoutMillis, handler);
+      this.value = value;
     }
 
     @Override
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobLifecycle.java
@@ -183,7 +183,10 @@
     Job job = task.job();
     StepRun step = task.step();
     List<Task> members = step.step().gang() ? step.tasks() : List.of(task);
-    members.forEach(member -> member.addFailure(worker.id(), attempt));
+    // A holder that ended between two rows may have stored the failure for some of them.
+    members.stream()
+        .filter(member -> !member.failedAttempts().contains(attempt))
+        .forEach(member -> member.addFailure(worker.id(), attempt));
     task.setCheckpoint(attempt, checkpoint);
     task.setNotBefore(clock.monotonicMillis() + RETRY_PAUSE_MILLIS);
     journal.markDirty(job);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobRows.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hemlockpick.cell.Transaction.RowName;
+import org.hemlockpick.cell.rows.ProgressRows;
 import org.hemlockpick.proto.JobStateRecord;
 import org.hemlockpick.proto.ProgressRecord;
 import org.hemlockpick.proto.StepProgress;
@@ -23,15 +24,18 @@
   /** Table of the rows written by callers. */
   static final String TABLE = "jobs";
 
-  /** Table of the rows written by the holder. */
-  static final String PROGRESS_TABLE = "progress";
-
   /** Number of parts over which the jobs of a cell are spread. */
   static final int PARTS = 8;
 
   /** Version of the row format; rows of another version count as unreadable. */
   static final int FORMAT = 1;
 
+  /**
+   * Format of the rows of submissions that earlier versions must not read, as they cannot read the
+   * job's progress.
+   */
+  private static final int HIDDEN_FORMAT = 2;
+
   private static final String SUBMISSION = "/s";
   private static final String CANCELLATION = "/c";
   private static final String RANGE_END = "/~";
@@ -59,7 +63,7 @@
   }
 
   static RowName progress(String job) {
-    return new RowName(PROGRESS_TABLE, job);
+    return ProgressRows.row(job);
   }
 
   static RowName cancellation(String job) {
@@ -73,7 +77,7 @@
 
   /** Returns the range of the row that the holder wrote for a job. */
   static TableService.Range progressRange(String cell, String job) {
-    return new TableService.Range(PROGRESS_TABLE, cell, job, job + "/");
+    return new TableService.Range(ProgressRows.TABLE, cell, job, job + "/");
   }
 
   /** Returns the job that a key belongs to; empty for a key of another form. */
@@ -91,9 +95,18 @@
   }
 
   static ByteString encode(Submission job) {
+    return encode(job, FORMAT);
+  }
+
+  /** Encodes a submission so that earlier versions pass over the job. */
+  static ByteString encodeHidden(Submission job) {
+    return encode(job, HIDDEN_FORMAT);
+  }
+
+  private static ByteString encode(Submission job, int format) {
     SubmissionRecord.Builder record =
         SubmissionRecord.newBuilder()
-            .setFormat(FORMAT)
+            .setFormat(format)
             .setQueue(job.queue())
             .setSpec(job.spec())
             .setFirstStartAtMillis(job.firstStartAtMillis())
@@ -112,7 +125,7 @@
   static Optional<Submission> submission(String job, ByteString value) {
     try {
       SubmissionRecord record = SubmissionRecord.parseFrom(value);
-      if (record.getFormat() != FORMAT) {
+      if (record.getFormat() != FORMAT && record.getFormat() != HIDDEN_FORMAT) {
         return Optional.empty();
       }
       return Optional.of(
@@ -131,17 +144,27 @@
     }
   }
 
-  /** Returns the progress; empty if the bytes cannot be read. */
-  static Optional<ProgressRecord> progress(ByteString value) {
+  /** Returns whether earlier versions pass over the job of a row that can be read. */
+  static boolean isHidden(ByteString value) {
     try {
-      ProgressRecord record = ProgressRecord.parseFrom(value);
-      return record.getFormat() == FORMAT ? Optional.of(record) : Optional.empty();
+      return SubmissionRecord.parseFrom(value).getFormat() == HIDDEN_FORMAT;
     } catch (InvalidProtocolBufferException e) {
-      return Optional.empty();
+      return false;
     }
   }
 
+  /** Returns the progress in the row of a job; empty if the bytes cannot be read. */
+  static Optional<ProgressRecord> progress(ByteString value) {
+    return ProgressRows.parse("", value);
+  }
+
+  /** Encodes the progress of a job for a single row. */
   static ByteString encode(Job job) {
+    return progress(job).toByteString();
+  }
+
+  /** Returns the progress of a job as a single row would hold it. */
+  static ProgressRecord progress(Job job) {
     ProgressRecord.Builder record =
         ProgressRecord.newBuilder()
             .setFormat(FORMAT)
@@ -158,7 +181,7 @@
           .filter(StepRun::hasProgress)
           .forEach(run -> record.addSteps(encode(run)));
     }
-    return record.build().toByteString();
+    return record.build();
   }
 
   static JobState state(JobStateRecord record) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobScan.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobScan.java
@@ -6,11 +6,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.hemlockpick.cell.TableService.Range;
+import org.hemlockpick.cell.Transaction.RowName;
+import org.hemlockpick.cell.rows.ProgressRows;
 import org.hemlockpick.proto.ProgressRecord;
 import org.jspecify.annotations.Nullable;
 
@@ -22,7 +23,10 @@
   private final TableService store;
   private final Consumer<@Nullable JobScan> handler;
   private final List<StoredRow> rows = new ArrayList<>();
-  private final Map<String, ProgressRecord> progress = new HashMap<>();
+
+  /** Progress by job, then by the key of the row. */
+  private final Map<String, Map<String, ProgressRecord>> progress = new HashMap<>();
+
   private final Queue<Runnable> pendingReads = new ArrayDeque<>();
   private int inFlight;
   private long version = Long.MAX_VALUE;
@@ -40,7 +44,7 @@
    */
   static void start(String cell, TableService store, Consumer<@Nullable JobScan> handler) {
     JobScan scan = new JobScan(store, handler);
-    scan.add(new Range(JobRows.PROGRESS_TABLE, cell, "", ""), scan::onProgress);
+    scan.add(new Range(ProgressRows.TABLE, cell, "", ""), scan::onProgress);
     for (int i = 0; i < JobRows.PARTS; i++) {
       scan.add(new Range(JobRows.TABLE, JobRows.part(cell, i), "", ""), scan::onPart);
     }
@@ -61,12 +65,16 @@
   private void onProgress(PagedRead.@Nullable Rows read) {
     if (read != null) {
       for (StoredRow row : read.rows()) {
-        JobRows.progress(row.value()).ifPresent(record -> progress.put(row.key(), record));
+        ProgressRows.parse(row.key(), row.value()).ifPresent(record -> add(row.key(), record));
       }
     }
     onReadDone(read == null);
   }
 
+  private void add(String key, ProgressRecord record) {
+    progress.computeIfAbsent(ProgressRows.job(key), job -> new HashMap<>()).put(key, record);
+  }
+
   private void onPart(PagedRead.@Nullable Rows read) {
     if (read != null) {
       rows.addAll(read.rows());
@@ -98,15 +106,21 @@
     return rows;
   }
 
-  /** Returns the progress of a job that the previous holder stored. */
-  Optional<ProgressRecord> progress(String job) {
-    return Optional.ofNullable(progress.get(job));
+  /** Returns the progress of a job that the previous holder stored, by the keys of its rows. */
+  Map<String, ProgressRecord> progress(String job) {
+    return progress.getOrDefault(job, Map.of());
   }
 
-  /** Returns the jobs of which only the progress is left, as their removal was interrupted. */
-  Set<String> orphans() {
+  /**
+   * Returns the rows of progress of jobs of which nothing else is left, as their removal was
+   * interrupted.
+   */
+  List<RowName> orphans() {
     Set<String> orphans = new HashSet<>(progress.keySet());
     rows.forEach(row -> JobRows.job(row.key()).ifPresent(orphans::remove));
-    return orphans;
+    return orphans.stream()
+        .flatMap(job -> progress(job).keySet().stream())
+        .map(key -> new RowName(ProgressRows.TABLE, key))
+        .toList();
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobSweeper.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobSweeper.java
@@ -109,7 +109,7 @@
       return;
     }
     for (Job job : expired) {
-      journal.remove(job.id());
+      journal.remove(job);
       jobs.remove(job);
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobWatcher.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobWatcher.java
@@ -167,7 +167,13 @@
     boolean inherited = !loaded;
     Job job = new Job(submission, row.version(), inherited);
     if (scan != null) {
-      scan.progress(id).ifPresent(job::restore);
+      job.rows().restore(scan.progress(id)).ifPresent(job::restore);
+    }
+    if (JobRows.isHidden(row.value())) {
+      job.rows().setHidden();
+    }
+    if (job.state().isFinal()) {
+      journal.removeFurtherRows(job);
     }
     if (tombstones.remove(id)) {
       job.cancel();
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JournalRows.java
@@ -0,0 +1,277 @@
+package org.hemlockpick.cell;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hemlockpick.cell.Transaction.RowName;
+import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.cell.rows.ProgressRows;
+import org.hemlockpick.cell.rows.TransactionRoom;
+import org.hemlockpick.proto.LearnedRecord;
+import org.hemlockpick.proto.RosterRecord;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The rows of a holder that are not stored yet, besides that of the lease. The jobs that have
+ * changed are written in rounds: the actions that wait for a round run once all its rows are stored
+ * or refused, over as many transactions as that takes. One transaction is built at a time.
+ */
+final class JournalRows {
+  private final CellSettings settings;
+  private final Listener listener;
+
+  /** Jobs whose latest progress the service has refused, so that it is not stored. */
+  private final Set<Job> refusedJobs = new HashSet<>();
+
+  private boolean rosterRefused;
+
+  /** Jobs and actions of the next round. */
+  private final Set<Job> dirtyJobs = new LinkedHashSet<>();
+
+  private final List<Runnable> pendingActions = new ArrayList<>();
+
+  /** Jobs of this round whose rows have not been built yet. */
+  private final Set<Job> round = new LinkedHashSet<>();
+
+  private final List<Runnable> roundActions = new ArrayList<>();
+
+  /** Rows of this round that have not been sent yet. */
+  private final Deque<JobWrite> queue = new ArrayDeque<>();
+
+  /** Rows of jobs in the transaction that was built last. */
+  private final List<JobWrite> sent = new ArrayList<>();
+
+  private final List<RowName> removals = new ArrayList<>();
+  private @Nullable RosterRecord roster;
+  private @Nullable RosterRecord sentRoster;
+  private @Nullable LearnedRecord learned;
+
+  /**
+   * A row of a job.
+   *
+   * @param isLast whether the progress of the job is stored with it
+   */
+  private record JobWrite(Job job, Write write, boolean isLast) {}
+
+  /** Is told of jobs whose rows may not fit. */
+  interface Listener {
+    /** Called for a job whose progress soon cannot be stored unless it is hidden. */
+    void onHidingNeeded(Job job);
+  }
+
+  /**
+   * Rows of a transaction.
+   *
+   * @param isComplete whether nothing is left that could not be included
+   */
+  record Batch(List<Write> writes, List<RowName> removals, boolean isComplete) {}
+
+  JournalRows(CellSettings settings, Listener listener) {
+    this.settings = settings;
+    this.listener = listener;
+  }
+
+  void markDirty(Job job) {
+    dirtyJobs.add(job);
+  }
+
+  boolean isRefused(Job job) {
+    return refusedJobs.contains(job);
+  }
+
+  boolean isRosterRefused() {
+    return rosterRefused;
+  }
+
+  void setRoster(RosterRecord newest) {
+    roster = newest;
+  }
+
+  void setLearned(LearnedRecord newest) {
+    learned = newest;
+  }
+
+  void addAction(Runnable action) {
+    pendingActions.add(action);
+  }
+
+  void remove(RowName row) {
+    removals.add(row);
+  }
+
+  /** Schedules all rows of a job to be removed. */
+  void remove(Job job) {
+    refusedJobs.remove(job);
+    removals.add(ProgressRows.row(job.id()));
+    removeFurtherRows(job);
+  }
+
+  /** Schedules the rows of a job that has ended to be removed, but for the one that says so. */
+  void removeFurtherRows(Job job) {
+    removals.addAll(job.rows().furtherRows());
+    job.rows().clearFurtherRows();
+  }
+
+  /** Schedules the refused jobs to be sent again. */
+  void retryRefused() {
+    dirtyJobs.addAll(refusedJobs);
+  }
+
+  /** Returns whether no change is left that an action would have to wait for. */
+  boolean isStored() {
+    return dirtyJobs.isEmpty() && round.isEmpty() && queue.isEmpty() && roster == null;
+  }
+
+  boolean hasChanges() {
+    boolean hasActions = !pendingActions.isEmpty() || !roundActions.isEmpty();
+    return !isStored() || hasActions || !removals.isEmpty();
+  }
+
+  /** Returns the rows of the next transaction, as many as there is room for. */
+  Batch build(TransactionRoom room) {
+    List<Write> writes = new ArrayList<>();
+    sent.clear();
+    sentRoster = roster;
+    roster = null;
+    if (sentRoster != null) {
+      Write write = new Write(CellRows.roster(settings.cell()), sentRoster.toByteString());
+      room.take(write.value());
+      writes.add(write);
+    }
+    if (learned != null) {
+      Write write = new Write(CellRows.learned(settings.cell()), learned.toByteString());
+      if (room.tryTake(write)) {
+        writes.add(write);
+        learned = null;
+      }
+    }
+    takeJobs(room);
+    sent.forEach(row -> writes.add(row.write()));
+    List<RowName> removed = takeRemovals(room);
+    return new Batch(writes, removed, isStored() && learned == null);
+  }
+
+  private void takeJobs(TransactionRoom room) {
+    if (round.isEmpty() && queue.isEmpty()) {
+      round.addAll(dirtyJobs);
+      dirtyJobs.clear();
+      roundActions.addAll(pendingActions);
+      pendingActions.clear();
+    }
+    while (!queue.isEmpty() || !round.isEmpty()) {
+      if (queue.isEmpty()) {
+        buildRows(removeFirst(round));
+      } else if (room.tryTake(queue.element().write())) {
+        sent.add(queue.remove());
+      } else {
+        return;
+      }
+    }
+  }
+
+  private static Job removeFirst(Set<Job> jobs) {
+    Iterator<Job> each = jobs.iterator();
+    Job first = each.next();
+    each.remove();
+    return first;
+  }
+
+  private void buildRows(Job job) {
+    List<Write> rows =
+        job.rows().rows(JobRows.progress(job), settings.rowBytes()).orElse(List.of());
+    if (rows.isEmpty()) {
+      refusedJobs.add(job);
+    }
+    for (int i = 0; i < rows.size(); i++) {
+      queue.add(new JobWrite(job, rows.get(i), i == rows.size() - 1));
+    }
+    if (job.rows().needsHiding()) {
+      listener.onHidingNeeded(job);
+    }
+  }
+
+  private List<RowName> takeRemovals(TransactionRoom room) {
+    List<RowName> taken = new ArrayList<>();
+    while (taken.size() < removals.size() && room.tryTake(removals.get(taken.size()))) {
+      taken.add(removals.get(taken.size()));
+    }
+    removals.subList(0, taken.size()).clear();
+    return taken;
+  }
+
+  /** Records that the transaction was applied; returns the actions that waited for it. */
+  List<Runnable> onStored() {
+    rosterRefused &= sentRoster == null;
+    sentRoster = null;
+    for (JobWrite row : sent) {
+      Job job = row.job();
+      job.rows().onStored(row.write());
+      if (!row.isLast()) {
+        continue;
+      }
+      refusedJobs.remove(job);
+      if (job.state().isFinal() && !dirtyJobs.contains(job)) {
+        removeFurtherRows(job);
+      }
+    }
+    sent.clear();
+    if (!round.isEmpty() || !queue.isEmpty()) {
+      return List.of();
+    }
+    List<Runnable> actions = List.copyOf(roundActions);
+    roundActions.clear();
+    return actions;
+  }
+
+  /** Schedules the rows of a transaction that was not applied to be written again. */
+  void requeue(Transaction transaction) {
+    Set<Job> all = new LinkedHashSet<>();
+    sent.forEach(row -> all.add(row.job()));
+    queue.forEach(row -> all.add(row.job()));
+    all.addAll(round);
+    all.addAll(dirtyJobs);
+    dirtyJobs.clear();
+    dirtyJobs.addAll(all);
+    sent.clear();
+    queue.clear();
+    round.clear();
+    pendingActions.addAll(0, roundActions);
+    roundActions.clear();
+    if (roster == null) {
+      roster = sentRoster;
+    }
+    sentRoster = null;
+    removals.addAll(transaction.removals());
+  }
+
+  /**
+   * Handles that the only row of a transaction besides the lease was refused. It is excluded, so
+   * that the others can be stored, unless it belongs to a job that has smaller rows.
+   *
+   * @param log is told the rows that are excluded
+   */
+  void excludeRefused(Transaction transaction, Consumer<RowName> log) {
+    for (JobWrite row : sent) {
+      if (row.job().rows().shrink(row.write())) {
+        requeue(transaction);
+        return;
+      }
+    }
+    transaction.writes().stream().skip(1).map(Write::row).forEach(log);
+    transaction.removals().forEach(log);
+    Set<Job> refused = new HashSet<>();
+    sent.forEach(row -> refused.add(row.job()));
+    refusedJobs.addAll(refused);
+    rosterRefused |= sentRoster != null;
+    sentRoster = null;
+    requeue(transaction);
+    dirtyJobs.removeAll(refused);
+    removals.removeAll(transaction.removals());
+  }
+}
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerList.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.hemlockpick.cell.TableService.Range;
+import org.hemlockpick.cell.rows.RosterSelection;
 import org.hemlockpick.proto.RosterEntry;
 import org.hemlockpick.proto.RosterRecord;
 import org.jspecify.annotations.Nullable;
@@ -32,6 +33,10 @@
   private final WorkerTable workers;
   private final TakeoverTracker takeover;
   private final int generation;
+
+  /** Largest value of a row, in bytes. */
+  private final int rowBytes;
+
   private final CellJournal journal;
   private final LoopClock clock;
   private final DecisionLog log;
@@ -55,6 +60,10 @@
 
   private long nextReadAt;
   private boolean rosterChanged;
+
+  /** Whether the last roster had no room for some workers. */
+  private boolean rosterFull;
+
   private long nextRefusedAt;
   private long rosterNumber;
 
@@ -80,6 +89,7 @@
       WorkerTable workers,
       TakeoverTracker takeover,
       int generation,
+      int rowBytes,
       CellJournal journal,
       LoopClock clock,
       DecisionLog log,
@@ -90,6 +100,7 @@
     this.workers = workers;
     this.takeover = takeover;
     this.generation = generation;
+    this.rowBytes = rowBytes;
     this.journal = journal;
     this.clock = clock;
     this.log = log;
@@ -190,7 +201,8 @@
         rosterChanged |= worker.isUnresponsive();
         log.decided("worker", worker.id(), "left the list", worker.runs().size() + " runs");
       }
-      rosterChanged |= worker.isMissingOnRoster() && !takeover.isUnaccounted(worker.id());
+      rosterChanged |=
+          !rosterFull && worker.isMissingOnRoster() && !takeover.isUnaccounted(worker.id());
     }
     listener.onRead();
   }
@@ -311,16 +323,7 @@
             .setPlacesKept(takeover.arePlacementsStored())
             .setDoubted(takeover.isDoubted());
     List<Worker> known = new ArrayList<>(workers.all());
-    for (Worker worker : known) {
-      if (worker.isDrained()) {
-        worker.takeOffRoster();
-      } else if (!takeover.isUnaccounted(worker.id())) {
-        worker.onWrittenToRoster(number);
-        roster.addWorkers(entry(worker));
-      }
-    }
-    // What an earlier holder wrote of a worker stays valid until the worker is accounted for.
-    takeover.unaccounted().forEach(roster::addWorkers);
+    roster.addAllWorkers(selectEntries(known, number));
     journal.setRoster(roster.build());
     journal.whenStored(
         () -> {
@@ -331,6 +334,37 @@
         });
   }
 
+  /** Returns the entries of the roster with a number; workers without one take no tasks. */
+  private List<RosterEntry> selectEntries(List<Worker> known, long number) {
+    Map<String, Worker> candidates = new HashMap<>();
+    List<RosterEntry> required = new ArrayList<>();
+    List<RosterEntry> optional = new ArrayList<>();
+    for (Worker worker : known) {
+      if (worker.isDrained()) {
+        worker.takeOffRoster();
+      } else if (!takeover.isUnaccounted(worker.id())) {
+        candidates.put(worker.id(), worker);
+        (worker.runs().isEmpty() ? optional : required).add(entry(worker));
+      }
+    }
+    // What an earlier holder wrote of a worker stays valid until the worker is accounted for.
+    required.addAll(takeover.unaccounted());
+    List<RosterEntry> selected = RosterSelection.select(required, optional, rowBytes);
+    for (RosterEntry entry : selected) {
+      Worker worker = candidates.remove(entry.getWorker());
+      if (worker != null) {
+        worker.onWrittenToRoster(number);
+      }
+    }
+    candidates.values().forEach(Worker::takeOffRoster);
+    boolean wasFull = rosterFull;
+    rosterFull = !candidates.isEmpty();
+    if (rosterFull && !wasFull) {
+      log.decided("worker", "roster", "full", candidates.size() + " workers take no tasks");
+    }
+    return selected;
+  }
+
   private RosterEntry entry(Worker worker) {
     if (worker.isFullyReported()) {
       reportedBootTimes.put(worker.id(), worker.entry().bootTimeMillis());
--- /dev/null
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/package-info.java
@@ -0,0 +1,5 @@
+/** The rows in which a cell keeps its state, and their sizes. */
+@NullMarked
+package org.hemlockpick.cell.rows;
+
+import org.jspecify.annotations.NullMarked;
