--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
+import org.hemlockpick.cell.rows.RowLimits;
 import org.hemlockpick.errors.ResultCode;
 import org.hemlockpick.fakes.VirtualTime;
 import org.hemlockpick.proto.ProgressRecord;
@@ -59,6 +60,7 @@
 
   private final List<String> workerIds = new ArrayList<>();
   private final SplittableRandom random;
+  private final int rowBytes;
   private final long leaseMillis;
   private final long statusKeepMillis;
   private final long evacuationBoundMillis;
@@ -112,12 +114,39 @@
       long statusKeepMillis,
       int zoneCount,
       long evacuationBoundMillis) {
+    this(
+        seed,
+        nodeCount,
+        workerCount,
+        leaseMillis,
+        statusKeepMillis,
+        zoneCount,
+        evacuationBoundMillis,
+        RowLimits.DEFAULT_ROW_BYTES);
+  }
+
+  /**
+   * Creates a world with rows of another size.
+   *
+   * @param rowBytes largest value of a row, in bytes
+   */
+  CellWorld(
+      long seed,
+      int nodeCount,
+      int workerCount,
+      long leaseMillis,
+      long statusKeepMillis,
+      int zoneCount,
+      long evacuationBoundMillis,
+      int rowBytes) {
+    this.rowBytes = rowBytes;
     this.leaseMillis = leaseMillis;
     this.statusKeepMillis = statusKeepMillis;
     this.evacuations = new Evacuations(this, zoneCount);
     this.evacuationBoundMillis = evacuationBoundMillis;
     random = new SplittableRandom(seed);
     store = new FakeStore(time, random.nextLong());
+    store.maxRowBytes = rowBytes;
     workers = new FakeWorkers(time, random.nextLong(), leaseMillis);
     workers.onReturned = this::onWorkerReturned;
     workers.onStartOrdered = evacuations::check;
@@ -656,7 +685,8 @@
                   200,
                   statusKeepMillis,
                   evacuationBoundMillis,
-                  node.size),
+                  node.size,
+                  rowBytes),
               storeView,
               workerView,
               new Source(node),
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeStore.java
@@ -25,9 +25,6 @@
  * watches.
  */
 final class FakeStore {
-  /** Largest value of a row, in bytes. */
-  private static final int MAX_ROW_BYTES = 65_536;
-
   /** Largest number of entries of a transaction. */
   private static final int MAX_ENTRIES = 100;
 
@@ -75,6 +72,9 @@
   /** Time after which transactions are applied, without an answer; 0 for the usual time. */
   long lateMillis;
 
+  /** Largest value of a row, in bytes. */
+  int maxRowBytes = 65_536;
+
   /** Number of transactions that were refused for their size. */
   int oversizedWrites;
 
@@ -270,12 +270,15 @@
         oversizedWrites++;
         return true;
       }
-      Transaction.RowName refused = JobRows.progress(refusedProgress);
-      return !isUnreachable()
-          && transaction.writes().stream().anyMatch(w -> w.row().equals(refused));
+      return !isUnreachable() && transaction.writes().stream().anyMatch(w -> isRefused(w.row()));
+    }
+
+    private boolean isRefused(Transaction.RowName row) {
+      return row.equals(JobRows.progress(refusedProgress))
+          || (row.table().equals("progress") && row.key().startsWith(refusedProgress + "/"));
     }
 
-    private static boolean isTooLarge(Transaction transaction) {
+    private boolean isTooLarge(Transaction transaction) {
       int entries =
           transaction.conditions().size()
               + transaction.writes().size()
@@ -284,7 +287,7 @@
           transaction.writes().stream().mapToLong(w -> (w.value().size() + 2) / 3 * 4L).sum();
       return entries > MAX_ENTRIES
           || bytes > MAX_TRANSACTION_BYTES
-          || transaction.writes().stream().anyMatch(w -> w.value().size() > MAX_ROW_BYTES);
+          || transaction.writes().stream().anyMatch(w -> w.value().size() > maxRowBytes);
     }
 
     private void sendTransaction(
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/FakeWorkers.java
@@ -74,9 +74,12 @@
    */
   final Map<String, Long> gaugeByJob = new HashMap<>();
 
-  /** Bytes of the checkpoints that the runs of single jobs report; none for other jobs. */
+  /** Bytes of the checkpoints that the runs of single jobs report. */
   final Map<String, Integer> checkpointBytesByJob = new HashMap<>();
 
+  /** Bytes of the checkpoints that the runs of other jobs report; 0 for none. */
+  int checkpointBytes;
+
   /** Tasks that were started with a checkpoint, which must be one of their own. */
   final Set<TaskId> resumed = new HashSet<>();
 
@@ -823,9 +826,13 @@
       return new RunReport(run, "", percent, simulation.gauge(run));
     }
 
+    /** Returns the checkpoint of a task, which all members of a gang share. */
     private String checkpoint(TaskId task) {
-      int bytes = checkpointBytesByJob.getOrDefault(task.job(), 0);
-      String text = String.format("%08x", task.hashCode());
+      int bytes = checkpointBytesByJob.getOrDefault(task.job(), checkpointBytes);
+      Step step = step(task);
+      boolean isShared = step != null && step.gang();
+      TaskId owner = isShared ? new TaskId(task.job(), task.occurrence(), task.step(), 0) : task;
+      String text = String.format("%08x", owner.hashCode());
       return text.repeat(bytes / text.length() + 1).substring(0, bytes);
     }
 
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/HolderChangeFuzzTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/HolderChangeFuzzTest.java
@@ -6,13 +6,17 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.GenerationMode;
 import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
 import org.hemlockpick.cell.CellFaults.Kind;
 import org.hemlockpick.cell.CellFaults.Target;
+import org.hemlockpick.cell.rows.RowLimits;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,6 +51,11 @@
   private static final int CALM_JOBS = 8;
   private static final long RECOVERY_MILLIS = 30_000;
 
+  /** Size of rows that hold few checkpoints, in bytes. */
+  private static final int SMALL_ROW_BYTES = 1_300;
+
+  private static final int CHECKPOINT_BYTES = 400;
+
   /** What takes the cell from its holder. */
   private static final List<Kind> CHANGES =
       List.of(
@@ -63,6 +72,11 @@
       Stream.of(Kind.values()).filter(kind -> kind != Kind.EVACUATE).toList();
 
   private int jobs;
+  private int rowBytes = RowLimits.DEFAULT_ROW_BYTES;
+  private int checkpointBytes;
+
+  /** Whether the rows of the newest job are refused in every third round. */
+  private boolean refusesRows;
 
   /** Plays each kind without a change of holder but those that it causes. */
   @Property(generation = GenerationMode.EXHAUSTIVE)
@@ -93,6 +107,27 @@
     new HolderChangeFuzzTest().play(kind, 20261205L * number, leaseMillis(number));
   }
 
+  /** Plays kinds with rows that hold the checkpoints of few tasks, and are refused for a while. */
+  @Property(generation = GenerationMode.EXHAUSTIVE)
+  void changesOfHolderLoseNothingOfJobsThatOutgrowTheirRows(
+      @ForAll("kindsOfLoss") Kind kind, @ForAll @IntRange(min = 1, max = 3) int number) {
+    HolderChangeFuzzTest test = new HolderChangeFuzzTest();
+    test.rowBytes = SMALL_ROW_BYTES;
+    test.checkpointBytes = CHECKPOINT_BYTES;
+    test.refusesRows = number > 1;
+    test.play(kind, 20261207L * number, leaseMillis(number));
+  }
+
+  @Provide
+  Arbitrary<Kind> kindsOfLoss() {
+    return Arbitraries.of(
+        Kind.KILL_FOR_A_WHILE,
+        Kind.SUSPEND,
+        Kind.CUT_STORE_FOR_A_WHILE,
+        Kind.SILENCE_STORE_FOR_A_WHILE,
+        Kind.FAIL_RUNS);
+  }
+
   /** Guards against judging a job that was given up after crashes under it as one that waits. */
   @Example
   void jobThatIsGivenUpAfterThreeCrashesIsNotAwaited() {
@@ -135,7 +170,9 @@
             leaseMillis,
             STATUS_KEEP_MILLIS,
             isEvacuation ? ZONES : 1,
-            isEvacuation ? Evacuations.BOUND_MILLIS : 0);
+            isEvacuation ? Evacuations.BOUND_MILLIS : 0,
+            rowBytes);
+    world.workers.checkpointBytes = checkpointBytes;
     StartWatchdog watchdog = new StartWatchdog(world, leaseMillis);
     CellFaults faults = new CellFaults(world, random, WORKERS);
     UnusualJobs unusualJobs = new UnusualJobs(world, random);
@@ -147,6 +184,7 @@
     unusualJobs.submitLasting(0, 1 + random.nextInt(WORKERS));
     for (int i = 0; i < ROUNDS; i++) {
       submit(world, random);
+      world.store.refusedProgress = refusesRows && i % 3 == 1 ? "j" + jobs : "";
       world.time.runFor(random.nextLong(MAX_PAUSE_MILLIS));
       Runnable strike =
           () -> {
@@ -168,6 +206,7 @@
       }
     }
     faults.heal();
+    world.store.refusedProgress = "";
     world.time.runFor(LAST_FAULTS_MILLIS);
     faults.heal();
     world.time.runFor(SETTLE_MILLIS);
--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/rows/ProgressRowsTest.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/rows/ProgressRowsTest.java
@@ -100,7 +100,7 @@
   }
 
   private static List<Write> rows(ProgressRows rows, ProgressRecord progress) {
-    return rows.rows(progress, ROW_BYTES).orElseThrow();
+    return rows.rows(progress, ROW_BYTES, 0).orElseThrow();
   }
 
   /** Writes rows, each of which must fit, and reads them as the next holder does. */
@@ -183,7 +183,7 @@
               .setDoubted(bits(first(1)))
               .addNotes(checkpoint(0)));
     }
-    assertEquals(Optional.empty(), rows.rows(progress.build(), ROW_BYTES));
+    assertEquals(Optional.empty(), rows.rows(progress.build(), ROW_BYTES, 0));
     assertTrue(rows.needsHiding());
     rows.setHidden();
     Map<String, ProgressRecord> stored = store(rows, rows(rows, progress.build()), ROW_BYTES);
@@ -201,7 +201,7 @@
       step.addNotes(largest(i));
     }
     ProgressRecord progress = running().addSteps(step).build();
-    List<Write> writes = rows.rows(progress, RowLimits.MIN_ROW_BYTES).orElseThrow();
+    List<Write> writes = rows.rows(progress, RowLimits.MIN_ROW_BYTES, 0).orElseThrow();
     Map<String, ProgressRecord> stored = store(rows, writes, RowLimits.MIN_ROW_BYTES);
     ProgressRecord restored = restored(job, stored);
     // Checkpoints that leave no room for the rest of a note are dropped.
@@ -257,7 +257,7 @@
       for (int change = random.nextInt(tasks + 1); change > 0; change--) {
         versions.merge(random.nextInt(tasks), 1, (old, one) -> Math.min(old + one, DONE));
       }
-      List<Write> writes = rows.rows(versioned(job, versions), 400).orElseThrow();
+      List<Write> writes = rows.rows(versioned(job, versions), 400, 0).orElseThrow();
       boolean isLost = random.nextInt(3) == 0;
       int applied = isLost ? random.nextInt(writes.size()) : writes.size();
       for (Write write : writes.subList(0, applied)) {
@@ -268,7 +268,8 @@
       if (isLost) {
         rows = new ProgressRows(job);
         rows.setHidden();
-        Map<Integer, Integer> found = versions(job, rows.restore(stored).orElse(running().build()));
+        Map<Integer, Integer> found =
+            versions(job, rows.restore(stored, null).orElse(running().build()));
         before.forEach(
             (task, version) ->
                 assertTrue(
@@ -326,7 +327,7 @@
   }
 
   private static ProgressRecord restored(Submission job, Map<String, ProgressRecord> stored) {
-    return new ProgressRows(job).restore(stored).orElseThrow();
+    return new ProgressRows(job).restore(stored, null).orElseThrow();
   }
 
   /** Returns what progress says of each step, however it is spread over entries. */
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/Cell.java
@@ -66,6 +66,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_hemlockpick_ProgressRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_SetAsideJob_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_SetAsideJob_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_hemlockpick_SetAsideRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_hemlockpick_SetAsideRecord_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_hemlockpick_QueueLength_descriptor;
   static final 
@@ -144,36 +154,40 @@
       "tNote\022\017\n\007doubted\030\025 \001(\010\"u\n\014StepProgress\022\022" +
       "\n\noccurrence\030\001 \001(\r\022\014\n\004step\030\002 \001(\r\022\014\n\004done" +
       "\030\003 \001(\014\022$\n\005notes\030\004 \003(\0132\025.hemlockpick.Task" +
-      "Note\022\017\n\007doubted\030\005 \001(\014\"\375\001\n\016ProgressRecord" +
+      "Note\022\017\n\007doubted\030\005 \001(\014\"\224\002\n\016ProgressRecord" +
       "\022\016\n\006format\030\001 \001(\r\022*\n\005state\030\002 \001(\0162\033.hemloc" +
       "kpick.JobStateRecord\022(\n\005steps\030\003 \003(\0132\031.he" +
       "mlockpick.StepProgress\022\027\n\017ended_at_milli" +
       "s\030\004 \001(\004\022\r\n\005queue\030\024 \001(\t\022\014\n\004host\030\025 \001(\t\022\023\n\013" +
       "path_prefix\030\026 \001(\t\022\017\n\007compact\030\036 \001(\010\022\022\n\ndo" +
-      "ne_tasks\030\037 \001(\014\022\025\n\rdoubted_tasks\030  \001(\014\"-\n" +
-      "\013QueueLength\022\r\n\005queue\030\001 \001(\t\022\017\n\007waiting\030\002" +
-      " \001(\r\"\227\001\n\nCellRecord\022\016\n\006format\030\001 \001(\r\022\016\n\006h" +
-      "older\030\002 \001(\t\022\022\n\ngeneration\030\003 \001(\r\022\020\n\010relea" +
-      "sed\030\004 \001(\010\022)\n\007waiting\030\005 \003(\0132\030.hemlockpick" +
-      ".QueueLength\022\030\n\020replaced_version\030\006 \001(\004\"\223" +
-      "\001\n\013RosterEntry\022\016\n\006worker\030\001 \001(\t\022\023\n\013born_m" +
-      "illis\030\002 \001(\004\022\017\n\007address\030\003 \001(\t\022\016\n\006silent\030\004" +
-      " \001(\010\022\r\n\005tasks\030\005 \003(\t\022\027\n\017granted_version\030\006" +
-      " \001(\004\022\026\n\016granting_ended\030\007 \001(\010\"\224\001\n\014RosterR" +
-      "ecord\022\016\n\006format\030\001 \001(\r\022)\n\007workers\030\002 \003(\0132\030" +
-      ".hemlockpick.RosterEntry\022\017\n\007located\030\003 \001(" +
-      "\010\022\022\n\ngeneration\030\004 \001(\r\022\023\n\013places_kept\030\005 \001" +
-      "(\010\022\017\n\007doubted\030\024 \001(\010\"F\n\tHarmEntry\022\025\n\rserv" +
-      "ing_image\030\001 \001(\t\022\024\n\014filler_image\030\002 \001(\t\022\014\n" +
-      "\004harm\030\003 \001(\001\"*\n\tQueueMean\022\r\n\005queue\030\001 \001(\t\022" +
-      "\016\n\006millis\030\002 \001(\001\"l\n\rLearnedRecord\022\016\n\006form" +
-      "at\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026.hemlockpick.Har" +
-      "mEntry\022%\n\005means\030\003 \003(\0132\026.hemlockpick.Queu" +
-      "eMean*\201\001\n\016JobStateRecord\022\031\n\025JOB_STATE_UN" +
-      "SPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022\017\n\013JOB_RUNNI" +
-      "NG\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJOB_FAILED\020\004\022" +
-      "\020\n\014JOB_CANCELED\020\005B\031\n\025org.hemlockpick.pro" +
-      "toP\001b\006proto3"
+      "ne_tasks\030\037 \001(\014\022\025\n\rdoubted_tasks\030  \001(\014\022\025\n" +
+      "\rlease_version\030! \001(\004\"I\n\013SetAsideJob\022\013\n\003j" +
+      "ob\030\001 \001(\t\022-\n\010progress\030\002 \001(\0132\033.hemlockpick" +
+      ".ProgressRecord\"H\n\016SetAsideRecord\022\016\n\006for" +
+      "mat\030\001 \001(\r\022&\n\004jobs\030\002 \003(\0132\030.hemlockpick.Se" +
+      "tAsideJob\"-\n\013QueueLength\022\r\n\005queue\030\001 \001(\t\022" +
+      "\017\n\007waiting\030\002 \001(\r\"\227\001\n\nCellRecord\022\016\n\006forma" +
+      "t\030\001 \001(\r\022\016\n\006holder\030\002 \001(\t\022\022\n\ngeneration\030\003 " +
+      "\001(\r\022\020\n\010released\030\004 \001(\010\022)\n\007waiting\030\005 \003(\0132\030" +
+      ".hemlockpick.QueueLength\022\030\n\020replaced_ver" +
+      "sion\030\006 \001(\004\"\223\001\n\013RosterEntry\022\016\n\006worker\030\001 \001" +
+      "(\t\022\023\n\013born_millis\030\002 \001(\004\022\017\n\007address\030\003 \001(\t" +
+      "\022\016\n\006silent\030\004 \001(\010\022\r\n\005tasks\030\005 \003(\t\022\027\n\017grant" +
+      "ed_version\030\006 \001(\004\022\026\n\016granting_ended\030\007 \001(\010" +
+      "\"\224\001\n\014RosterRecord\022\016\n\006format\030\001 \001(\r\022)\n\007wor" +
+      "kers\030\002 \003(\0132\030.hemlockpick.RosterEntry\022\017\n\007" +
+      "located\030\003 \001(\010\022\022\n\ngeneration\030\004 \001(\r\022\023\n\013pla" +
+      "ces_kept\030\005 \001(\010\022\017\n\007doubted\030\024 \001(\010\"F\n\tHarmE" +
+      "ntry\022\025\n\rserving_image\030\001 \001(\t\022\024\n\014filler_im" +
+      "age\030\002 \001(\t\022\014\n\004harm\030\003 \001(\001\"*\n\tQueueMean\022\r\n\005" +
+      "queue\030\001 \001(\t\022\016\n\006millis\030\002 \001(\001\"l\n\rLearnedRe" +
+      "cord\022\016\n\006format\030\001 \001(\r\022$\n\004harm\030\002 \003(\0132\026.hem" +
+      "lockpick.HarmEntry\022%\n\005means\030\003 \003(\0132\026.heml" +
+      "ockpick.QueueMean*\201\001\n\016JobStateRecord\022\031\n\025" +
+      "JOB_STATE_UNSPECIFIED\020\000\022\016\n\nJOB_QUEUED\020\001\022" +
+      "\017\n\013JOB_RUNNING\020\002\022\021\n\rJOB_COMPLETED\020\003\022\016\n\nJ" +
+      "OB_FAILED\020\004\022\020\n\014JOB_CANCELED\020\005B\031\n\025org.hem" +
+      "lockpick.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -226,45 +240,57 @@
     internal_static_hemlockpick_ProgressRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_ProgressRecord_descriptor,
-        new java.lang.String[] { "Format", "State", "Steps", "EndedAtMillis", "Queue", "Host", "PathPrefix", "Compact", "DoneTasks", "DoubtedTasks", });
-    internal_static_hemlockpick_QueueLength_descriptor =
+        new java.lang.String[] { "Format", "State", "Steps", "EndedAtMillis", "Queue", "Host", "PathPrefix", "Compact", "DoneTasks", "DoubtedTasks", "LeaseVersion", });
+    internal_static_hemlockpick_SetAsideJob_descriptor =
       getDescriptor().getMessageType(8);
+    internal_static_hemlockpick_SetAsideJob_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_SetAsideJob_descriptor,
+        new java.lang.String[] { "Job", "Progress", });
+    internal_static_hemlockpick_SetAsideRecord_descriptor =
+      getDescriptor().getMessageType(9);
+    internal_static_hemlockpick_SetAsideRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_hemlockpick_SetAsideRecord_descriptor,
+        new java.lang.String[] { "Format", "Jobs", });
+    internal_static_hemlockpick_QueueLength_descriptor =
+      getDescriptor().getMessageType(10);
     internal_static_hemlockpick_QueueLength_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_QueueLength_descriptor,
         new java.lang.String[] { "Queue", "Waiting", });
     internal_static_hemlockpick_CellRecord_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_hemlockpick_CellRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_CellRecord_descriptor,
         new java.lang.String[] { "Format", "Holder", "Generation", "Released", "Waiting", "ReplacedVersion", });
     internal_static_hemlockpick_RosterEntry_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_hemlockpick_RosterEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterEntry_descriptor,
         new java.lang.String[] { "Worker", "BornMillis", "Address", "Silent", "Tasks", "GrantedVersion", "GrantingEnded", });
     internal_static_hemlockpick_RosterRecord_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_hemlockpick_RosterRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_RosterRecord_descriptor,
         new java.lang.String[] { "Format", "Workers", "Located", "Generation", "PlacesKept", "Doubted", });
     internal_static_hemlockpick_HarmEntry_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_hemlockpick_HarmEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_HarmEntry_descriptor,
         new java.lang.String[] { "ServingImage", "FillerImage", "Harm", });
     internal_static_hemlockpick_QueueMean_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_hemlockpick_QueueMean_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_QueueMean_descriptor,
         new java.lang.String[] { "Queue", "Millis", });
     internal_static_hemlockpick_LearnedRecord_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_hemlockpick_LearnedRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_hemlockpick_LearnedRecord_descriptor,
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecord.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecord.java
@@ -307,6 +307,22 @@
     return doubtedTasks_;
   }
 
+  public static final int LEASE_VERSION_FIELD_NUMBER = 33;
+  private long leaseVersion_ = 0L;
+  /**
+   * <pre>
+   * Version of the lease's row when this was written: where a job was set aside, the progress with
+   * the higher one holds. Else 0.
+   * </pre>
+   *
+   * <code>uint64 lease_version = 33;</code>
+   * @return The leaseVersion.
+   */
+  @java.lang.Override
+  public long getLeaseVersion() {
+    return leaseVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -351,6 +367,9 @@
     if (!doubtedTasks_.isEmpty()) {
       output.writeBytes(32, doubtedTasks_);
     }
+    if (leaseVersion_ != 0L) {
+      output.writeUInt64(33, leaseVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -397,6 +416,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(32, doubtedTasks_);
     }
+    if (leaseVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(33, leaseVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -431,6 +454,8 @@
         .equals(other.getDoneTasks())) return false;
     if (!getDoubtedTasks()
         .equals(other.getDoubtedTasks())) return false;
+    if (getLeaseVersion()
+        != other.getLeaseVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -466,6 +491,9 @@
     hash = (53 * hash) + getDoneTasks().hashCode();
     hash = (37 * hash) + DOUBTED_TASKS_FIELD_NUMBER;
     hash = (53 * hash) + getDoubtedTasks().hashCode();
+    hash = (37 * hash) + LEASE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLeaseVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -619,6 +647,7 @@
       compact_ = false;
       doneTasks_ = com.google.protobuf.ByteString.EMPTY;
       doubtedTasks_ = com.google.protobuf.ByteString.EMPTY;
+      leaseVersion_ = 0L;
       return this;
     }
 
@@ -692,6 +721,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.doubtedTasks_ = doubtedTasks_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.leaseVersion_ = leaseVersion_;
+      }
     }
 
     @java.lang.Override
@@ -765,6 +797,9 @@
       if (!other.getDoubtedTasks().isEmpty()) {
         setDoubtedTasks(other.getDoubtedTasks());
       }
+      if (other.getLeaseVersion() != 0L) {
+        setLeaseVersion(other.getLeaseVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -849,6 +884,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 258
+            case 264: {
+              leaseVersion_ = input.readUInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 264
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1588,6 +1628,53 @@
       return this;
     }
 
+    private long leaseVersion_ ;
+    /**
+     * <pre>
+     * Version of the lease's row when this was written: where a job was set aside, the progress with
+     * the higher one holds. Else 0.
+     * </pre>
+     *
+     * <code>uint64 lease_version = 33;</code>
+     * @return The leaseVersion.
+     */
+    @java.lang.Override
+    public long getLeaseVersion() {
+      return leaseVersion_;
+    }
+    /**
+     * <pre>
+     * Version of the lease's row when this was written: where a job was set aside, the progress with
+     * the higher one holds. Else 0.
+     * </pre>
+     *
+     * <code>uint64 lease_version = 33;</code>
+     * @param value The leaseVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeaseVersion(long value) {
+
+      leaseVersion_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the lease's row when this was written: where a job was set aside, the progress with
+     * the higher one holds. Else 0.
+     * </pre>
+     *
+     * <code>uint64 lease_version = 33;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeaseVersion() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      leaseVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:hemlockpick.ProgressRecord)
   }
 
--- a/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecordOrBuilder.java
+++ b/org.hemlockpick/src-gen/java/org/hemlockpick/proto/ProgressRecordOrBuilder.java
@@ -130,4 +130,15 @@
    * @return The doubtedTasks.
    */
   com.google.protobuf.ByteString getDoubtedTasks();
+
+  /**
+   * <pre>
+   * Version of the lease's row when this was written: where a job was set aside, the progress with
+   * the higher one holds. Else 0.
+   * </pre>
+   *
+   * <code>uint64 lease_version = 33;</code>
+   * @return The leaseVersion.
+   */
+  long getLeaseVersion();
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellHolder.java
@@ -108,7 +108,9 @@
             () -> changedSincePlan = true);
     this.sweeper = new JobSweeper(settings, store, jobs, jobWatcher.tombstones(), journal, clock);
     this.learnedState = new LearnedState(interference, estimator, journal, settings.rowBytes());
-    this.takeoverTracker = new TakeoverTracker(settings, lease, store, learnedState, clock, log);
+    this.takeoverTracker =
+        new TakeoverTracker(
+            settings, lease, store, learnedState, journal.setAsideJobs(), clock, log);
     this.evacuation =
         new EvacuationController(
             settings, store, source, workers, takeoverTracker::isComplete, clock, log, metrics);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CellJournal.java
@@ -38,6 +38,7 @@
   private final Listener listener;
   private final LeaseValidity validity;
 
+  private final SetAsideJobs setAsideJobs;
   private final JournalRows rows;
   private long leaseVersion;
 
@@ -82,7 +83,8 @@
     this.metrics = metrics;
     this.listener = listener;
     SubmissionHider hider = new SubmissionHider(settings, store, log, this::markDirty);
-    this.rows = new JournalRows(settings, hider::hide);
+    this.setAsideJobs = new SetAsideJobs(settings.cell(), settings.rowBytes());
+    this.rows = new JournalRows(settings, setAsideJobs, log, hider::hide);
   }
 
   /** Is notified of the end of the lease and of the availability of the table service. */
@@ -107,6 +109,24 @@
     return rows.isRefused(job);
   }
 
+  /** Returns the jobs whose progress is stored in a row of the cell. */
+  SetAsideJobs setAsideJobs() {
+    return setAsideJobs;
+  }
+
+  /**
+   * Has the progress of a job stored in a row of the cell, as its own rows are refused and its ends
+   * hold up those of other jobs.
+   */
+  void setAside(Job job) {
+    rows.setAside(job);
+  }
+
+  /** Returns the number of jobs whose latest progress is not stored, as it was refused. */
+  int refusedJobs() {
+    return rows.refusedCount();
+  }
+
   /** Returns whether the latest roster is not stored, as the service refuses its row. */
   boolean isRosterRefused() {
     return rows.isRosterRefused();
@@ -258,7 +278,7 @@
     CellRecord record = leaseRecord.get();
     TransactionRoom room = new TransactionRoom(maxRows + 1);
     room.take(record.toByteString());
-    JournalRows.Batch batch = rows.build(room);
+    JournalRows.Batch batch = rows.build(room, leaseVersion);
     boolean isRelease = releasing && batch.isComplete();
     Transaction transaction = transaction(record, batch, isRelease);
     inFlight = true;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/HolderGauges.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/HolderGauges.java
@@ -37,6 +37,8 @@
     gauges.put("cell.renewal.age.millis", journal.millisSinceRenewal());
     gauges.put("jobs.open", (long) jobs.open().size());
     gauges.put("jobs.tombstones", (long) tombstones.size());
+    gauges.put("jobs.refused", (long) journal.refusedJobs());
+    gauges.put("jobs.set.aside", (long) journal.setAsideJobs().members().size());
     gauges.put("reservations.held", (long) reservations.all().size());
     gauges.put("reservations.workers", (long) reservations.workers().size());
     gauges.put("workers.unaccounted", (long) takeover.unaccounted().size());
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobCallHandler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobCallHandler.java
@@ -315,21 +315,31 @@
         retryOrGiveUp();
         return;
       }
-      StoredRow submission = null;
-      boolean isCanceled = false;
-      for (StoredRow row : result.rows()) {
-        JobRows.Kind kind = JobRows.kind(row.key()).orElse(null);
-        submission = kind == JobRows.Kind.SUBMISSION ? row : submission;
-        isCanceled |= kind == JobRows.Kind.CANCELLATION;
-      }
+      CallerRows rows = CallerRows.of(result.rows());
+      StoredRow submission = rows.submission();
       if (submission == null) {
         onAbsent();
       } else if (!ownership.covers(submission)) {
         answer(CallerReply.of(ownership.unknownJob()));
-      } else if (isCanceled) {
+      } else if (rows.isCanceled()) {
         onEnded(JobState.CANCELED);
+      } else if (JobRows.isHidden(submission.value())) {
+        CallerRows.readSetAside(
+            store,
+            settings.cell(),
+            job,
+            storeTimeoutMillis(),
+            aside -> onState(submission, aside == null ? progress : aside));
+      } else {
+        onState(submission, progress);
+      }
+    }
+
+    private void onState(StoredRow submission, @Nullable JobState state) {
+      if (state != null && state.isFinal()) {
+        onEnded(state);
       } else {
-        onOpen(submission, progress == null ? JobState.QUEUED : progress);
+        onOpen(submission, state == null ? JobState.QUEUED : state);
       }
     }
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobWatcher.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobWatcher.java
@@ -1,9 +1,12 @@
 package org.hemlockpick.cell;
 
+import java.util.Map;
 import java.util.Optional;
 import org.hemlockpick.cell.JobRows.Kind;
 import org.hemlockpick.cell.TableService.WatchResult;
 import org.hemlockpick.cell.calls.Tombstones;
+import org.hemlockpick.cell.rows.ProgressRows;
+import org.hemlockpick.proto.ProgressRecord;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -103,6 +106,7 @@
     if (!loaded) {
       loaded = true;
       scan.orphans().forEach(journal::remove);
+      journal.setAsideJobs().onJobsLoaded();
       log.decided("cell", cell, "jobs read", jobs.open().size() + " open");
     }
   }
@@ -167,7 +171,7 @@
     boolean inherited = !loaded;
     Job job = new Job(submission, row.version(), inherited);
     if (scan != null) {
-      job.rows().restore(scan.progress(id)).ifPresent(job::restore);
+      restore(job, scan);
     }
     if (JobRows.isHidden(row.value())) {
       job.rows().setHidden();
@@ -190,6 +194,16 @@
     }
   }
 
+  /** Restores what the previous holder stored of a job, in its own rows or set aside. */
+  private void restore(Job job, JobScan scan) {
+    Map<String, ProgressRecord> stored = scan.progress(job.id());
+    ProgressRecord aside = journal.setAsideJobs().inherited(job.id());
+    if (aside != null && ProgressRows.isNewer(aside, stored.get(job.id()))) {
+      journal.setAsideJobs().add(job);
+    }
+    job.rows().restore(stored, aside).ifPresent(job::restore);
+  }
+
   private void applyCancellation(String id, StoredRow row) {
     Job job = jobs.get(id);
     if (job == null) {
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JournalRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JournalRows.java
@@ -24,9 +24,17 @@
  */
 final class JournalRows {
   private final CellSettings settings;
+  private final SetAsideJobs setAsideJobs;
+  private final DecisionLog log;
   private final Listener listener;
 
-  /** Jobs whose latest progress the service has refused, so that it is not stored. */
+  /** Jobs that are to be set aside as soon as they are hidden from earlier versions. */
+  private final Set<Job> heldUp = new HashSet<>();
+
+  /** Jobs that are set aside, of which the own rows are tried again. */
+  private final Set<Job> retried = new HashSet<>();
+
+  /** Jobs whose latest progress is not stored, as the service refuses it or it must wait. */
   private final Set<Job> refusedJobs = new HashSet<>();
 
   private boolean rosterRefused;
@@ -53,15 +61,15 @@
   private @Nullable LearnedRecord learned;
 
   /**
-   * A row of a job.
+   * A row of a job, or of all jobs that are set aside.
    *
-   * @param isLast whether the progress of the job is stored with it
+   * @param isLast whether the progress of the jobs is stored with it
    */
-  private record JobWrite(Job job, Write write, boolean isLast) {}
+  private record JobWrite(List<Job> jobs, Write write, boolean isLast, boolean isAside) {}
 
   /** Is told of jobs whose rows may not fit. */
   interface Listener {
-    /** Called for a job whose progress soon cannot be stored unless it is hidden. */
+    /** Called for a job whose progress can soon not be stored unless it is hidden. */
     void onHidingNeeded(Job job);
   }
 
@@ -72,8 +80,11 @@
    */
   record Batch(List<Write> writes, List<RowName> removals, boolean isComplete) {}
 
-  JournalRows(CellSettings settings, Listener listener) {
+  JournalRows(
+      CellSettings settings, SetAsideJobs setAsideJobs, DecisionLog log, Listener listener) {
     this.settings = settings;
+    this.setAsideJobs = setAsideJobs;
+    this.log = log;
     this.listener = listener;
   }
 
@@ -108,6 +119,8 @@
   /** Schedules all rows of a job to be removed. */
   void remove(Job job) {
     refusedJobs.remove(job);
+    heldUp.remove(job);
+    setAsideJobs.remove(job);
     removals.add(ProgressRows.row(job.id()));
     removeFurtherRows(job);
   }
@@ -118,14 +131,30 @@
     job.rows().clearFurtherRows();
   }
 
-  /** Schedules the refused jobs to be sent again. */
+  /** Schedules the refused jobs to be sent again, and the own rows of those that are set aside. */
   void retryRefused() {
+    retried.addAll(setAsideJobs.members());
+    dirtyJobs.addAll(setAsideJobs.members());
     dirtyJobs.addAll(refusedJobs);
   }
 
+  /** Has a job set aside whose rows are refused, as its ends hold up those of other jobs. */
+  void setAside(Job job) {
+    if (refusedJobs.contains(job) && !job.rows().needsHiding() && heldUp.add(job)) {
+      dirtyJobs.add(job);
+      log.decided("job", job.id(), "to be set aside", "its ends hold up those of others");
+    }
+  }
+
+  /** Returns the number of jobs whose latest progress is not stored, as it was refused. */
+  int refusedCount() {
+    return refusedJobs.size();
+  }
+
   /** Returns whether no change is left that an action would have to wait for. */
   boolean isStored() {
-    return dirtyJobs.isEmpty() && round.isEmpty() && queue.isEmpty() && roster == null;
+    boolean areJobsStored = dirtyJobs.isEmpty() && round.isEmpty() && queue.isEmpty();
+    return areJobsStored && roster == null && !setAsideJobs.isOutdated();
   }
 
   boolean hasChanges() {
@@ -133,8 +162,12 @@
     return !isStored() || hasActions || !removals.isEmpty();
   }
 
-  /** Returns the rows of the next transaction, as many as there is room for. */
-  Batch build(TransactionRoom room) {
+  /**
+   * Returns the rows of the next transaction, as many as there is room for.
+   *
+   * @param leaseVersion version of the lease's row
+   */
+  Batch build(TransactionRoom room, long leaseVersion) {
     List<Write> writes = new ArrayList<>();
     sent.clear();
     sentRoster = roster;
@@ -151,22 +184,23 @@
         learned = null;
       }
     }
-    takeJobs(room);
+    takeJobs(room, leaseVersion);
     sent.forEach(row -> writes.add(row.write()));
     List<RowName> removed = takeRemovals(room);
     return new Batch(writes, removed, isStored() && learned == null);
   }
 
-  private void takeJobs(TransactionRoom room) {
+  private void takeJobs(TransactionRoom room, long leaseVersion) {
     if (round.isEmpty() && queue.isEmpty()) {
       round.addAll(dirtyJobs);
       dirtyJobs.clear();
       roundActions.addAll(pendingActions);
       pendingActions.clear();
+      setJobsAside(leaseVersion);
     }
     while (!queue.isEmpty() || !round.isEmpty()) {
       if (queue.isEmpty()) {
-        buildRows(removeFirst(round));
+        buildRows(removeFirst(round), leaseVersion);
       } else if (room.tryTake(queue.element().write())) {
         sent.add(queue.remove());
       } else {
@@ -182,20 +216,42 @@
     return first;
   }
 
-  private void buildRows(Job job) {
+  private void buildRows(Job job, long leaseVersion) {
+    ProgressRows.Form before = job.rows().form();
     List<Write> rows =
-        job.rows().rows(JobRows.progress(job), settings.rowBytes()).orElse(List.of());
+        job.rows().rows(JobRows.progress(job), settings.rowBytes(), leaseVersion).orElse(List.of());
     if (rows.isEmpty()) {
       refusedJobs.add(job);
     }
+    if (job.rows().form() != before) {
+      log.decided("job", job.id(), "rows " + job.rows().form(), rows.size() + " rows");
+    }
     for (int i = 0; i < rows.size(); i++) {
-      queue.add(new JobWrite(job, rows.get(i), i == rows.size() - 1));
+      queue.add(new JobWrite(List.of(job), rows.get(i), i == rows.size() - 1, false));
     }
-    if (job.rows().needsHiding()) {
+    if (job.rows().needsHiding() || (heldUp.contains(job) && !job.rows().isHidden())) {
       listener.onHidingNeeded(job);
     }
   }
 
+  /** Builds the row of the jobs that are set aside, with the progress of all, if it is due. */
+  private void setJobsAside(long leaseVersion) {
+    round.stream()
+        .filter(job -> job.rows().isHidden() && heldUp.remove(job))
+        .forEach(setAsideJobs::add);
+    boolean hasChanged =
+        round.stream().anyMatch(job -> setAsideJobs.contains(job) && !retried.contains(job));
+    if (!hasChanged && !setAsideJobs.isOutdated()) {
+      return;
+    }
+    Set<Job> before = Set.copyOf(setAsideJobs.members());
+    Write write = setAsideJobs.write(leaseVersion);
+    List<Job> members = List.copyOf(setAsideJobs.members());
+    queue.add(new JobWrite(members, write, true, true));
+    before.stream().filter(job -> !setAsideJobs.contains(job)).forEach(refusedJobs::add);
+    round.removeIf(job -> setAsideJobs.contains(job) && !retried.contains(job));
+  }
+
   private List<RowName> takeRemovals(TransactionRoom room) {
     List<RowName> taken = new ArrayList<>();
     while (taken.size() < removals.size() && room.tryTake(removals.get(taken.size()))) {
@@ -209,31 +265,43 @@
   List<Runnable> onStored() {
     rosterRefused &= sentRoster == null;
     sentRoster = null;
-    for (JobWrite row : sent) {
-      Job job = row.job();
-      job.rows().onStored(row.write());
+    sent.forEach(this::onStored);
+    sent.clear();
+    if (!round.isEmpty() || !queue.isEmpty()) {
+      return List.of();
+    }
+    List<Runnable> actions = List.copyOf(roundActions);
+    roundActions.clear();
+    return actions;
+  }
+
+  private void onStored(JobWrite row) {
+    for (Job job : row.jobs()) {
+      if (!row.isAside()) {
+        job.rows().onStored(row.write());
+      }
       if (!row.isLast()) {
         continue;
       }
       refusedJobs.remove(job);
+      heldUp.remove(job);
+      if (!row.isAside() && retried.remove(job)) {
+        setAsideJobs.remove(job);
+      }
       if (job.state().isFinal() && !dirtyJobs.contains(job)) {
         removeFurtherRows(job);
       }
     }
-    sent.clear();
-    if (!round.isEmpty() || !queue.isEmpty()) {
-      return List.of();
-    }
-    List<Runnable> actions = List.copyOf(roundActions);
-    roundActions.clear();
-    return actions;
   }
 
   /** Schedules the rows of a transaction that was not applied to be written again. */
   void requeue(Transaction transaction) {
     Set<Job> all = new LinkedHashSet<>();
-    sent.forEach(row -> all.add(row.job()));
-    queue.forEach(row -> all.add(row.job()));
+    sent.forEach(row -> all.addAll(row.jobs()));
+    queue.forEach(row -> all.addAll(row.jobs()));
+    if (sent.stream().anyMatch(JobWrite::isAside) || queue.stream().anyMatch(JobWrite::isAside)) {
+      setAsideJobs.setOutdated();
+    }
     all.addAll(round);
     all.addAll(dirtyJobs);
     dirtyJobs.clear();
@@ -258,7 +326,7 @@
    */
   void excludeRefused(Transaction transaction, Consumer<RowName> log) {
     for (JobWrite row : sent) {
-      if (row.job().rows().shrink(row.write())) {
+      if (!row.isAside() && row.jobs().get(0).rows().shrink(row.write())) {
         requeue(transaction);
         return;
       }
@@ -266,12 +334,18 @@
     transaction.writes().stream().skip(1).map(Write::row).forEach(log);
     transaction.removals().forEach(log);
     Set<Job> refused = new HashSet<>();
-    sent.forEach(row -> refused.add(row.job()));
+    sent.forEach(row -> refused.addAll(row.jobs()));
+    boolean isAsideRefused = sent.stream().anyMatch(JobWrite::isAside);
     refusedJobs.addAll(refused);
     rosterRefused |= sentRoster != null;
     sentRoster = null;
     requeue(transaction);
-    dirtyJobs.removeAll(refused);
+    if (isAsideRefused) {
+      setAsideJobs.onRefused();
+    }
+    // What is set aside, and does not fit its own rows yet, is written there again.
+    dirtyJobs.removeIf(job -> refused.contains(job) && !setAsideJobs.contains(job));
+    retried.removeAll(refused);
     removals.removeAll(transaction.removals());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SubmissionHider.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SubmissionHider.java
@@ -19,7 +19,7 @@
   private final TableService store;
   private final DecisionLog log;
 
-  /** Is told of jobs that are hidden from now on, or could not be hidden. */
+  /** Is told of jobs that are hidden from now on, or that may be if it is tried again. */
   private final Consumer<Job> onAnswer;
 
   private final Set<Job> inFlight = new HashSet<>();
@@ -57,6 +57,8 @@
       job.rows().setHidden();
     }
     log.decided("job", job.id(), isHidden ? "hidden" : "not hidden", result.outcome().name());
-    onAnswer.accept(job);
+    if (isHidden || result.outcome() != Outcome.REFUSED) {
+      onAnswer.accept(job);
+    }
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeoverTracker.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/TakeoverTracker.java
@@ -22,6 +22,7 @@
   private final CellLease.Acquired lease;
   private final TableService store;
   private final LearnedState learnedState;
+  private final SetAsideJobs setAsideJobs;
   private final LoopClock clock;
   private final DecisionLog log;
 
@@ -56,12 +57,14 @@
       CellLease.Acquired lease,
       TableService store,
       LearnedState learnedState,
+      SetAsideJobs setAsideJobs,
       LoopClock clock,
       DecisionLog log) {
     this.settings = settings;
     this.lease = lease;
     this.store = store;
     this.learnedState = learnedState;
+    this.setAsideJobs = setAsideJobs;
     this.clock = clock;
     this.log = log;
   }
@@ -93,11 +96,14 @@
     }
     String roster = CellRows.roster(settings.cell()).key();
     String learned = CellRows.learned(settings.cell()).key();
+    String setAside = CellRows.setAside(settings.cell()).key();
     for (StoredRow row : rows.rows()) {
       if (row.key().equals(roster)) {
         CellRows.roster(row.value()).ifPresent(this::onRoster);
       } else if (row.key().equals(learned)) {
         CellRows.learned(row.value()).ifPresent(learnedState::restore);
+      } else if (row.key().equals(setAside)) {
+        CellRows.setAside(row.value()).ifPresent(setAsideJobs::restore);
       }
     }
     loaded = true;
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerCompletions.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerCompletions.java
@@ -107,6 +107,11 @@
     return number;
   }
 
+  /** Returns the jobs of those up to a number that are not recorded. */
+  Set<Job> unrecordedJobs(long number) {
+    return Set.copyOf(unrecordedJobs.headMap(number, true).values());
+  }
+
   /** Records that a call that acknowledged them up to the given number was answered. */
   void onAcknowledged(long number) {
     acknowledged = Math.max(acknowledged, number);
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/WorkerPoller.java
@@ -82,6 +82,7 @@
   private final LoopClock clock;
   private final DecisionLog log;
   private final Listener listener;
+  private final EndRecorder endRecorder;
   private final CallWindow window = new AdaptiveWindow();
 
   /** Calls in flight that do not count as failed yet. */
@@ -131,6 +132,7 @@
     this.reconciler = reconciler;
     this.crashes = crashes;
     this.journal = journal;
+    this.endRecorder = new EndRecorder(journal, clock);
     this.clock = clock;
     this.log = log;
     this.listener = listener;
@@ -385,7 +387,7 @@
     listener.onReport(worker);
     worker.setNextHoldAt(now + nextInterval(worker, reply));
     if (worker.completions().last() > before || worker.completions().hasUnrecorded()) {
-      acknowledgeWhenStored(worker);
+      endRecorder.recordWhenStored(worker);
     }
   }
 
@@ -424,22 +426,6 @@
     return worker.isStoredAsUnreachable() ? RETRY_MILLIS : 0;
   }
 
-  private void acknowledgeWhenStored(Worker worker) {
-    long completion = worker.completions().last();
-    long bootTime = worker.entry().bootTimeMillis();
-    journal.whenStored(
-        () -> {
-          long stored = worker.completions().lastStored(completion, journal::isRefused);
-          boolean sameBoot =
-              worker.entry().bootTimeMillis() == bootTime
-                  && worker.completions().last() >= completion;
-          if (sameBoot && stored > worker.completions().recorded()) {
-            worker.completions().setRecorded(stored);
-            worker.setNextHoldAt(Math.min(worker.nextHoldAt(), clock.monotonicMillis()));
-          }
-        });
-  }
-
   /**
    * A hold call to a worker. Compared by identity: two calls with the same content are distinct.
    */
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/ProgressRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/ProgressRows.java
@@ -16,6 +16,7 @@
 import org.hemlockpick.proto.ProgressRecord;
 import org.hemlockpick.proto.StepProgress;
 import org.hemlockpick.proto.TaskNote;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The rows in which the progress of a job is stored: one if it fits. Otherwise the checkpoints go
@@ -55,6 +56,9 @@
   /** Whether the row is so large that it may have to become compact. */
   private boolean large;
 
+  /** Whether the job was ever set aside, so that its rows say when they were written. */
+  private boolean setAside;
+
   /** Largest value of a row that the table service took for the job, as far as is known. */
   private int maxBytes = Integer.MAX_VALUE;
 
@@ -92,11 +96,55 @@
     }
   }
 
+  /** Form in which the progress is stored. */
+  public enum Form {
+    /** All in one row. */
+    WHOLE,
+    /** Checkpoints in further rows. */
+    SPLIT,
+    /** All notes in further rows. */
+    COMPACT
+  }
+
+  /** Returns the form in which the progress is stored. */
+  public Form form() {
+    if (compact) {
+      return Form.COMPACT;
+    }
+    return split ? Form.SPLIT : Form.WHOLE;
+  }
+
   /** Records that earlier versions pass over the job from now on. */
   public void setHidden() {
     hidden = true;
   }
 
+  /** Returns whether earlier versions pass over the job. */
+  public boolean isHidden() {
+    return hidden;
+  }
+
+  /** Records that progress of the job is stored in the row of those that are set aside. */
+  public void setSetAside() {
+    setAside = true;
+  }
+
+  /**
+   * Returns the progress for the row of the jobs that are set aside: without checkpoints.
+   *
+   * @param leaseVersion version of the lease's row
+   */
+  public ProgressRecord smallest(ProgressRecord progress, long leaseVersion) {
+    ProgressRecord essential = withoutCheckpoints(progress);
+    ProgressRecord.Builder smallest = compact(essential).toBuilder().setLeaseVersion(leaseVersion);
+    for (StepProgress step : essential.getStepsList()) {
+      if (step.getNotesCount() > 0) {
+        smallest.addSteps(step.toBuilder().clearDone().clearDoubted());
+      }
+    }
+    return smallest.build();
+  }
+
   /** Returns whether earlier versions have to be made to pass over the job, as its row is large. */
   public boolean needsHiding() {
     return large && !hidden;
@@ -108,8 +156,15 @@
    *
    * @param progress all progress of the job, as a single row would hold it
    * @param rowBytes largest value of a row that the table service takes
+   * @param leaseVersion version of the lease's row
    */
-  public Optional<List<Write>> rows(ProgressRecord progress, int rowBytes) {
+  public Optional<List<Write>> rows(ProgressRecord progress, int rowBytes, long leaseVersion) {
+    return setAside
+        ? rows(progress.toBuilder().setLeaseVersion(leaseVersion).build(), rowBytes)
+        : rows(progress, rowBytes);
+  }
+
+  private Optional<List<Write>> rows(ProgressRecord progress, int rowBytes) {
     int limit = Math.min(rowBytes, maxBytes);
     if (!split && progress.getSerializedSize() <= limit) {
       return Optional.of(List.of(new Write(row(job), progress.toByteString())));
@@ -239,14 +294,20 @@
    * Restores the progress from the rows that earlier holders stored.
    *
    * @param stored the values of the rows by their keys
+   * @param aside progress in the row of the jobs that are set aside; null if there is none
    * @return the progress as a single row would hold it; empty if there is none
    */
-  public Optional<ProgressRecord> restore(Map<String, ProgressRecord> stored) {
+  public Optional<ProgressRecord> restore(
+      Map<String, ProgressRecord> stored, @Nullable ProgressRecord aside) {
     Map<Integer, ProgressRecord> notes = new TreeMap<>();
     stored.forEach((key, row) -> first(key).ifPresent(first -> notes.put(first, row)));
     notes.keySet().forEach(ranges::addStored);
     split = !notes.isEmpty();
     ProgressRecord main = stored.get(job);
+    setAside = aside != null || (main != null && main.getLeaseVersion() != 0);
+    if (aside != null && isNewer(aside, main)) {
+      return Optional.of(merge(aside, notes));
+    }
     if (main == null) {
       return Optional.empty();
     }
@@ -254,13 +315,22 @@
     storedCompact = compact;
     // Whether checkpoints are in the row, too, is not looked up.
     storedFurther = compact;
-    ProgressRecord.Builder merged = main.toBuilder().clearCompact();
+    return Optional.of(merge(main, notes));
+  }
+
+  /** Returns whether progress that was set aside is newer than that of the job's row. */
+  public static boolean isNewer(ProgressRecord aside, @Nullable ProgressRecord main) {
+    return main == null || aside.getLeaseVersion() > main.getLeaseVersion();
+  }
+
+  private ProgressRecord merge(ProgressRecord main, Map<Integer, ProgressRecord> notes) {
+    ProgressRecord.Builder merged = main.toBuilder().clearCompact().clearLeaseVersion();
     merged.clearDoneTasks().clearDoubtedTasks().clearSteps();
     if (!isFinal(main)) {
       notes.forEach((first, row) -> addNotes(first, row, merged));
     }
-    merged.addAllSteps(compact ? expand(main) : main.getStepsList());
-    return Optional.of(merged.build());
+    merged.addAllSteps(main.getStepsList());
+    return merged.addAllSteps(expand(main)).build();
   }
 
   private static boolean isFinal(ProgressRecord main) {
