--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerReply.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/CallerReply.java
@@ -34,4 +34,9 @@
   public static CallerReply retryLater(ResultCode code) {
     return new CallerReply(code, null, 0, RETRY_AFTER_MILLIS);
   }
+
+  /** Returns the state, or the code if there is none, for the log. */
+  String outcome() {
+    return state == null ? code.name() : state.name();
+  }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobCallHandler.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobCallHandler.java
@@ -1,9 +1,6 @@
 package org.hemlockpick.cell;
 
 import com.google.protobuf.ByteString;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -12,6 +9,7 @@
 import org.hemlockpick.cell.TableService.TransactionResult;
 import org.hemlockpick.cell.Transaction.Condition;
 import org.hemlockpick.cell.Transaction.Write;
+import org.hemlockpick.cell.calls.CallRetries;
 import org.hemlockpick.cell.calls.EndWait;
 import org.hemlockpick.cell.calls.TombstoneBudget;
 import org.hemlockpick.errors.ResultCode;
@@ -29,8 +27,6 @@
   /** Time without an answer of the table service after which no call is sent to it. */
   private static final long STORE_UNRESPONSIVE_MILLIS = 800;
 
-  private static final long RETRY_PAUSE_MILLIS = 60;
-
   /** Maximum time for which a call of unknown outcome is retried to determine its outcome. */
   private static final long MAX_SETTLE_MILLIS = 2_000;
 
@@ -47,7 +43,7 @@
   private final DecisionLog log;
   private final CellMetrics metrics;
   private final TombstoneBudget tombstones = new TombstoneBudget();
-  private final Deque<Retry> retries = new ArrayDeque<>();
+  private final CallRetries retries = new CallRetries();
   private int openCalls;
 
   JobCallHandler(
@@ -85,8 +81,7 @@
       handler.accept(CallerReply.of(ResultCode.UNKNOWN_SERVICE));
       return;
     }
-    Submission accepted = job.withTerms(queue);
-    ByteString row = JobRows.encode(accepted);
+    ByteString row = JobRows.encode(job.withTerms(queue));
     if (row.size() > settings.rowBytes()) {
       log.decided("submit", job.id(), ResultCode.TOO_LARGE.name(), row.size() + " bytes in a row");
       handler.accept(CallerReply.of(ResultCode.TOO_LARGE));
@@ -122,16 +117,9 @@
 
   /** Sends the retries that are due. */
   void run() {
-    long now = clock.monotonicMillis();
-    List<Call> due = new ArrayList<>();
-    while (!retries.isEmpty() && retries.element().dueAt() <= now) {
-      due.add(retries.remove().call());
-    }
-    due.forEach(Call::trySend);
+    retries.run(clock.monotonicMillis());
   }
 
-  private record Retry(long dueAt, Call call) {}
-
   /** A call of a caller that has not been answered yet. */
   private abstract class Call {
     final String job;
@@ -174,7 +162,7 @@
     void answer(CallerReply reply) {
       openCalls--;
       long took = clock.monotonicMillis() - startedAt;
-      log.decided(kind(), job, outcome(reply), took + " ms");
+      log.decided(kind(), job, reply.outcome(), took + " ms");
       handler.accept(reply);
     }
 
@@ -182,8 +170,8 @@
     void retryOrGiveUp() {
       long now = clock.monotonicMillis();
       long until = mayHaveRun ? deadline : Math.min(deadline, startedAt + MAX_RETRY_MILLIS);
-      if (now + RETRY_PAUSE_MILLIS < until) {
-        retries.add(new Retry(now + RETRY_PAUSE_MILLIS, this));
+      if (now + CallRetries.PAUSE_MILLIS < until) {
+        retries.add(now, this::trySend);
       } else {
         giveUp();
       }
@@ -208,11 +196,6 @@
               ? CallerReply.retryLater(ResultCode.OUTCOME_UNKNOWN)
               : CallerReply.retryLater(ResultCode.STORE_UNREACHABLE));
     }
-
-    private String outcome(CallerReply reply) {
-      JobState state = reply.state();
-      return state == null ? reply.code().name() : state.name();
-    }
   }
 
   private final class Submit extends Call {
@@ -384,9 +367,9 @@
     }
 
     private void answerOrWait(JobState state, EndWait wait) {
-      long nextReadAt = clock.monotonicMillis() + RETRY_PAUSE_MILLIS;
-      if (wait.includes(nextReadAt)) {
-        retries.add(new Retry(nextReadAt, this));
+      long now = clock.monotonicMillis();
+      if (wait.includes(now + CallRetries.PAUSE_MILLIS)) {
+        retries.add(now, this::trySend);
       } else {
         answer(CallerReply.of(state));
       }
