Play rows of 4,096 bytes and checkpoints in the soak

The stand-in of the table service took rows of any size, and tasks saved no checkpoints, so that no soak could outgrow a row.

--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Instance.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Instance.java
@@ -45,6 +45,7 @@
       worker-lease = "%d ms"
       worker-stop = "%d ms"
       status-keep = "120 s"
+      row-bytes = "4096"
       stop-grace = "%d s"
       """;
 
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Oracle.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Oracle.java
@@ -307,6 +307,18 @@
     task.acknowledged |= kind.equals("done");
   }
 
+  /** Checks the checkpoint with which a task is started; empty if there is none. */
+  void onCheckpoint(String task, String checkpoint) {
+    if (!checkpoint.isEmpty() && !checkpoint.equals(JobPlan.checkpoint(task))) {
+      addViolation("UNASKED", task + " was started with the checkpoint " + checkpoint);
+    }
+  }
+
+  /** Records that the table service refuses a row for its size. */
+  void onRowRefused(String row) {
+    addViolation("ROW", row);
+  }
+
   /** Logs an order whose token is lower than the highest one that the worker has seen. */
   void onOrder(SimWorker worker, String path, long token, long highestToken) {
     if (token < highestToken) {
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Platform.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.hemlockpick.platform.soak.StubHttpServer.Call;
 import org.hemlockpick.platform.soak.StubHttpServer.Reply;
 
@@ -205,6 +206,11 @@
   }
 
   private Reply transact(String process, JsonNode body) {
+    Optional<String> tooLarge = Rows.tooLarge(body);
+    if (tooLarge.isPresent()) {
+      oracle.onRowRefused(tooLarge.get());
+      return Reply.of(400, StubHttpServer.newObject());
+    }
     Reply reply = rows.transact(body);
     if (reply.status() == 200 && writesLease(body)) {
       long version = reply.body().path("schema_version").asLong();
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Rows.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/Rows.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.NavigableMap;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.hemlockpick.platform.soak.StubHttpServer.Call;
 import org.hemlockpick.platform.soak.StubHttpServer.Reply;
@@ -16,6 +17,10 @@
 /** The rows of the table service, with one version counter. Guarded by the world's lock. */
 final class Rows {
   private static final int MAX_ROWS = 500;
+
+  /** Largest value of a row. */
+  private static final int ROW_BYTES = 4_096;
+
   private static final int CONFLICT = 412;
 
   private final World world;
@@ -66,6 +71,17 @@
     world.notifyAll();
   }
 
+  /** Returns a row of a transaction that is too large, with its size. */
+  static Optional<String> tooLarge(JsonNode body) {
+    for (JsonNode write : body.path("write")) {
+      int bytes = Base64.getDecoder().decode(write.path("value").asText()).length;
+      if (bytes > ROW_BYTES) {
+        return Optional.of(Name.of(write) + " of " + bytes + " bytes");
+      }
+    }
+    return Optional.empty();
+  }
+
   /** Executes a transaction. */
   Reply transact(JsonNode body) {
     List<Name> conditions = new ArrayList<>();
--- a/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SimWorker.java
+++ b/org.hemlockpick.pgm.test/src/test/java/org/hemlockpick/platform/soak/SimWorker.java
@@ -251,6 +251,7 @@
     if (attempt <= highestAttempts.getOrDefault(task, 0) || current != null) {
       return refusal("old");
     }
+    oracle.onCheckpoint(task, body.path("checkpoint").asText());
     JobPlan plan = oracle.plan(task);
     int cpu = plan.cpuMillis();
     int used = runs.values().stream().mapToInt(SimRun::cpuMillis).sum();
@@ -330,7 +331,7 @@
           .addArray()
           .add(run.task())
           .add(run.attempt())
-          .add("")
+          .add(JobPlan.checkpoint(run.task()))
           .add(run.percent(world.now()))
           .add(0);
     }
@@ -341,7 +342,8 @@
             entry -> {
               End end = entry.getValue();
               ended.addArray().add(entry.getKey()).add(end.task()).add(end.attempt());
-              ((ArrayNode) ended.get(ended.size() - 1)).add(end.kind()).add("");
+              ((ArrayNode) ended.get(ended.size() - 1)).add(end.kind());
+              ((ArrayNode) ended.get(ended.size() - 1)).add(JobPlan.checkpoint(end.task()));
             });
     return body;
   }
