Keep what is set aside until the job's own rows are stored

Found by reading: if the row of jobs that are set aside was refused, or a job had grown out of it, its entry was dropped with the next write of the row, though ends had been confirmed by it; after a loss of the holder these tasks would run again. And a job for which there was no room was tried again with each report.

--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobWatcher.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JobWatcher.java
@@ -199,7 +199,7 @@
     Map<String, ProgressRecord> stored = scan.progress(job.id());
     ProgressRecord aside = journal.setAsideJobs().inherited(job.id());
     if (aside != null && ProgressRows.isNewer(aside, stored.get(job.id()))) {
-      journal.setAsideJobs().add(job);
+      journal.setAsideJobs().addInherited(job);
     }
     job.rows().restore(stored, aside).ifPresent(job::restore);
   }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JournalRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JournalRows.java
@@ -31,6 +31,9 @@
   /** Jobs that are to be set aside as soon as they are hidden from earlier versions. */
   private final Set<Job> heldUp = new HashSet<>();
 
+  /** Jobs that could not be set aside; this is tried again with their own rows. */
+  private final Set<Job> notSetAside = new HashSet<>();
+
   /** Jobs that are set aside, of which the own rows are tried again. */
   private final Set<Job> retried = new HashSet<>();
 
@@ -120,6 +123,7 @@
   void remove(Job job) {
     refusedJobs.remove(job);
     heldUp.remove(job);
+    notSetAside.remove(job);
     setAsideJobs.remove(job);
     removals.add(ProgressRows.row(job.id()));
     removeFurtherRows(job);
@@ -133,6 +137,7 @@
 
   /** Schedules the refused jobs to be sent again, and the own rows of those that are set aside. */
   void retryRefused() {
+    notSetAside.clear();
     retried.addAll(setAsideJobs.members());
     dirtyJobs.addAll(setAsideJobs.members());
     dirtyJobs.addAll(refusedJobs);
@@ -140,7 +145,8 @@
 
   /** Has a job set aside whose rows are refused, as its ends hold up those of other jobs. */
   void setAside(Job job) {
-    if (refusedJobs.contains(job) && !job.rows().needsHiding() && heldUp.add(job)) {
+    boolean isPossible = !notSetAside.contains(job) && !job.rows().needsHiding();
+    if (isPossible && refusedJobs.contains(job) && heldUp.add(job)) {
       dirtyJobs.add(job);
       log.decided("job", job.id(), "to be set aside", "its ends hold up those of others");
     }
@@ -239,17 +245,22 @@
     round.stream()
         .filter(job -> job.rows().isHidden() && heldUp.remove(job))
         .forEach(setAsideJobs::add);
-    boolean hasChanged =
-        round.stream().anyMatch(job -> setAsideJobs.contains(job) && !retried.contains(job));
-    if (!hasChanged && !setAsideJobs.isOutdated()) {
+    if (round.stream().noneMatch(this::isWrittenAside) && !setAsideJobs.isOutdated()) {
       return;
     }
-    Set<Job> before = Set.copyOf(setAsideJobs.members());
-    Write write = setAsideJobs.write(leaseVersion);
-    List<Job> members = List.copyOf(setAsideJobs.members());
-    queue.add(new JobWrite(members, write, true, true));
-    before.stream().filter(job -> !setAsideJobs.contains(job)).forEach(refusedJobs::add);
-    round.removeIf(job -> setAsideJobs.contains(job) && !retried.contains(job));
+    Set<Job> left = new HashSet<>(setAsideJobs.members());
+    SetAsideJobs.Row row = setAsideJobs.row(leaseVersion);
+    queue.add(new JobWrite(row.newest(), row.write(), true, true));
+    left.removeAll(row.newest());
+    left.forEach(job -> log.decided("job", job.id(), "not set aside", "no room"));
+    refusedJobs.addAll(left);
+    notSetAside.addAll(left);
+    round.removeIf(this::isWrittenAside);
+  }
+
+  /** Returns whether the progress of a job is written to the row of those that are set aside. */
+  private boolean isWrittenAside(Job job) {
+    return setAsideJobs.contains(job) && !retried.contains(job) && !notSetAside.contains(job);
   }
 
   private List<RowName> takeRemovals(TransactionRoom room) {
@@ -265,6 +276,9 @@
   List<Runnable> onStored() {
     rosterRefused &= sentRoster == null;
     sentRoster = null;
+    if (sent.stream().anyMatch(JobWrite::isAside)) {
+      setAsideJobs.onStored();
+    }
     sent.forEach(this::onStored);
     sent.clear();
     if (!round.isEmpty() || !queue.isEmpty()) {
@@ -285,7 +299,8 @@
       }
       refusedJobs.remove(job);
       heldUp.remove(job);
-      if (!row.isAside() && retried.remove(job)) {
+      if (!row.isAside()) {
+        retried.remove(job);
         setAsideJobs.remove(job);
       }
       if (job.state().isFinal() && !dirtyJobs.contains(job)) {
@@ -341,11 +356,12 @@
     sentRoster = null;
     requeue(transaction);
     if (isAsideRefused) {
+      notSetAside.addAll(refused);
       setAsideJobs.onRefused();
     }
-    // What is set aside, and does not fit its own rows yet, is written there again.
-    dirtyJobs.removeIf(job -> refused.contains(job) && !setAsideJobs.contains(job));
     retried.removeAll(refused);
+    // Those that are set aside are written there again, as their own rows are refused still.
+    dirtyJobs.removeIf(job -> refused.contains(job) && !isWrittenAside(job));
     removals.removeAll(transaction.removals());
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetAsideJobs.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/SetAsideJobs.java
@@ -3,6 +3,7 @@
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -17,20 +18,34 @@
 /**
  * The jobs whose own rows the table service refuses in every form, and whose ends hold up those of
  * other jobs. Their progress is stored in one row of the cell instead, so that the ends can be
- * confirmed to the workers.
+ * confirmed to the workers. What that row says of a job stays there until the job's own rows are
+ * stored, as ends were confirmed that no other row tells of.
  */
 final class SetAsideJobs {
   private final String cell;
   private final int rowBytes;
 
-  /** Progress in the row that the earlier holder left, by job. */
-  private final Map<String, ProgressRecord> inherited = new HashMap<>();
+  /** Entries in the row that the earlier holder left, by job, until the jobs are loaded. */
+  private final Map<String, SetAsideJob> inherited = new HashMap<>();
 
   private final Set<Job> members = new LinkedHashSet<>();
 
-  /** Whether the row may hold jobs that are no members any more. */
+  /** Entries of members in the row as it is stored. */
+  private Map<Job, SetAsideJob> stored = new LinkedHashMap<>();
+
+  /** Entries in the row as it was written last. */
+  private Map<Job, SetAsideJob> written = new LinkedHashMap<>();
+
+  /** Whether the row may hold jobs that are no members any more, or not be as it was written. */
   private boolean outdated;
 
+  /**
+   * The row, as it is to be written.
+   *
+   * @param newest members of which it holds the newest progress
+   */
+  record Row(Write write, List<Job> newest) {}
+
   SetAsideJobs(String cell, int rowBytes) {
     this.cell = cell;
     this.rowBytes = rowBytes;
@@ -38,20 +53,30 @@
 
   /** Restores the row that the earlier holder left. */
   void restore(SetAsideRecord record) {
-    record.getJobsList().forEach(job -> inherited.put(job.getJob(), job.getProgress()));
+    record.getJobsList().forEach(entry -> inherited.put(entry.getJob(), entry));
+  }
+
+  /** Returns the progress of a job in the row that the earlier holder left; null if none is. */
+  @Nullable ProgressRecord inherited(String job) {
+    SetAsideJob entry = inherited.get(job);
+    return entry == null ? null : entry.getProgress();
+  }
+
+  /** Adds a job that the earlier holder had set aside. */
+  void addInherited(Job job) {
+    SetAsideJob entry = inherited.get(job.id());
+    if (entry != null) {
+      stored.put(job, entry);
+      add(job);
+    }
   }
 
   /** Handles that the jobs are loaded: those that belong here have been added. */
   void onJobsLoaded() {
-    outdated = !inherited.isEmpty();
+    outdated |= !inherited.isEmpty();
     inherited.clear();
   }
 
-  /** Returns the progress of a job in the row that the earlier holder left; null if none is. */
-  @Nullable ProgressRecord inherited(String job) {
-    return inherited.get(job);
-  }
-
   boolean contains(Job job) {
     return members.contains(job);
   }
@@ -69,45 +94,61 @@
   @CanIgnoreReturnValue
   boolean remove(Job job) {
     boolean was = members.remove(job);
+    stored.remove(job);
     outdated |= was;
     return was;
   }
 
-  /** Handles that the table service refuses the row: no job is a member any more. */
-  void onRefused() {
-    members.clear();
-    outdated = false;
-  }
-
   /** Returns whether the row has to be written though no member has changed. */
   boolean isOutdated() {
     return outdated;
   }
 
-  /** Returns the row with the progress of all members. Those without room are none any more. */
-  Write write(long leaseVersion) {
-    List<Job> all = new ArrayList<>(members);
-    List<SetAsideJob> entries = new ArrayList<>();
-    for (Job job : all) {
-      ProgressRecord progress = JobRows.progress(job);
-      entries.add(
-          SetAsideJob.newBuilder()
-              .setJob(job.id())
-              .setProgress(job.rows().smallest(progress, leaseVersion))
-              .build());
+  /** Records that the row may not be stored as it was written last. */
+  void setOutdated() {
+    outdated = true;
+  }
+
+  /**
+   * Returns the row with the newest progress of the members, in their order. One for whose newest
+   * progress there is no room keeps what is stored, or is no member any more.
+   */
+  Row row(long leaseVersion) {
+    written = new LinkedHashMap<>(stored);
+    List<Job> newest = new ArrayList<>();
+    for (Job job : members) {
+      SetAsideJob before = written.put(job, entry(job, leaseVersion));
+      if (BoundedRecords.fit(written.values(), rowBytes)) {
+        newest.add(job);
+      } else if (before == null) {
+        written.remove(job);
+      } else {
+        written.put(job, before);
+      }
     }
-    List<SetAsideJob> included = BoundedRecords.fitting(entries, rowBytes);
-    Set<String> ids = new LinkedHashSet<>();
-    included.forEach(entry -> ids.add(entry.getJob()));
-    members.removeIf(job -> !ids.contains(job.id()));
+    members.retainAll(written.keySet());
     outdated = false;
     SetAsideRecord record =
-        SetAsideRecord.newBuilder().setFormat(JobRows.FORMAT).addAllJobs(included).build();
-    return new Write(CellRows.setAside(cell), record.toByteString());
+        SetAsideRecord.newBuilder().setFormat(JobRows.FORMAT).addAllJobs(written.values()).build();
+    return new Row(new Write(CellRows.setAside(cell), record.toByteString()), newest);
   }
 
-  /** Records that the row may not be stored as it was written last. */
-  void setOutdated() {
-    outdated = true;
+  private static SetAsideJob entry(Job job, long leaseVersion) {
+    return SetAsideJob.newBuilder()
+        .setJob(job.id())
+        .setProgress(job.rows().smallest(JobRows.progress(job), leaseVersion))
+        .build();
+  }
+
+  /** Records that the row is stored as it was written last. */
+  void onStored() {
+    stored = written;
+    stored.keySet().retainAll(members);
+  }
+
+  /** Handles that the table service refuses the row: it stays as it is stored. */
+  void onRefused() {
+    members.retainAll(stored.keySet());
+    outdated = false;
   }
 }
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/BoundedRecords.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/BoundedRecords.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.CodedOutputStream;
 import com.google.protobuf.Message;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 
 /** Selects the entries of a record that fit into a row. */
@@ -35,12 +36,12 @@
   }
 
   /** Returns whether all entries fit. */
-  static boolean fit(List<? extends Message> entries, int rowBytes) {
+  public static boolean fit(Collection<? extends Message> entries, int rowBytes) {
     return bytes(entries) <= rowBytes - OTHER_FIELDS_BYTES;
   }
 
   /** Returns the size of entries in a record, in bytes. */
-  static int bytes(List<? extends Message> entries) {
+  static int bytes(Collection<? extends Message> entries) {
     return entries.stream()
         .mapToInt(entry -> CodedOutputStream.computeMessageSize(ENTRIES_FIELD, entry))
         .sum();
