--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/limit/WatchedStartBudget.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/limit/WatchedStartBudget.java
@@ -2,13 +2,13 @@
 
 /**
  * Limits the watched starts of a job whose ends are not known, each of which is stored in the job's
- * row. Without a limit, the row of a large job in doubt exceeds the size that the table service
- * takes, and no task of the job is started again.
+ * row. Without a limit, each start of a large job in doubt would write the starts of thousands of
+ * tasks again.
  */
 public final class WatchedStartBudget {
   /**
    * Maximum number of watched starts of a job: at up to 60 bytes each they fill less than half of a
-   * row of 65,536 bytes, which has to hold the job's checkpoints too.
+   * row of 65,536 bytes, so that they alone do not make the job's row compact.
    */
   public static final int MAX_STARTS = 500;
 
