--- a/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
+++ b/org.hemlockpick.test/src/test/java/org/hemlockpick/cell/CellWorld.java
@@ -315,6 +315,27 @@
         null);
   }
 
+  /** Creates a step of tasks of which hundreds fit on a worker. */
+  static Step tinyStep(int count, boolean longRunning, Integer... dependsOn) {
+    return new Step(
+        count,
+        new ResourceAmounts(10, 10, 0),
+        500,
+        List.of(dependsOn),
+        true,
+        false,
+        false,
+        null,
+        null,
+        0,
+        false,
+        longRunning,
+        "image",
+        0,
+        false,
+        null);
+  }
+
   /** Creates a step of serving tasks with a tail target, of which one may be at a worker. */
   static Step servingStep(int count, String image, int tailTargetMillis) {
     return step(count, image, tailTargetMillis, false);
