--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/TransactionRoom.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/TransactionRoom.java
@@ -1,6 +1,5 @@
 package org.hemlockpick.cell.rows;
 
-import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import com.google.protobuf.ByteString;
 import org.hemlockpick.cell.Transaction.RowName;
 import org.hemlockpick.cell.Transaction.Write;
@@ -31,7 +30,6 @@
   }
 
   /** Counts a row that is written if there is room for it; returns whether there is. */
-  @CanIgnoreReturnValue
   public boolean tryTake(Write write) {
     if (rowsLeft < 1 || bytes(write.value()) > bytesLeft) {
       return false;
