--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/JournalRows.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/JournalRows.java
@@ -64,9 +64,10 @@
   private @Nullable LearnedRecord learned;
 
   /**
-   * A row of a job, or of all jobs that are set aside.
+   * A row of a job, or the row of those that are set aside.
    *
-   * @param isLast whether the progress of the jobs is stored with it
+   * @param jobs the job; or those of which the row has the newest progress
+   * @param isLast whether the progress of the jobs is stored once this row is
    */
   private record JobWrite(List<Job> jobs, Write write, boolean isLast, boolean isAside) {}
 
--- a/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/NoteRanges.java
+++ b/org.hemlockpick/src/main/java/org/hemlockpick/cell/rows/NoteRanges.java
@@ -25,10 +25,13 @@
    */
   static final int FORMAT = 2;
 
-  /** What a range is known to be stored with; an empty hash if that is not known. */
+  /** Stands for a range of which it is not known what is stored; no value has this hash. */
   private static final HashCode UNKNOWN = HashCode.fromInt(0);
 
-  /** The ranges by their first task numbers; each ends where the next one begins. */
+  /**
+   * Hashes of the values with which the ranges are stored, by their first task numbers. Each range
+   * ends where the next one begins.
+   */
   private final TreeMap<Integer, HashCode> ranges = new TreeMap<>();
 
   /** The note of a task. */
